core: kernel, events, state and ports

The interfaces that the parts of the proxy meet at: identifiers, terms and marks, typed events and actions as sealed interfaces, the timer service, the shared view of groups, the plug-in registry and the loop that runs a kernel under the real clock. Tool versions, linter, formatter and the check of the generated code are fixed here too.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,60 @@
+include tools.env
+
+BIN := $(CURDIR)/.bin
+TOOLS := $(BIN)/golangci-lint $(BIN)/gofumpt $(BIN)/buf $(BIN)/protoc-gen-go $(BIN)/protoc-gen-connect-go
+PACKAGES := ./cmd/... ./internal/...
+RAPID_FLAGS := -rapid.seed=20261203 -rapid.nofailfile
+
+.PHONY: build test lint format generate generated-check demo measure bench slopes fuzz e2e run tools clean
+
+build:
+	go build -o $(BIN)/almondway ./cmd/almondway
+	go build -o $(BIN)/standin ./cmd/standin
+
+test:
+	go test $(PACKAGES)
+
+run: build
+	$(BIN)/almondway proxy
+
+tools: $(TOOLS)
+
+$(BIN)/golangci-lint: tools.env
+	GOBIN=$(BIN) go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_LINT_VERSION)
+	@touch $@
+
+$(BIN)/gofumpt: tools.env
+	GOBIN=$(BIN) go install mvdan.cc/gofumpt@$(GOFUMPT_VERSION)
+	@touch $@
+
+$(BIN)/buf: tools.env
+	GOBIN=$(BIN) go install github.com/bufbuild/buf/cmd/buf@$(BUF_VERSION)
+	@touch $@
+
+$(BIN)/protoc-gen-go: tools.env
+	GOBIN=$(BIN) go install google.golang.org/protobuf/cmd/protoc-gen-go@$(PROTOC_GEN_GO_VERSION)
+	@touch $@
+
+$(BIN)/protoc-gen-connect-go: tools.env
+	GOBIN=$(BIN) go install connectrpc.com/connect/cmd/protoc-gen-connect-go@$(PROTOC_GEN_CONNECT_GO_VERSION)
+	@touch $@
+
+format: $(BIN)/gofumpt
+	$(BIN)/gofumpt -w cmd internal
+
+lint: $(BIN)/golangci-lint $(BIN)/gofumpt
+	@unformatted=$$($(BIN)/gofumpt -l cmd internal); \
+	if [ -n "$$unformatted" ]; then echo "not formatted: $$unformatted"; exit 1; fi
+	$(BIN)/golangci-lint run $(PACKAGES)
+
+generate: $(BIN)/buf $(BIN)/protoc-gen-go $(BIN)/protoc-gen-connect-go
+	PATH=$(BIN):$$PATH $(BIN)/buf lint
+	PATH=$(BIN):$$PATH $(BIN)/buf generate
+
+generated-check: generate
+	git diff --exit-code --stat -- internal/proto
+	@untracked=$$(git ls-files --others --exclude-standard internal/proto); \
+	if [ -n "$$untracked" ]; then echo "generated but not committed: $$untracked"; exit 1; fi
+
+clean:
+	rm -rf $(BIN)
--- /dev/null
+++ b/cmd/almondway/main.go
@@ -0,0 +1,4 @@
+// Command almondway is built from the package of its command line.
+package main
+
+func main() {}
--- /dev/null
+++ b/internal/app/daemon/daemon.go
@@ -0,0 +1,122 @@
+// Package daemon runs a kernel under the real clock and connects it with the adapters.
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"almondway.dev/almondway/internal/core/event"
+	"almondway.dev/almondway/internal/core/kern"
+	"almondway.dev/almondway/internal/core/port"
+)
+
+const (
+	inboxSize = 4096
+	idleWait  = time.Second
+)
+
+// Ports are the adapters that carry out the kernel's actions.
+type Ports struct {
+	Callers   port.Callers
+	Backend   port.Backend
+	Platform  port.Platform
+	Peers     port.Peers
+	Operators port.Operators
+	Journal   port.Journal
+	Process   port.Process
+}
+
+// Loop feeds a kernel with events and timers.
+type Loop struct {
+	kernel *kern.Kernel
+	start  time.Time
+	inbox  chan event.Event
+	ports  Ports
+}
+
+// New returns a Loop for the kernel, whose clock stood at zero at start. The
+// ports are set with Connect before Run.
+func New(kernel *kern.Kernel, start time.Time) *Loop {
+	return &Loop{kernel: kernel, start: start, inbox: make(chan event.Event, inboxSize)}
+}
+
+// Connect sets the adapters.
+func (loop *Loop) Connect(ports Ports) { loop.ports = ports }
+
+// Post implements port.Inbox. It blocks while the inbox is full.
+func (loop *Loop) Post(received event.Event) { loop.inbox <- received }
+
+// Run handles events and timers until the context ends.
+func (loop *Loop) Run(ctx context.Context) {
+	wake := time.NewTimer(0)
+	defer wake.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case received := <-loop.inbox:
+			loop.carryOut(loop.kernel.Handle(time.Since(loop.start), received))
+		case <-wake.C:
+			loop.carryOut(loop.kernel.Tick(time.Since(loop.start)))
+		}
+		wake.Reset(loop.untilNext())
+	}
+}
+
+func (loop *Loop) untilNext() time.Duration {
+	next, ok := loop.kernel.Next()
+	if !ok {
+		return idleWait
+	}
+	return max(0, next-time.Since(loop.start))
+}
+
+func (loop *Loop) carryOut(actions []event.Action) {
+	for _, action := range actions {
+		loop.dispatch(action)
+	}
+}
+
+func (loop *Loop) dispatch(action event.Action) {
+	ports := &loop.ports
+	switch action := action.(type) {
+	case event.AcceptCaller:
+		ports.Callers.Accept(action)
+	case event.RefuseCaller:
+		ports.Callers.Refuse(action)
+	case event.CloseCaller:
+		ports.Callers.Close(action)
+	case event.AnswerCaller:
+		ports.Callers.Answer(action)
+	case event.OpenConn:
+		ports.Backend.Open(action)
+	case event.CloseConn:
+		ports.Backend.Close(action)
+	case event.ResetConn:
+		ports.Backend.Reset(action)
+	case event.Execute:
+		ports.Backend.Execute(action)
+	case event.CancelExecute:
+		ports.Backend.Cancel(action)
+	case event.Probe:
+		ports.Backend.Probe(action)
+	case event.SendOrder:
+		ports.Backend.Order(action)
+	case event.ReadStore:
+		ports.Platform.Read(action)
+	case event.WriteStore:
+		ports.Platform.Write(action)
+	case event.ListGroups:
+		ports.Platform.ListGroups(action)
+	case event.ListHosts:
+		ports.Platform.ListHosts(action)
+	case event.SendPeer:
+		ports.Peers.Send(action)
+	case event.AnswerOperator:
+		ports.Operators.Answer(action)
+	case event.LogDecision:
+		ports.Journal.Decide(action.Decision())
+	case event.StopProxy:
+		ports.Process.Stop()
+	}
+}
--- /dev/null
+++ b/internal/core/event/connect.go
@@ -0,0 +1,166 @@
+package event
+
+import (
+	"time"
+
+	"almondway.dev/almondway/internal/core/model"
+)
+
+// OpenConn opens a backend connection. The answer is ConnOpened or ConnFailed.
+type OpenConn struct {
+	conn     model.ConnID
+	instance model.InstanceID
+	address  string
+}
+
+// NewOpenConn returns a OpenConn.
+func NewOpenConn(conn model.ConnID, instance model.InstanceID, address string) OpenConn {
+	return OpenConn{conn: conn, instance: instance, address: address}
+}
+
+// Conn returns the new connection.
+func (openConn OpenConn) Conn() model.ConnID { return openConn.conn }
+
+// Instance returns the instance.
+func (openConn OpenConn) Instance() model.InstanceID { return openConn.instance }
+
+// Address returns the "ip:port" of the instance.
+func (openConn OpenConn) Address() string { return openConn.address }
+
+func (OpenConn) isAction() {}
+
+// CloseConn closes a backend connection; it has no answer.
+type CloseConn struct {
+	conn model.ConnID
+}
+
+// NewCloseConn returns a CloseConn.
+func NewCloseConn(conn model.ConnID) CloseConn {
+	return CloseConn{conn: conn}
+}
+
+// Conn returns the connection.
+func (closeConn CloseConn) Conn() model.ConnID { return closeConn.conn }
+
+func (CloseConn) isAction() {}
+
+// ResetConn rolls back and clears the state of a backend connection. The answer is ResetDone.
+type ResetConn struct {
+	conn model.ConnID
+}
+
+// NewResetConn returns a ResetConn.
+func NewResetConn(conn model.ConnID) ResetConn {
+	return ResetConn{conn: conn}
+}
+
+// Conn returns the connection.
+func (resetConn ResetConn) Conn() model.ConnID { return resetConn.conn }
+
+func (ResetConn) isAction() {}
+
+// Execute runs a Work on a backend connection. The answer is ExecuteDone or ExecuteFailed.
+type Execute struct {
+	exec model.ExecID
+	conn model.ConnID
+	work *model.Work
+}
+
+// NewExecute returns a Execute.
+func NewExecute(exec model.ExecID, conn model.ConnID, work *model.Work) Execute {
+	return Execute{exec: exec, conn: conn, work: work}
+}
+
+// Exec returns the execution.
+func (execute Execute) Exec() model.ExecID { return execute.exec }
+
+// Conn returns the connection, on which nothing else runs.
+func (execute Execute) Conn() model.ConnID { return execute.conn }
+
+// Work returns what to run.
+func (execute Execute) Work() *model.Work { return execute.work }
+
+func (Execute) isAction() {}
+
+// CancelExecute asks the instance to cancel an execution, which is still answered.
+type CancelExecute struct {
+	exec model.ExecID
+	conn model.ConnID
+}
+
+// NewCancelExecute returns a CancelExecute.
+func NewCancelExecute(exec model.ExecID, conn model.ConnID) CancelExecute {
+	return CancelExecute{exec: exec, conn: conn}
+}
+
+// Exec returns the execution.
+func (cancelExecute CancelExecute) Exec() model.ExecID { return cancelExecute.exec }
+
+// Conn returns the connection.
+func (cancelExecute CancelExecute) Conn() model.ConnID { return cancelExecute.conn }
+
+func (CancelExecute) isAction() {}
+
+// Probe asks an instance for its status at once. The answer is StatusReported or StatusFailed.
+type Probe struct {
+	probe    model.ProbeID
+	instance model.InstanceID
+	address  string
+	timeout  time.Duration
+}
+
+// NewProbe returns a Probe.
+func NewProbe(probe model.ProbeID, instance model.InstanceID, address string, timeout time.Duration) Probe {
+	return Probe{probe: probe, instance: instance, address: address, timeout: timeout}
+}
+
+// Probe returns the probe.
+func (probe Probe) Probe() model.ProbeID { return probe.probe }
+
+// Instance returns the instance.
+func (probe Probe) Instance() model.InstanceID { return probe.instance }
+
+// Address returns the "ip:port" of the instance.
+func (probe Probe) Address() string { return probe.address }
+
+// Timeout returns the time after which the probe counts as failed.
+func (probe Probe) Timeout() time.Duration { return probe.timeout }
+
+func (Probe) isAction() {}
+
+// SendOrder gives an order to an instance. The answer is OrderDone or OrderFailed.
+type SendOrder struct {
+	order    model.OrderID
+	instance model.InstanceID
+	address  string
+	body     Order
+	timeout  time.Duration
+}
+
+// NewSendOrder returns a SendOrder.
+func NewSendOrder(order model.OrderID, instance model.InstanceID, address string, body Order, timeout time.Duration) SendOrder {
+	return SendOrder{
+		order:    order,
+		instance: instance,
+		address:  address,
+		body:     body,
+		timeout:  timeout,
+	}
+}
+
+// Order returns the order.
+func (sendOrder SendOrder) Order() model.OrderID { return sendOrder.order }
+
+// Instance returns the instance.
+func (sendOrder SendOrder) Instance() model.InstanceID { return sendOrder.instance }
+
+// Address returns the "ip:port" of the instance.
+func (sendOrder SendOrder) Address() string { return sendOrder.address }
+
+// Body returns the order.
+func (sendOrder SendOrder) Body() Order { return sendOrder.body }
+
+// Timeout returns the time after which the order counts as failed.
+func (sendOrder SendOrder) Timeout() time.Duration { return sendOrder.timeout }
+
+func (SendOrder) isAction() {}
--- /dev/null
+++ b/internal/core/event/effect.go
@@ -0,0 +1,124 @@
+package event
+
+import (
+	"almondway.dev/almondway/internal/core/model"
+)
+
+// ReadStore reads the rows of a table whose keys start with a prefix. The answer is StoreRead or StoreFailed.
+type ReadStore struct {
+	query  model.QueryID
+	table  string
+	prefix string
+}
+
+// NewReadStore returns a ReadStore.
+func NewReadStore(query model.QueryID, table string, prefix string) ReadStore {
+	return ReadStore{query: query, table: table, prefix: prefix}
+}
+
+// Query returns the query.
+func (readStore ReadStore) Query() model.QueryID { return readStore.query }
+
+// Table returns the table.
+func (readStore ReadStore) Table() string { return readStore.table }
+
+// Prefix returns the prefix; a whole key selects one row.
+func (readStore ReadStore) Prefix() string { return readStore.prefix }
+
+func (ReadStore) isAction() {}
+
+// WriteStore writes rows in one transaction if all have the expected versions. The answer is StoreWritten, StoreConflict or StoreFailed.
+type WriteStore struct {
+	query  model.QueryID
+	writes []model.RowWrite
+}
+
+// NewWriteStore returns a WriteStore.
+func NewWriteStore(query model.QueryID, writes []model.RowWrite) WriteStore {
+	return WriteStore{query: query, writes: writes}
+}
+
+// Query returns the query.
+func (writeStore WriteStore) Query() model.QueryID { return writeStore.query }
+
+// Writes returns the rows.
+func (writeStore WriteStore) Writes() []model.RowWrite { return writeStore.writes }
+
+func (WriteStore) isAction() {}
+
+// ListGroups asks the platform for its database groups. The answer is GroupsListed or none.
+type ListGroups struct{}
+
+// NewListGroups returns a ListGroups.
+func NewListGroups() ListGroups { return ListGroups{} }
+
+func (ListGroups) isAction() {}
+
+// ListHosts asks the platform for its list of hosts. The answer is HostsListed or none.
+type ListHosts struct{}
+
+// NewListHosts returns a ListHosts.
+func NewListHosts() ListHosts { return ListHosts{} }
+
+func (ListHosts) isAction() {}
+
+// SendPeer sends a message to another proxy; it may be lost.
+type SendPeer struct {
+	address string
+	message PeerMessage
+}
+
+// NewSendPeer returns a SendPeer.
+func NewSendPeer(address string, message PeerMessage) SendPeer {
+	return SendPeer{address: address, message: message}
+}
+
+// Address returns the "ip:port" of the other proxy.
+func (sendPeer SendPeer) Address() string { return sendPeer.address }
+
+// Message returns the message.
+func (sendPeer SendPeer) Message() PeerMessage { return sendPeer.message }
+
+func (SendPeer) isAction() {}
+
+// AnswerOperator gives an operator's call its one answer.
+type AnswerOperator struct {
+	ask    model.AskID
+	result Result
+}
+
+// NewAnswerOperator returns a AnswerOperator.
+func NewAnswerOperator(ask model.AskID, result Result) AnswerOperator {
+	return AnswerOperator{ask: ask, result: result}
+}
+
+// Ask returns the call.
+func (answerOperator AnswerOperator) Ask() model.AskID { return answerOperator.ask }
+
+// Result returns the result.
+func (answerOperator AnswerOperator) Result() Result { return answerOperator.result }
+
+func (AnswerOperator) isAction() {}
+
+// StopProxy stops the process: nothing is in flight any more.
+type StopProxy struct{}
+
+// NewStopProxy returns a StopProxy.
+func NewStopProxy() StopProxy { return StopProxy{} }
+
+func (StopProxy) isAction() {}
+
+// LogDecision writes the log line of a routing or placement decision.
+type LogDecision struct {
+	decision model.Decision
+}
+
+// NewLogDecision returns a LogDecision.
+func NewLogDecision(decision model.Decision) LogDecision {
+	return LogDecision{decision: decision}
+}
+
+// Decision returns the decision.
+func (logDecision LogDecision) Decision() model.Decision { return logDecision.decision }
+
+func (LogDecision) isAction() {}
--- /dev/null
+++ b/internal/core/event/internal.go
@@ -0,0 +1,134 @@
+package event
+
+import (
+	"time"
+
+	"almondway.dev/almondway/internal/core/codes"
+	"almondway.dev/almondway/internal/core/model"
+)
+
+// GroupObserved tells the plug-ins that the view of a group has new reports.
+type GroupObserved struct {
+	group model.GroupID
+}
+
+// NewGroupObserved returns a GroupObserved.
+func NewGroupObserved(group model.GroupID) GroupObserved {
+	return GroupObserved{group: group}
+}
+
+// Group returns the group.
+func (groupObserved GroupObserved) Group() model.GroupID { return groupObserved.group }
+
+func (GroupObserved) isEvent() {}
+
+// TermChanged tells the plug-ins that a group has a primary of a higher term.
+type TermChanged struct {
+	group   model.GroupID
+	term    model.Term
+	primary model.InstanceID
+}
+
+// NewTermChanged returns a TermChanged.
+func NewTermChanged(group model.GroupID, term model.Term, primary model.InstanceID) TermChanged {
+	return TermChanged{group: group, term: term, primary: primary}
+}
+
+// Group returns the group.
+func (termChanged TermChanged) Group() model.GroupID { return termChanged.group }
+
+// Term returns the new term.
+func (termChanged TermChanged) Term() model.Term { return termChanged.term }
+
+// Primary returns the new primary.
+func (termChanged TermChanged) Primary() model.InstanceID { return termChanged.primary }
+
+func (TermChanged) isEvent() {}
+
+// CatalogChanged tells the plug-ins that a new revision of the deployments is in force.
+type CatalogChanged struct {
+	revision uint64
+}
+
+// NewCatalogChanged returns a CatalogChanged.
+func NewCatalogChanged(revision uint64) CatalogChanged {
+	return CatalogChanged{revision: revision}
+}
+
+// Revision returns the revision.
+func (catalogChanged CatalogChanged) Revision() uint64 { return catalogChanged.revision }
+
+func (CatalogChanged) isEvent() {}
+
+// LeavingChanged tells the plug-ins that an instance started or stopped leaving.
+type LeavingChanged struct {
+	instance model.InstanceID
+	leaving  bool
+}
+
+// NewLeavingChanged returns a LeavingChanged.
+func NewLeavingChanged(instance model.InstanceID, leaving bool) LeavingChanged {
+	return LeavingChanged{instance: instance, leaving: leaving}
+}
+
+// Instance returns the instance.
+func (leavingChanged LeavingChanged) Instance() model.InstanceID { return leavingChanged.instance }
+
+// Leaving returns whether it leaves.
+func (leavingChanged LeavingChanged) Leaving() bool { return leavingChanged.leaving }
+
+func (LeavingChanged) isEvent() {}
+
+// DrainStarted tells the plug-ins that the proxy takes no new work.
+type DrainStarted struct{}
+
+// NewDrainStarted returns a DrainStarted.
+func NewDrainStarted() DrainStarted { return DrainStarted{} }
+
+func (DrainStarted) isEvent() {}
+
+// ConnGranted tells the plug-in that asked for a connection that it may use one. It answers conns.Acquire.
+type ConnGranted struct {
+	ticket   uint64
+	conn     model.ConnID
+	instance model.InstanceID
+}
+
+// NewConnGranted returns a ConnGranted.
+func NewConnGranted(ticket uint64, conn model.ConnID, instance model.InstanceID) ConnGranted {
+	return ConnGranted{ticket: ticket, conn: conn, instance: instance}
+}
+
+// Ticket returns the number that Acquire returned.
+func (connGranted ConnGranted) Ticket() uint64 { return connGranted.ticket }
+
+// Conn returns the connection.
+func (connGranted ConnGranted) Conn() model.ConnID { return connGranted.conn }
+
+// Instance returns the instance of the connection.
+func (connGranted ConnGranted) Instance() model.InstanceID { return connGranted.instance }
+
+func (ConnGranted) isEvent() {}
+
+// ConnDenied tells the plug-in that asked for a connection that it gets none. It answers conns.Acquire.
+type ConnDenied struct {
+	ticket     uint64
+	code       codes.Code
+	retryAfter time.Duration
+}
+
+// NewConnDenied returns a ConnDenied.
+func NewConnDenied(ticket uint64, code codes.Code, retryAfter time.Duration) ConnDenied {
+	return ConnDenied{ticket: ticket, code: code, retryAfter: retryAfter}
+}
+
+// Ticket returns the number that Acquire returned.
+func (connDenied ConnDenied) Ticket() uint64 { return connDenied.ticket }
+
+// Code returns why.
+func (connDenied ConnDenied) Code() codes.Code { return connDenied.code }
+
+// RetryAfter returns when to come back.
+func (connDenied ConnDenied) RetryAfter() time.Duration { return connDenied.retryAfter }
+
+func (ConnDenied) isEvent() {}
--- /dev/null
+++ b/internal/core/event/peer.go
@@ -0,0 +1,94 @@
+package event
+
+import (
+	"almondway.dev/almondway/internal/core/model"
+)
+
+// Heartbeat tells a peer what the sender knows. It is sent every heartbeat interval.
+type Heartbeat struct {
+	proxy     model.ProxyID
+	address   string
+	revision  uint64
+	confirmed bool
+	draining  bool
+	leaving   []model.InstanceID
+	terms     []model.TermView
+}
+
+// NewHeartbeat returns a Heartbeat.
+func NewHeartbeat(proxy model.ProxyID, address string, revision uint64, confirmed bool, draining bool, leaving []model.InstanceID, terms []model.TermView) Heartbeat {
+	return Heartbeat{
+		proxy:     proxy,
+		address:   address,
+		revision:  revision,
+		confirmed: confirmed,
+		draining:  draining,
+		leaving:   leaving,
+		terms:     terms,
+	}
+}
+
+// Proxy returns the sender.
+func (heartbeat Heartbeat) Proxy() model.ProxyID { return heartbeat.proxy }
+
+// Address returns the "ip:port" at which the sender takes messages.
+func (heartbeat Heartbeat) Address() string { return heartbeat.address }
+
+// Revision returns the revision of the deployments that the sender has in force.
+func (heartbeat Heartbeat) Revision() uint64 { return heartbeat.revision }
+
+// Confirmed returns whether the sender confirmed the revision with the store within the confirmation time.
+func (heartbeat Heartbeat) Confirmed() bool { return heartbeat.confirmed }
+
+// Draining returns whether the sender is shutting down.
+func (heartbeat Heartbeat) Draining() bool { return heartbeat.draining }
+
+// Leaving returns the instances that the sender knows to be leaving.
+func (heartbeat Heartbeat) Leaving() []model.InstanceID { return heartbeat.leaving }
+
+// Terms returns the highest term and its primary that the sender knows, for each group.
+func (heartbeat Heartbeat) Terms() []model.TermView { return heartbeat.terms }
+
+func (Heartbeat) isPeerMessage() {}
+
+// CatalogPush carries a whole revision of the deployments.
+type CatalogPush struct {
+	proxy       model.ProxyID
+	revision    uint64
+	deployments []*model.Deployment
+}
+
+// NewCatalogPush returns a CatalogPush.
+func NewCatalogPush(proxy model.ProxyID, revision uint64, deployments []*model.Deployment) CatalogPush {
+	return CatalogPush{proxy: proxy, revision: revision, deployments: deployments}
+}
+
+// Proxy returns the sender.
+func (catalogPush CatalogPush) Proxy() model.ProxyID { return catalogPush.proxy }
+
+// Revision returns the revision.
+func (catalogPush CatalogPush) Revision() uint64 { return catalogPush.revision }
+
+// Deployments returns all deployments of the revision.
+func (catalogPush CatalogPush) Deployments() []*model.Deployment { return catalogPush.deployments }
+
+func (CatalogPush) isPeerMessage() {}
+
+// CatalogAck tells the sender of a CatalogPush that the revision or a higher one is in force.
+type CatalogAck struct {
+	proxy    model.ProxyID
+	revision uint64
+}
+
+// NewCatalogAck returns a CatalogAck.
+func NewCatalogAck(proxy model.ProxyID, revision uint64) CatalogAck {
+	return CatalogAck{proxy: proxy, revision: revision}
+}
+
+// Proxy returns the sender of the acknowledgement.
+func (catalogAck CatalogAck) Proxy() model.ProxyID { return catalogAck.proxy }
+
+// Revision returns the revision in force.
+func (catalogAck CatalogAck) Revision() uint64 { return catalogAck.revision }
+
+func (CatalogAck) isPeerMessage() {}
--- /dev/null
+++ b/internal/core/event/platform.go
@@ -0,0 +1,145 @@
+package event
+
+import (
+	"almondway.dev/almondway/internal/core/model"
+)
+
+// StoreRead reports the rows of a table. It answers ReadStore.
+type StoreRead struct {
+	query model.QueryID
+	rows  []model.Row
+}
+
+// NewStoreRead returns a StoreRead.
+func NewStoreRead(query model.QueryID, rows []model.Row) StoreRead {
+	return StoreRead{query: query, rows: rows}
+}
+
+// Query returns the query.
+func (storeRead StoreRead) Query() model.QueryID { return storeRead.query }
+
+// Rows returns the rows, in ascending order of their keys.
+func (storeRead StoreRead) Rows() []model.Row { return storeRead.rows }
+
+func (StoreRead) isEvent() {}
+
+// StoreWritten reports that a transaction committed. It answers WriteStore.
+type StoreWritten struct {
+	query model.QueryID
+}
+
+// NewStoreWritten returns a StoreWritten.
+func NewStoreWritten(query model.QueryID) StoreWritten {
+	return StoreWritten{query: query}
+}
+
+// Query returns the query.
+func (storeWritten StoreWritten) Query() model.QueryID { return storeWritten.query }
+
+func (StoreWritten) isEvent() {}
+
+// StoreConflict reports that a transaction was refused because a row had another version. It answers WriteStore.
+type StoreConflict struct {
+	query model.QueryID
+}
+
+// NewStoreConflict returns a StoreConflict.
+func NewStoreConflict(query model.QueryID) StoreConflict {
+	return StoreConflict{query: query}
+}
+
+// Query returns the query.
+func (storeConflict StoreConflict) Query() model.QueryID { return storeConflict.query }
+
+func (StoreConflict) isEvent() {}
+
+// StoreFailed reports that a query got no answer. A WriteStore may have taken effect.
+type StoreFailed struct {
+	query model.QueryID
+}
+
+// NewStoreFailed returns a StoreFailed.
+func NewStoreFailed(query model.QueryID) StoreFailed {
+	return StoreFailed{query: query}
+}
+
+// Query returns the query.
+func (storeFailed StoreFailed) Query() model.QueryID { return storeFailed.query }
+
+func (StoreFailed) isEvent() {}
+
+// GroupsListed reports the platform's database groups. It answers ListGroups.
+type GroupsListed struct {
+	groups []model.Group
+}
+
+// NewGroupsListed returns a GroupsListed.
+func NewGroupsListed(groups []model.Group) GroupsListed {
+	return GroupsListed{groups: groups}
+}
+
+// Groups returns the groups, in ascending order of their names.
+func (groupsListed GroupsListed) Groups() []model.Group { return groupsListed.groups }
+
+func (GroupsListed) isEvent() {}
+
+// HostsListed reports the platform's list of hosts, which lags. It answers ListHosts.
+type HostsListed struct {
+	hosts []model.Host
+}
+
+// NewHostsListed returns a HostsListed.
+func NewHostsListed(hosts []model.Host) HostsListed {
+	return HostsListed{hosts: hosts}
+}
+
+// Hosts returns the hosts.
+func (hostsListed HostsListed) Hosts() []model.Host { return hostsListed.hosts }
+
+func (HostsListed) isEvent() {}
+
+// PeerReceived reports a message of another proxy.
+type PeerReceived struct {
+	from    model.ProxyID
+	message PeerMessage
+}
+
+// NewPeerReceived returns a PeerReceived.
+func NewPeerReceived(from model.ProxyID, message PeerMessage) PeerReceived {
+	return PeerReceived{from: from, message: message}
+}
+
+// From returns the proxy that sent the message.
+func (peerReceived PeerReceived) From() model.ProxyID { return peerReceived.from }
+
+// Message returns the message.
+func (peerReceived PeerReceived) Message() PeerMessage { return peerReceived.message }
+
+func (PeerReceived) isEvent() {}
+
+// OperatorAsked reports an operator's call. The answer is one AnswerOperator.
+type OperatorAsked struct {
+	ask     model.AskID
+	command Command
+}
+
+// NewOperatorAsked returns a OperatorAsked.
+func NewOperatorAsked(ask model.AskID, command Command) OperatorAsked {
+	return OperatorAsked{ask: ask, command: command}
+}
+
+// Ask returns the call.
+func (operatorAsked OperatorAsked) Ask() model.AskID { return operatorAsked.ask }
+
+// Command returns what the operator asks for.
+func (operatorAsked OperatorAsked) Command() Command { return operatorAsked.command }
+
+func (OperatorAsked) isEvent() {}
+
+// ShutdownAsked asks the proxy to drain and to stop.
+type ShutdownAsked struct{}
+
+// NewShutdownAsked returns a ShutdownAsked.
+func NewShutdownAsked() ShutdownAsked { return ShutdownAsked{} }
+
+func (ShutdownAsked) isEvent() {}
--- /dev/null
+++ b/internal/core/kern/context.go
@@ -0,0 +1,91 @@
+package kern
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"almondway.dev/almondway/internal/core/event"
+	"almondway.dev/almondway/internal/core/state"
+	"almondway.dev/almondway/internal/core/timer"
+	"almondway.dev/almondway/internal/core/tune"
+)
+
+// Context is what a plug-in has of the kernel that it runs in.
+type Context struct {
+	state    *state.State
+	settings *tune.Settings
+	timers   *timer.Service
+	random   *rand.Rand
+	started  time.Time
+	services map[string]any
+	events   []event.Event
+	actions  []event.Action
+	lastID   uint64
+}
+
+func newContext(shared *state.State, settings *tune.Settings, timers *timer.Service, started time.Time, seed uint64) *Context {
+	return &Context{
+		state:    shared,
+		settings: settings,
+		timers:   timers,
+		random:   rand.New(rand.NewPCG(seed, seed)),
+		started:  started,
+		services: make(map[string]any),
+	}
+}
+
+// State returns the shared state.
+func (context *Context) State() *state.State { return context.state }
+
+// Settings returns the settings.
+func (context *Context) Settings() *tune.Settings { return context.settings }
+
+// Timers returns the timer service.
+func (context *Context) Timers() *timer.Service { return context.timers }
+
+// Now returns the time since the start of the kernel.
+func (context *Context) Now() time.Duration { return context.timers.Now() }
+
+// Wall returns the wall-clock time.
+func (context *Context) Wall() time.Time { return context.started.Add(context.timers.Now()) }
+
+// Random returns the kernel's own random source.
+func (context *Context) Random() *rand.Rand { return context.random }
+
+// NextID returns a number that the kernel has not returned before. It is never 0.
+func (context *Context) NextID() uint64 {
+	context.lastID++
+	return context.lastID
+}
+
+// Emit adds an action for the adapters.
+func (context *Context) Emit(action event.Action) { context.actions = append(context.actions, action) }
+
+// Publish hands an event to every plug-in, this one included, after those
+// published before.
+func (context *Context) Publish(published event.Event) {
+	context.events = append(context.events, published)
+}
+
+// Offer makes a service available to the plug-ins that are registered after this one.
+func (context *Context) Offer(name string, service any) { context.services[name] = service }
+
+// Service returns the service of the given name, or nil.
+func (context *Context) Service(name string) any { return context.services[name] }
+
+func (context *Context) begin() {
+	context.actions = context.actions[:0]
+}
+
+func (context *Context) nextEvent() (event.Event, bool) {
+	if len(context.events) == 0 {
+		return nil, false
+	}
+	next := context.events[0]
+	context.events[0] = nil
+	context.events = context.events[1:]
+	if len(context.events) == 0 {
+		context.events = nil
+	}
+	return next, true
+}
--- /dev/null
+++ b/internal/core/kern/kern.go
@@ -0,0 +1,69 @@
+// Package kern is the event loop of the proxy. It hands typed events to the
+// registered plug-ins and collects their typed actions. It starts no goroutine
+// and reads no clock, so that the same history gives the same decisions.
+package kern
+
+import (
+	"time"
+
+	"almondway.dev/almondway/internal/core/event"
+	"almondway.dev/almondway/internal/core/model"
+	"almondway.dev/almondway/internal/core/state"
+	"almondway.dev/almondway/internal/core/timer"
+	"almondway.dev/almondway/internal/core/tune"
+)
+
+// Kernel runs the plug-ins of one proxy. It is used by one goroutine; several
+// kernels may live in one process.
+type Kernel struct {
+	context *Context
+	plugins []Plugin
+}
+
+// New returns a Kernel with every registered plug-in. started is the wall-clock
+// time at which the kernel's clock stands at zero; seed feeds its random source.
+func New(self model.ProxyView, settings *tune.Settings, started time.Time, seed uint64) *Kernel {
+	kernel := &Kernel{context: newContext(state.New(self), settings, timer.New(), started, seed)}
+	for _, registration := range registrations {
+		kernel.plugins = append(kernel.plugins, registration.factory(kernel.context))
+	}
+	return kernel
+}
+
+// State returns the shared state, for status pages and tests.
+func (kernel *Kernel) State() *state.State { return kernel.context.state }
+
+// Handle advances the clock to now, hands the event to every plug-in and
+// returns what the adapters shall do, in order. The slice is valid until the
+// next call.
+func (kernel *Kernel) Handle(now time.Duration, received event.Event) []event.Action {
+	kernel.context.begin()
+	kernel.context.timers.Advance(now)
+	kernel.context.Publish(received)
+	kernel.deliver()
+	return kernel.context.actions
+}
+
+// Tick advances the clock to now and returns what the adapters shall do. The
+// slice is valid until the next call.
+func (kernel *Kernel) Tick(now time.Duration) []event.Action {
+	kernel.context.begin()
+	kernel.context.timers.Advance(now)
+	kernel.deliver()
+	return kernel.context.actions
+}
+
+// Next returns when Tick has to be called at the latest.
+func (kernel *Kernel) Next() (time.Duration, bool) { return kernel.context.timers.Next() }
+
+func (kernel *Kernel) deliver() {
+	for {
+		next, ok := kernel.context.nextEvent()
+		if !ok {
+			return
+		}
+		for _, plugin := range kernel.plugins {
+			plugin.Handle(next)
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/model/ids.go
@@ -0,0 +1,39 @@
+// Package model defines the values that the kernel, its plug-ins and the
+// adapters exchange: identifiers, terms, log marks, deployments and requests.
+package model
+
+// GroupID names a database group: one primary and its replicas.
+type GroupID string
+
+// InstanceID names a database instance on a backend server.
+type InstanceID string
+
+// ProxyID names one proxy process. A restarted process has a new ProxyID.
+type ProxyID string
+
+// DataCenter names a data centre.
+type DataCenter string
+
+// CallerID identifies a caller's connection within one proxy process.
+type CallerID uint64
+
+// RequestSeq identifies a request within one proxy process.
+type RequestSeq uint64
+
+// ConnID identifies a backend connection within one proxy process.
+type ConnID uint64
+
+// ExecID identifies one execution on a backend connection.
+type ExecID uint64
+
+// ProbeID identifies a status probe and the answer to it.
+type ProbeID uint64
+
+// OrderID identifies an order to an instance and the answer to it.
+type OrderID uint64
+
+// QueryID identifies a query to the platform and the answer to it.
+type QueryID uint64
+
+// AskID identifies an operator's call and the answer to it.
+type AskID uint64
--- /dev/null
+++ b/internal/core/model/request.go
@@ -0,0 +1,83 @@
+package model
+
+import "time"
+
+// Payload is a statement or an answer in the form that the callers' side and
+// the backend side agree on. The kernel passes it on and does not look inside.
+type Payload interface {
+	// Size returns the number of bytes that the Payload holds.
+	Size() int
+}
+
+// Op is what a caller asks for with a request.
+type Op int
+
+// The operations of a request.
+const (
+	// OpStatement runs a statement, in the caller's transaction if one is open.
+	OpStatement Op = iota
+	// OpBegin opens a transaction. Nothing is sent to an instance before the first statement.
+	OpBegin
+	// OpCommit commits the caller's transaction.
+	OpCommit
+	// OpRollback rolls the caller's transaction back.
+	OpRollback
+	// OpDescribe asks for parameter and column types; any instance may answer.
+	OpDescribe
+)
+
+// RequestSpec lists the fields of a new Request.
+type RequestSpec struct {
+	Seq       RequestSeq
+	Caller    CallerID
+	Op        Op
+	Kind      string
+	Key       string
+	Group     GroupID
+	RequestID string
+	Digest    uint64
+	Token     Token
+	Timeout   time.Duration
+	Statement Payload
+}
+
+// Request is one request of a caller. It is immutable.
+type Request struct {
+	spec RequestSpec
+}
+
+// NewRequest returns the Request that spec describes.
+func NewRequest(spec RequestSpec) *Request { return &Request{spec: spec} }
+
+// Seq returns the number of the Request within this proxy process.
+func (request *Request) Seq() RequestSeq { return request.spec.Seq }
+
+// Caller returns the connection that sent the Request.
+func (request *Request) Caller() CallerID { return request.spec.Caller }
+
+// Op returns what the caller asks for.
+func (request *Request) Op() Op { return request.spec.Op }
+
+// Kind returns the name of the request's kind, or the empty text if the caller named none.
+func (request *Request) Kind() string { return request.spec.Kind }
+
+// Key returns the key that selects one of the deployment's groups, or the empty text.
+func (request *Request) Key() string { return request.spec.Key }
+
+// Group returns the group that the caller named, or the empty text.
+func (request *Request) Group() GroupID { return request.spec.Group }
+
+// RequestID returns the caller's idempotency key, or the empty text.
+func (request *Request) RequestID() string { return request.spec.RequestID }
+
+// Digest returns a hash of the statement and its parameters.
+func (request *Request) Digest() uint64 { return request.spec.Digest }
+
+// Token returns the session token that came with the Request.
+func (request *Request) Token() Token { return request.spec.Token }
+
+// Timeout returns the time that the caller allows, or 0 for the kind's own.
+func (request *Request) Timeout() time.Duration { return request.spec.Timeout }
+
+// Statement returns the statement, or nil for OpBegin, OpCommit and OpRollback.
+func (request *Request) Statement() Payload { return request.spec.Statement }
--- /dev/null
+++ b/internal/core/model/row.go
@@ -0,0 +1,56 @@
+package model
+
+// Row is a row of a table of the platform.
+type Row struct {
+	key     string
+	version uint64
+	value   []byte
+}
+
+// NewRow returns a Row.
+func NewRow(key string, version uint64, value []byte) Row {
+	return Row{
+		key:     key,
+		version: version,
+		value:   value,
+	}
+}
+
+// Key returns the primary key.
+func (row Row) Key() string { return row.key }
+
+// Version returns the number of writes that the row has seen.
+func (row Row) Version() uint64 { return row.version }
+
+// Value returns the value. Callers must not change it.
+func (row Row) Value() []byte { return row.value }
+
+// RowWrite is one write of a transaction.
+type RowWrite struct {
+	table    string
+	key      string
+	expected uint64
+	value    []byte
+}
+
+// NewRowWrite returns a RowWrite.
+func NewRowWrite(table string, key string, expected uint64, value []byte) RowWrite {
+	return RowWrite{
+		table:    table,
+		key:      key,
+		expected: expected,
+		value:    value,
+	}
+}
+
+// Table returns the table.
+func (rowWrite RowWrite) Table() string { return rowWrite.table }
+
+// Key returns the primary key.
+func (rowWrite RowWrite) Key() string { return rowWrite.key }
+
+// Expected returns the version that the row must have; 0 means that it must not exist.
+func (rowWrite RowWrite) Expected() uint64 { return rowWrite.expected }
+
+// Value returns the new value, or nil to delete the row.
+func (rowWrite RowWrite) Value() []byte { return rowWrite.value }
--- /dev/null
+++ b/internal/core/state/group.go
@@ -0,0 +1,177 @@
+package state
+
+import (
+	"time"
+
+	"almondway.dev/almondway/internal/core/model"
+)
+
+// Group is the view of a database group: what its instances reported and what
+// follows from that. Times are those of the kernel's clock.
+type Group struct {
+	id      model.GroupID
+	members []*Member
+	term    model.Term
+	primary model.InstanceID
+	rounds  rounds
+}
+
+// NewGroup returns the view of a group of which nothing is known yet.
+func NewGroup(group model.Group) *Group {
+	view := &Group{id: group.ID()}
+	for _, instance := range group.Instances() {
+		view.members = append(view.members, &Member{instance: instance})
+	}
+	return view
+}
+
+// ID returns the name of the group.
+func (group *Group) ID() model.GroupID { return group.id }
+
+// Term returns the highest term whose primary is known, or 0.
+func (group *Group) Term() model.Term { return group.term }
+
+// Members returns the members in the platform's order. Callers must not change it.
+func (group *Group) Members() []*Member { return group.members }
+
+// Member returns the member of the given name, or nil.
+func (group *Group) Member(instance model.InstanceID) *Member {
+	for _, member := range group.members {
+		if member.ID() == instance {
+			return member
+		}
+	}
+	return nil
+}
+
+// Primary returns the primary of Term, or nil if none is known.
+func (group *Group) Primary() *Member { return group.Member(group.primary) }
+
+// Majority returns how many members make a majority.
+func (group *Group) Majority() int { return len(group.members)/2 + 1 }
+
+// Observe records a report. sentAt is when its probe was sent. It reports
+// whether the report made a higher term known. A report older than the last one
+// of the same instance is ignored.
+func (group *Group) Observe(instance model.InstanceID, status model.Status, sentAt time.Duration) bool {
+	member := group.Member(instance)
+	if member == nil || (member.heard && sentAt < member.sentAt) {
+		return false
+	}
+	member.status = status
+	member.sentAt = sentAt
+	member.heard = true
+	member.failures = 0
+	if status.InTerm(status.Fence()) {
+		member.prove(status.Tail())
+	}
+	group.rounds.add(group.round())
+	if status.Role() != model.RolePrimary || !status.InTerm(status.Fence()) {
+		return false
+	}
+	return group.Lead(status.Fence(), instance)
+}
+
+// ObserveFailure records that a probe of an instance failed.
+func (group *Group) ObserveFailure(instance model.InstanceID, reason model.FailReason) {
+	if member := group.Member(instance); member != nil {
+		member.failures++
+		member.failure = reason
+	}
+}
+
+// ObserveWrite records that the primary of a term answered a write that it
+// committed at mark in that term.
+func (group *Group) ObserveWrite(instance model.InstanceID, mark model.Mark) {
+	if member := group.Member(instance); member != nil {
+		member.prove(mark)
+	}
+}
+
+// Lead records that instance leads term. It reports whether the term is higher
+// than the one known before.
+func (group *Group) Lead(term model.Term, instance model.InstanceID) bool {
+	if term <= group.term || group.Member(instance) == nil {
+		return false
+	}
+	group.term = term
+	group.primary = instance
+	return true
+}
+
+// Acknowledged reports whether a majority is known to have held mark while
+// fenced with its term. Every later promotion keeps such an entry.
+func (group *Group) Acknowledged(mark model.Mark) bool {
+	count := 0
+	for _, member := range group.members {
+		if member.proof.Term() == mark.Term() && member.proof.Covers(mark) {
+			count++
+		}
+	}
+	return count >= group.Majority()
+}
+
+// Stable reports whether what server showed at mark survives every promotion. A
+// replica of the current term copied its entries from the primary, which
+// therefore counts beside it.
+func (group *Group) Stable(mark model.Mark, server model.InstanceID) bool {
+	if mark.Term() != group.term {
+		return false
+	}
+	count := 0
+	for _, member := range group.members {
+		holds := member.proof.Term() == mark.Term() && member.proof.Covers(mark)
+		copied := server != group.primary && (member.ID() == server || member.ID() == group.primary)
+		if holds || copied {
+			count++
+		}
+	}
+	return count >= group.Majority()
+}
+
+// ReadIndex returns a Mark that covers every write that was acknowledged before
+// since, taken from reports whose probes were sent at since or later. It
+// reports false until a majority has reported.
+func (group *Group) ReadIndex(since time.Duration) (model.Mark, bool) {
+	var index model.Mark
+	count := 0
+	for _, member := range group.members {
+		if !member.heard || member.sentAt < since {
+			continue
+		}
+		count++
+		if member.status.Tail().Covers(index) {
+			index = member.status.Tail()
+		}
+	}
+	return index, count >= group.Majority()
+}
+
+// Within reports whether data at mark is at most bound old at the time now.
+func (group *Group) Within(mark model.Mark, bound, now time.Duration) bool {
+	return group.rounds.covered(mark, now-bound)
+}
+
+// View returns a copy for operators.
+func (group *Group) View(now time.Duration) model.GroupView {
+	views := make([]model.InstanceView, 0, len(group.members))
+	for _, member := range group.members {
+		views = append(views, member.View(now))
+	}
+	return model.NewGroupView(group.id, group.term, group.primary, views)
+}
+
+// round returns the newest read index that the reports at hand give.
+func (group *Group) round() round {
+	var best round
+	for _, member := range group.members {
+		if !member.heard {
+			continue
+		}
+		index, ok := group.ReadIndex(member.sentAt)
+		if ok && member.sentAt >= best.since {
+			best = round{since: member.sentAt, index: index}
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/core/state/state.go
@@ -0,0 +1,153 @@
+// Package state holds what the plug-ins of one kernel share: the views of the
+// groups, the deployments in force and the known proxies. All of it is a cache
+// that can be lost at any moment.
+package state
+
+import (
+	"slices"
+
+	"almondway.dev/almondway/internal/core/model"
+)
+
+// State is the shared state of one kernel. It is used by one goroutine.
+type State struct {
+	self        model.ProxyView
+	groups      map[model.GroupID]*Group
+	groupOrder  []model.GroupID
+	byInstance  map[model.InstanceID]*Group
+	revision    uint64
+	known       bool
+	confirmed   bool
+	deployments map[string]*model.Deployment
+	proxies     []model.ProxyView
+	draining    bool
+	promoter    uint32
+}
+
+// New returns an empty State of the proxy self.
+func New(self model.ProxyView) *State {
+	return &State{
+		self:        self,
+		groups:      make(map[model.GroupID]*Group),
+		byInstance:  make(map[model.InstanceID]*Group),
+		deployments: make(map[string]*model.Deployment),
+	}
+}
+
+// Self returns the identity of this proxy.
+func (state *State) Self() model.ProxyView { return state.self }
+
+// Group returns the view of a group, or nil if the platform does not list it.
+func (state *State) Group(id model.GroupID) *Group { return state.groups[id] }
+
+// GroupOf returns the view of the group that has the instance, or nil.
+func (state *State) GroupOf(instance model.InstanceID) *Group { return state.byInstance[instance] }
+
+// Groups returns the views of all groups, in ascending order of their names.
+func (state *State) Groups() []*Group {
+	views := make([]*Group, 0, len(state.groupOrder))
+	for _, id := range state.groupOrder {
+		views = append(views, state.groups[id])
+	}
+	return views
+}
+
+// SetGroups records the groups that the platform lists. Known groups with the
+// same members keep their views.
+func (state *State) SetGroups(groups []model.Group) {
+	previous := state.groups
+	state.groups = make(map[model.GroupID]*Group, len(groups))
+	state.byInstance = make(map[model.InstanceID]*Group)
+	state.groupOrder = state.groupOrder[:0]
+	for _, group := range groups {
+		view, ok := previous[group.ID()]
+		if !ok || !sameInstances(view, group) {
+			view = NewGroup(group)
+		}
+		state.groups[group.ID()] = view
+		state.groupOrder = append(state.groupOrder, group.ID())
+		for _, instance := range group.Instances() {
+			state.byInstance[instance.ID()] = view
+		}
+	}
+	slices.Sort(state.groupOrder)
+}
+
+// Revision returns the revision of the deployments in force and whether any is known.
+func (state *State) Revision() (uint64, bool) { return state.revision, state.known }
+
+// Deployment returns a deployment in force.
+func (state *State) Deployment(name string) (*model.Deployment, bool) {
+	deployment, ok := state.deployments[name]
+	return deployment, ok
+}
+
+// Deployments returns the deployments in force, in ascending order of their names.
+func (state *State) Deployments() []*model.Deployment {
+	list := make([]*model.Deployment, 0, len(state.deployments))
+	for _, deployment := range state.deployments {
+		list = append(list, deployment)
+	}
+	slices.SortFunc(list, func(left, right *model.Deployment) int {
+		if left.Name() < right.Name() {
+			return -1
+		}
+		return 1
+	})
+	return list
+}
+
+// SetDeployments puts a revision in force. It reports false and changes nothing
+// if a revision as high is in force already.
+func (state *State) SetDeployments(revision uint64, deployments []*model.Deployment) bool {
+	if state.known && revision <= state.revision {
+		return false
+	}
+	state.known = true
+	state.revision = revision
+	state.deployments = make(map[string]*model.Deployment, len(deployments))
+	for _, deployment := range deployments {
+		state.deployments[deployment.Name()] = deployment
+	}
+	return true
+}
+
+// Confirmed reports whether the revision in force is confirmed to be current,
+// so that the proxy may serve under it.
+func (state *State) Confirmed() bool { return state.known && state.confirmed }
+
+// SetConfirmed records whether the revision in force is confirmed to be current.
+func (state *State) SetConfirmed(confirmed bool) { state.confirmed = confirmed }
+
+// Proxies returns the live proxies, this one included, in ascending order of
+// their names. Callers must not change it.
+func (state *State) Proxies() []model.ProxyView { return state.proxies }
+
+// SetProxies records the live proxies, this one included, in ascending order of their names.
+func (state *State) SetProxies(proxies []model.ProxyView) { state.proxies = proxies }
+
+// Draining reports whether the proxy takes no new work.
+func (state *State) Draining() bool { return state.draining }
+
+// SetDraining records that the proxy takes no new work.
+func (state *State) SetDraining() { state.draining = true }
+
+// Promoter returns the number that makes this proxy's terms unique, or 0 if the
+// proxy has none yet and may not promote.
+func (state *State) Promoter() uint32 { return state.promoter }
+
+// SetPromoter records the number that the table service gave to this proxy alone.
+func (state *State) SetPromoter(promoter uint32) { state.promoter = promoter }
+
+func sameInstances(view *Group, group model.Group) bool {
+	instances := group.Instances()
+	if len(view.members) != len(instances) {
+		return false
+	}
+	for index, member := range view.members {
+		if member.instance != instances[index] {
+			return false
+		}
+	}
+	return true
+}
