--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,7 @@
 include tools.env
 
 BIN := $(CURDIR)/.bin
+OUT := $(CURDIR)/bin
 TOOLS := $(BIN)/golangci-lint $(BIN)/gofumpt $(BIN)/buf $(BIN)/protoc-gen-go $(BIN)/protoc-gen-connect-go
 PACKAGES := ./cmd/... ./internal/...
 RAPID_FLAGS := -rapid.seed=20261203 -rapid.nofailfile
@@ -8,14 +9,14 @@
 .PHONY: build test lint format generate generated-check demo measure bench slopes fuzz e2e run tools clean
 
 build:
-	go build -o $(BIN)/almondway ./cmd/almondway
-	go build -o $(BIN)/standin ./cmd/standin
+	go build -o $(OUT)/almondway ./cmd/almondway
+	go build -o $(OUT)/standin ./cmd/standin
 
 test:
 	go test $(PACKAGES)
 
 run: build
-	$(BIN)/almondway proxy
+	$(OUT)/almondway proxy
 
 tools: $(TOOLS)
 
@@ -57,4 +58,4 @@
 	if [ -n "$$untracked" ]; then echo "generated but not committed: $$untracked"; exit 1; fi
 
 clean:
-	rm -rf $(BIN)
+	rm -rf $(BIN) $(OUT)
