stand: stand-ins of the platform and of an instance

The path needs backend servers and a platform to be served end to end. `standin platform` and `standin instance` take their place: the instance speaks the PostgreSQL protocol over one table, ships its log, takes orders by term, keeps the request ledger and limits slots and connections; the platform has tables, objects, groups and a lagging host list. Faults are set over a control service of their own.

Ruled out: a parser for SQL (a table of statement forms is enough); a heap of copied state after a rewind (the log is replayed). An instance that lost its memory refuses fences until it has learned those of all others and caught up, since it may have forgotten one.

Ran: go test -count=5 and -race of internal/stand; make lint.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -1,4 +1,12 @@
-// Command standin is built from the package of its command line.
+// Command standin runs the stand-ins of the platform and of the backend servers.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"almondway.dev/almondway/internal/stand/cmds"
+)
+
+func main() {
+	os.Exit(cmds.Run(os.Args[1:]))
+}
--- /dev/null
+++ b/internal/stand/cmds/cmds.go
@@ -0,0 +1,31 @@
+// Package cmds is the command line of the stand-ins.
+package cmds
+
+import (
+	"context"
+	"os/signal"
+	"syscall"
+
+	"github.com/sirupsen/logrus"
+	"github.com/spf13/cobra"
+)
+
+// Run runs the command line and returns the exit code of the process.
+func Run(args []string) int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	logrus.SetFormatter(&logrus.JSONFormatter{})
+	root := &cobra.Command{
+		Use:           "standin",
+		Short:         "Stand-ins of the platform and of the backend servers, demo and measurements",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	root.AddCommand(newTopology(), newPlatform(), newInstance(), newControl())
+	root.SetArgs(args)
+	if err := root.ExecuteContext(ctx); err != nil {
+		logrus.WithError(err).Error("command failed")
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/stand/insta/command.go
@@ -0,0 +1,118 @@
+package insta
+
+import (
+	"strings"
+
+	"almondway.dev/almondway/internal/core/model"
+)
+
+// runTransaction handles BEGIN, COMMIT and ROLLBACK.
+func (session *session) runTransaction(template string) (*result, bool, error) {
+	words := strings.Fields(template)
+	switch words[0] {
+	case "begin", "start":
+		return &result{tag: "BEGIN"}, true, session.begin(template)
+	case "commit", "end":
+		answer, err := session.end()
+		return answer, true, err
+	case "rollback", "abort":
+		session.abandon()
+		session.tx = nil
+		return &result{tag: "ROLLBACK"}, true, nil
+	}
+	return nil, false, nil
+}
+
+func (session *session) begin(template string) error {
+	if session.tx == nil {
+		session.tx = &tx{readOnly: session.settings["default_transaction_read_only"] == "on"}
+	}
+	if session.tx.failed {
+		return newError(stateFailedTx, "current transaction is aborted, commands ignored until end of transaction block")
+	}
+	session.tx.explicit = true
+	if strings.Contains(template, "read only") {
+		session.tx.readOnly = true
+	}
+	return nil
+}
+
+func (session *session) end() (*result, error) {
+	if session.tx == nil {
+		return &result{tag: "COMMIT"}, nil
+	}
+	if session.tx.failed {
+		session.abandon()
+		session.tx = nil
+		return &result{tag: "ROLLBACK"}, nil
+	}
+	return &result{tag: "COMMIT"}, session.commit()
+}
+
+// runSetting handles SET, SHOW, RESET, DISCARD and DEALLOCATE.
+func (session *session) runSetting(template string, args []string) (*result, bool) {
+	word, rest, _ := strings.Cut(template, " ")
+	switch word {
+	case "set":
+		session.set(rest, args)
+		return &result{tag: "SET"}, true
+	case "show":
+		answer := &result{tag: "SHOW", columns: []column{textColumn(rest)}}
+		answer.row(session.settings[rest])
+		return answer, true
+	case "reset":
+		clear(session.settings)
+		return &result{tag: "RESET"}, true
+	case "discard":
+		clear(session.settings)
+		clear(session.prepared)
+		clear(session.portals)
+		return &result{tag: "DISCARD ALL"}, true
+	case "deallocate":
+		clear(session.prepared)
+		return &result{tag: "DEALLOCATE ALL"}, true
+	}
+	return nil, false
+}
+
+func (session *session) set(rest string, args []string) {
+	if strings.HasPrefix(rest, "transaction read only") && session.tx != nil {
+		session.tx.readOnly = true
+	}
+	rest = strings.TrimPrefix(strings.TrimPrefix(rest, "session "), "local ")
+	name, value, ok := strings.Cut(rest, "=")
+	if !ok {
+		name, value, _ = strings.Cut(rest, " to ")
+	}
+	if value == "?" && len(args) == 1 {
+		value = args[0]
+	}
+	session.settings[name] = value
+}
+
+// runOrder runs one of the platform's functions, which only control users may.
+func (session *session) runOrder(template string, args []string) (*result, error) {
+	instance := session.instance
+	if !session.control {
+		return nil, newError(stateNotPermitted, "permission denied for %q", template)
+	}
+	var term model.Term
+	if len(args) > 0 {
+		parsed, err := parseTerm(args[0])
+		if err != nil {
+			return nil, err
+		}
+		term = parsed
+	}
+	switch template {
+	case "select * from platform_status()":
+		return instance.order(func() bool { return true }), nil
+	case "select * from platform_fence(?)":
+		return instance.order(func() bool { return instance.fenceWith(term) }), nil
+	case "select * from platform_promote(?)":
+		return instance.order(func() bool { return instance.promote(term) }), nil
+	case "select * from platform_follow(?,?,?)":
+		return instance.order(func() bool { return instance.follow(term, args[1], args[2]) }), nil
+	}
+	return nil, newError(stateSyntax, "the stand-in does not support the statement %q", template)
+}
--- /dev/null
+++ b/internal/stand/insta/extended.go
@@ -0,0 +1,163 @@
+package insta
+
+import (
+	"strings"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/jackc/pgx/v5/pgtype"
+)
+
+// prepared is a statement of the extended query protocol.
+type prepared struct {
+	statement statement
+	columns   []column
+	types     []uint32
+}
+
+// portal is a prepared statement with its parameters.
+type portal struct {
+	prepared prepared
+	args     []string
+	formats  []int16
+}
+
+func (session *session) extended(message pgproto3.FrontendMessage) error {
+	switch message := message.(type) {
+	case *pgproto3.Parse:
+		return session.parse(message)
+	case *pgproto3.Bind:
+		return session.bind(message)
+	case *pgproto3.Describe:
+		return session.describe(message)
+	case *pgproto3.Execute:
+		return session.execute(message)
+	case *pgproto3.Close:
+		if message.ObjectType == 'S' {
+			delete(session.prepared, message.Name)
+		} else {
+			delete(session.portals, message.Name)
+		}
+		session.backend.Send(&pgproto3.CloseComplete{})
+	case *pgproto3.Flush:
+	default:
+		return newError(stateProtocol, "message %T is not supported", message)
+	}
+	return nil
+}
+
+func (session *session) parse(message *pgproto3.Parse) error {
+	statements := parse(message.Query)
+	if len(statements) > 1 {
+		return newError(stateSyntax, "cannot insert multiple commands into a prepared statement")
+	}
+	var made prepared
+	if len(statements) == 1 {
+		made.statement = statements[0]
+		made.types = make([]uint32, made.statement.params())
+		if err := made.resolve(); err != nil {
+			return err
+		}
+	}
+	for place, oid := range message.ParameterOIDs {
+		if oid != 0 && place < len(made.types) {
+			made.types[place] = oid
+		}
+	}
+	session.prepared[message.Name] = made
+	session.backend.Send(&pgproto3.ParseComplete{})
+	return nil
+}
+
+// resolve finds the types of the columns and of the parameters.
+func (prepared *prepared) resolve() error {
+	for place := range prepared.types {
+		prepared.types[place] = pgtype.TextOID
+	}
+	word, name, _ := strings.Cut(prepared.statement.template, " ")
+	switch word {
+	case "select", "insert", "update", "delete":
+	case "show":
+		prepared.columns = []column{textColumn(name)}
+		return nil
+	default:
+		return nil
+	}
+	found, err := find(prepared.statement.template)
+	if err != nil {
+		return err
+	}
+	prepared.columns = found.columns
+	for place, arg := range prepared.statement.args {
+		if arg.param > 0 && place < len(found.params) {
+			prepared.types[arg.param-1] = found.params[place]
+		}
+	}
+	return nil
+}
+
+func (session *session) bind(message *pgproto3.Bind) error {
+	found, ok := session.prepared[message.PreparedStatement]
+	if !ok {
+		return newError(stateNoStatement, "prepared statement %q does not exist", message.PreparedStatement)
+	}
+	if len(message.Parameters) != len(found.types) {
+		return newError(stateProtocol, "bind message supplies %d parameters, but the statement requires %d", len(message.Parameters), len(found.types))
+	}
+	made := portal{prepared: found, formats: append([]int16(nil), message.ResultFormatCodes...)}
+	for _, arg := range found.statement.args {
+		value := arg.literal
+		if place := arg.param - 1; place >= 0 {
+			decoded, err := decodeParam(message.Parameters[place], found.types[place], formatOf(message.ParameterFormatCodes, place))
+			if err != nil {
+				return err
+			}
+			value = decoded
+		}
+		made.args = append(made.args, value)
+	}
+	session.portals[message.DestinationPortal] = made
+	session.backend.Send(&pgproto3.BindComplete{})
+	return nil
+}
+
+func (session *session) describe(message *pgproto3.Describe) error {
+	var columns []column
+	var formats []int16
+	if message.ObjectType == 'S' {
+		found, ok := session.prepared[message.Name]
+		if !ok {
+			return newError(stateNoStatement, "prepared statement %q does not exist", message.Name)
+		}
+		columns = found.columns
+		session.backend.Send(&pgproto3.ParameterDescription{ParameterOIDs: found.types})
+	} else {
+		found, ok := session.portals[message.Name]
+		if !ok {
+			return newError(stateNoPortal, "portal %q does not exist", message.Name)
+		}
+		columns, formats = found.prepared.columns, found.formats
+	}
+	if columns == nil {
+		session.backend.Send(&pgproto3.NoData{})
+	} else {
+		session.backend.Send(describeColumns(columns, formats))
+	}
+	return nil
+}
+
+func (session *session) execute(message *pgproto3.Execute) error {
+	found, ok := session.portals[message.Portal]
+	if !ok {
+		return newError(stateNoPortal, "portal %q does not exist", message.Portal)
+	}
+	if found.prepared.statement.template == "" {
+		session.backend.Send(&pgproto3.EmptyQueryResponse{})
+		return nil
+	}
+	answer, err := session.run(found.prepared.statement, found.args)
+	if err != nil {
+		return err
+	}
+	session.sendRows(answer, found.formats)
+	return nil
+}
--- /dev/null
+++ b/internal/stand/insta/insta_test.go
@@ -0,0 +1,378 @@
+package insta_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"strconv"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"almondway.dev/almondway/internal/core/model"
+	"almondway.dev/almondway/internal/edge/wire"
+	"almondway.dev/almondway/internal/proto/ctrlpb"
+	"almondway.dev/almondway/internal/stand/insta"
+	"almondway.dev/almondway/internal/stand/topol"
+)
+
+// bench is a group of instances in the test's process.
+type bench struct {
+	t         *testing.T
+	spec      topol.Spec
+	instances []*insta.Instance
+	cancels   []context.CancelFunc
+}
+
+func newBench(t *testing.T, size int) *bench {
+	t.Helper()
+	bench := &bench{t: t, spec: topol.Spec{Slots: 2, Connections: 4}}
+	group := topol.GroupSpec{ID: "katalog-1"}
+	listeners := make([]net.Listener, size)
+	for place := range size {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		listeners[place] = listener
+		group.Instances = append(group.Instances, topol.InstanceSpec{
+			ID:      fmt.Sprintf("katalog-1-%c", 'a'+place),
+			Address: listener.Addr().String(),
+			Primary: place == 0,
+		})
+	}
+	bench.spec.Groups = []topol.GroupSpec{group}
+	for place, listener := range listeners {
+		instance, err := insta.New(bench.spec, group.Instances[place].ID, insta.Options{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		bench.instances = append(bench.instances, instance)
+		ctx, cancel := context.WithCancel(context.Background())
+		t.Cleanup(cancel)
+		bench.cancels = append(bench.cancels, cancel)
+		instance.Start()
+		go func() { _ = instance.Serve(ctx, listener) }()
+	}
+	return bench
+}
+
+// connect opens a connection to the instance at place.
+func (bench *bench) connect(place int, user string) *pgconn.PgConn {
+	bench.t.Helper()
+	address := bench.spec.Groups[0].Instances[place].Address
+	conn, err := pgconn.Connect(context.Background(), "postgres://"+user+"@"+address+"/catalogue?sslmode=disable")
+	if err != nil {
+		bench.t.Fatal(err)
+	}
+	bench.t.Cleanup(func() { _ = conn.Close(context.Background()) })
+	return conn
+}
+
+// run runs a simple query and returns the rows of the last result, and the SQLSTATE.
+func run(conn *pgconn.PgConn, sql string) ([]string, string) {
+	results, err := conn.Exec(context.Background(), sql).ReadAll()
+	var rows []string
+	if len(results) > 0 {
+		for _, row := range results[len(results)-1].Rows {
+			rows = append(rows, string(row[0]))
+		}
+	}
+	return rows, stateOf(err)
+}
+
+func stateOf(err error) string {
+	var refused *pgconn.PgError
+	if errors.As(err, &refused) {
+		return refused.Code
+	}
+	return ""
+}
+
+// order runs a control function and returns the status row.
+func (bench *bench) order(place int, format string, args ...any) []string {
+	bench.t.Helper()
+	conn := bench.connect(place, wire.ControlUser)
+	results, err := conn.Exec(context.Background(), fmt.Sprintf(format, args...)).ReadAll()
+	if err != nil {
+		bench.t.Fatal(err)
+	}
+	_ = conn.Close(context.Background())
+	row := make([]string, wire.StatusColumns)
+	for column, value := range results[0].Rows[0] {
+		row[column] = string(value)
+	}
+	return row
+}
+
+// await polls an instance until its tail has reached mark.
+func (bench *bench) await(place int, mark model.Mark) {
+	bench.t.Helper()
+	conn := bench.connect(place, wire.ControlUser)
+	for range 5000 {
+		results, err := conn.Exec(context.Background(), wire.StatusSQL).ReadAll()
+		if err != nil {
+			bench.t.Fatal(err)
+		}
+		row := results[0].Rows[0]
+		term, _ := strconv.ParseUint(string(row[wire.StatusTailTerm]), 10, 64)
+		position, _ := strconv.ParseUint(string(row[wire.StatusTailPosition]), 10, 64)
+		if model.NewMark(model.Term(term), model.Position(position)) == mark {
+			_ = conn.Close(context.Background())
+			return
+		}
+	}
+	bench.t.Fatalf("instance %d did not reach %s", place, mark)
+}
+
+func (bench *bench) fault(place int, faults *ctrlpb.SetInstanceFaultsRequest) {
+	bench.t.Helper()
+	if _, err := bench.instances[place].SetInstanceFaults(context.Background(), connect.NewRequest(faults)); err != nil {
+		bench.t.Fatal(err)
+	}
+}
+
+func markOf(conn *pgconn.PgConn) model.Mark {
+	mark, _ := model.ParseMark(conn.ParameterStatus(wire.MarkParameter))
+	return mark
+}
+
+const (
+	firstTerm = insta.FirstTerm
+	nextTerm  = model.Term(2<<24 | 7)
+	lastTerm  = model.Term(3<<24 | 9)
+)
+
+func TestStatements(t *testing.T) {
+	is := is.New(t)
+	conn := newBench(t, 1).connect(0, "registrar")
+	cases := []struct {
+		sql   string
+		rows  []string
+		state string
+	}{
+		{"/*kind='edit'*/ INSERT INTO kv (key, value) VALUES ('course-1', 'It''s 5')", nil, ""},
+		{"INSERT INTO kv (key, value) VALUES ('course-1', '6')", nil, "23505"},
+		{"SELECT value FROM kv WHERE key = 'course-1' -- trailing", []string{"It's 5"}, ""},
+		{"INSERT INTO kv (key, value) VALUES ('course-1', '7') ON CONFLICT (key) DO UPDATE SET value = EXCLUDED.value", nil, ""},
+		{"UPDATE kv SET value = value + 3 WHERE key = 'course-1' RETURNING value", []string{"10"}, ""},
+		{"UPDATE kv SET value = 'x' WHERE key = 'course-2' RETURNING value", nil, ""},
+		{"SELECT key, value FROM kv WHERE key LIKE 'course-%'", []string{"course-1"}, ""},
+		{"BEGIN; UPDATE kv SET value = '1' WHERE key = 'course-1'; ROLLBACK", nil, ""},
+		{"UPDATE kv SET value = '2' WHERE key = 'course-1'; SELECT nonsense", nil, "42601"},
+		{"SELECT value FROM kv WHERE key = 'course-1'", []string{"10"}, ""},
+		{"BEGIN READ ONLY; DELETE FROM kv WHERE key = 'course-1'", nil, "25006"},
+		{"SELECT 1", nil, "25P02"},
+		{"COMMIT", nil, ""},
+		{"DELETE FROM kv WHERE key = 'course-1'", nil, ""},
+		{"SELECT value FROM kv WHERE key = 'course-1'", nil, ""},
+		{"SELECT * FROM platform_status()", nil, "42501"},
+	}
+	for _, c := range cases {
+		rows, state := run(conn, c.sql)
+		t.Log(c.sql)
+		is.Equal(state, c.state)
+		is.Equal(rows, c.rows)
+	}
+}
+
+func TestExtendedProtocol(t *testing.T) {
+	is := is.New(t)
+	conn := newBench(t, 1).connect(0, "hotel")
+	ctx := context.Background()
+	insert := "INSERT INTO kv (key, value) VALUES ($1, $2)"
+	is.NoErr(conn.ExecParams(ctx, insert, [][]byte{[]byte("count-1"), []byte("4")}, nil, nil, nil).Read().Err)
+	mark := markOf(conn)
+	is.Equal(mark, model.NewMark(firstTerm, 2))
+
+	description, err := conn.Prepare(ctx, "add", "UPDATE kv SET value = value + $1 WHERE key = $2 RETURNING value", nil)
+	is.NoErr(err)
+	is.Equal(description.ParamOIDs, []uint32{20, 25})
+	binary := [][]byte{{0, 0, 0, 0, 0, 0, 0, 2}, []byte("count-1")}
+	read := conn.ExecPrepared(ctx, "add", binary, []int16{1, 0}, nil).Read()
+	is.NoErr(read.Err)
+	is.Equal(string(read.Rows[0][0]), "6")
+
+	var batch pgconn.Batch
+	batch.ExecParams(insert, [][]byte{[]byte("count-2"), []byte("1")}, nil, nil, nil)
+	batch.ExecParams(insert, [][]byte{[]byte("count-1"), []byte("1")}, nil, nil, nil)
+	batch.ExecParams(insert, [][]byte{[]byte("count-3"), []byte("1")}, nil, nil, nil)
+	_, err = conn.ExecBatch(ctx, &batch).ReadAll()
+	is.Equal(stateOf(err), "23505") // the three statements are one implicit transaction
+	rows, _ := run(conn, "SELECT key, value FROM kv WHERE key LIKE 'count-%'")
+	is.Equal(rows, []string{"count-1"})
+}
+
+func TestLedger(t *testing.T) {
+	is := is.New(t)
+	conn := newBench(t, 1).connect(0, "registrar")
+	begin := func(term model.Term, id string, digest int) string {
+		_, state := run(conn, fmt.Sprintf("BEGIN; "+wire.BeginSQL+"; INSERT INTO kv (key, value) VALUES ('%s', '1'); COMMIT", term, id, digest, id))
+		_, _ = run(conn, "ROLLBACK")
+		return state
+	}
+	settle := func(term model.Term, id string) string {
+		_, state := run(conn, fmt.Sprintf(wire.SettleSQL, term, id))
+		return state
+	}
+	is.Equal(begin(nextTerm, "id-1", 5), wire.StateFenced)
+	is.Equal(begin(firstTerm, "id-1", 5), "")
+	is.Equal(begin(firstTerm, "id-1", 5), wire.StateReplay)
+	is.Equal(begin(firstTerm, "id-1", 6), wire.StateMismatch)
+	is.Equal(settle(firstTerm, "id-1"), wire.StateReplay)
+	is.Equal(settle(firstTerm, "id-2"), "")
+	settled := markOf(conn)
+	is.Equal(settled, model.NewMark(firstTerm, 3)) // the tombstone has an entry of its own
+	is.Equal(settle(firstTerm, "id-2"), "")
+	is.Equal(begin(firstTerm, "id-2", 5), wire.StateTombstone)
+	_, state := run(conn, fmt.Sprintf(wire.TrimSQL, firstTerm, "id-2"))
+	is.Equal(state, "")
+	is.Equal(settle(firstTerm, "id-1"), "")
+}
+
+func TestPromotionDropsDivergedTail(t *testing.T) {
+	is := is.New(t)
+	bench := newBench(t, 3)
+	primary := bench.connect(0, "registrar")
+	_, state := run(primary, "INSERT INTO kv (key, value) VALUES ('kept', '1')")
+	is.Equal(state, "")
+	bench.await(1, markOf(primary))
+	bench.await(2, markOf(primary))
+	bench.fault(0, &ctrlpb.SetInstanceFaultsRequest{CutFromGroup: true})
+	_, state = run(primary, "INSERT INTO kv (key, value) VALUES ('lost', '1')")
+	is.Equal(state, "")
+
+	is.Equal(bench.order(1, wire.PromoteSQL, nextTerm)[wire.StatusAccepted], "f") // not fenced
+	is.Equal(bench.order(1, wire.FenceSQL, nextTerm)[wire.StatusAccepted], "t")
+	is.Equal(bench.order(1, wire.FenceSQL, nextTerm)[wire.StatusAccepted], "t")
+	is.Equal(bench.order(1, wire.FenceSQL, firstTerm)[wire.StatusAccepted], "f")
+	is.Equal(bench.order(2, wire.FenceSQL, nextTerm)[wire.StatusAccepted], "t")
+	promoted := bench.order(1, wire.PromoteSQL, nextTerm)
+	is.Equal(promoted[wire.StatusAccepted], "t")
+	is.Equal(promoted[wire.StatusRole], "primary")
+	again := bench.order(1, wire.PromoteSQL, nextTerm)
+	is.Equal(again[wire.StatusTailPosition], promoted[wire.StatusTailPosition])
+	leader := bench.spec.Groups[0].Instances[1]
+	is.Equal(bench.order(2, wire.FollowSQL, nextTerm, leader.ID, leader.Address)[wire.StatusAccepted], "t")
+	bench.await(2, model.NewMark(nextTerm, 3))
+
+	bench.fault(0, &ctrlpb.SetInstanceFaultsRequest{})
+	is.Equal(bench.order(0, wire.FollowSQL, nextTerm, leader.ID, leader.Address)[wire.StatusAccepted], "t")
+	bench.await(0, model.NewMark(nextTerm, 3))
+	rows, _ := run(bench.connect(0, "student"), "SELECT key, value FROM kv WHERE key LIKE '%'")
+	is.Equal(rows, []string{"kept"})
+	is.Equal(bench.order(0, wire.PromoteSQL, nextTerm)[wire.StatusAccepted], "f") // the term has a primary
+}
+
+func TestFenceKillsOpenTransaction(t *testing.T) {
+	is := is.New(t)
+	bench := newBench(t, 1)
+	conn := bench.connect(0, "registrar")
+	_, state := run(conn, fmt.Sprintf("BEGIN; "+wire.BeginSQL+"; INSERT INTO kv (key, value) VALUES ('a', '1')", firstTerm, "id-1", 5))
+	is.Equal(state, "")
+	is.Equal(bench.order(0, wire.FenceSQL, nextTerm)[wire.StatusRole], "replica")
+	is.Equal(bench.order(0, wire.PromoteSQL, nextTerm)[wire.StatusAccepted], "t")
+	_, state = run(conn, "COMMIT")
+	is.Equal(state, wire.StateFenced)
+	rows, _ := run(conn, "SELECT value FROM kv WHERE key = 'a'")
+	is.Equal(len(rows), 0)
+	is.Equal(bench.order(0, wire.FenceSQL, lastTerm)[wire.StatusFence], strconv.FormatUint(uint64(lastTerm), 10))
+}
+
+func TestReplicaLagsAndServesMark(t *testing.T) {
+	is := is.New(t)
+	bench := newBench(t, 2)
+	bench.await(1, model.NewMark(firstTerm, 1))
+	bench.fault(1, &ctrlpb.SetInstanceFaultsRequest{Lag: durationpb.New(time.Hour)})
+	primary, replica := bench.connect(0, "registrar"), bench.connect(1, "student")
+	_, _ = run(primary, "INSERT INTO kv (key, value) VALUES ('a', '1')")
+	rows, _ := run(replica, "SELECT value FROM kv WHERE key = 'a'")
+	is.Equal(len(rows), 0)
+	is.Equal(markOf(replica), model.NewMark(firstTerm, 1))
+	_, state := run(replica, "INSERT INTO kv (key, value) VALUES ('b', '1')")
+	is.Equal(state, "25006")
+	bench.fault(1, &ctrlpb.SetInstanceFaultsRequest{Lag: durationpb.New(0)})
+	bench.await(1, markOf(primary))
+}
+
+func TestLimitsAndLeaving(t *testing.T) {
+	is := is.New(t)
+	bench := newBench(t, 1)
+	first := bench.connect(0, "student")
+	for range bench.spec.Connections - 1 {
+		bench.connect(0, "student")
+	}
+	address := bench.spec.Groups[0].Instances[0].Address
+	_, err := pgconn.Connect(context.Background(), "postgres://student@"+address+"/catalogue?sslmode=disable")
+	is.Equal(stateOf(err), wire.StateTooManyConnections)
+	bench.fault(0, &ctrlpb.SetInstanceFaultsRequest{Leaving: true})
+	_, state := run(first, "SELECT 1")
+	is.Equal(state, wire.StateShutdown)
+	is.Equal(bench.order(0, wire.StatusSQL)[wire.StatusLeaving], "t")
+}
+
+func TestCancelAndLockOrder(t *testing.T) {
+	is := is.New(t)
+	bench := newBench(t, 1)
+	holder, waiter := bench.connect(0, "hotel"), bench.connect(0, "hotel")
+	_, _ = run(holder, "INSERT INTO kv (key, value) VALUES ('a', '1')")
+	_, _ = run(holder, "BEGIN; UPDATE kv SET value = value + 1 WHERE key = 'a'")
+	waited := make(chan string)
+	go func() {
+		_, state := run(waiter, "UPDATE kv SET value = value + 1 WHERE key = 'a'")
+		waited <- state
+	}()
+	_, _ = run(holder, "COMMIT")
+	is.Equal(<-waited, "")
+	rows, _ := run(holder, "SELECT value FROM kv WHERE key = 'a'")
+	is.Equal(rows, []string{"3"})
+
+	go func() {
+		_, state := run(waiter, "SELECT pg_sleep(60)")
+		waited <- state
+	}()
+	state := ""
+	for state == "" { // a request that comes before the statement has no effect
+		is.NoErr(waiter.CancelRequest(context.Background()))
+		select {
+		case state = <-waited:
+		default:
+		}
+	}
+	is.Equal(state, "57014")
+}
+
+func TestEmptyInstanceJoins(t *testing.T) {
+	is := is.New(t)
+	bench := newBench(t, 3)
+	primary := bench.connect(0, "registrar")
+	_, _ = run(primary, "INSERT INTO kv (key, value) VALUES ('a', '1')")
+	mark := markOf(primary)
+	bench.await(1, mark)
+	bench.cancels[2]()
+	empty, err := insta.New(bench.spec, "katalog-1-c", insta.Options{Empty: true})
+	is.NoErr(err)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	bench.spec.Groups[0].Instances[2].Address = listener.Addr().String()
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go func() { _ = empty.Serve(ctx, listener) }()
+	status := bench.order(2, wire.FenceSQL, nextTerm)
+	is.Equal(status[wire.StatusAccepted], "f") // it may have forgotten a fence
+	is.Equal(status[wire.StatusTailPosition], "0")
+	empty.Start()
+	leader := bench.spec.Groups[0].Instances[0]
+	for bench.order(2, wire.FollowSQL, firstTerm, leader.ID, leader.Address)[wire.StatusAccepted] != "t" {
+		continue
+	}
+	bench.await(2, mark)
+	for bench.order(2, wire.FenceSQL, nextTerm)[wire.StatusAccepted] != "t" {
+		continue
+	}
+}
--- /dev/null
+++ b/internal/stand/insta/instance.go
@@ -0,0 +1,138 @@
+// Package insta is the stand-in of a database instance on a backend server. It
+// speaks the PostgreSQL protocol, ships its log to replicas, and takes the
+// orders of a failover.
+//
+// An instance keeps its log and its fence in memory. A process that was killed
+// starts again with Options.Empty: it reports no tail and refuses fences until
+// it has learned the fences of all other instances of its group and holds all
+// that its new primary's log held when it joined.
+package insta
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/semaphore"
+
+	"almondway.dev/almondway/internal/core/model"
+	"almondway.dev/almondway/internal/proto/ctrlpb"
+	"almondway.dev/almondway/internal/stand/line"
+	"almondway.dev/almondway/internal/stand/topol"
+)
+
+const (
+	lockLimit         = 2 * time.Second
+	heartbeatInterval = 20 * time.Millisecond
+	redialInterval    = 20 * time.Millisecond
+)
+
+// FirstTerm is the term in which every group starts.
+const FirstTerm = model.Term(1 << 24)
+
+// Options are the choices of a start.
+type Options struct {
+	// Empty is set when the instance replaces one that was killed.
+	Empty bool
+}
+
+// Instance is a database instance.
+type Instance struct {
+	spec  topol.Spec
+	group topol.GroupSpec
+	self  topol.InstanceSpec
+
+	slots    *semaphore.Weighted
+	locks    *locks
+	counters counters
+	sessions sessions
+	groupCut *line.Gate
+	proxyCut *line.Gate
+	frozen   *line.Gate
+
+	mu       sync.Mutex
+	journal  journal
+	tables   *tables
+	fence    model.Term
+	primary  bool
+	upstream string
+	copied   model.Term // term of the primary that is followed
+	heard    time.Time
+	joining  bool
+	leaving  bool
+	lag      time.Duration
+	open     map[*tx]struct{} // transactions that hold writes or locks
+	changed  chan struct{}    // closed when the log or the role changes
+	stopPull func()
+}
+
+type counters struct {
+	reads      atomic.Uint64
+	commits    atomic.Uint64
+	promotions atomic.Uint64
+}
+
+// New returns the instance of the given name. It does nothing before Start.
+func New(spec topol.Spec, id string, options Options) (*Instance, error) {
+	group, self, err := spec.Find(id)
+	if err != nil {
+		return nil, err
+	}
+	instance := &Instance{
+		spec:     spec,
+		group:    group,
+		self:     self,
+		slots:    semaphore.NewWeighted(int64(spec.Slots)),
+		locks:    newLocks(lockLimit),
+		sessions: newSessions(),
+		groupCut: line.NewGate(),
+		proxyCut: line.NewGate(),
+		frozen:   line.NewGate(),
+		tables:   newTables(),
+		heard:    time.Now(),
+		joining:  options.Empty,
+		lag:      time.Duration(spec.ReplicationLag),
+		open:     make(map[*tx]struct{}),
+		changed:  make(chan struct{}),
+		stopPull: func() {},
+	}
+	if !options.Empty {
+		instance.fence = FirstTerm
+		instance.primary = self.Primary
+	}
+	if instance.primary {
+		instance.journal.add(FirstTerm, nil)
+	}
+	return instance, nil
+}
+
+// Start begins to copy from the first primary or, if the instance replaces one
+// that was killed, to learn the fences of the others.
+func (instance *Instance) Start() {
+	instance.mu.Lock()
+	defer instance.mu.Unlock()
+	switch {
+	case instance.joining:
+		go instance.learnFence()
+	case !instance.primary:
+		first := instance.group.Primary()
+		instance.copyFrom(FirstTerm, first.ID, first.Address)
+	}
+}
+
+// announce wakes all that wait for a change. The lock is held.
+func (instance *Instance) announce() {
+	close(instance.changed)
+	instance.changed = make(chan struct{})
+}
+
+// appendEntry appends an entry of the instance's own term. The lock is held.
+func (instance *Instance) appendEntry(writes []*ctrlpb.Write) {
+	instance.tables.apply(instance.journal.add(instance.fence, writes))
+	instance.announce()
+}
+
+// leads reports whether the instance is the primary of term. The lock is held.
+func (instance *Instance) leads(term model.Term) bool {
+	return instance.primary && instance.fence == term
+}
--- /dev/null
+++ b/internal/stand/insta/order.go
@@ -0,0 +1,114 @@
+package insta
+
+import (
+	"fmt"
+	"strconv"
+	"time"
+
+	"almondway.dev/almondway/internal/core/model"
+	"almondway.dev/almondway/internal/edge/wire"
+)
+
+// fenceWith takes a fence: from now on the instance refuses orders, entries and
+// writes of a lower term. A primary of a lower term becomes a replica.
+func (instance *Instance) fenceWith(term model.Term) bool {
+	if term < instance.fence || instance.joining {
+		return false
+	}
+	if term > instance.fence {
+		instance.raise(term)
+	}
+	return true
+}
+
+// promote makes the instance the primary of the term that it is fenced with.
+func (instance *Instance) promote(term model.Term) bool {
+	if instance.leads(term) {
+		return true
+	}
+	if term != instance.fence || instance.copied == term || instance.joining {
+		return false
+	}
+	instance.primary = true
+	instance.upstream = ""
+	instance.counters.promotions.Add(1)
+	instance.appendEntry(nil)
+	return true
+}
+
+// follow makes the instance copy the log of a term's primary.
+func (instance *Instance) follow(term model.Term, primary, address string) bool {
+	if term < instance.fence || instance.leads(term) || primary == instance.self.ID {
+		return term >= instance.fence && instance.leads(term) && primary == instance.self.ID
+	}
+	if instance.joining && instance.fence == 0 {
+		return false
+	}
+	if instance.copied == term {
+		return instance.upstream == primary
+	}
+	instance.raise(term)
+	instance.copyFrom(term, primary, address)
+	return true
+}
+
+// raise sets the fence, ends the instance's lead and the copying of an older
+// term, and kills open write transactions. The lock is held.
+func (instance *Instance) raise(term model.Term) {
+	instance.fence = term
+	instance.primary = false
+	instance.stopPull()
+	for open := range instance.open {
+		instance.kill(open)
+	}
+	instance.announce()
+}
+
+// status returns the status row. The lock is held.
+func (instance *Instance) status(accepted bool) []string {
+	role := model.RoleReplica
+	silence := time.Since(instance.heard)
+	if instance.primary {
+		role = model.RolePrimary
+		silence = 0
+	}
+	tail := instance.journal.tail()
+	row := make([]string, wire.StatusColumns)
+	row[wire.StatusAccepted] = flag(accepted)
+	row[wire.StatusFence] = strconv.FormatUint(uint64(instance.fence), 10)
+	row[wire.StatusRole] = role.String()
+	row[wire.StatusTailTerm] = strconv.FormatUint(uint64(tail.Term()), 10)
+	row[wire.StatusTailPosition] = strconv.FormatUint(uint64(tail.Position()), 10)
+	row[wire.StatusUpstream] = instance.upstream
+	row[wire.StatusSilence] = strconv.FormatInt(silence.Microseconds(), 10)
+	row[wire.StatusLeaving] = flag(instance.leaving)
+	return row
+}
+
+func flag(value bool) string {
+	if value {
+		return "t"
+	}
+	return "f"
+}
+
+func parseTerm(text string) (model.Term, error) {
+	term, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		return 0, newError(stateBadValue, "term %q is not a number", text)
+	}
+	return model.Term(term), nil
+}
+
+// order runs one of the platform's functions under the lock.
+func (instance *Instance) order(run func() bool) *result {
+	instance.mu.Lock()
+	defer instance.mu.Unlock()
+	row := instance.status(run())
+	answer := &result{tag: "SELECT 1", mark: instance.journal.tail()}
+	answer.row(row...)
+	for column := range wire.StatusColumns {
+		answer.columns = append(answer.columns, textColumn(fmt.Sprintf("status_%d", column)))
+	}
+	return answer
+}
--- /dev/null
+++ b/internal/stand/insta/parse.go
@@ -0,0 +1,78 @@
+package insta
+
+import (
+	"regexp"
+	"strconv"
+	"strings"
+)
+
+// argument is a literal of a statement, or the number of a parameter.
+type argument struct {
+	literal string
+	param   int // 1 is the first; 0 means the literal
+}
+
+// statement is a statement with its literals and parameters taken out:
+// lower-case words with single spaces between them, no space beside
+// punctuation, and "?" for each argument.
+type statement struct {
+	template string
+	args     []argument
+}
+
+var tokens = regexp.MustCompile(`(?s)/\*.*?\*/|--[^\n]*|'(?:[^']|'')*'|\$\d+|::\s*\w+|"[^"]*"|\d+(?:\.\d+)?|[A-Za-z_][\w.]*|\s+|.`)
+
+var wordEnd = regexp.MustCompile(`[\w?*"]$`)
+
+// parse splits a query text into statements. Comments are ignored.
+func parse(sql string) []statement {
+	var statements []statement
+	var current statement
+	finish := func() {
+		if current.template != "" {
+			statements = append(statements, current)
+		}
+		current = statement{}
+	}
+	for _, token := range tokens.FindAllString(sql, -1) {
+		switch {
+		case token == ";":
+			finish()
+		case strings.TrimSpace(token) == "", strings.HasPrefix(token, "/*"), strings.HasPrefix(token, "--"), strings.HasPrefix(token, "::"):
+		default:
+			current.add(token)
+		}
+	}
+	finish()
+	return statements
+}
+
+func (statement *statement) add(token string) {
+	text := strings.ToLower(token)
+	switch {
+	case token[0] == '\'':
+		literal := strings.ReplaceAll(token[1:len(token)-1], "''", "'")
+		statement.args = append(statement.args, argument{literal: literal})
+		text = "?"
+	case token[0] >= '0' && token[0] <= '9':
+		statement.args = append(statement.args, argument{literal: token})
+		text = "?"
+	case token[0] == '$':
+		number, _ := strconv.Atoi(token[1:])
+		statement.args = append(statement.args, argument{param: number})
+		text = "?"
+	}
+	if wordEnd.MatchString(statement.template) && wordEnd.MatchString(text) {
+		statement.template += " "
+	}
+	statement.template += text
+}
+
+// params returns the number of parameters.
+func (statement statement) params() int {
+	count := 0
+	for _, arg := range statement.args {
+		count = max(count, arg.param)
+	}
+	return count
+}
