--- /dev/null
+++ b/internal/proof/fuzz/oracle_test.go
@@ -0,0 +1,331 @@
+package fuzz
+
+import (
+	"fmt"
+	"time"
+
+	"almondway.dev/almondway/internal/core/event"
+	"almondway.dev/almondway/internal/core/model"
+)
+
+const (
+	leavingLimit = 5 * time.Second
+	inForceLimit = 6 * time.Second
+)
+
+// violation is a broken promise.
+type violation struct {
+	promise string
+	detail  string
+}
+
+func (violation violation) String() string { return violation.promise + ": " + violation.detail }
+
+// askRecord is an operator's call and its result.
+type askRecord struct {
+	node     *node
+	weight   int
+	changeID string
+	result   event.Result
+	at       time.Duration
+}
+
+// found is a write that a read showed to a caller.
+type found struct {
+	request *request
+	answer  *answer
+}
+
+// oracle records what callers and operators were told and checks the promises.
+type oracle struct {
+	world      *world
+	sequence   uint64
+	lastValue  int
+	lastID     uint64
+	lastAsk    model.AskID
+	requests   []*request
+	shown      []found
+	asked      map[model.AskID]askRecord
+	operators  []model.AskID
+	revisions  map[*node]uint64
+	changes    map[uint64]string
+	accepted   uint64
+	violations []violation
+}
+
+func newOracle(world *world) *oracle {
+	return &oracle{
+		world:     world,
+		asked:     make(map[model.AskID]askRecord),
+		revisions: make(map[*node]uint64),
+		changes:   make(map[uint64]string),
+	}
+}
+
+func (oracle *oracle) fail(promise, format string, args ...any) {
+	oracle.violations = append(oracle.violations, violation{promise: promise, detail: fmt.Sprintf(format, args...)})
+}
+
+// broken reports whether the given promise was broken.
+func (oracle *oracle) broken(promise string) bool {
+	for _, found := range oracle.violations {
+		if found.promise == promise {
+			return true
+		}
+	}
+	return false
+}
+
+// operatorAnswered records the result of an operator's call.
+func (oracle *oracle) operatorAnswered(node *node, action event.AnswerOperator) {
+	record := oracle.asked[action.Ask()]
+	record.result = action.Result()
+	record.at = oracle.world.now
+	oracle.asked[action.Ask()] = record
+	oracle.operators = append(oracle.operators, action.Ask())
+	applied, ok := action.Result().(event.Applied)
+	if !ok {
+		return
+	}
+	if earlier, twice := oracle.changes[applied.Revision()]; twice && earlier != record.changeID {
+		oracle.fail("P9", "revision %d was accepted for %s and for %s through %s", applied.Revision(), earlier, record.changeID, node.id)
+	}
+	oracle.changes[applied.Revision()] = record.changeID
+	oracle.accepted = max(oracle.accepted, applied.Revision())
+}
+
+// stopped checks that a proxy that was asked to stop has answered everything.
+func (oracle *oracle) stopped(node *node) {
+	for _, caller := range node.callers {
+		if caller.pending != nil || caller.inTx {
+			oracle.fail("P8", "%s stopped while %s of a caller was in flight", node.id, caller.class)
+		}
+	}
+}
+
+// executing checks that no new work is sent to an instance that has been leaving for long.
+func (oracle *oracle) executing(node *node, target *instance, work *model.Work) {
+	started := work.Step() == model.StepSingle || work.Step() == model.StepFirst
+	if started && target.leaving && oracle.world.now-target.leavingAt > leavingLimit && !node.cutFrom[target.id] {
+		oracle.fail("P7", "%s sent new work to %s, which has been leaving for %s", node.id, target.id, oracle.world.now-target.leavingAt)
+	}
+}
+
+// executed checks that a connection carries the statements of one caller's transaction.
+func (oracle *oracle) executed(target *instance, key connKey, work *model.Work) {
+	opened := target.open[key]
+	asked, _ := work.Statement().(*statement)
+	if opened == nil || asked == nil || len(opened.writes) == 0 || work.Step() != model.StepNext {
+		return
+	}
+	if opened.writes[0].owner != asked.owner {
+		oracle.fail("P3", "a statement of %s joined the transaction of %s on %s", asked.owner, opened.writes[0].owner, target.id)
+	}
+}
+
+// answered checks a reply when the caller gets it.
+func (oracle *oracle) answered(request *request) {
+	if !request.ok() || request.statement == nil {
+		return
+	}
+	payload, ok := request.reply.Answer().(*answer)
+	if !ok {
+		if !request.reply.Replayed() && request.spec.Op == model.OpStatement {
+			oracle.fail("P4", "%s was answered without its answer", request.kind)
+		}
+		return
+	}
+	if payload.statement != request.statement {
+		oracle.fail("P4", "a caller got the answer to another statement")
+	}
+	if request.statement.write {
+		oracle.checkAcknowledgement(request)
+		return
+	}
+	oracle.shown = append(oracle.shown, found{request: request, answer: payload})
+	oracle.checkRead(request, payload)
+}
+
+// checkAcknowledgement checks that the newest primary holds the write, whoever acknowledged it.
+func (oracle *oracle) checkAcknowledgement(write *request) {
+	if write.inTransaction() {
+		return
+	}
+	for _, group := range oracle.world.groups {
+		leader := oracle.world.primaryOf(group.ID())
+		if leader == nil || len(oracle.world.groups) > 1 {
+			continue
+		}
+		if _, ok := oracle.markOf(write); !ok {
+			oracle.fail("P2", "write of %d was acknowledged and the primary %s does not have it", write.statement.value, leader.id)
+		}
+	}
+}
+
+// checkRead compares what a read showed with the writes that it had to show.
+func (oracle *oracle) checkRead(read *request, payload *answer) {
+	promise, deadline := "P1", read.sentAt
+	if read.kind == "browse" && read.caller.class != "registrar" {
+		promise, deadline = "P11", read.answeredAt-browseStaleness
+	}
+	for _, write := range oracle.requests {
+		if !write.done() || write.statement == nil || !write.statement.write || write.statement.key != read.statement.key {
+			continue
+		}
+		if write.doneAt() >= deadline {
+			continue
+		}
+		if mark, ok := oracle.markOf(write); ok && !payload.mark.Covers(mark) {
+			oracle.fail(promise, "%s at %s showed value %d at %s and not the write of %d at %s, acknowledged at %s",
+				read.kind, read.answeredAt, payload.value, payload.mark, write.statement.value, mark, write.doneAt())
+		}
+	}
+}
+
+// markOf returns where an acknowledged write stands in the log of the group's primary.
+func (oracle *oracle) markOf(write *request) (model.Mark, bool) {
+	for _, instance := range oracle.world.instances {
+		leader := oracle.world.primaryOf(instance.group)
+		if leader != instance {
+			continue
+		}
+		for position, item := range leader.log {
+			if item.holds(write.statement.value) {
+				return model.NewMark(item.term, model.Position(position+1)), true
+			}
+		}
+	}
+	return model.Mark{}, false
+}
+
+// check verifies the promises that hold at every moment.
+func (oracle *oracle) check() {
+	for _, group := range oracle.world.groups {
+		if leader := oracle.world.primaryOf(group.ID()); leader != nil {
+			oracle.checkLog(leader)
+		}
+	}
+	oracle.checkRevisions()
+}
+
+// checkLog checks the log of the newest primary against what callers were told.
+func (oracle *oracle) checkLog(leader *instance) {
+	counts := make(map[int]int)
+	for _, item := range leader.log {
+		for _, write := range item.writes {
+			counts[write.value]++
+		}
+	}
+	for _, request := range oracle.requests {
+		if request.statement == nil || !request.statement.write {
+			continue
+		}
+		if oracle.groupOf(request) != leader.group {
+			continue
+		}
+		count := counts[request.statement.value]
+		switch {
+		case count > 1:
+			oracle.fail("P6", "write of %d stands %d times in the log of %s", request.statement.value, count, leader.id)
+		case request.done() && count == 0:
+			oracle.fail("P10", "write of %d was acknowledged and is not in the log of %s", request.statement.value, leader.id)
+		case request.notRun() && count > 0 && !oracle.acknowledgedElsewhere(request):
+			oracle.fail("P5", "write of %d was reported as not run (%s) and is in the log of %s", request.statement.value, request.reply.Code(), leader.id)
+		}
+	}
+}
+
+// acknowledgedElsewhere reports whether another attempt with the same request id ran or may have run.
+func (oracle *oracle) acknowledgedElsewhere(request *request) bool {
+	for _, other := range oracle.requests {
+		if other != request && other.statement == request.statement && !other.notRun() {
+			return true
+		}
+	}
+	return false
+}
+
+// groupOf returns the only group, or the empty text where keys select among several.
+func (oracle *oracle) groupOf(request *request) model.GroupID {
+	if len(oracle.world.groups) == 1 {
+		return oracle.world.groups[0].ID()
+	}
+	for _, instance := range oracle.world.instances {
+		for _, item := range instance.log {
+			if item.holds(request.statement.value) {
+				return instance.group
+			}
+		}
+	}
+	return ""
+}
+
+// checkRevisions checks that no proxy goes back to a lower revision.
+func (oracle *oracle) checkRevisions() {
+	for _, node := range oracle.world.nodes {
+		revision, ok := node.revision()
+		if !ok || !node.alive {
+			continue
+		}
+		if revision < oracle.revisions[node] {
+			oracle.fail("P9", "%s went from revision %d to %d", node.id, oracle.revisions[node], revision)
+		}
+		oracle.revisions[node] = revision
+	}
+}
+
+// checkEnd verifies what must hold once every fault has ended for a while.
+func (oracle *oracle) checkEnd() {
+	oracle.check()
+	for _, group := range oracle.world.groups {
+		oracle.checkConverged(group.ID())
+	}
+	for _, read := range oracle.shown {
+		oracle.checkShown(read)
+	}
+	for _, request := range oracle.requests {
+		if !request.answered() && !request.lost {
+			oracle.fail("P4", "%s sent at %s was never answered", request.kind, request.sentAt)
+		}
+	}
+	oracle.checkInForce()
+}
+
+func (oracle *oracle) checkConverged(group model.GroupID) {
+	leader := oracle.world.primaryOf(group)
+	if leader == nil {
+		oracle.fail("P10", "group %s has no primary after all faults ended", group)
+		return
+	}
+	for _, member := range oracle.world.members(group) {
+		if member.alive && member.tail() != leader.tail() {
+			oracle.fail("P10", "log of %s ends at %s and that of %s at %s after all faults ended", member.id, member.tail(), leader.id, leader.tail())
+		}
+	}
+}
+
+// checkShown checks that a promotion has not taken away what a read showed.
+func (oracle *oracle) checkShown(read found) {
+	if read.answer.mark.IsZero() {
+		return
+	}
+	for _, instance := range oracle.world.instances {
+		position := int(read.answer.mark.Position())
+		if oracle.world.primaryOf(instance.group) != instance || position > len(instance.log) {
+			continue
+		}
+		if instance.log[position-1].holds(read.answer.value) {
+			return
+		}
+	}
+	oracle.fail("P1", "%s showed value %d, which a promotion took away", read.request.kind, read.answer.value)
+}
+
+func (oracle *oracle) checkInForce() {
+	for _, node := range oracle.world.nodes {
+		revision, ok := node.revision()
+		if node.alive && ok && revision < oracle.accepted {
+			oracle.fail("P9", "%s has revision %d in force, %d was accepted", node.id, revision, oracle.accepted)
+		}
+	}
+}
--- /dev/null
+++ b/internal/proof/fuzz/platform_test.go
@@ -0,0 +1,109 @@
+package fuzz
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"almondway.dev/almondway/internal/core/event"
+	"almondway.dev/almondway/internal/core/model"
+)
+
+const (
+	storeDelay   = 4 * time.Millisecond
+	storeTimeout = 2 * time.Second
+)
+
+// platform is a fake of the platform's table service, group list and host list.
+type platform struct {
+	world       *world
+	tables      map[string]map[string]model.Row
+	down        bool
+	loseAnswers bool
+	hosts       map[model.InstanceID]bool
+}
+
+func newPlatform(world *world) *platform {
+	return &platform{
+		world:  world,
+		tables: make(map[string]map[string]model.Row),
+		hosts:  make(map[model.InstanceID]bool),
+	}
+}
+
+func (platform *platform) read(node *node, action event.ReadStore) {
+	platform.serve(node, action.Query(), func() event.Event {
+		var rows []model.Row
+		for _, key := range slices.Sorted(maps.Keys(platform.tables[action.Table()])) {
+			if strings.HasPrefix(key, action.Prefix()) {
+				rows = append(rows, platform.tables[action.Table()][key])
+			}
+		}
+		return event.NewStoreRead(action.Query(), rows)
+	})
+}
+
+func (platform *platform) write(node *node, action event.WriteStore) {
+	platform.serve(node, action.Query(), func() event.Event {
+		if !platform.commit(action.Writes()) {
+			return event.NewStoreConflict(action.Query())
+		}
+		return event.NewStoreWritten(action.Query())
+	})
+}
+
+func (platform *platform) commit(writes []model.RowWrite) bool {
+	for _, write := range writes {
+		if platform.tables[write.Table()][write.Key()].Version() != write.Expected() {
+			return false
+		}
+	}
+	for _, write := range writes {
+		table := platform.tables[write.Table()]
+		if table == nil {
+			table = make(map[string]model.Row)
+			platform.tables[write.Table()] = table
+		}
+		if write.Value() == nil {
+			delete(table, write.Key())
+			continue
+		}
+		table[write.Key()] = model.NewRow(write.Key(), write.Expected()+1, write.Value())
+	}
+	return true
+}
+
+// serve answers a query after a delay. An outage answers with a failure; a lost
+// answer is a failure after the query took effect.
+func (platform *platform) serve(node *node, query model.QueryID, run func() event.Event) {
+	if platform.down || node.cutStore {
+		platform.world.after(storeTimeout, func() { node.post(event.NewStoreFailed(query)) })
+		return
+	}
+	platform.world.after(storeDelay, func() {
+		result := run()
+		if platform.loseAnswers {
+			result = event.NewStoreFailed(query)
+		}
+		platform.world.after(storeDelay, func() { node.post(result) })
+	})
+}
+
+func (platform *platform) listGroups(node *node) {
+	if platform.down || node.cutStore {
+		return
+	}
+	platform.world.after(storeDelay, func() { node.post(event.NewGroupsListed(platform.world.groups)) })
+}
+
+func (platform *platform) listHosts(node *node) {
+	if platform.down || node.cutStore {
+		return
+	}
+	var hosts []model.Host
+	for _, instance := range platform.world.instances {
+		hosts = append(hosts, model.NewHost(instance.id, platform.hosts[instance.id]))
+	}
+	platform.world.after(storeDelay, func() { node.post(event.NewHostsListed(hosts)) })
+}
--- /dev/null
+++ b/internal/proof/fuzz/promises_test.go
@@ -0,0 +1,318 @@
+package fuzz
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"almondway.dev/almondway/internal/core/model"
+)
+
+const (
+	scenarioSeed = 20261203
+	healTime     = 15 * time.Second
+)
+
+// scenario is the attack on one promise. The naive version must break it and
+// the product must keep every promise.
+type scenario struct {
+	name    string
+	promise string
+	attack  func(world *world)
+}
+
+var scenarios = []scenario{
+	{"P1 write at one proxy, read at another while replicas lag", "P1", attackRoaming},
+	{"P1 session token lost and replica frozen", "P1", attackLostToken},
+	{"P2 primary cut off together with a proxy", "P2", attackCutPrimary},
+	{"P3 interleaved transactions", "P3", attackInterleaved},
+	{"P4 late answer after a timeout", "P4", attackLateAnswer},
+	{"P5 answer lost after the statement was sent", "P5", attackLostAnswer},
+	{"P6 retry through another proxy", "P6", attackRetry},
+	{"P7 stale host list", "P7", attackLeaving},
+	{"P8 shutdown with requests and a transaction in flight", "P8", attackShutdown},
+	{"P9 two operators race", "P9", attackOperators},
+	{"P10 primary killed after an acknowledgement", "P10", attackKilledPrimary},
+	{"P11 replica cut off and idle", "P11", attackStaleReplica},
+}
+
+func TestPromises(t *testing.T) {
+	for _, scenario := range scenarios {
+		t.Run(scenario.name, func(t *testing.T) {
+			t.Run("naive", func(t *testing.T) {
+				is := is.New(t)
+				world := runScenario(scenario, newNaive)
+				is.True(world.oracle.broken(scenario.promise)) // the naive version must break the promise
+			})
+			t.Run("product", func(t *testing.T) {
+				is := is.New(t)
+				world := runScenario(scenario, newProduct)
+				for _, violation := range world.oracle.violations {
+					t.Error(violation)
+				}
+				is.Equal(len(world.oracle.violations), 0) // the product must keep every promise
+				is.True(world.oracle.acknowledgedWrites() > 0 || scenario.promise == "P9")
+			})
+		})
+	}
+}
+
+func runScenario(scenario scenario, brains newBrain) *world {
+	world := newWorld(scenarioSeed, 1, 3, brains)
+	scenario.attack(world)
+	world.oracle.check()
+	world.heal()
+	world.run(healTime)
+	world.oracle.checkEnd()
+	return world
+}
+
+// heal ends every fault.
+func (world *world) heal() {
+	world.platform.down = false
+	world.platform.loseAnswers = false
+	for _, node := range world.nodes {
+		node.cutStore = false
+		node.cutPeers = false
+		clear(node.cutFrom)
+		if node.paused {
+			node.resume()
+		}
+	}
+	for _, instance := range world.instances {
+		instance.alive = true
+		instance.cutGroup = false
+		instance.lag = 0
+		instance.leaving = false
+		world.platform.hosts[instance.id] = false
+		if instance.frozen {
+			instance.thaw()
+		}
+	}
+}
+
+func (oracle *oracle) acknowledgedWrites() int {
+	count := 0
+	for _, request := range oracle.requests {
+		if request.done() && request.statement != nil && request.statement.write {
+			count++
+		}
+	}
+	return count
+}
+
+func attackRoaming(world *world) {
+	registrar := world.connect(world.nodes[0], "registrar")
+	registrar.write("course")
+	for range 6 {
+		world.instances[1].lag = 2 * time.Second
+		world.instances[2].lag = 2 * time.Second
+		registrar.write("course")
+		registrar.roam(world.nodes[1])
+		registrar.read("seat_count", "course")
+		registrar.read("browse", "course")
+		registrar.roam(world.nodes[0])
+	}
+}
+
+func attackLostToken(world *world) {
+	registrar := world.connect(world.nodes[0], "registrar")
+	for range 6 {
+		world.instances[2].frozen = true
+		registrar.write("course")
+		world.instances[2].cutGroup = true
+		world.instances[2].thaw()
+		registrar.write("course")
+		registrar.token = model.Token{}
+		registrar.roam(world.nodes[2])
+		registrar.read("browse", "course")
+		world.instances[2].cutGroup = false
+		registrar.roam(world.nodes[0])
+	}
+}
+
+func attackCutPrimary(world *world) {
+	registrar := world.connect(world.nodes[0], "registrar")
+	other := world.connect(world.nodes[1], "registrar")
+	registrar.write("course")
+	old := world.primaryOf(world.groups[0].ID())
+	old.cutGroup = true
+	world.nodes[0].cutPeers = true
+	for _, node := range world.nodes[1:] {
+		node.cutFrom[old.id] = true
+	}
+	for _, instance := range world.instances {
+		if instance != old {
+			world.nodes[0].cutFrom[instance.id] = true
+		}
+	}
+	for range 4 {
+		registrar.write("course")
+		world.run(time.Second)
+		other.write("course")
+		other.read("seat_count", "course")
+	}
+}
+
+func attackInterleaved(world *world) {
+	first := world.connect(world.nodes[0], "registrar")
+	second := world.connect(world.nodes[0], "registrar")
+	for range 3 {
+		callers := []*caller{first, second}
+		ids := []string{world.newRequestID(), world.newRequestID()}
+		for _, caller := range callers {
+			caller.call("", nil, model.OpBegin, "")
+		}
+		for range 2 {
+			for index, caller := range callers {
+				write := world.newWrite("course")
+				write.owner = ids[index]
+				caller.call("edit_listing", write, model.OpStatement, ids[index])
+			}
+		}
+		for _, caller := range callers {
+			caller.call("", nil, model.OpCommit, "")
+		}
+	}
+	first.write("course")
+	first.call("", nil, model.OpBegin, "")
+	first.call("edit_listing", world.newWrite("course"), model.OpStatement, world.newRequestID())
+	first.leave()
+	second.write("course")
+}
+
+func attackLateAnswer(world *world) {
+	primary := world.primaryOf(world.groups[0].ID())
+	first := world.connect(world.nodes[0], "registrar")
+	second := world.connect(world.nodes[0], "registrar")
+	first.write("course")
+	primary.frozen = true
+	sent := first.send("edit_listing", world.newWrite("course"), model.OpStatement, world.newRequestID())
+	world.run(400 * time.Millisecond)
+	late := second.send("edit_listing", world.newWrite("course"), model.OpStatement, world.newRequestID())
+	primary.thaw()
+	world.runUntil(10*time.Second, func() bool { return sent.answered() && late.answered() })
+	second.write("course")
+	first.write("course")
+}
+
+func attackLostAnswer(world *world) {
+	primary := world.primaryOf(world.groups[0].ID())
+	registrar := world.connect(world.nodes[0], "registrar")
+	registrar.write("course")
+	primary.frozen = true
+	sent := registrar.send("edit_listing", world.newWrite("course"), model.OpStatement, world.newRequestID())
+	world.run(400 * time.Millisecond)
+	primary.thaw()
+	world.runUntil(10*time.Second, sent.answered)
+	registrar.write("course")
+}
+
+func attackRetry(world *world) {
+	primary := world.primaryOf(world.groups[0].ID())
+	registrar := world.connect(world.nodes[0], "registrar")
+	registrar.write("course")
+	for range 3 {
+		write, id := world.newWrite("course"), world.newRequestID()
+		registrar.send("edit_listing", write, model.OpStatement, id)
+		world.run(3 * time.Millisecond)
+		primary.frozen = true
+		world.run(450 * time.Millisecond)
+		primary.thaw()
+		registrar.roam(world.nodes[1])
+		registrar.call("edit_listing", write, model.OpStatement, id)
+		registrar.roam(world.nodes[0])
+		registrar.call("edit_listing", write, model.OpStatement, id)
+	}
+}
+
+func attackLeaving(world *world) {
+	registrar := world.connect(world.nodes[0], "registrar")
+	registrar.write("course")
+	for _, leaving := range world.instances[1:] {
+		leaving.leaving = true
+		leaving.leavingAt = world.now
+		world.platform.down = true
+		for range 40 {
+			world.run(200 * time.Millisecond)
+			registrar.read("seat_count", "course")
+		}
+		leaving.leaving = false
+		world.run(time.Second)
+	}
+	registrar.write("course")
+}
+
+func attackShutdown(world *world) {
+	primary := world.primaryOf(world.groups[0].ID())
+	registrar := world.connect(world.nodes[0], "registrar")
+	other := world.connect(world.nodes[0], "registrar")
+	registrar.write("course")
+	other.call("", nil, model.OpBegin, "")
+	id := world.newRequestID()
+	other.call("edit_listing", world.newWrite("course"), model.OpStatement, id)
+	primary.frozen = true
+	registrar.send("edit_listing", world.newWrite("course"), model.OpStatement, world.newRequestID())
+	world.nodes[0].post(shutdownAsked())
+	world.run(300 * time.Millisecond)
+	primary.thaw()
+	world.run(100 * time.Millisecond)
+	other.call("edit_listing", world.newWrite("course"), model.OpStatement, id)
+	other.call("", nil, model.OpCommit, "")
+	world.run(5 * time.Second)
+	if !world.nodes[0].stopped {
+		world.oracle.fail("P8", "the drained proxy did not stop")
+	}
+}
+
+func attackOperators(world *world) {
+	revision, _ := world.nodes[0].revision()
+	world.apply(world.nodes[0], 2, revision, "change-a")
+	world.apply(world.nodes[1], 3, revision, "change-b")
+	world.run(10 * time.Second)
+	world.platform.loseAnswers = true
+	revision, _ = world.nodes[0].revision()
+	world.apply(world.nodes[0], 4, revision, "change-c")
+	world.run(5 * time.Second)
+	world.platform.loseAnswers = false
+	world.apply(world.nodes[2], 4, revision, "change-c")
+	world.run(10 * time.Second)
+	world.platform.down = true
+	world.startNode()
+	world.run(10 * time.Second)
+}
+
+func attackKilledPrimary(world *world) {
+	registrar := world.connect(world.nodes[0], "registrar")
+	for range 2 {
+		primary := world.primaryOf(world.groups[0].ID())
+		for _, instance := range world.instances {
+			if instance != primary {
+				instance.lag = 30 * time.Millisecond
+			}
+		}
+		registrar.write("course")
+		registrar.write("course")
+		primary.alive = false
+		clear(primary.open)
+		world.run(3 * time.Second)
+		registrar.write("course")
+		registrar.read("seat_count", "course")
+		world.oracle.check()
+		primary.alive = true
+		world.run(3 * time.Second)
+	}
+}
+
+func attackStaleReplica(world *world) {
+	registrar := world.connect(world.nodes[0], "registrar")
+	student := world.connect(world.nodes[1], "student")
+	registrar.write("course")
+	world.instances[2].cutGroup = true
+	registrar.write("course")
+	world.run(5 * time.Second)
+	for range 6 {
+		student.read("browse", "course")
+	}
+}
--- /dev/null
+++ b/internal/proof/fuzz/world_test.go
@@ -0,0 +1,209 @@
+package fuzz
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"almondway.dev/almondway/internal/core/event"
+	"almondway.dev/almondway/internal/core/model"
+	"almondway.dev/almondway/internal/core/tune"
+)
+
+const (
+	minDelay = time.Millisecond
+	maxDelay = 3 * time.Millisecond
+)
+
+var wallStart = time.Date(2026, 12, 3, 8, 0, 0, 0, time.UTC)
+
+// brain is the decision code of one proxy: the product's kernel or a naive version.
+type brain interface {
+	Handle(now time.Duration, received event.Event) []event.Action
+	Tick(now time.Duration) []event.Action
+	Next() (time.Duration, bool)
+}
+
+// newBrain makes the decision code of a proxy that starts at the given wall-clock time.
+type newBrain func(self model.ProxyView, settings *tune.Settings, started time.Time, seed uint64) brain
+
+// world is a set of proxies, instances and callers on one fake clock.
+type world struct {
+	now       time.Duration
+	random    *rand.Rand
+	schedule  schedule
+	scheduled uint64
+	nodes     []*node
+	instances []*instance
+	groups    []model.Group
+	platform  *platform
+	callers   []*caller
+	oracle    *oracle
+	brains    newBrain
+	settings  tune.Spec
+}
+
+// newWorld returns a running world of groups of three instances, with the
+// deployment "gradski" accepted.
+func newWorld(seed uint64, groups, proxies int, brains newBrain) *world {
+	world := &world{random: rand.New(rand.NewPCG(seed, seed)), brains: brains, settings: tune.Default()}
+	world.oracle = newOracle(world)
+	world.platform = newPlatform(world)
+	for index := range groups {
+		world.addGroup(model.GroupID(fmt.Sprintf("katalog-%d", index+1)))
+	}
+	for range proxies {
+		world.startNode()
+	}
+	world.run(3 * time.Second)
+	world.seedDeployment()
+	world.run(3 * time.Second)
+	return world
+}
+
+func (world *world) addGroup(id model.GroupID) {
+	var members []model.Instance
+	for index, suffix := range []string{"a", "b", "c"} {
+		name := model.InstanceID(string(id) + "-" + suffix)
+		dataCenter := []model.DataCenter{"gradska-dvorana", "sveuciliste-dc", "trnje-hall"}[index]
+		members = append(members, model.NewInstance(name, string(name)+":5432", dataCenter))
+	}
+	world.groups = append(world.groups, model.NewGroup(id, members))
+	for index, member := range members {
+		world.instances = append(world.instances, newInstance(world, id, member, index == 0))
+	}
+}
+
+func (world *world) instance(id model.InstanceID) *instance {
+	for _, candidate := range world.instances {
+		if candidate.id == id {
+			return candidate
+		}
+	}
+	return nil
+}
+
+// primaryOf returns the live instance that leads the highest term of a group, or nil.
+func (world *world) primaryOf(group model.GroupID) *instance {
+	var best *instance
+	for _, candidate := range world.members(group) {
+		if candidate.primary && (best == nil || candidate.fence > best.fence) {
+			best = candidate
+		}
+	}
+	for _, candidate := range world.members(group) {
+		if best != nil && candidate.fence > best.fence {
+			return nil
+		}
+	}
+	return best
+}
+
+func (world *world) members(group model.GroupID) []*instance {
+	var members []*instance
+	for _, candidate := range world.instances {
+		if candidate.group == group {
+			members = append(members, candidate)
+		}
+	}
+	return members
+}
+
+// after calls callback when delay has passed.
+func (world *world) after(delay time.Duration, callback func()) {
+	world.scheduled++
+	heap.Push(&world.schedule, &appointment{at: world.now + delay, order: world.scheduled, callback: callback})
+}
+
+// delay returns a random network delay.
+func (world *world) delay() time.Duration {
+	return minDelay + time.Duration(world.random.Int64N(int64(maxDelay-minDelay)))
+}
+
+// run lets the given time pass.
+func (world *world) run(duration time.Duration) {
+	end := world.now + duration
+	for {
+		next, ok := world.next()
+		if !ok || next > end {
+			world.now = end
+			return
+		}
+		world.now = max(world.now, next)
+		world.step()
+	}
+}
+
+// runUntil lets time pass until done or the limit is reached, and reports which.
+func (world *world) runUntil(limit time.Duration, done func() bool) bool {
+	end := world.now + limit
+	for !done() {
+		next, ok := world.next()
+		if !ok || next > end {
+			world.now = end
+			return done()
+		}
+		world.now = max(world.now, next)
+		world.step()
+	}
+	return true
+}
+
+func (world *world) next() (time.Duration, bool) {
+	var earliest time.Duration
+	found := false
+	if len(world.schedule) > 0 {
+		earliest, found = world.schedule[0].at, true
+	}
+	for _, node := range world.nodes {
+		at, ok := node.next()
+		if ok && (!found || at < earliest) {
+			earliest, found = at, true
+		}
+	}
+	return earliest, found
+}
+
+func (world *world) step() {
+	if len(world.schedule) > 0 && world.schedule[0].at <= world.now {
+		heap.Pop(&world.schedule).(*appointment).callback()
+		return
+	}
+	for _, node := range world.nodes {
+		if at, ok := node.next(); ok && at <= world.now {
+			node.tick()
+			return
+		}
+	}
+}
+
+type appointment struct {
+	at       time.Duration
+	order    uint64
+	callback func()
+}
+
+type schedule []*appointment
+
+func (schedule schedule) Len() int { return len(schedule) }
+
+func (schedule schedule) Less(left, right int) bool {
+	if schedule[left].at != schedule[right].at {
+		return schedule[left].at < schedule[right].at
+	}
+	return schedule[left].order < schedule[right].order
+}
+
+func (schedule schedule) Swap(left, right int) {
+	schedule[left], schedule[right] = schedule[right], schedule[left]
+}
+
+func (schedule *schedule) Push(value any) { *schedule = append(*schedule, value.(*appointment)) }
+
+func (schedule *schedule) Pop() any {
+	last := len(*schedule) - 1
+	removed := (*schedule)[last]
+	*schedule = (*schedule)[:last]
+	return removed
+}
