stand: processes and fleets for demo, measurements and tests

Demo, measurements and end-to-end tests need the same thing: platform, instances and proxies as separate processes on free ports, waited for over their ports, killed one by one, and all stopped at the end. Only processes of the pool are signalled, by their own handles.

--- /dev/null
+++ b/internal/stand/fleet/fleet.go
@@ -0,0 +1,186 @@
+// Package fleet runs a whole system on the loopback address: the stand-ins of a
+// topology and several proxies, each a process of its own.
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+
+	"almondway.dev/almondway/internal/proto/ctrlpb"
+	"almondway.dev/almondway/internal/stand/procs"
+	"almondway.dev/almondway/internal/stand/topol"
+)
+
+const readyLimit = 20 * time.Second
+
+// Spec lists the parts of a new Fleet.
+type Spec struct {
+	// Dir takes the topology file and the output of the processes.
+	Dir string
+	// Programs is the directory of the built programs.
+	Programs string
+	// Topology describes the groups. Its addresses must be free.
+	Topology topol.Spec
+	// Ports gives out the addresses of the platform and of the proxies.
+	Ports *procs.Ports
+	// ProxyArgs are further arguments of each proxy.
+	ProxyArgs []string
+}
+
+// Fleet is a running system.
+type Fleet struct {
+	spec      Spec
+	pool      *procs.Pool
+	topology  string
+	platform  string
+	instances map[string]*procs.Proc
+	proxies   []*Proxy
+	number    int
+}
+
+// New returns a Fleet of which nothing runs yet.
+func New(spec Spec) (*Fleet, error) {
+	fleet := &Fleet{
+		spec:      spec,
+		pool:      procs.NewPool(spec.Dir),
+		topology:  filepath.Join(spec.Dir, "topology.json"),
+		platform:  fmt.Sprintf("127.0.0.1:%d", spec.Ports.Port()),
+		instances: make(map[string]*procs.Proc),
+	}
+	return fleet, spec.Topology.Save(fleet.topology)
+}
+
+// ProgramDir returns the directory of the running program.
+func ProgramDir() (string, error) {
+	path, err := os.Executable()
+	return filepath.Dir(path), errors.Wrap(err, "find the running program")
+}
+
+// Stop ends all processes.
+func (fleet *Fleet) Stop() { fleet.pool.Stop() }
+
+// Topology returns the topology.
+func (fleet *Fleet) Topology() topol.Spec { return fleet.spec.Topology }
+
+// PlatformAddress returns the "ip:port" of the platform.
+func (fleet *Fleet) PlatformAddress() string { return fleet.platform }
+
+// StartBackend starts the platform and all instances and waits until they serve.
+func (fleet *Fleet) StartBackend(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyLimit)
+	defer cancel()
+	_, err := fleet.pool.Start("platform", fleet.program("standin"), "platform", "--topology", fleet.topology, "--listen", fleet.platform)
+	if err != nil {
+		return err
+	}
+	for _, group := range fleet.spec.Topology.Groups {
+		for _, instance := range group.Instances {
+			if err := fleet.StartInstance(instance.ID); err != nil {
+				return err
+			}
+		}
+	}
+	for _, group := range fleet.spec.Topology.Groups {
+		for _, instance := range group.Instances {
+			if err := procs.Until(ctx, func() error { return procs.Listening(ctx, instance.Address) }); err != nil {
+				return err
+			}
+			if err := procs.Until(ctx, func() error { return procs.Listening(ctx, instance.Control) }); err != nil {
+				return err
+			}
+		}
+	}
+	return procs.Until(ctx, func() error { return procs.Listening(ctx, fleet.platform) })
+}
+
+// StartInstance starts an instance with further arguments.
+func (fleet *Fleet) StartInstance(id string, args ...string) error {
+	args = append([]string{"instance", "--topology", fleet.topology, "--id", id}, args...)
+	proc, err := fleet.pool.Start(id, fleet.program("standin"), args...)
+	if err != nil {
+		return err
+	}
+	fleet.instances[id] = proc
+	return nil
+}
+
+// Instance returns the process of an instance.
+func (fleet *Fleet) Instance(id string) *procs.Proc { return fleet.instances[id] }
+
+// ReplaceInstance starts an instance that was killed again, without its memory.
+func (fleet *Fleet) ReplaceInstance(id string) error { return fleet.StartInstance(id, "--empty") }
+
+// SetPlatformFaults replaces the faults of the platform.
+func (fleet *Fleet) SetPlatformFaults(ctx context.Context, faults *ctrlpb.SetPlatformFaultsRequest) error {
+	client := ctrlpb.NewPlatformControlServiceClient(http.DefaultClient, "http://"+fleet.platform)
+	_, err := client.SetPlatformFaults(ctx, connect.NewRequest(faults))
+	return errors.Wrap(err, "set faults of the platform")
+}
+
+// MarkHost marks the host of an instance in the host list.
+func (fleet *Fleet) MarkHost(ctx context.Context, id string, leaving bool) error {
+	client := ctrlpb.NewPlatformControlServiceClient(http.DefaultClient, "http://"+fleet.platform)
+	_, err := client.MarkHost(ctx, connect.NewRequest(&ctrlpb.MarkHostRequest{InstanceId: id, Leaving: leaving}))
+	return errors.Wrapf(err, "mark host of instance %s", id)
+}
+
+// SetInstanceFaults replaces the faults of an instance.
+func (fleet *Fleet) SetInstanceFaults(ctx context.Context, id string, faults *ctrlpb.SetInstanceFaultsRequest) error {
+	client, err := fleet.control(id)
+	if err != nil {
+		return err
+	}
+	_, err = client.SetInstanceFaults(ctx, connect.NewRequest(faults))
+	return errors.Wrapf(err, "set faults of instance %s", id)
+}
+
+// State returns the state of an instance.
+func (fleet *Fleet) State(ctx context.Context, id string) (*ctrlpb.GetInstanceStateResponse, error) {
+	client, err := fleet.control(id)
+	if err != nil {
+		return nil, err
+	}
+	response, err := client.GetInstanceState(ctx, connect.NewRequest(&ctrlpb.GetInstanceStateRequest{}))
+	if err != nil {
+		return nil, errors.Wrapf(err, "get state of instance %s", id)
+	}
+	return response.Msg, nil
+}
+
+// Primary returns the living instance that leads the group's highest term.
+func (fleet *Fleet) Primary(ctx context.Context, group string) (topol.InstanceSpec, error) {
+	var best topol.InstanceSpec
+	var term uint64
+	for _, listed := range fleet.spec.Topology.Groups {
+		for _, instance := range listed.Instances {
+			if listed.ID != group || !fleet.instances[instance.ID].Alive() {
+				continue
+			}
+			state, err := fleet.State(ctx, instance.ID)
+			if err == nil && state.GetPrimary() && state.GetFence() > term {
+				best, term = instance, state.GetFence()
+			}
+		}
+	}
+	if term == 0 {
+		return best, errors.Errorf("group %s has no primary", group)
+	}
+	return best, nil
+}
+
+func (fleet *Fleet) control(id string) (ctrlpb.InstanceControlServiceClient, error) {
+	_, instance, err := fleet.spec.Topology.Find(id)
+	if err != nil {
+		return nil, err
+	}
+	return ctrlpb.NewInstanceControlServiceClient(http.DefaultClient, "http://"+instance.Control), nil
+}
+
+func (fleet *Fleet) program(name string) string { return filepath.Join(fleet.spec.Programs, name) }
--- /dev/null
+++ b/internal/stand/fleet/proxy.go
@@ -0,0 +1,92 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"os/exec"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"almondway.dev/almondway/internal/stand/procs"
+)
+
+// Proxy is a proxy process.
+type Proxy struct {
+	proc       *procs.Proc
+	id         string
+	dataCenter string
+	address    string
+	admin      string
+}
+
+// ID returns the name of the process.
+func (proxy *Proxy) ID() string { return proxy.id }
+
+// Address returns the "ip:port" for callers.
+func (proxy *Proxy) Address() string { return proxy.address }
+
+// Admin returns the "ip:port" of the administration API.
+func (proxy *Proxy) Admin() string { return proxy.admin }
+
+// Process returns the process.
+func (proxy *Proxy) Process() *procs.Proc { return proxy.proc }
+
+// Proxies returns the proxies in the order of their start.
+func (fleet *Fleet) Proxies() []*Proxy { return fleet.proxies }
+
+// StartProxy starts a further proxy in a data centre. It does not wait for it.
+func (fleet *Fleet) StartProxy(dataCenter string) (*Proxy, error) {
+	fleet.number++
+	proxy := &Proxy{
+		id:         fmt.Sprintf("proxy-%d", fleet.number),
+		dataCenter: dataCenter,
+		address:    fmt.Sprintf("127.0.0.1:%d", fleet.spec.Ports.Port()),
+		admin:      fmt.Sprintf("127.0.0.1:%d", fleet.spec.Ports.Port()),
+	}
+	args := []string{
+		"proxy", "--id", proxy.id, "--data-center", dataCenter,
+		"--listen", proxy.address, "--admin-listen", proxy.admin,
+		"--peer-listen", fmt.Sprintf("127.0.0.1:%d", fleet.spec.Ports.Port()),
+		"--platform", "http://" + fleet.platform,
+	}
+	proc, err := fleet.pool.Start(proxy.id, fleet.program("almondway"), append(args, fleet.spec.ProxyArgs...)...)
+	if err != nil {
+		return nil, err
+	}
+	proxy.proc = proc
+	fleet.proxies = append(fleet.proxies, proxy)
+	return proxy, nil
+}
+
+// RemoveProxy forgets a proxy that has ended.
+func (fleet *Fleet) RemoveProxy(gone *Proxy) {
+	kept := make([]*Proxy, 0, len(fleet.proxies))
+	for _, proxy := range fleet.proxies {
+		if proxy != gone {
+			kept = append(kept, proxy)
+		}
+	}
+	fleet.proxies = kept
+}
+
+// AwaitProxy waits until a proxy is ready.
+func (fleet *Fleet) AwaitProxy(ctx context.Context, proxy *Proxy) error {
+	ctx, cancel := context.WithTimeout(ctx, readyLimit)
+	defer cancel()
+	return procs.Until(ctx, func() error {
+		if !proxy.proc.Alive() {
+			cancel()
+			return errors.Errorf("proxy %s ended with exit code %d, see its log in %s", proxy.id, proxy.proc.ExitCode(), fleet.spec.Dir)
+		}
+		return procs.Healthy(ctx, "http://"+proxy.admin+"/readyz")
+	})
+}
+
+// Almondway runs a command of the operators' client against a proxy and returns its output.
+func (fleet *Fleet) Almondway(ctx context.Context, proxy *Proxy, args ...string) (string, error) {
+	args = append(args, "--admin", "http://"+proxy.admin)
+	output, err := exec.CommandContext(ctx, fleet.program("almondway"), args...).CombinedOutput()
+	text := strings.TrimSpace(string(output))
+	return text, errors.Wrapf(err, "almondway %s: %s", strings.Join(args, " "), text)
+}
--- /dev/null
+++ b/internal/stand/procs/procs_test.go
@@ -0,0 +1,55 @@
+package procs_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"almondway.dev/almondway/internal/stand/procs"
+)
+
+func TestPoolStopsWhatItStarted(t *testing.T) {
+	is := is.New(t)
+	pool := procs.NewPool(t.TempDir())
+	killed, err := pool.Start("killed", "sleep", "600")
+	is.NoErr(err)
+	stopped, err := pool.Start("stopped", "sleep", "600")
+	is.NoErr(err)
+	killed.Kill()
+	is.True(!killed.Alive())
+	is.Equal(killed.ExitCode(), -1)
+	is.True(stopped.Alive())
+	pool.Stop()
+	is.NoErr(stopped.Wait(context.Background()))
+	_, err = pool.Start("missing", "/nonexistent")
+	is.True(err != nil)
+}
+
+func TestPortsAreGivenOnce(t *testing.T) {
+	is := is.New(t)
+	ports := procs.NewPorts()
+	seen := make(map[int]bool)
+	for range 100 {
+		port := ports.Port()
+		is.True(!seen[port])
+		seen[port] = true
+	}
+}
+
+func TestUntil(t *testing.T) {
+	is := is.New(t)
+	failure := errors.New("not yet")
+	calls := 0
+	is.NoErr(procs.Until(context.Background(), func() error {
+		calls++
+		if calls < 3 {
+			return failure
+		}
+		return nil
+	}))
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	is.Equal(procs.Until(ctx, func() error { return failure }), failure)
+}
