edge: callers' side and backend side, first working path

The kernel had ports for callers and backend servers but nothing spoke the PostgreSQL protocol. front serves callers by the simple and the extended query protocol, with transactions, tags, limits, cancel and TLS; back runs works on taken-over pgconn connections, one write per step, and asks instances for their status over control connections. query finds tags and statement bounds without an SQL parser. Codes gain AW116 unsupported; requests carry the session's name.

Ruled out: pgconn's own query functions in back, which give no way to tell whether the log mark is of the answer just read.

Run: front's tests with pgx and lib/pq against a small kernel.

--- a/internal/core/codes/codes.go
+++ b/internal/core/codes/codes.go
@@ -26,6 +26,7 @@
 	UnknownCaller         Code = 113
 	MalformedTag          Code = 114
 	RequestIDMissing      Code = 115
+	Unsupported           Code = 116
 	Overloaded            Code = 201
 	NoPrimary             Code = 202
 	NoReplica             Code = 203
--- a/internal/core/codes/table.go
+++ b/internal/core/codes/table.go
@@ -19,6 +19,7 @@
 	sqlStateBadRole     = "28000"
 	sqlStateNotFound    = "02000"
 	sqlStateDuplicate   = "23505"
+	sqlStateUnsupported = "0A000"
 )
 
 var table = []Info{
@@ -39,6 +40,7 @@
 	{UnknownCaller, "unknown_caller", sqlStateBadRole, "The deployment defines no such class of caller.", "Correct the user name or add the class to the deployment."},
 	{MalformedTag, "malformed_tag", sqlStateBadValue, "A comment tag or session setting has a bad value.", "Correct the tag."},
 	{RequestIDMissing, "request_id_missing", sqlStateBadValue, "A non-idempotent kind needs a request id.", "Send a version 7 UUID as request_id."},
+	{Unsupported, "unsupported", sqlStateUnsupported, "The proxy does not serve this form of request. It was not run.", "See the detail for the form to use instead."},
 	{Overloaded, "overloaded", sqlStateOverload, "The request was refused because too much work is waiting. It was not run.", "Come back after the given time."},
 	{NoPrimary, "no_primary", sqlStateNotReady, "The group has no primary that may take the request. It was not run.", "Come back after the given time."},
 	{NoReplica, "no_replica", sqlStateNotReady, "No instance can serve the read within its staleness. It was not run.", "Come back after the given time."},
--- a/internal/core/model/request.go
+++ b/internal/core/model/request.go
@@ -35,6 +35,7 @@
 	Key       string
 	Group     GroupID
 	RequestID string
+	Session   string
 	Digest    uint64
 	Token     Token
 	Timeout   time.Duration
@@ -70,6 +71,9 @@
 // RequestID returns the caller's idempotency key, or the empty text.
 func (request *Request) RequestID() string { return request.spec.RequestID }
 
+// Session returns the name that the caller gave its session, or the empty text.
+func (request *Request) Session() string { return request.spec.Session }
+
 // Digest returns a hash of the statement and its parameters.
 func (request *Request) Digest() uint64 { return request.spec.Digest }
 
--- /dev/null
+++ b/internal/edge/back/conn.go
@@ -0,0 +1,215 @@
+package back
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/pkg/errors"
+
+	"almondway.dev/almondway/internal/core/event"
+	"almondway.dev/almondway/internal/core/model"
+)
+
+// queueSize is the number of commands that may wait for a connection. The
+// kernel gives a connection one command at a time.
+const queueSize = 4
+
+// command is what a connection's goroutine is asked to do.
+type command struct {
+	reset   bool
+	execute event.Execute
+}
+
+// conn is a data connection. One goroutine uses it.
+type conn struct {
+	backend  *Backend
+	id       model.ConnID
+	address  string
+	commands chan command
+	context  context.Context
+	end      context.CancelFunc
+
+	hijacked *pgconn.HijackedConn
+
+	mutex sync.Mutex
+	gone  bool
+
+	// cancelMutex guards running. A cancel request holds it while it is under
+	// way, so that it cannot reach the next execution.
+	cancelMutex sync.Mutex
+	running     model.ExecID
+}
+
+func newConn(backend *Backend, action event.OpenConn) *conn {
+	ctx, end := context.WithCancel(context.Background())
+	return &conn{
+		backend:  backend,
+		id:       action.Conn(),
+		address:  action.Address(),
+		commands: make(chan command, queueSize),
+		context:  ctx,
+		end:      end,
+	}
+}
+
+// offer hands a command to the goroutine. It returns false if the connection is
+// gone; the command then gets no answer from it.
+func (conn *conn) offer(given command) bool {
+	conn.mutex.Lock()
+	defer conn.mutex.Unlock()
+	if conn.gone {
+		return false
+	}
+	select {
+	case conn.commands <- given:
+		return true
+	default:
+		return false
+	}
+}
+
+// stop closes the connection without a ConnClosed event.
+func (conn *conn) stop() { conn.end() }
+
+func (conn *conn) run() {
+	defer conn.backend.forget(conn.id)
+	if !conn.open() {
+		conn.leave()
+		return
+	}
+	release := context.AfterFunc(conn.context, func() { _ = conn.hijacked.Conn.Close() })
+	defer release()
+	conn.backend.inbox.Post(event.NewConnOpened(conn.id))
+	conn.serve()
+	conn.leave()
+	_ = conn.hijacked.Conn.Close()
+	if conn.context.Err() == nil {
+		conn.backend.inbox.Post(event.NewConnClosed(conn.id))
+	}
+}
+
+func (conn *conn) open() bool {
+	ctx, cancel := context.WithTimeout(conn.context, conn.backend.spec.OpenTimeout)
+	defer cancel()
+	hijacked, err := dial(ctx, conn.backend.data, conn.address)
+	if err != nil {
+		conn.backend.inbox.Post(event.NewConnFailed(conn.id, failReason(err)))
+		return false
+	}
+	conn.hijacked = hijacked
+	return true
+}
+
+// serve carries out commands until the connection is spoiled or asked to close.
+func (conn *conn) serve() {
+	for {
+		select {
+		case <-conn.context.Done():
+			return
+		case given := <-conn.commands:
+			if !conn.carryOut(given) {
+				return
+			}
+		}
+	}
+}
+
+func (conn *conn) carryOut(given command) bool {
+	if given.reset {
+		return conn.reset()
+	}
+	return conn.execute(given.execute)
+}
+
+func (conn *conn) reset() bool {
+	messages := resetMessages(conn.hijacked.TxStatus)
+	err := conn.send(messages, conn.backend.spec.OpenTimeout)
+	if err == nil {
+		err = conn.awaitReset(len(messages))
+	}
+	ok := err == nil
+	conn.backend.inbox.Post(event.NewResetDone(conn.id, ok))
+	return ok
+}
+
+// awaitReset reads the answers to resetMessages.
+func (conn *conn) awaitReset(answers int) error {
+	for range answers {
+		reader := newReader(conn.hijacked, 0, conn.backend.spec.MaxAnswer)
+		if err := reader.run(); err != nil {
+			return err
+		}
+		if reader.failure != nil {
+			return errors.Errorf("reset connection: %s", reader.failure.Message)
+		}
+	}
+	return nil
+}
+
+// execute runs a Work and posts its answer. It returns false if the connection is spoiled.
+func (conn *conn) execute(execute event.Execute) bool {
+	conn.setRunning(execute.Exec())
+	result := conn.runWork(execute.Work())
+	conn.setRunning(0)
+	if result.done {
+		conn.backend.inbox.Post(event.NewExecuteDone(execute.Exec(), conn.id, result.mark, result.answer))
+	} else {
+		conn.backend.inbox.Post(event.NewExecuteFailed(
+			execute.Exec(), conn.id, result.class, result.alive && conn.hijacked.TxStatus == txIdle, result.mark, result.answer))
+	}
+	return result.alive
+}
+
+// send writes messages with a deadline that also holds for the answer.
+func (conn *conn) send(messages []pgproto3.FrontendMessage, timeout time.Duration) error {
+	if err := conn.hijacked.Conn.SetDeadline(time.Now().Add(timeout)); err != nil {
+		return errors.Wrap(err, "set deadline of execution")
+	}
+	for _, message := range messages {
+		conn.hijacked.Frontend.Send(message)
+	}
+	return errors.Wrap(conn.hijacked.Frontend.Flush(), "send execution")
+}
+
+func (conn *conn) setRunning(exec model.ExecID) {
+	conn.cancelMutex.Lock()
+	defer conn.cancelMutex.Unlock()
+	conn.running = exec
+}
+
+// leave refuses further commands and answers those that wait.
+func (conn *conn) leave() {
+	conn.mutex.Lock()
+	conn.gone = true
+	conn.mutex.Unlock()
+	for {
+		select {
+		case given := <-conn.commands:
+			conn.refuse(given)
+		default:
+			return
+		}
+	}
+}
+
+func (conn *conn) refuse(given command) {
+	if given.reset {
+		conn.backend.inbox.Post(event.NewResetDone(conn.id, false))
+		return
+	}
+	conn.backend.inbox.Post(event.NewExecuteFailed(
+		given.execute.Exec(), conn.id, model.FailureNotSent, false, model.Mark{}, nil))
+}
+
+// cancel asks the instance to cancel the execution if it still runs.
+func (conn *conn) cancel(exec model.ExecID) {
+	conn.cancelMutex.Lock()
+	defer conn.cancelMutex.Unlock()
+	if conn.running != exec {
+		return
+	}
+	_ = sendCancel(conn.hijacked, conn.backend.spec.CancelTimeout)
+}
--- /dev/null
+++ b/internal/edge/back/messages.go
@@ -0,0 +1,125 @@
+package back
+
+import (
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"almondway.dev/almondway/internal/core/model"
+	"almondway.dev/almondway/internal/edge/wire"
+)
+
+// The transaction states of a ReadyForQuery message.
+const (
+	txIdle   = 'I'
+	txOpen   = 'T'
+	txFailed = 'E'
+)
+
+const (
+	sqlBegin         = "BEGIN"
+	sqlBeginReadOnly = "BEGIN READ ONLY"
+	sqlCommit        = "COMMIT"
+	sqlRollback      = "ROLLBACK"
+	sqlDiscard       = "DISCARD ALL"
+)
+
+// prefix returns the statements that go before the statement of a Work in the
+// same round trip.
+func prefix(work *model.Work) []string {
+	var statements []string
+	if work.Step() == model.StepFirst {
+		statements = append(statements, beginStatement(work.Write()))
+	}
+	if work.Write() && work.Step() != model.StepNext {
+		statements = append(statements, wire.Begin(work.Guard(), work.LedgerID(), work.Digest()))
+	}
+	return statements
+}
+
+func beginStatement(write bool) string {
+	if write {
+		return sqlBegin
+	}
+	return sqlBeginReadOnly
+}
+
+// workMessages returns the messages of a Work, which end with one ReadyForQuery,
+// and the number of results that do not belong to the caller.
+func workMessages(work *model.Work) (messages []pgproto3.FrontendMessage, hidden int) {
+	switch work.Step() {
+	case model.StepCommit:
+		return simpleMessages(sqlCommit), 0
+	case model.StepRollback:
+		return simpleMessages(sqlRollback), 0
+	case model.StepSettle:
+		return simpleMessages(wire.Settle(work.Guard(), work.LedgerID())), 0
+	case model.StepTrim:
+		return simpleMessages(wire.Trim(work.Guard(), work.LedgerID())), 0
+	}
+	statement, ok := work.Statement().(*wire.Statement)
+	if !ok {
+		return nil, 0
+	}
+	if work.Step() == model.StepDescribe {
+		return describeMessages(statement), 0
+	}
+	before := prefix(work)
+	if statement.Simple() {
+		return simpleMessages(joinSimple(before, statement.SQL())), len(before)
+	}
+	return extendedMessages(before, statement), len(before)
+}
+
+func joinSimple(before []string, sql string) string {
+	joined := ""
+	for _, statement := range before {
+		joined += statement + "; "
+	}
+	return joined + sql
+}
+
+func simpleMessages(sql string) []pgproto3.FrontendMessage {
+	return []pgproto3.FrontendMessage{&pgproto3.Query{String: sql}}
+}
+
+func extendedMessages(before []string, statement *wire.Statement) []pgproto3.FrontendMessage {
+	messages := make([]pgproto3.FrontendMessage, 0, 3*len(before)+5)
+	for _, sql := range before {
+		messages = append(messages, &pgproto3.Parse{Query: sql}, &pgproto3.Bind{}, &pgproto3.Execute{})
+	}
+	return append(messages,
+		&pgproto3.Parse{Query: statement.SQL(), ParameterOIDs: statement.ParamTypes()},
+		&pgproto3.Bind{
+			ParameterFormatCodes: statement.ParamFormats(),
+			Parameters:           statement.Params(),
+			ResultFormatCodes:    statement.ResultFormats(),
+		},
+		&pgproto3.Describe{ObjectType: 'P'},
+		&pgproto3.Execute{},
+		&pgproto3.Sync{},
+	)
+}
+
+func describeMessages(statement *wire.Statement) []pgproto3.FrontendMessage {
+	return []pgproto3.FrontendMessage{
+		&pgproto3.Parse{Query: statement.SQL(), ParameterOIDs: statement.ParamTypes()},
+		&pgproto3.Describe{ObjectType: 'S'},
+		&pgproto3.Sync{},
+	}
+}
+
+// resetMessages returns queries that end an open transaction and clear the
+// state of the session. DISCARD ALL may not stand in a transaction, so each
+// query is a message of its own with an answer of its own.
+func resetMessages(txStatus byte) []pgproto3.FrontendMessage {
+	discard := &pgproto3.Query{String: sqlDiscard}
+	if txStatus == txIdle {
+		return []pgproto3.FrontendMessage{discard}
+	}
+	return []pgproto3.FrontendMessage{&pgproto3.Query{String: sqlRollback}, discard}
+}
+
+func cancelMessage(hijacked *pgconn.HijackedConn) ([]byte, error) {
+	request := pgproto3.CancelRequest{ProcessID: hijacked.PID, SecretKey: hijacked.SecretKey}
+	return request.Encode(nil)
+}
--- /dev/null
+++ b/internal/edge/back/reader.go
@@ -0,0 +1,155 @@
+package back
+
+import (
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/pkg/errors"
+
+	"almondway.dev/almondway/internal/core/model"
+	"almondway.dev/almondway/internal/edge/wire"
+)
+
+// reader reads the answers up to one ReadyForQuery.
+type reader struct {
+	hijacked *pgconn.HijackedConn
+	hidden   int
+	limit    int
+
+	results    []wire.Result
+	fields     []pgproto3.FieldDescription
+	rows       [][][]byte
+	paramTypes []uint32
+	size       int
+	failure    *pgproto3.ErrorResponse
+	mark       model.Mark
+	marked     bool
+}
+
+// newReader returns a reader that drops the first hidden results and the rows
+// of an answer of more than limit bytes.
+func newReader(hijacked *pgconn.HijackedConn, hidden int, limit int) *reader {
+	return &reader{hijacked: hijacked, hidden: hidden, limit: limit}
+}
+
+// run reads until the instance is ready again. An error means that the rest of
+// the answer is lost; failure may be set nevertheless.
+func (reader *reader) run() error {
+	for {
+		message, err := reader.hijacked.Frontend.Receive()
+		if err != nil {
+			return errors.Wrap(err, "read answer")
+		}
+		ready, err := reader.take(message)
+		if ready || err != nil {
+			return err
+		}
+	}
+}
+
+func (reader *reader) take(message pgproto3.BackendMessage) (ready bool, err error) {
+	switch message := message.(type) {
+	case *pgproto3.RowDescription:
+		reader.fields = copyFields(message.Fields)
+	case *pgproto3.NoData:
+		reader.fields = nil
+	case *pgproto3.DataRow:
+		reader.addRow(message.Values)
+	case *pgproto3.CommandComplete:
+		reader.conclude(string(message.CommandTag))
+	case *pgproto3.EmptyQueryResponse:
+		reader.conclude("")
+	case *pgproto3.ParameterDescription:
+		reader.paramTypes = append([]uint32(nil), message.ParameterOIDs...)
+	case *pgproto3.ErrorResponse:
+		reader.addFailure(message)
+	case *pgproto3.ParameterStatus:
+		return false, reader.addParameter(message)
+	case *pgproto3.ReadyForQuery:
+		reader.hijacked.TxStatus = message.TxStatus
+		return true, nil
+	case *pgproto3.CopyInResponse, *pgproto3.CopyOutResponse, *pgproto3.CopyBothResponse:
+		return false, errors.New("instance started a copy, which is not served")
+	}
+	return false, nil
+}
+
+func (reader *reader) addRow(values [][]byte) {
+	if reader.hidden > 0 {
+		return
+	}
+	length := 0
+	for _, value := range values {
+		length += len(value)
+	}
+	reader.size += length
+	if reader.overflows() {
+		reader.rows = nil
+		return
+	}
+	reader.rows = append(reader.rows, copyRow(values, length))
+}
+
+func (reader *reader) overflows() bool { return reader.size > reader.limit }
+
+func (reader *reader) conclude(tag string) {
+	if reader.hidden > 0 {
+		reader.hidden--
+	} else {
+		reader.results = append(reader.results, wire.NewResult(reader.fields, reader.rows, tag))
+	}
+	reader.fields, reader.rows = nil, nil
+}
+
+func (reader *reader) addFailure(message *pgproto3.ErrorResponse) {
+	if reader.failure == nil {
+		failure := *message
+		reader.failure = &failure
+	}
+}
+
+func (reader *reader) addParameter(message *pgproto3.ParameterStatus) error {
+	if message.Name != wire.MarkParameter {
+		return nil
+	}
+	mark, err := model.ParseMark(message.Value)
+	if err != nil {
+		return err
+	}
+	reader.mark, reader.marked = mark, true
+	return nil
+}
+
+func (reader *reader) answer() *wire.Answer {
+	if !reader.overflows() {
+		return wire.NewAnswer(reader.results, reader.size)
+	}
+	results := make([]wire.Result, 0, len(reader.results))
+	for _, result := range reader.results {
+		results = append(results, wire.NewResult(result.Fields(), nil, result.Tag()))
+	}
+	return wire.NewOverflow(results, reader.size)
+}
+
+// copyRow copies the values, which the next message overwrites, into one array.
+func copyRow(values [][]byte, length int) [][]byte {
+	row := make([][]byte, len(values))
+	bytes := make([]byte, 0, length)
+	for index, value := range values {
+		if value == nil {
+			continue
+		}
+		start := len(bytes)
+		bytes = append(bytes, value...)
+		row[index] = bytes[start:len(bytes):len(bytes)]
+	}
+	return row
+}
+
+func copyFields(fields []pgproto3.FieldDescription) []pgproto3.FieldDescription {
+	copied := make([]pgproto3.FieldDescription, len(fields))
+	for index, field := range fields {
+		copied[index] = field
+		copied[index].Name = append([]byte(nil), field.Name...)
+	}
+	return copied
+}
--- /dev/null
+++ b/internal/edge/front/kernel_test.go
@@ -0,0 +1,195 @@
+package front
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"almondway.dev/almondway/internal/core/codes"
+	"almondway.dev/almondway/internal/core/event"
+	"almondway.dev/almondway/internal/core/model"
+	"almondway.dev/almondway/internal/edge/wire"
+)
+
+const (
+	oidText = 25
+	oidInt8 = 20
+)
+
+// kernel is a small kernel for tests: it keeps the transaction state of each
+// caller and answers statements with what respond returns.
+type kernel struct {
+	server  *Server
+	respond func(request *model.Request) model.ReplySpec
+	events  chan event.Event
+	end     chan struct{}
+
+	mutex    sync.Mutex
+	states   map[model.CallerID]model.TxState
+	requests []*model.Request
+	canceled chan model.CallerID
+	closed   chan model.CallerID
+}
+
+// Post implements port.Inbox.
+func (kernel *kernel) Post(received event.Event) {
+	select {
+	case kernel.events <- received:
+	case <-kernel.end:
+	}
+}
+
+func newKernel(t testing.TB, spec Spec, respond func(request *model.Request) model.ReplySpec) *kernel {
+	t.Helper()
+	is := is.New(t)
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	kernel := &kernel{
+		respond:  respond,
+		events:   make(chan event.Event, 64),
+		end:      make(chan struct{}),
+		states:   make(map[model.CallerID]model.TxState),
+		canceled: make(chan model.CallerID, 16),
+		closed:   make(chan model.CallerID, 4096),
+	}
+	if spec.Address == "" {
+		spec.Address = "127.0.0.1:0"
+	}
+	server, err := New(spec, kernel, logger)
+	is.NoErr(err)
+	kernel.server = server
+	is.NoErr(server.Start())
+	go kernel.run()
+	t.Cleanup(func() {
+		server.Shutdown()
+		close(kernel.end)
+	})
+	return kernel
+}
+
+func (kernel *kernel) run() {
+	for {
+		select {
+		case received := <-kernel.events:
+			kernel.handle(received)
+		case <-kernel.end:
+			return
+		}
+	}
+}
+
+func (kernel *kernel) handle(received event.Event) {
+	switch received := received.(type) {
+	case event.CallerOpened:
+		if received.Deployment() == "unknown" {
+			kernel.server.Refuse(event.NewRefuseCaller(received.Caller(), codes.UnknownDeployment, "", 0))
+			return
+		}
+		kernel.server.Accept(event.NewAcceptCaller(received.Caller()))
+	case event.RequestReceived:
+		kernel.answer(received.Request())
+	case event.CancelReceived:
+		kernel.canceled <- received.Caller()
+	case event.CallerClosed:
+		kernel.closed <- received.Caller()
+	}
+}
+
+func (kernel *kernel) answer(request *model.Request) {
+	kernel.mutex.Lock()
+	defer kernel.mutex.Unlock()
+	kernel.requests = append(kernel.requests, request)
+	spec := model.ReplySpec{}
+	state := kernel.states[request.Caller()]
+	switch request.Op() {
+	case model.OpBegin:
+		state = model.TxOpen
+	case model.OpCommit, model.OpRollback:
+		state = model.TxNone
+	default:
+		spec = kernel.respond(request)
+		if spec.Code != codes.OK && state == model.TxOpen {
+			state = model.TxFailed
+		}
+	}
+	kernel.states[request.Caller()] = state
+	spec.TxState = state
+	spec.Seq, spec.Caller = request.Seq(), request.Caller()
+	kernel.server.Answer(event.NewAnswerCaller(model.NewReply(spec)))
+	kernel.server.Answer(event.NewAnswerCaller(model.NewReply(spec)))
+}
+
+// last returns the request that came last.
+func (kernel *kernel) last() *model.Request {
+	kernel.mutex.Lock()
+	defer kernel.mutex.Unlock()
+	return kernel.requests[len(kernel.requests)-1]
+}
+
+func (kernel *kernel) ops() string {
+	kernel.mutex.Lock()
+	defer kernel.mutex.Unlock()
+	names := map[model.Op]string{
+		model.OpStatement: "statement", model.OpBegin: "begin", model.OpCommit: "commit",
+		model.OpRollback: "rollback", model.OpDescribe: "describe",
+	}
+	var text []string
+	for _, request := range kernel.requests {
+		text = append(text, names[request.Op()])
+	}
+	return strings.Join(text, " ")
+}
+
+// url returns the connection string of a driver.
+func (kernel *kernel) url(parameters string) string {
+	return fmt.Sprintf("postgres://registrar@%s/katalog?sslmode=disable%s", kernel.server.Address(), parameters)
+}
+
+// echo answers each statement with one row that holds its parameters, and with
+// an error of the database where the text says "fail".
+func echo(request *model.Request) model.ReplySpec {
+	statement := request.Statement().(*wire.Statement)
+	text := statement.SQL()
+	if strings.Contains(text, "fail") {
+		response := &pgproto3.ErrorResponse{Severity: "ERROR", Code: "23505", Message: "duplicate key"}
+		return model.ReplySpec{Code: codes.Statement, Answer: wire.NewFailure(response)}
+	}
+	if request.Op() == model.OpDescribe {
+		types := make([]uint32, strings.Count(text, "$"))
+		for index := range types {
+			types[index] = oidText
+		}
+		return model.ReplySpec{Answer: wire.NewDescription(types, echoFields(text))}
+	}
+	if echoFields(text) == nil {
+		return model.ReplySpec{Answer: wire.NewAnswer([]wire.Result{wire.NewResult(nil, nil, "UPDATE 1")}, 0)}
+	}
+	row := [][]byte{[]byte("seats")}
+	for _, param := range statement.Params() {
+		row = append(row, param)
+	}
+	for len(row) < len(echoFields(text)) {
+		row = append(row, nil)
+	}
+	result := wire.NewResult(echoFields(text), [][][]byte{row, row, row}, "SELECT 3")
+	return model.ReplySpec{Answer: wire.NewAnswer([]wire.Result{result}, 16)}
+}
+
+func echoFields(text string) []pgproto3.FieldDescription {
+	if !strings.Contains(text, "SELECT") {
+		return nil
+	}
+	fields := []pgproto3.FieldDescription{{Name: []byte("name"), DataTypeOID: oidText, DataTypeSize: -1, TypeModifier: -1}}
+	for index := range strings.Count(text, "$") {
+		fields = append(fields, pgproto3.FieldDescription{
+			Name: fmt.Appendf(nil, "param%d", index), DataTypeOID: oidText, DataTypeSize: -1, TypeModifier: -1,
+		})
+	}
+	return fields
+}
--- /dev/null
+++ b/internal/edge/front/local.go
@@ -0,0 +1,128 @@
+package front
+
+import (
+	"strings"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"almondway.dev/almondway/internal/core/codes"
+	"almondway.dev/almondway/internal/core/model"
+	"almondway.dev/almondway/internal/edge/query"
+	"almondway.dev/almondway/internal/edge/wire"
+)
+
+const (
+	textOID     = 25
+	textSize    = -1
+	noModifier  = -1
+	wordAll     = "ALL"
+	wordPrepare = "PREPARE"
+)
+
+// runLocal answers a statement about the session itself.
+func (caller *caller) runLocal(form query.Form, sql string) (wire.Result, *fault) {
+	if caller.txState == model.TxFailed {
+		return wire.Result{}, newFault(codes.TransactionState, "the transaction has failed; roll it back first")
+	}
+	_, rest, err := query.ParseTags(sql)
+	if err != nil {
+		return wire.Result{}, newFault(codes.MalformedTag, err.Error())
+	}
+	_, text := query.Keyword(rest)
+	switch form {
+	case query.FormSet:
+		return tagResult("SET"), caller.runSet(text)
+	case query.FormReset:
+		return tagResult("RESET"), caller.runReset(text)
+	case query.FormShow:
+		return caller.runShow(text)
+	case query.FormDiscard:
+		return tagResult("DISCARD ALL"), caller.runDiscard(text)
+	default:
+		caller.runDeallocate(text)
+		return tagResult("DEALLOCATE"), nil
+	}
+}
+
+func (caller *caller) runSet(text string) *fault {
+	given, local, reason := parseSet(text)
+	if reason != nil {
+		return reason
+	}
+	if strings.HasPrefix(given.name, settingPrefix) {
+		return caller.session.set(given.name, given.value, local)
+	}
+	if reason := checkAccepted(given); reason != nil {
+		return reason
+	}
+	if given.name == settingApplication {
+		caller.session.application = given.value
+		caller.send(&pgproto3.ParameterStatus{Name: settingApplication, Value: given.value})
+	}
+	return nil
+}
+
+func (caller *caller) runReset(text string) *fault {
+	name := strings.ToLower(unquote(text))
+	if name == strings.ToLower(wordAll) {
+		caller.session.clear()
+		return nil
+	}
+	if strings.HasPrefix(name, settingPrefix) {
+		return caller.session.set(name, "", false)
+	}
+	return checkAccepted(setting{name: name})
+}
+
+// runShow shows a tag of the session or a parameter that was reported.
+func (caller *caller) runShow(text string) (wire.Result, *fault) {
+	name := strings.ToLower(unquote(text))
+	if tag, ok := query.LookupTag(strings.TrimPrefix(name, settingPrefix)); ok && strings.HasPrefix(name, settingPrefix) {
+		return textResult(name, caller.session.get(tag)), nil
+	}
+	for _, parameter := range caller.session.reported(caller.server.spec.ServerVersion) {
+		if strings.EqualFold(parameter.Name, name) {
+			return textResult(name, parameter.Value), nil
+		}
+	}
+	return wire.Result{}, faultf(codes.Unsupported, "setting %q is not known to the proxy", name)
+}
+
+func (caller *caller) runDiscard(text string) *fault {
+	word, _ := query.Keyword(text)
+	if word != wordAll {
+		return nil
+	}
+	if caller.txState != model.TxNone {
+		return newFault(codes.TransactionState, "DISCARD ALL cannot run inside a transaction")
+	}
+	caller.session.clear()
+	clear(caller.prepared)
+	caller.dropPortals()
+	return nil
+}
+
+func (caller *caller) runDeallocate(text string) {
+	word, rest := query.Keyword(text)
+	if word == wordPrepare {
+		text = rest
+		word, _ = query.Keyword(text)
+	}
+	if word == wordAll {
+		clear(caller.prepared)
+		return
+	}
+	delete(caller.prepared, strings.Trim(unquote(text), `"`))
+}
+
+func tagResult(tag string) wire.Result { return wire.NewResult(nil, nil, tag) }
+
+func textResult(name string, value string) wire.Result {
+	fields := []pgproto3.FieldDescription{{
+		Name:         []byte(name),
+		DataTypeOID:  textOID,
+		DataTypeSize: textSize,
+		TypeModifier: noModifier,
+	}}
+	return wire.NewResult(fields, [][][]byte{{[]byte(value)}}, "SHOW")
+}
--- /dev/null
+++ b/internal/edge/front/mailbox.go
@@ -0,0 +1,88 @@
+package front
+
+import (
+	"sync"
+
+	"almondway.dev/almondway/internal/core/model"
+)
+
+// admission is the kernel's answer to a caller's start-up.
+type admission struct {
+	refusal *fault
+}
+
+// mailbox takes what the kernel has for a caller. Putting something in never
+// blocks; wake then holds a token.
+type mailbox struct {
+	wake chan struct{}
+
+	mutex    sync.Mutex
+	admitted *admission
+	expected model.RequestSeq
+	reply    *model.Reply
+	closing  *fault
+}
+
+func newMailbox() *mailbox { return &mailbox{wake: make(chan struct{}, 1)} }
+
+func (mailbox *mailbox) admit(given admission) {
+	mailbox.mutex.Lock()
+	defer mailbox.mutex.Unlock()
+	mailbox.admitted = &given
+	mailbox.signal()
+}
+
+func (mailbox *mailbox) close(reason *fault) {
+	mailbox.mutex.Lock()
+	defer mailbox.mutex.Unlock()
+	mailbox.closing = reason
+}
+
+// answer takes the reply to the expected request and drops any other.
+func (mailbox *mailbox) answer(reply *model.Reply) {
+	mailbox.mutex.Lock()
+	defer mailbox.mutex.Unlock()
+	if reply.Seq() != mailbox.expected || mailbox.reply != nil {
+		return
+	}
+	mailbox.reply = reply
+	mailbox.signal()
+}
+
+// expect names the request whose reply is taken next.
+func (mailbox *mailbox) expect(seq model.RequestSeq) {
+	mailbox.mutex.Lock()
+	defer mailbox.mutex.Unlock()
+	mailbox.expected, mailbox.reply = seq, nil
+}
+
+// takeReply returns the reply to the expected request, or nil if it has not come.
+func (mailbox *mailbox) takeReply() *model.Reply {
+	mailbox.mutex.Lock()
+	defer mailbox.mutex.Unlock()
+	reply := mailbox.reply
+	if reply != nil {
+		mailbox.expected, mailbox.reply = 0, nil
+	}
+	return reply
+}
+
+func (mailbox *mailbox) admission() *admission {
+	mailbox.mutex.Lock()
+	defer mailbox.mutex.Unlock()
+	return mailbox.admitted
+}
+
+// closingFault returns why the connection has to be closed, or nil.
+func (mailbox *mailbox) closingFault() *fault {
+	mailbox.mutex.Lock()
+	defer mailbox.mutex.Unlock()
+	return mailbox.closing
+}
+
+func (mailbox *mailbox) signal() {
+	select {
+	case mailbox.wake <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/internal/edge/front/setting.go
@@ -0,0 +1,148 @@
+package front
+
+import (
+	"strings"
+
+	"almondway.dev/almondway/internal/core/codes"
+	"almondway.dev/almondway/internal/edge/query"
+)
+
+const (
+	settingApplication = "application_name"
+	settingEncoding    = "client_encoding"
+)
+
+// setting is a setting and the value that a caller gives it.
+type setting struct {
+	name  string
+	value string
+}
+
+// accepted lists the settings besides the proxy's own that a caller may set,
+// with the values in lower case that change nothing. A nil list takes any value.
+// Others rest on one backend connection, which callers share.
+var accepted = map[string][]string{
+	settingApplication:            nil,
+	"extra_float_digits":          nil,
+	"client_min_messages":         nil,
+	settingEncoding:               {"utf8", "utf-8", "unicode"},
+	"datestyle":                   {"iso", "iso, mdy", "iso,mdy"},
+	"intervalstyle":               {"postgres"},
+	"timezone":                    {"utc", "etc/utc", "gmt"},
+	"standard_conforming_strings": {"on", "true", "1"},
+}
+
+// parseOptions parses the "-c name=value" and "--name=value" parts of the
+// options of a start-up message. A backslash escapes a space.
+func parseOptions(options string) ([]setting, *fault) {
+	var settings []setting
+	fields := splitOptions(options)
+	for index := 0; index < len(fields); index++ {
+		field := fields[index]
+		switch {
+		case field == "-c" && index+1 < len(fields):
+			index++
+			field = fields[index]
+		case strings.HasPrefix(field, "-c"):
+			field = field[len("-c"):]
+		case strings.HasPrefix(field, "--"):
+			field = field[len("--"):]
+		default:
+			return nil, faultf(codes.MalformedTag, "option %q is not -c name=value", field)
+		}
+		name, value, ok := strings.Cut(field, "=")
+		if !ok {
+			return nil, faultf(codes.MalformedTag, "option %q has no value", field)
+		}
+		settings = append(settings, setting{name: strings.ToLower(name), value: value})
+	}
+	return settings, nil
+}
+
+func splitOptions(options string) []string {
+	var fields []string
+	var field strings.Builder
+	flush := func() {
+		if field.Len() > 0 {
+			fields = append(fields, field.String())
+			field.Reset()
+		}
+	}
+	for at := 0; at < len(options); at++ {
+		switch char := options[at]; {
+		case char == '\\' && at+1 < len(options):
+			at++
+			field.WriteByte(options[at])
+		case char == ' ' || char == '\t' || char == '\n':
+			flush()
+		default:
+			field.WriteByte(char)
+		}
+	}
+	flush()
+	return fields
+}
+
+// parseSet parses the text after SET: [SESSION | LOCAL] name { = | TO } value.
+func parseSet(text string) (given setting, local bool, reason *fault) {
+	word, rest := query.Keyword(text)
+	switch word {
+	case "SESSION":
+		text = rest
+	case "LOCAL":
+		text, local = rest, true
+	case "TIME":
+		if next, after := query.Keyword(rest); next == "ZONE" {
+			text = "timezone = " + after
+		}
+	case "NAMES":
+		text = settingEncoding + " = " + rest
+	}
+	name, value, ok := cutAssignment(query.SkipBlank(text))
+	if !ok {
+		return setting{}, local, newFault(codes.Unsupported, "SET is served in the form SET name = 'value'")
+	}
+	return setting{name: strings.ToLower(name), value: unquote(value)}, local, nil
+}
+
+func cutAssignment(text string) (name string, value string, ok bool) {
+	end := strings.IndexAny(text, " \t\r\n=")
+	if end <= 0 {
+		return "", "", false
+	}
+	name, rest := text[:end], query.SkipBlank(text[end:])
+	if strings.HasPrefix(rest, "=") {
+		return name, rest[1:], true
+	}
+	word, value := query.Keyword(rest)
+	return name, value, word == "TO"
+}
+
+// unquote returns the value of a literal or of a bare word; DEFAULT is empty.
+func unquote(text string) string {
+	text = strings.Trim(query.SkipBlank(text), " \t\r\n;")
+	if len(text) >= 2 && text[0] == '\'' && text[len(text)-1] == '\'' {
+		return strings.ReplaceAll(text[1:len(text)-1], "''", "'")
+	}
+	if strings.EqualFold(text, "DEFAULT") {
+		return ""
+	}
+	return text
+}
+
+// checkAccepted returns why a setting of the database cannot be set.
+func checkAccepted(given setting) *fault {
+	values, ok := accepted[given.name]
+	if !ok {
+		return faultf(codes.Unsupported, "setting %q cannot be set for a session, since callers share backend connections", given.name)
+	}
+	if values == nil || given.value == "" {
+		return nil
+	}
+	for _, value := range values {
+		if strings.EqualFold(value, given.value) {
+			return nil
+		}
+	}
+	return faultf(codes.Unsupported, "setting %q cannot have the value %q", given.name, given.value)
+}
--- /dev/null
+++ b/internal/edge/front/simple.go
@@ -0,0 +1,135 @@
+package front
+
+import (
+	"almondway.dev/almondway/internal/core/codes"
+	"almondway.dev/almondway/internal/core/model"
+	"almondway.dev/almondway/internal/edge/query"
+	"almondway.dev/almondway/internal/edge/wire"
+)
+
+const stateReplayed = "00000"
+
+// simpleQuery answers a message of the simple query protocol.
+func (caller *caller) simpleQuery(sql string) error {
+	if reason := caller.runSimple(sql); reason != nil {
+		caller.sendFault(reason)
+	}
+	caller.dropPortals()
+	caller.ready()
+	return caller.flush()
+}
+
+func (caller *caller) runSimple(sql string) *fault {
+	statements := query.Split(sql)
+	if len(statements) == 0 {
+		caller.sendTag("")
+		return nil
+	}
+	form, keyword := query.Classify(statements[0])
+	if len(statements) > 1 {
+		return caller.runSeveral(sql, statements)
+	}
+	return caller.runOne(form, keyword, sql)
+}
+
+// runSeveral runs a simple query of several statements. Statements that the
+// proxy answers by itself run one by one; those of the database run as one
+// request; the two cannot be mixed.
+func (caller *caller) runSeveral(sql string, statements []string) *fault {
+	local := 0
+	for _, statement := range statements {
+		form, keyword := query.Classify(statement)
+		switch {
+		case form.IsTransaction():
+			return faultf(codes.Unsupported, "%s stands in a query with other statements; send it by itself", keyword)
+		case form == query.FormUnsupported:
+			return unsupported(keyword)
+		case form.IsLocal():
+			local++
+		}
+	}
+	if local == 0 {
+		return caller.runPlain(sql, "")
+	}
+	if local < len(statements) {
+		return newFault(codes.Unsupported, "settings stand in a query with other statements; send them by themselves")
+	}
+	for _, statement := range statements {
+		form, keyword := query.Classify(statement)
+		if reason := caller.runOne(form, keyword, statement); reason != nil {
+			return reason
+		}
+	}
+	return nil
+}
+
+func (caller *caller) runOne(form query.Form, keyword string, sql string) *fault {
+	switch {
+	case form == query.FormEmpty:
+		caller.sendTag("")
+		return nil
+	case form == query.FormUnsupported:
+		return unsupported(keyword)
+	case form.IsTransaction():
+		tag, reason := caller.control(form, sql)
+		if reason == nil {
+			caller.complete(tag)
+		}
+		return reason
+	case form.IsLocal():
+		result, reason := caller.runLocal(form, sql)
+		if reason == nil {
+			_ = caller.sendResult(result)
+		}
+		return reason
+	default:
+		return caller.runPlain(sql, keyword)
+	}
+}
+
+// runPlain runs a statement of the database and sends its answer.
+func (caller *caller) runPlain(sql string, keyword string) *fault {
+	spec, reason := caller.newRequest(model.OpStatement, wire.StatementSpec{SQL: sql, Simple: true})
+	if reason != nil {
+		return reason
+	}
+	reply := caller.request(spec)
+	if reason := answerFault(reply); reason != nil {
+		return reason
+	}
+	for _, result := range caller.results(reply, keyword) {
+		if caller.sendResult(result) != nil {
+			return nil
+		}
+	}
+	return nil
+}
+
+// results returns the results of a reply. A replayed request has only the tag
+// of its statement, and the caller is told by a notice.
+func (caller *caller) results(reply *model.Reply, keyword string) []wire.Result {
+	if answer, ok := reply.Answer().(*wire.Answer); ok && !reply.Replayed() {
+		return answer.Results()
+	}
+	if reply.Replayed() {
+		caller.notice(severityNotice, stateReplayed, "an earlier execution with this request_id stands; nothing ran again")
+	}
+	return []wire.Result{wire.NewResult(nil, nil, replayTag(keyword))}
+}
+
+func replayTag(keyword string) string {
+	switch keyword {
+	case "INSERT":
+		return "INSERT 0 0"
+	case "UPDATE", "DELETE", "MERGE", "SELECT":
+		return keyword + " 0"
+	case "":
+		return "SELECT 0"
+	default:
+		return keyword
+	}
+}
+
+func unsupported(keyword string) *fault {
+	return faultf(codes.Unsupported, "%s rests on one backend connection, which callers share", keyword)
+}
--- /dev/null
+++ b/internal/edge/front/startup.go
@@ -0,0 +1,140 @@
+package front
+
+import (
+	"crypto/subtle"
+	"crypto/tls"
+	"io"
+	"net"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/pkg/errors"
+
+	"almondway.dev/almondway/internal/core/codes"
+	"almondway.dev/almondway/internal/core/event"
+	"almondway.dev/almondway/internal/core/model"
+)
+
+const (
+	tlsHandshakeByte = 0x16
+	answerNo         = 'N'
+	answerTLS        = 'S'
+)
+
+// start negotiates up to the start-up message. It returns false if the
+// connection is to be closed.
+func (caller *caller) start() bool {
+	deadline := time.Now().Add(caller.server.spec.StartupTimeout)
+	if err := caller.conn.SetDeadline(deadline); err != nil {
+		return false
+	}
+	first, err := caller.framer.firstByte()
+	if err == nil && first == tlsHandshakeByte {
+		caller.fatal(newFault(codes.TLSNotOffered, "the caller sent a TLS handshake without asking for TLS first"))
+		return false
+	}
+	refusedTLS := false
+	for {
+		message, err := caller.backend.ReceiveStartupMessage()
+		if err != nil {
+			caller.startFailed(err, refusedTLS)
+			return false
+		}
+		switch message := message.(type) {
+		case *pgproto3.SSLRequest:
+			refusedTLS = caller.server.tls == nil
+			err = caller.negotiateTLS()
+		case *pgproto3.GSSEncRequest:
+			_, err = caller.conn.Write([]byte{answerNo})
+		case *pgproto3.CancelRequest:
+			caller.server.cancel(message)
+			return false
+		case *pgproto3.StartupMessage:
+			return caller.startSession(message)
+		}
+		if err != nil {
+			return false
+		}
+	}
+}
+
+func (caller *caller) startFailed(err error, refusedTLS bool) {
+	var netError net.Error
+	switch {
+	case errors.As(err, &netError) && netError.Timeout():
+		_ = caller.conn.SetDeadline(time.Now().Add(time.Second))
+		caller.fatal(newFault(codes.StartupTimeout, ""))
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), netError != nil:
+		if refusedTLS {
+			caller.server.logger.WithField("code", codes.TLSNotOffered.String()).
+				Info("caller left after it was told that TLS is off")
+		}
+	default:
+		caller.fatal(newFault(codes.BadProtocol, err.Error()))
+	}
+}
+
+// negotiateTLS answers a request for TLS and takes the handshake where it is on.
+func (caller *caller) negotiateTLS() error {
+	if caller.server.tls == nil {
+		_, err := caller.conn.Write([]byte{answerNo})
+		return errors.Wrap(err, "refuse TLS")
+	}
+	if caller.framer.buffer.Buffered() > 0 {
+		return errors.New("caller sent data before the TLS handshake")
+	}
+	if _, err := caller.conn.Write([]byte{answerTLS}); err != nil {
+		return errors.Wrap(err, "accept TLS")
+	}
+	secured := tls.Server(caller.conn, caller.server.tls)
+	if err := secured.Handshake(); err != nil {
+		return errors.Wrap(err, "take TLS handshake")
+	}
+	caller.use(secured)
+	return nil
+}
+
+// startSession takes the start-up message and registers the caller.
+func (caller *caller) startSession(message *pgproto3.StartupMessage) bool {
+	started, reason := newSession(message.Parameters)
+	if reason != nil {
+		caller.fatal(reason)
+		return false
+	}
+	caller.session = started
+	caller.secret = newSecret()
+	if !caller.server.register(caller) {
+		caller.fatal(newFault(codes.TooManyCallers, "").after(retryTooMany))
+		return false
+	}
+	if message.ProtocolVersion != pgproto3.ProtocolVersion30 {
+		caller.send(&pgproto3.NegotiateProtocolVersion{})
+	}
+	return caller.conn.SetDeadline(time.Time{}) == nil
+}
+
+// retryTooMany is when a caller may come back that was one too many.
+const retryTooMany = time.Second
+
+// greet ends the start-up of an admitted caller.
+func (caller *caller) greet() {
+	caller.send(&pgproto3.AuthenticationOk{})
+	for _, parameter := range caller.session.reported(caller.server.spec.ServerVersion) {
+		caller.send(&parameter)
+	}
+	caller.send(&pgproto3.BackendKeyData{ProcessID: uint32(caller.id), SecretKey: caller.secret})
+}
+
+// cancel passes a cancel request on if its key belongs to a caller. As the
+// protocol asks, there is no answer.
+func (server *Server) cancel(message *pgproto3.CancelRequest) {
+	caller := server.find(model.CallerID(message.ProcessID))
+	if caller == nil || subtle.ConstantTimeCompare(caller.secret, message.SecretKey) != 1 {
+		return
+	}
+	server.inbox.Post(event.NewCancelReceived(caller.id))
+}
+
+func (server *Server) nextSeq() model.RequestSeq {
+	return model.RequestSeq(server.lastSeq.Add(1))
+}
--- a/internal/edge/wire/wire.go
+++ b/internal/edge/wire/wire.go
@@ -77,16 +77,26 @@
 
 // Answer is the whole answer to a Statement. It is immutable.
 type Answer struct {
-	results []Result
-	size    int
+	results  []Result
+	size     int
+	overflow bool
 }
 
 // NewAnswer returns the Answer of the given results; size is their number of bytes.
 func NewAnswer(results []Result, size int) *Answer { return &Answer{results: results, size: size} }
 
+// NewOverflow returns the Answer to a Statement that ran and whose rows took
+// size bytes, more than the limit. Its results hold no rows.
+func NewOverflow(results []Result, size int) *Answer {
+	return &Answer{results: results, size: size, overflow: true}
+}
+
 // Size implements model.Payload.
 func (answer *Answer) Size() int { return answer.size }
 
+// Overflow reports whether the rows were dropped because they exceeded the limit.
+func (answer *Answer) Overflow() bool { return answer.overflow }
+
 // Results returns the results in order.
 func (answer *Answer) Results() []Result { return answer.results }
 
