edge: tests of both PostgreSQL adapters

Message by message against a small kernel, with pgx and lib/pq, and against a small instance on pgproto3: steps, failure classes, cancel, resets, probes and orders, start-up faults, oversize messages, tags, pipelines and row limits.

Run: go test ./internal/edge/..., lint.

--- a/internal/edge/front/kernel_test.go
+++ b/internal/edge/front/kernel_test.go
@@ -170,10 +170,7 @@
 	if echoFields(text) == nil {
 		return model.ReplySpec{Answer: wire.NewAnswer([]wire.Result{wire.NewResult(nil, nil, "UPDATE 1")}, 0)}
 	}
-	row := [][]byte{[]byte("seats")}
-	for _, param := range statement.Params() {
-		row = append(row, param)
-	}
+	row := append([][]byte{[]byte("seats")}, statement.Params()...)
 	for len(row) < len(echoFields(text)) {
 		row = append(row, nil)
 	}
--- /dev/null
+++ b/internal/edge/front/protocol_test.go
@@ -0,0 +1,284 @@
+package front
+
+import (
+	"encoding/binary"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/matryer/is"
+
+	"almondway.dev/almondway/internal/core/codes"
+	"almondway.dev/almondway/internal/core/event"
+	"almondway.dev/almondway/internal/core/model"
+)
+
+const testWait = 10 * time.Second
+
+// raw is a caller that speaks the protocol message by message.
+type raw struct {
+	conn     net.Conn
+	frontend *pgproto3.Frontend
+	pid      uint32
+	secret   []byte
+}
+
+func dialRaw(t testing.TB, kernel *kernel) *raw {
+	t.Helper()
+	is := is.New(t)
+	conn, err := net.Dial("tcp", kernel.server.Address())
+	is.NoErr(err)
+	is.NoErr(conn.SetDeadline(time.Now().Add(testWait)))
+	t.Cleanup(func() { _ = conn.Close() })
+	return &raw{conn: conn, frontend: pgproto3.NewFrontend(conn, conn)}
+}
+
+// openRaw returns a raw caller that has finished its start-up.
+func openRaw(t testing.TB, kernel *kernel) *raw {
+	t.Helper()
+	raw := dialRaw(t, kernel)
+	raw.startUp(map[string]string{"user": "student", "database": "katalog"})
+	raw.until(t)
+	return raw
+}
+
+func (raw *raw) startUp(parameters map[string]string) {
+	raw.send(&pgproto3.StartupMessage{ProtocolVersion: pgproto3.ProtocolVersion30, Parameters: parameters})
+}
+
+func (raw *raw) send(messages ...pgproto3.FrontendMessage) {
+	for _, message := range messages {
+		raw.frontend.Send(message)
+	}
+	_ = raw.frontend.Flush()
+}
+
+// until returns one word for each message up to ReadyForQuery or a fatal error.
+func (raw *raw) until(t testing.TB) string {
+	t.Helper()
+	is := is.New(t)
+	var words []string
+	for {
+		message, err := raw.frontend.Receive()
+		is.NoErr(err)
+		switch message := message.(type) {
+		case *pgproto3.BackendKeyData:
+			raw.pid, raw.secret = message.ProcessID, message.SecretKey
+		case *pgproto3.ErrorResponse:
+			words = append(words, message.Severity+":"+message.Code+":"+message.Routine)
+			if message.Severity == severityFatal {
+				return strings.Join(words, " ")
+			}
+		case *pgproto3.DataRow:
+			words = append(words, "row")
+		case *pgproto3.RowDescription:
+			words = append(words, "fields")
+		case *pgproto3.NoData:
+			words = append(words, "no-fields")
+		case *pgproto3.CommandComplete:
+			words = append(words, string(message.CommandTag))
+		case *pgproto3.EmptyQueryResponse:
+			words = append(words, "empty")
+		case *pgproto3.PortalSuspended:
+			words = append(words, "suspended")
+		case *pgproto3.ParameterDescription:
+			words = append(words, "params")
+		case *pgproto3.NoticeResponse:
+			words = append(words, message.Severity)
+		case *pgproto3.ReadyForQuery:
+			return strings.Join(append(words, string(message.TxStatus)), " ")
+		}
+	}
+}
+
+func TestSimpleProtocol(t *testing.T) {
+	tests := []struct {
+		sql  string
+		want string
+	}{
+		{"SELECT 1", "fields row row row SELECT 3 I"},
+		{"", "empty I"},
+		{" ; -- nothing\n", "empty I"},
+		{"COMMIT", "WARNING COMMIT I"},
+		{"SET almondway.kind = 'browse'; SHOW almondway.kind", "SET fields row SHOW I"},
+		{"SHOW server_version", "fields row SHOW I"},
+		{"SHOW work_mem", "ERROR:0A000:AW116 I"},
+		{"SET application_name = 'tablet'; SET extra_float_digits = 3", "SET SET I"},
+		{"SET TIME ZONE 'UTC'", "SET I"},
+		{"SET client_encoding TO latin1", "ERROR:0A000:AW116 I"},
+		{"DEALLOCATE ALL", "DEALLOCATE I"},
+		{"SET almondway.kind = 'browse'; UPDATE x", "ERROR:0A000:AW116 I"},
+		{"ROLLBACK TO SAVEPOINT a", "UPDATE 1 I"},
+		{"COMMIT AND CHAIN", "ERROR:0A000:AW116 I"},
+		{"UPDATE fail", "ERROR:23505: I"},
+		{"UPDATE 'a;COMMIT;' ; UPDATE \";ABORT\"", "UPDATE 1 I"},
+	}
+	kernel := newKernel(t, Spec{}, echo)
+	for _, test := range tests {
+		t.Run(test.sql, func(t *testing.T) {
+			is := is.New(t)
+			raw := openRaw(t, kernel)
+			raw.send(&pgproto3.Query{String: test.sql})
+			is.Equal(raw.until(t), test.want)
+		})
+	}
+}
+
+func TestExtendedProtocol(t *testing.T) {
+	read := &pgproto3.Parse{Query: "SELECT 1"}
+	write := &pgproto3.Parse{Query: "UPDATE x"}
+	fail := &pgproto3.Parse{Query: "UPDATE fail"}
+	bind, run, sync := &pgproto3.Bind{}, &pgproto3.Execute{}, &pgproto3.Sync{}
+	portal, statement := &pgproto3.Describe{ObjectType: 'P'}, &pgproto3.Describe{ObjectType: 'S'}
+	tests := []struct {
+		name string
+		send []pgproto3.FrontendMessage
+		want string
+		ops  string
+	}{
+		{"execute", []pgproto3.FrontendMessage{read, bind, run, sync}, "row row row SELECT 3 I", "statement"},
+		{"described portal takes no request", []pgproto3.FrontendMessage{read, bind, portal, run, sync}, "fields row row row SELECT 3 I", "statement"},
+		{"described portal alone", []pgproto3.FrontendMessage{read, bind, portal, sync}, "fields I", "describe"},
+		{"description is kept", []pgproto3.FrontendMessage{read, statement, statement, bind, portal, run, sync}, "params fields params fields fields row row row SELECT 3 I", "describe statement"},
+		{"write has no fields", []pgproto3.FrontendMessage{write, bind, portal, run, sync}, "no-fields UPDATE 1 I", "statement"},
+		{"row limit", []pgproto3.FrontendMessage{read, bind, &pgproto3.Execute{MaxRows: 2}, &pgproto3.Execute{MaxRows: 2}, sync}, "row row suspended row SELECT 3 I", "statement"},
+		{"pipeline", []pgproto3.FrontendMessage{write, bind, run, read, bind, run, sync}, "UPDATE 1 row row row SELECT 3 I", "statement statement"},
+		{"error ends the pipeline", []pgproto3.FrontendMessage{write, bind, run, fail, bind, run, write, bind, run, sync}, "UPDATE 1 ERROR:23505: I", "statement statement"},
+		{"unknown portal", []pgproto3.FrontendMessage{&pgproto3.Execute{Portal: "a"}, sync}, "ERROR:08P01:AW106 I", ""},
+		{"unknown statement", []pgproto3.FrontendMessage{&pgproto3.Bind{PreparedStatement: "a"}, sync}, "ERROR:08P01:AW106 I", ""},
+		{"closed statement", []pgproto3.FrontendMessage{read, &pgproto3.Close{ObjectType: 'S'}, bind, sync}, "ERROR:08P01:AW106 I", ""},
+		{"two statements", []pgproto3.FrontendMessage{&pgproto3.Parse{Query: "SELECT 1; SELECT 2"}, sync}, "ERROR:0A000:AW116 I", ""},
+		{"transaction", []pgproto3.FrontendMessage{&pgproto3.Parse{Query: "begin"}, bind, portal, run, write, bind, run, sync}, "no-fields BEGIN UPDATE 1 T", "begin statement"},
+		{"setting", []pgproto3.FrontendMessage{&pgproto3.Parse{Query: "SHOW almondway.kind"}, bind, portal, run, sync}, "fields row SHOW I", ""},
+		{"empty", []pgproto3.FrontendMessage{&pgproto3.Parse{Query: "--"}, bind, portal, run, sync}, "no-fields empty I", ""},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			kernel := newKernel(t, Spec{}, echo)
+			raw := openRaw(t, kernel)
+			raw.send(test.send...)
+			is.Equal(raw.until(t), test.want)
+			is.Equal(kernel.ops(), test.ops)
+		})
+	}
+}
+
+func TestOversizeMessage(t *testing.T) {
+	is := is.New(t)
+	kernel := newKernel(t, Spec{MaxMessage: 100}, echo)
+	raw := openRaw(t, kernel)
+	raw.send(&pgproto3.Query{String: strings.Repeat("x", 20000)})
+	is.Equal(raw.until(t), "ERROR:54000:AW105 I")
+	raw.send(&pgproto3.Parse{Query: strings.Repeat("x", 20000)}, &pgproto3.Bind{}, &pgproto3.Execute{}, &pgproto3.Sync{})
+	is.Equal(raw.until(t), "ERROR:54000:AW105 I")
+	is.Equal(kernel.ops(), "")
+	raw.send(&pgproto3.Query{String: "UPDATE x"})
+	is.Equal(raw.until(t), "UPDATE 1 I")
+}
+
+func TestStartUp(t *testing.T) {
+	version := binary.BigEndian.AppendUint32([]byte{0, 0, 0, 8}, 2<<16)
+	tests := []struct {
+		name string
+		send []byte
+		want string
+	}{
+		{"wrong version", version, "FATAL:08P01:AW106"},
+		{"bad length", []byte{0, 0, 0, 1}, "FATAL:08P01:AW106"},
+		{"TLS handshake where TLS is off", []byte{0x16, 3, 1, 0, 1, 0, 0, 0}, "FATAL:08P01:AW107"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			raw := dialRaw(t, newKernel(t, Spec{}, echo))
+			_, err := raw.conn.Write(test.send)
+			is.NoErr(err)
+			is.Equal(raw.until(t), test.want)
+		})
+	}
+}
+
+func TestStartUpRefused(t *testing.T) {
+	tests := []struct {
+		name       string
+		parameters map[string]string
+		want       string
+	}{
+		{"unknown deployment", map[string]string{"user": "student", "database": "unknown"}, "FATAL:3D000:AW101"},
+		{"no user", map[string]string{"database": "katalog"}, "FATAL:08P01:AW106"},
+		{"malformed token", map[string]string{"user": "student", "almondway.token": "seven"}, "FATAL:22023:AW104"},
+		{"malformed options", map[string]string{"user": "student", "options": "-x"}, "FATAL:22023:AW114"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			raw := dialRaw(t, newKernel(t, Spec{}, echo))
+			raw.startUp(test.parameters)
+			is.Equal(raw.until(t), test.want)
+		})
+	}
+}
+
+func TestTLSRefused(t *testing.T) {
+	is := is.New(t)
+	raw := dialRaw(t, newKernel(t, Spec{}, echo))
+	for _, request := range []pgproto3.FrontendMessage{&pgproto3.GSSEncRequest{}, &pgproto3.SSLRequest{}} {
+		raw.send(request)
+		answer := make([]byte, 1)
+		_, err := raw.conn.Read(answer)
+		is.NoErr(err)
+		is.Equal(answer, []byte{'N'})
+	}
+	raw.startUp(map[string]string{"user": "student"})
+	raw.until(t) // the caller may go on without TLS
+}
+
+func TestTooManyCallers(t *testing.T) {
+	is := is.New(t)
+	kernel := newKernel(t, Spec{MaxCallers: 1}, echo)
+	first := openRaw(t, kernel)
+	second := dialRaw(t, kernel)
+	second.startUp(map[string]string{"user": "student"})
+	is.Equal(second.until(t), "FATAL:53300:AW207")
+	is.Equal(kernel.server.Count(), 1)
+	first.send(&pgproto3.Terminate{})
+	is.Equal(<-kernel.closed, model.CallerID(1))
+}
+
+func TestCancelAndClose(t *testing.T) {
+	is := is.New(t)
+	kernel := newKernel(t, Spec{}, echo)
+	raw := openRaw(t, kernel)
+	dialRaw(t, kernel).send(&pgproto3.CancelRequest{ProcessID: raw.pid, SecretKey: []byte("none")})
+	dialRaw(t, kernel).send(&pgproto3.CancelRequest{ProcessID: raw.pid, SecretKey: raw.secret})
+	is.Equal(<-kernel.canceled, model.CallerID(raw.pid))
+	is.Equal(len(kernel.canceled), 0)
+	kernel.server.Close(event.NewCloseCaller(model.CallerID(raw.pid), codes.Draining))
+	is.Equal(raw.until(t), "FATAL:57P01:AW205")
+	is.Equal(<-kernel.closed, model.CallerID(raw.pid))
+}
+
+func TestRepliesOfTheProxy(t *testing.T) {
+	token, err := model.ParseToken("v1,katalog-1=16777216/9")
+	tests := []struct {
+		name  string
+		reply model.ReplySpec
+		want  string
+	}{
+		{"refused", model.ReplySpec{Code: codes.Overloaded, Outcome: model.OutcomeNotRun, RetryAfter: 250 * time.Millisecond}, "ERROR:53000:AW201 I"},
+		{"unknown", model.ReplySpec{Code: codes.OutcomeUnknown, Outcome: model.OutcomeUnknown}, "ERROR:40003:AW301 I"},
+		{"replayed", model.ReplySpec{Replayed: true, Token: token}, "NOTICE INSERT 0 0 I"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			is.NoErr(err)
+			raw := openRaw(t, newKernel(t, Spec{}, func(*model.Request) model.ReplySpec { return test.reply }))
+			raw.send(&pgproto3.Query{String: "INSERT INTO x"})
+			is.Equal(raw.until(t), test.want)
+		})
+	}
+}
