--- a/internal/core/codes/codes.go
+++ b/internal/core/codes/codes.go
@@ -26,6 +26,7 @@
 	UnknownCaller         Code = 113
 	MalformedTag          Code = 114
 	RequestIDMissing      Code = 115
+	RequestIDSettled      Code = 116
 	Overloaded            Code = 201
 	NoPrimary             Code = 202
 	NoReplica             Code = 203
@@ -39,6 +40,7 @@
 	OutcomeUnknown        Code = 301
 	TransactionLost       Code = 302
 	AnswerTooLarge        Code = 303
+	TransactionDone       Code = 304
 	RevisionConflict      Code = 401
 	InvalidDeployment     Code = 402
 	DeploymentNotFound    Code = 403
--- /dev/null
+++ b/internal/core/route/job.go
@@ -0,0 +1,71 @@
+package route
+
+import (
+	"time"
+
+	"almondway.dev/almondway/internal/core/model"
+)
+
+// JobSpec lists the fields of a new Job.
+type JobSpec struct {
+	Request    *model.Request
+	Deployment *model.Deployment
+	Class      model.Class
+	Kind       model.Kind
+	Group      model.GroupID
+	RequestID  string
+	OwnID      bool
+	Seen       model.Mark
+	Tx         *Tx
+	Arrived    time.Duration
+	Deadline   time.Duration
+}
+
+// Job is a validated request that runs. It is immutable.
+type Job struct {
+	spec JobSpec
+}
+
+// NewJob returns the Job that spec describes.
+func NewJob(spec JobSpec) *Job { return &Job{spec: spec} }
+
+// Request returns the caller's request.
+func (job *Job) Request() *model.Request { return job.spec.Request }
+
+// Seq returns the number of the request.
+func (job *Job) Seq() model.RequestSeq { return job.spec.Request.Seq() }
+
+// Deployment returns the deployment under which the request runs.
+func (job *Job) Deployment() *model.Deployment { return job.spec.Deployment }
+
+// Class returns the class of the caller.
+func (job *Job) Class() model.Class { return job.spec.Class }
+
+// Kind returns the kind of the request; it is the zero Kind for OpCommit, OpRollback and OpDescribe.
+func (job *Job) Kind() model.Kind { return job.spec.Kind }
+
+// Group returns the group that the request concerns.
+func (job *Job) Group() model.GroupID { return job.spec.Group }
+
+// RequestID returns the key of the request's ledger row.
+func (job *Job) RequestID() string { return job.spec.RequestID }
+
+// OwnID reports whether the proxy made the request id, so that no caller can retry under it.
+func (job *Job) OwnID() bool { return job.spec.OwnID }
+
+// Seen returns the newest Mark that the session has seen in the group.
+func (job *Job) Seen() model.Mark { return job.spec.Seen }
+
+// Tx returns the caller's transaction, or nil.
+func (job *Job) Tx() *Tx { return job.spec.Tx }
+
+// Arrived returns when the request arrived, by the kernel's clock.
+func (job *Job) Arrived() time.Duration { return job.spec.Arrived }
+
+// Deadline returns when the request gets its final answer at the latest, by the kernel's clock.
+func (job *Job) Deadline() time.Duration { return job.spec.Deadline }
+
+// Fresh reports whether the request accepts no staleness.
+func (job *Job) Fresh() bool {
+	return job.spec.Kind.Staleness() == 0 || job.spec.Class.ReadYourWrites()
+}
--- /dev/null
+++ b/internal/core/route/tx.go
@@ -0,0 +1,74 @@
+package route
+
+import "almondway.dev/almondway/internal/core/model"
+
+// TxSpec lists the fields of a new Tx.
+type TxSpec struct {
+	Caller    model.CallerID
+	Group     model.GroupID
+	Access    model.Access
+	RequestID string
+	OwnID     bool
+	Digest    uint64
+}
+
+// Tx is a caller's transaction whose first statement has arrived. It owns its
+// connection from Open to Close.
+type Tx struct {
+	spec     TxSpec
+	conn     model.ConnID
+	instance model.InstanceID
+	term     model.Term
+	opened   bool
+}
+
+// NewTx returns the Tx that spec describes. It has no connection yet.
+func NewTx(spec TxSpec) *Tx { return &Tx{spec: spec} }
+
+// Caller returns the connection whose transaction it is.
+func (tx *Tx) Caller() model.CallerID { return tx.spec.Caller }
+
+// Group returns the group of the transaction.
+func (tx *Tx) Group() model.GroupID { return tx.spec.Group }
+
+// Access returns whether the transaction may write.
+func (tx *Tx) Access() model.Access { return tx.spec.Access }
+
+// RequestID returns the key of the transaction's ledger row.
+func (tx *Tx) RequestID() string { return tx.spec.RequestID }
+
+// OwnID reports whether the proxy made the request id.
+func (tx *Tx) OwnID() bool { return tx.spec.OwnID }
+
+// Digest returns the hash of the first statement.
+func (tx *Tx) Digest() uint64 { return tx.spec.Digest }
+
+// Open records the connection of the transaction.
+func (tx *Tx) Open(conn model.ConnID, instance model.InstanceID, term model.Term) {
+	tx.conn = conn
+	tx.instance = instance
+	tx.term = term
+	tx.opened = true
+}
+
+// Opened reports whether the transaction had a connection.
+func (tx *Tx) Opened() bool { return tx.opened }
+
+// Restart records that nothing of the transaction stands and that its first
+// statement may run again elsewhere.
+func (tx *Tx) Restart() {
+	tx.conn = 0
+	tx.opened = false
+}
+
+// Close records that the transaction has no connection any more.
+func (tx *Tx) Close() { tx.conn = 0 }
+
+// Conn returns the connection, or 0.
+func (tx *Tx) Conn() model.ConnID { return tx.conn }
+
+// Instance returns the instance of the connection.
+func (tx *Tx) Instance() model.InstanceID { return tx.instance }
+
+// Term returns the term in which the transaction was opened.
+func (tx *Tx) Term() model.Term { return tx.term }
--- /dev/null
+++ b/internal/plug/conns/answer.go
@@ -0,0 +1,86 @@
+package conns
+
+import (
+	"almondway.dev/almondway/internal/core/event"
+	"almondway.dev/almondway/internal/core/model"
+)
+
+func (pools *Pools) opened(opened event.ConnOpened) {
+	conn, ok := pools.conns[opened.Conn()]
+	if !ok || conn.state != connOpening {
+		return
+	}
+	pool := conn.pool
+	pool.opening--
+	pool.failures = 0
+	pool.park(conn)
+	pool.serve()
+	pool.fill()
+}
+
+func (pools *Pools) failed(failed event.ConnFailed) {
+	conn, ok := pools.conns[failed.Conn()]
+	if !ok || conn.state != connOpening {
+		return
+	}
+	delete(pools.conns, conn.id)
+	conn.pool.openFailed(conn, failed.Reason())
+}
+
+func (pools *Pools) closed(closed event.ConnClosed) {
+	conn, ok := pools.conns[closed.Conn()]
+	if !ok || conn.exec != 0 {
+		return
+	}
+	taker := conn.taker
+	pools.drop(conn)
+	if taker != nil {
+		taker.ConnLost(closed.Conn())
+	}
+}
+
+func (pools *Pools) resetDone(done event.ResetDone) {
+	conn, ok := pools.conns[done.Conn()]
+	if !ok || conn.state != connResetting {
+		return
+	}
+	if !done.Ok() {
+		pools.drop(conn)
+		return
+	}
+	conn.pool.park(conn)
+	conn.pool.serve()
+}
+
+// settle ends an execution. It returns nil if nobody waits for the answer.
+func (pools *Pools) settle(exec model.ExecID) *conn {
+	conn, ok := pools.execs[exec]
+	if !ok {
+		return nil
+	}
+	delete(pools.execs, exec)
+	conn.exec = 0
+	return conn
+}
+
+func (pools *Pools) executeDone(done event.ExecuteDone) {
+	if conn := pools.settle(done.Exec()); conn != nil {
+		conn.taker.ExecuteDone(done)
+	}
+}
+
+func (pools *Pools) executeFailed(failed event.ExecuteFailed) {
+	conn := pools.settle(failed.Exec())
+	if conn == nil {
+		return
+	}
+	taker := conn.taker
+	if failed.Class() == model.FailureBusy {
+		pools.leave(conn, true)
+	}
+	if !failed.Usable() {
+		pools.context.Emit(event.NewCloseConn(conn.id))
+		pools.drop(conn)
+	}
+	taker.ExecuteFailed(failed)
+}
--- /dev/null
+++ b/internal/plug/conns/pool.go
@@ -0,0 +1,152 @@
+package conns
+
+import (
+	"slices"
+	"time"
+
+	"almondway.dev/almondway/internal/core/codes"
+	"almondway.dev/almondway/internal/core/event"
+	"almondway.dev/almondway/internal/core/model"
+	"almondway.dev/almondway/internal/core/route"
+	"almondway.dev/almondway/internal/core/timer"
+)
+
+const (
+	// noInstance is the code for an instance that the platform lists no more.
+	noInstance = codes.NoReplica
+
+	maxOpening       = 2
+	minWarm          = 1
+	maintainInterval = time.Second
+	firstBackoff     = 20 * time.Millisecond
+	maxBackoff       = time.Second
+)
+
+type connState int
+
+const (
+	connOpening connState = iota
+	connIdle
+	connBusy
+	connResetting
+	connClosed
+)
+
+// conn is one backend connection. It has a taker while it is busy.
+type conn struct {
+	id    model.ConnID
+	pool  *pool
+	state connState
+	taker route.Taker
+	exec  model.ExecID
+	slot  bool
+	since time.Duration
+}
+
+// pool holds the connections to one instance.
+type pool struct {
+	pools    *Pools
+	instance model.Instance
+	idle     []*conn
+	waiting  []*ticket
+	total    int
+	opening  int
+	failures int
+	blocked  time.Duration
+	retry    timer.ID
+}
+
+// limit returns this proxy's share of the connections of an instance.
+func (pool *pool) limit() int {
+	context := pool.pools.context
+	proxies := max(1, len(context.State().Proxies()))
+	return max(1, context.Settings().ConnsPerInstance()/proxies)
+}
+
+// serve hands idle connections to the tickets that wait longest.
+func (pool *pool) serve() {
+	for len(pool.waiting) > 0 && len(pool.idle) > 0 {
+		first := pool.waiting[0]
+		pool.waiting = slices.Delete(pool.waiting, 0, 1)
+		pool.grant(first)
+	}
+}
+
+// take gives a ticket a connection now or queues it.
+func (pool *pool) take(ticket *ticket) {
+	if len(pool.idle) > 0 && len(pool.waiting) == 0 {
+		pool.grant(ticket)
+		return
+	}
+	pool.waiting = append(pool.waiting, ticket)
+	pool.fill()
+}
+
+func (pool *pool) grant(ticket *ticket) {
+	last := len(pool.idle) - 1
+	conn := pool.idle[last]
+	pool.idle[last] = nil
+	pool.idle = pool.idle[:last]
+	conn.state = connBusy
+	conn.slot = true
+	conn.since = pool.pools.context.Now()
+	conn.taker = ticket.taker
+	ticket.end()
+	ticket.taker.ConnGranted(conn.id)
+}
+
+func (pool *pool) park(conn *conn) {
+	conn.state = connIdle
+	conn.since = pool.pools.context.Now()
+	pool.idle = append(pool.idle, conn)
+}
+
+func (pool *pool) unqueue(ticket *ticket) {
+	if index := slices.Index(pool.waiting, ticket); index >= 0 {
+		pool.waiting = slices.Delete(pool.waiting, index, index+1)
+	}
+}
+
+func (pool *pool) remove(conn *conn) {
+	pool.total--
+	if index := slices.Index(pool.idle, conn); index >= 0 {
+		pool.idle = slices.Delete(pool.idle, index, index+1)
+	}
+}
+
+// fill opens the connections that waiting tickets and the warm reserve need.
+func (pool *pool) fill() {
+	if pool.pools.context.Now() < pool.blocked {
+		return
+	}
+	for pool.opening < maxOpening && pool.total < pool.limit() && pool.needs() {
+		pool.open()
+	}
+}
+
+func (pool *pool) needs() bool {
+	return pool.opening < len(pool.waiting) || len(pool.idle)+pool.opening < minWarm
+}
+
+func (pool *pool) open() {
+	context := pool.pools.context
+	added := &conn{id: model.ConnID(context.NextID()), pool: pool, state: connOpening}
+	pool.pools.conns[added.id] = added
+	pool.total++
+	pool.opening++
+	context.Emit(event.NewOpenConn(added.id, pool.instance.ID(), pool.instance.Address()))
+}
+
+// openFailed holds further openings back for a time that doubles with each failure.
+func (pool *pool) openFailed(failed *conn, _ model.FailReason) {
+	failed.state = connClosed
+	pool.total--
+	pool.opening--
+	context := pool.pools.context
+	backoff := min(maxBackoff, firstBackoff<<min(pool.failures, 10))
+	backoff = backoff/2 + time.Duration(context.Random().Int64N(int64(backoff)))
+	pool.failures++
+	pool.blocked = context.Now() + backoff
+	context.Timers().Cancel(pool.retry)
+	pool.retry = context.Timers().After(backoff, pool.fill)
+}
--- /dev/null
+++ b/internal/plug/reads/choose.go
@@ -0,0 +1,104 @@
+package reads
+
+import (
+	"time"
+
+	"almondway.dev/almondway/internal/core/model"
+	"almondway.dev/almondway/internal/core/state"
+)
+
+const (
+	// nearLag is the lag up to which a replica is tried for a fresh read.
+	nearLag = 100 * time.Millisecond
+	// otherCenter is the load that an instance in another data centre counts in addition.
+	otherCenter = 2
+	// waitShare is the share of the time of a read, in quarters, after which the
+	// primary serves it although the deployment spares the primary.
+	waitShare = 3
+)
+
+// choose returns the instance that serves a read best and why, or no instance.
+func (reads *Reads) choose(read *read) (model.InstanceID, string) {
+	view := read.view()
+	if view == nil || view.Term() == 0 {
+		return "", ""
+	}
+	replica, replicas := reads.replica(read, view)
+	if replica != nil {
+		return replica.ID(), "replica"
+	}
+	primary := view.Primary()
+	if primary == nil || !primary.Serves(view.Term()) || primary.Leaving() {
+		return "", ""
+	}
+	switch {
+	case replicas == 0:
+		return primary.ID(), "no replica in service"
+	case read.describes() || read.job.Deployment().LagPolicy() == model.LagPrimary:
+		return primary.ID(), "replicas lag"
+	case reads.pressed(read):
+		return primary.ID(), "replicas lag and the deadline nears"
+	default:
+		return "", ""
+	}
+}
+
+// replica returns the replica that serves a read best, or nil, and how many
+// replicas are in service.
+func (reads *Reads) replica(read *read, view *state.Group) (*state.Member, int) {
+	var best *state.Member
+	var bestLoad, count, ties int
+	for _, member := range view.Members() {
+		if member == view.Primary() || !member.Serves(view.Term()) || member.Leaving() {
+			continue
+		}
+		count++
+		if !reads.suits(read, view, member) {
+			continue
+		}
+		load := reads.load(read, member)
+		switch {
+		case best == nil || load < bestLoad:
+			best, bestLoad, ties = member, load, 1
+		case load == bestLoad:
+			ties++
+			if reads.context.Random().IntN(ties) == 0 {
+				best = member
+			}
+		}
+	}
+	return best, count
+}
+
+// suits reports whether a replica is expected to meet the requirement of a read.
+func (reads *Reads) suits(read *read, view *state.Group, member *state.Member) bool {
+	if read.describes() {
+		return true
+	}
+	now := reads.context.Now()
+	tail := member.Status().Tail()
+	if _, known := read.judge.Index(); known || !read.job.Fresh() {
+		return read.judge.Suffices(view, tail, now)
+	}
+	return view.Within(tail, nearLag, now)
+}
+
+// load returns what runs and waits at an instance. Another data centre and an
+// instance that just failed count in addition.
+func (reads *Reads) load(read *read, member *state.Member) int {
+	load := reads.admission.Load(member.ID())
+	if member.Instance().DataCenter() != reads.context.State().Self().DataCenter() {
+		load += otherCenter
+	}
+	if member.ID() == read.avoided {
+		load += reads.context.Settings().MaxWaiting()
+	}
+	return load
+}
+
+// pressed reports whether so much of a read's time has passed that it shall wait
+// for a replica no longer.
+func (reads *Reads) pressed(read *read) bool {
+	job := read.job
+	return reads.context.Now()-job.Arrived() >= (job.Deadline()-job.Arrived())/4*waitShare
+}
--- /dev/null
+++ b/internal/plug/reads/prove.go
@@ -0,0 +1,116 @@
+package reads
+
+import (
+	"almondway.dev/almondway/internal/core/codes"
+	"almondway.dev/almondway/internal/core/model"
+	"almondway.dev/almondway/internal/core/route"
+	"almondway.dev/almondway/internal/core/state"
+)
+
+// observed takes new reports of the group into account.
+func (read *read) observed(view *state.Group) {
+	switch read.state {
+	case readSeeking:
+		read.judge.Observe(view)
+		read.seek()
+	case readProving:
+		read.prove(view)
+	case readLagging:
+		read.judge.Observe(view)
+		read.catchUp(view)
+	case readAcquiring, readExecuting:
+		read.judge.Observe(view)
+	case readEnded:
+	}
+}
+
+// prove passes the answer on, waits for more reports, or repeats the read.
+func (read *read) prove(view *state.Group) {
+	switch read.judge.Verdict(view, read.mark, read.instance, read.reads.context.Now()) {
+	case route.VerdictProved:
+		read.finish(route.ResultSpec{Mark: read.mark, Answer: read.answer, Reason: read.reason})
+	case route.VerdictOpen:
+		read.demand()
+	case route.VerdictStale:
+		read.repeat(view)
+	}
+}
+
+// repeat runs the read again. The first statement of a transaction may move to
+// another instance; a later one waits until its instance has caught up.
+func (read *read) repeat(view *state.Group) {
+	read.answer = nil
+	tx := read.job.Tx()
+	switch {
+	case tx == nil:
+		read.seek()
+	case read.reason == "open transaction":
+		read.state = readLagging
+		read.catchUp(view)
+	default:
+		read.reads.conns.Release(tx.Conn(), true)
+		tx.Restart()
+		read.seek()
+	}
+}
+
+// catchUp runs a statement of an open transaction again once the instance is
+// reported to have what the statement needs.
+func (read *read) catchUp(view *state.Group) {
+	member := view.Member(read.instance)
+	if member != nil && member.Serves(view.Term()) && read.judge.Suffices(view, member.Status().Tail(), read.reads.context.Now()) {
+		read.resume()
+		return
+	}
+	read.demand()
+}
+
+func (read *read) expire() {
+	code := codes.DeadlineExceeded
+	if read.state == readSeeking {
+		code = codes.NoReplica
+	}
+	reason := "deadline while " + read.stateName()
+	read.stopAndFinish(code, reason)
+}
+
+func (read *read) cancel() { read.stopAndFinish(codes.Canceled, "canceled") }
+
+func (read *read) stopAndFinish(code codes.Code, reason string) {
+	read.stop()
+	result := route.ResultSpec{Outcome: model.OutcomeNotRun, Code: code, Instance: read.instance, Reason: reason}
+	if code != codes.Canceled {
+		result.RetryAfter = read.reads.admission.RetryAfter()
+	}
+	read.reads.sessions.Finish(read.job, result)
+}
+
+// stop ends the read without a result. A connection whose answer is still to
+// come is closed.
+func (read *read) stop() {
+	tx := read.job.Tx()
+	switch read.state {
+	case readAcquiring:
+		read.reads.conns.Withdraw(read.ticket)
+	case readExecuting:
+		read.reads.conns.Discard(read.conn)
+		if tx != nil {
+			tx.Close()
+		}
+	case readSeeking, readProving, readLagging, readEnded:
+	}
+	read.end()
+}
+
+func (read *read) stateName() string {
+	switch read.state {
+	case readSeeking:
+		return "no instance could serve the read"
+	case readAcquiring:
+		return "waiting for a connection"
+	case readExecuting:
+		return "the statement ran"
+	default:
+		return "the answer was not proved"
+	}
+}
--- /dev/null
+++ b/internal/plug/reads/read.go
@@ -0,0 +1,208 @@
+package reads
+
+import (
+	"time"
+
+	"almondway.dev/almondway/internal/core/codes"
+	"almondway.dev/almondway/internal/core/event"
+	"almondway.dev/almondway/internal/core/model"
+	"almondway.dev/almondway/internal/core/route"
+	"almondway.dev/almondway/internal/core/state"
+)
+
+type readState int
+
+const (
+	// readSeeking: no instance can serve the read as far as is known.
+	readSeeking readState = iota
+	// readAcquiring: the read waits for a connection.
+	readAcquiring
+	// readExecuting: the instance runs the statement.
+	readExecuting
+	// readProving: the answer is held until it is proved.
+	readProving
+	// readLagging: the instance of the open transaction has to catch up.
+	readLagging
+	readEnded
+)
+
+// minTimeout is the least time that the adapter is given for an execution.
+const minTimeout = time.Millisecond
+
+// read is a running read. It implements route.Taker and route.Item.
+type read struct {
+	reads    *Reads
+	job      *route.Job
+	judge    route.Judge
+	state    readState
+	place    int
+	ticket   route.Ticket
+	conn     model.ConnID
+	instance model.InstanceID
+	avoided  model.InstanceID
+	mark     model.Mark
+	answer   model.Payload
+	reason   string
+}
+
+// Group implements route.Item.
+func (read *read) Group() model.GroupID { return read.job.Group() }
+
+// Place implements route.Item.
+func (read *read) Place() int { return read.place }
+
+// SetPlace implements route.Item.
+func (read *read) SetPlace(place int) { read.place = place }
+
+func (read *read) describes() bool { return read.job.Request().Op() == model.OpDescribe }
+
+func (read *read) view() *state.Group { return read.reads.context.State().Group(read.job.Group()) }
+
+// seek chooses an instance and asks for a connection to it.
+func (read *read) seek() {
+	instance, reason := read.reads.choose(read)
+	if instance == "" {
+		read.state = readSeeking
+		read.demand()
+		return
+	}
+	read.instance = instance
+	read.reason = reason
+	read.state = readAcquiring
+	ticket := read.reads.conns.Acquire(route.Ask{Instance: instance, Job: read.job}, read)
+	if ticket != 0 {
+		read.ticket = ticket
+	}
+}
+
+// demand asks for reports that are newer than all at hand.
+func (read *read) demand() {
+	read.reads.probes.Demand(read.job.Group(), read.reads.context.Now(), read.job.Arrived())
+}
+
+// resume runs a further statement of an open transaction.
+func (read *read) resume() {
+	tx := read.job.Tx()
+	if tx.Conn() == 0 || !read.reads.conns.Resume(tx.Conn(), read) {
+		tx.Close()
+		read.finish(route.ResultSpec{Outcome: model.OutcomeNotRun, Code: codes.TransactionLost, Reason: "connection lost"})
+		return
+	}
+	read.conn = tx.Conn()
+	read.instance = tx.Instance()
+	read.reason = "open transaction"
+	read.execute(model.StepNext)
+}
+
+// ConnGranted implements route.Taker.
+func (read *read) ConnGranted(conn model.ConnID) {
+	read.ticket = 0
+	read.conn = conn
+	step := model.StepSingle
+	if tx := read.job.Tx(); tx != nil {
+		tx.Open(conn, read.instance, read.view().Term())
+		step = model.StepFirst
+	}
+	read.execute(step)
+}
+
+func (read *read) execute(step model.Step) {
+	if read.describes() {
+		step = model.StepDescribe
+	}
+	read.state = readExecuting
+	read.reads.conns.Execute(read.conn, model.NewWork(model.WorkSpec{
+		Step:      step,
+		Statement: read.job.Request().Statement(),
+		Timeout:   max(minTimeout, read.job.Deadline()-read.reads.context.Now()),
+	}))
+}
+
+// ConnDenied implements route.Taker.
+func (read *read) ConnDenied(code codes.Code, retryAfter time.Duration) {
+	read.ticket = 0
+	read.finish(route.ResultSpec{Outcome: model.OutcomeNotRun, Code: code, RetryAfter: retryAfter, Reason: "no connection"})
+}
+
+// ConnLost implements route.Taker.
+func (read *read) ConnLost(model.ConnID) {
+	if tx := read.job.Tx(); tx != nil {
+		tx.Close()
+	}
+}
+
+// ExecuteDone implements route.Taker.
+func (read *read) ExecuteDone(done event.ExecuteDone) {
+	read.mark = done.Mark()
+	read.answer = done.Answer()
+	if read.job.Tx() != nil {
+		read.reads.conns.Park(read.conn)
+	} else {
+		read.reads.conns.Release(read.conn, false)
+	}
+	read.conn = 0
+	if read.describes() {
+		read.finish(route.ResultSpec{Answer: read.answer, Reason: read.reason})
+		return
+	}
+	read.state = readProving
+	read.prove(read.view())
+}
+
+// ExecuteFailed implements route.Taker.
+func (read *read) ExecuteFailed(failed event.ExecuteFailed) {
+	conn := read.conn
+	read.conn = 0
+	if failed.Class() == model.FailureStatement {
+		read.giveBack(conn)
+		read.finish(route.ResultSpec{Outcome: model.OutcomeNotRun, Code: codes.Statement, Answer: failed.Answer(), Reason: read.reason})
+		return
+	}
+	read.giveBack(conn)
+	read.retry()
+}
+
+// giveBack returns a usable connection after a failure and closes the transaction.
+func (read *read) giveBack(conn model.ConnID) {
+	tx := read.job.Tx()
+	read.reads.conns.Release(conn, tx != nil)
+	if tx != nil {
+		tx.Close()
+	}
+}
+
+// retry runs a read whose answer was lost at another instance. A further
+// statement of a transaction cannot move.
+func (read *read) retry() {
+	tx := read.job.Tx()
+	if tx != nil && read.reason == "open transaction" {
+		read.finish(route.ResultSpec{Outcome: model.OutcomeNotRun, Code: codes.TransactionLost, Reason: "connection lost"})
+		return
+	}
+	if !read.reads.admission.Retry(read.job.Group()) {
+		read.finish(route.ResultSpec{
+			Outcome:    model.OutcomeNotRun,
+			Code:       codes.Overloaded,
+			RetryAfter: read.reads.admission.RetryAfter(),
+			Reason:     "retry budget used up",
+		})
+		return
+	}
+	if tx != nil {
+		tx.Restart()
+	}
+	read.avoided = read.instance
+	read.seek()
+}
+
+func (read *read) finish(result route.ResultSpec) {
+	result.Instance = read.instance
+	read.end()
+	read.reads.sessions.Finish(read.job, result)
+}
+
+func (read *read) end() {
+	read.state = readEnded
+	delete(read.reads.running, read.job.Seq())
+	read.reads.board.Remove(read)
+}
--- /dev/null
+++ b/internal/plug/reads/reads.go
@@ -0,0 +1,116 @@
+// Package reads runs the reads: it chooses the instance, and passes an answer on
+// once it is proved to be recent enough and to survive every promotion.
+package reads
+
+import (
+	"almondway.dev/almondway/internal/core/event"
+	"almondway.dev/almondway/internal/core/kern"
+	"almondway.dev/almondway/internal/core/model"
+	"almondway.dev/almondway/internal/core/route"
+)
+
+func init() { kern.Register("reads", kern.RankReads, New) }
+
+// Reads runs the reads and the read transactions.
+type Reads struct {
+	context   *kern.Context
+	sessions  route.Sessions
+	conns     route.Conns
+	admission route.Admission
+	probes    route.Probes
+	running   map[model.RequestSeq]*read
+	board     *route.Board
+}
+
+// New returns the plug-in.
+func New(context *kern.Context) kern.Plugin {
+	reads := &Reads{
+		context:   context,
+		sessions:  context.Service(route.SessionsService).(route.Sessions),
+		conns:     context.Service(route.ConnsService).(route.Conns),
+		admission: context.Service(route.AdmissionService).(route.Admission),
+		probes:    context.Service(route.ProbesService).(route.Probes),
+		running:   make(map[model.RequestSeq]*read),
+		board:     route.NewBoard(),
+	}
+	reads.sessions.Serve(model.AccessRead, reads)
+	return reads
+}
+
+// Handle implements kern.Plugin.
+func (reads *Reads) Handle(received event.Event) {
+	switch received := received.(type) {
+	case event.GroupObserved:
+		reads.observed(received.Group())
+	case event.TermChanged:
+		reads.observed(received.Group())
+	case event.LeavingChanged:
+		if group := reads.context.State().GroupOf(received.Instance()); group != nil {
+			reads.observed(group.ID())
+		}
+	}
+}
+
+// observed looks again at every read of a group.
+func (reads *Reads) observed(group model.GroupID) {
+	view := reads.context.State().Group(group)
+	if view == nil {
+		return
+	}
+	for _, item := range reads.board.Items(group) {
+		item.(*read).observed(view)
+	}
+}
+
+// Start implements route.Runner.
+func (reads *Reads) Start(job *route.Job) {
+	tx := job.Tx()
+	if job.Request().Op() == model.OpCommit {
+		reads.Drop(tx)
+		reads.sessions.Finish(job, route.ResultSpec{Instance: tx.Instance(), Reason: "commit of a read transaction"})
+		return
+	}
+	started := &read{reads: reads, job: job, judge: route.NewJudge(job)}
+	reads.running[job.Seq()] = started
+	reads.board.Add(started)
+	if tx != nil && tx.Opened() {
+		started.resume()
+		return
+	}
+	if job.Fresh() && job.Request().Op() != model.OpDescribe {
+		reads.probes.Demand(job.Group(), job.Arrived(), job.Arrived())
+	}
+	started.seek()
+}
+
+// Expire implements route.Runner.
+func (reads *Reads) Expire(job *route.Job) {
+	if running, ok := reads.running[job.Seq()]; ok {
+		running.expire()
+	}
+}
+
+// Cancel implements route.Runner.
+func (reads *Reads) Cancel(job *route.Job) {
+	if running, ok := reads.running[job.Seq()]; ok {
+		running.cancel()
+	}
+}
+
+// Abandon implements route.Runner.
+func (reads *Reads) Abandon(job *route.Job) {
+	if running, ok := reads.running[job.Seq()]; ok {
+		running.stop()
+		if tx := job.Tx(); tx != nil {
+			reads.Drop(tx)
+		}
+	}
+}
+
+// Drop implements route.Runner.
+func (reads *Reads) Drop(tx *route.Tx) {
+	if tx.Conn() != 0 {
+		reads.conns.Release(tx.Conn(), true)
+		tx.Close()
+	}
+}
--- /dev/null
+++ b/internal/plug/sessn/caller.go
@@ -0,0 +1,49 @@
+package sessn
+
+import (
+	"almondway.dev/almondway/internal/core/model"
+	"almondway.dev/almondway/internal/core/route"
+	"almondway.dev/almondway/internal/core/timer"
+)
+
+// caller is one caller's connection.
+type caller struct {
+	id         model.CallerID
+	deployment string
+	class      string
+	token      model.Token
+	job        *route.Job
+	access     model.Access
+	timer      timer.ID
+	queue      []*model.Request
+	inTx       bool
+	failed     bool
+	tx         *route.Tx
+	txID       string
+}
+
+// txState returns the state of the caller's transaction.
+func (caller *caller) txState() model.TxState {
+	switch {
+	case !caller.inTx:
+		return model.TxNone
+	case caller.failed:
+		return model.TxFailed
+	default:
+		return model.TxOpen
+	}
+}
+
+func (caller *caller) begin(requestID string) {
+	caller.inTx = true
+	caller.failed = false
+	caller.tx = nil
+	caller.txID = requestID
+}
+
+func (caller *caller) end() {
+	caller.inTx = false
+	caller.failed = false
+	caller.tx = nil
+	caller.txID = ""
+}
--- /dev/null
+++ b/internal/plug/sessn/finish.go
@@ -0,0 +1,107 @@
+package sessn
+
+import (
+	"almondway.dev/almondway/internal/core/codes"
+	"almondway.dev/almondway/internal/core/event"
+	"almondway.dev/almondway/internal/core/model"
+	"almondway.dev/almondway/internal/core/route"
+)
+
+// Finish implements route.Sessions. It does nothing for a Job whose caller is
+// gone or that has its result already.
+func (sessions *Sessions) Finish(job *route.Job, result route.ResultSpec) {
+	caller, ok := sessions.callers[job.Request().Caller()]
+	if !ok || caller.job != job {
+		return
+	}
+	sessions.context.Timers().Cancel(caller.timer)
+	caller.job = nil
+	if result.Code == codes.OK {
+		caller.token = caller.token.With(job.Group(), result.Mark)
+	}
+	settleTx(caller, job, result)
+	sessions.log(caller, job, result)
+	sessions.answer(caller, job.Request(), result)
+	sessions.next(caller)
+}
+
+// settleTx brings the state of the caller's transaction up to date.
+func settleTx(caller *caller, job *route.Job, result route.ResultSpec) {
+	switch {
+	case job.Request().Op() == model.OpCommit:
+		caller.end()
+	case caller.inTx && result.Code != codes.OK:
+		caller.failed = true
+	}
+}
+
+// reply answers a request that no runner has.
+func (sessions *Sessions) reply(caller *caller, request *model.Request, result route.ResultSpec) {
+	sessions.answer(caller, request, result)
+	sessions.next(caller)
+}
+
+func (sessions *Sessions) refuse(caller *caller, request *model.Request, refused refusal) {
+	info := model.Decision{
+		Name:       "refuse",
+		Caller:     caller.id,
+		Seq:        request.Seq(),
+		RequestID:  request.RequestID(),
+		Deployment: caller.deployment,
+		Kind:       request.Kind(),
+		Reason:     refused.detail,
+		Code:       refused.code,
+	}
+	sessions.context.Emit(event.NewLogDecision(info))
+	result := route.ResultSpec{Outcome: model.OutcomeNotRun, Code: refused.code, Detail: refused.detail}
+	if refused.code == codes.RevisionUnconfirmed || refused.code == codes.Draining {
+		result.RetryAfter = retryLater
+	}
+	sessions.reply(caller, request, result)
+}
+
+func (sessions *Sessions) answer(caller *caller, request *model.Request, result route.ResultSpec) {
+	sessions.context.Emit(event.NewAnswerCaller(model.NewReply(model.ReplySpec{
+		Seq:        request.Seq(),
+		Caller:     caller.id,
+		Outcome:    result.Outcome,
+		Code:       result.Code,
+		Detail:     result.Detail,
+		RetryAfter: result.RetryAfter,
+		Replayed:   result.Replayed,
+		Token:      caller.token,
+		TxState:    caller.txState(),
+		Answer:     result.Answer,
+	})))
+}
+
+// next starts the request that waits behind the one that was answered.
+func (sessions *Sessions) next(caller *caller) {
+	if len(caller.queue) == 0 || caller.job != nil {
+		return
+	}
+	request := caller.queue[0]
+	caller.queue = caller.queue[1:]
+	sessions.start(caller, request)
+}
+
+func (sessions *Sessions) log(caller *caller, job *route.Job, result route.ResultSpec) {
+	name := "route_read"
+	if caller.access == model.AccessWrite {
+		name = "route_write"
+	}
+	sessions.context.Emit(event.NewLogDecision(model.Decision{
+		Name:       name,
+		Caller:     caller.id,
+		Seq:        job.Seq(),
+		RequestID:  job.RequestID(),
+		Deployment: caller.deployment,
+		Kind:       job.Kind().Name(),
+		Group:      job.Group(),
+		Instance:   result.Instance,
+		Term:       result.Mark.Term(),
+		Revision:   job.Deployment().Revision(),
+		Reason:     result.Reason,
+		Code:       result.Code,
+	}))
+}
--- /dev/null
+++ b/internal/plug/sessn/sessn.go
@@ -0,0 +1,135 @@
+// Package sessn keeps the sessions of the callers: it validates their requests,
+// keeps the state of their transactions and gives each request one answer.
+package sessn
+
+import (
+	"almondway.dev/almondway/internal/core/codes"
+	"almondway.dev/almondway/internal/core/event"
+	"almondway.dev/almondway/internal/core/kern"
+	"almondway.dev/almondway/internal/core/model"
+	"almondway.dev/almondway/internal/core/route"
+)
+
+func init() { kern.Register("sessn", kern.RankSessions, New) }
+
+// Sessions holds the callers of the proxy and their running requests.
+type Sessions struct {
+	context *kern.Context
+	callers map[model.CallerID]*caller
+	reader  route.Runner
+	writer  route.Runner
+}
+
+// New returns the plug-in. It offers route.Sessions.
+func New(context *kern.Context) kern.Plugin {
+	sessions := &Sessions{context: context, callers: make(map[model.CallerID]*caller)}
+	context.Offer(route.SessionsService, sessions)
+	return sessions
+}
+
+// Handle implements kern.Plugin.
+func (sessions *Sessions) Handle(received event.Event) {
+	switch received := received.(type) {
+	case event.CallerOpened:
+		sessions.opened(received)
+	case event.RequestReceived:
+		sessions.received(received.Request())
+	case event.CancelReceived:
+		sessions.cancel(received.Caller())
+	case event.CallerClosed:
+		sessions.closed(received.Caller())
+	}
+}
+
+// Serve implements route.Sessions.
+func (sessions *Sessions) Serve(access model.Access, runner route.Runner) {
+	if access == model.AccessWrite {
+		sessions.writer = runner
+		return
+	}
+	sessions.reader = runner
+}
+
+// InFlight implements route.Sessions.
+func (sessions *Sessions) InFlight() int {
+	count := 0
+	for _, caller := range sessions.callers {
+		if caller.job != nil || caller.inTx {
+			count++
+		}
+	}
+	return count
+}
+
+func (sessions *Sessions) runner(access model.Access) route.Runner {
+	if access == model.AccessWrite {
+		return sessions.writer
+	}
+	return sessions.reader
+}
+
+func (sessions *Sessions) opened(opened event.CallerOpened) {
+	if code, detail := sessions.admits(opened); code != codes.OK {
+		sessions.context.Emit(event.NewRefuseCaller(opened.Caller(), code, detail, retryLater))
+		return
+	}
+	sessions.callers[opened.Caller()] = &caller{
+		id:         opened.Caller(),
+		deployment: opened.Deployment(),
+		class:      opened.Class(),
+	}
+	sessions.context.Emit(event.NewAcceptCaller(opened.Caller()))
+}
+
+func (sessions *Sessions) admits(opened event.CallerOpened) (codes.Code, string) {
+	state := sessions.context.State()
+	if state.Draining() {
+		return codes.Draining, ""
+	}
+	if !state.Confirmed() {
+		return codes.RevisionUnconfirmed, ""
+	}
+	deployment, ok := state.Deployment(opened.Deployment())
+	if !ok {
+		return codes.UnknownDeployment, opened.Deployment()
+	}
+	if _, ok := deployment.Class(opened.Class()); !ok {
+		return codes.UnknownCaller, opened.Class()
+	}
+	return codes.OK, ""
+}
+
+// received starts a request, or queues it behind the running one of its caller.
+func (sessions *Sessions) received(request *model.Request) {
+	caller, ok := sessions.callers[request.Caller()]
+	if !ok {
+		return
+	}
+	if caller.job != nil {
+		caller.queue = append(caller.queue, request)
+		return
+	}
+	sessions.start(caller, request)
+}
+
+func (sessions *Sessions) cancel(id model.CallerID) {
+	caller, ok := sessions.callers[id]
+	if ok && caller.job != nil {
+		sessions.runner(caller.access).Cancel(caller.job)
+	}
+}
+
+func (sessions *Sessions) closed(id model.CallerID) {
+	caller, ok := sessions.callers[id]
+	if !ok {
+		return
+	}
+	delete(sessions.callers, id)
+	sessions.context.Timers().Cancel(caller.timer)
+	switch {
+	case caller.job != nil:
+		sessions.runner(caller.access).Abandon(caller.job)
+	case caller.tx != nil:
+		sessions.runner(caller.tx.Access()).Drop(caller.tx)
+	}
+}
--- /dev/null
+++ b/internal/plug/sessn/start.go
@@ -0,0 +1,126 @@
+package sessn
+
+import (
+	"time"
+
+	"almondway.dev/almondway/internal/core/codes"
+	"almondway.dev/almondway/internal/core/model"
+	"almondway.dev/almondway/internal/core/route"
+)
+
+const retryLater = 250 * time.Millisecond
+
+// refusal tells why a request is not run.
+type refusal struct {
+	code   codes.Code
+	detail string
+}
+
+func (sessions *Sessions) start(caller *caller, request *model.Request) {
+	switch request.Op() {
+	case model.OpBegin:
+		sessions.begin(caller, request)
+	case model.OpCommit:
+		sessions.commit(caller, request)
+	case model.OpRollback:
+		sessions.rollback(caller, request)
+	default:
+		sessions.statement(caller, request)
+	}
+}
+
+// begin opens a transaction. Nothing is sent before its first statement.
+func (sessions *Sessions) begin(caller *caller, request *model.Request) {
+	if refused := sessions.serving(caller); refused.code != codes.OK {
+		sessions.refuse(caller, request, refused)
+		return
+	}
+	if !caller.inTx {
+		caller.begin(request.RequestID())
+	}
+	sessions.reply(caller, request, route.ResultSpec{Reason: "begin"})
+}
+
+func (sessions *Sessions) commit(caller *caller, request *model.Request) {
+	switch {
+	case caller.failed:
+		sessions.drop(caller)
+		caller.end()
+		sessions.refuse(caller, request, refusal{codes.TransactionState, "the transaction failed and was rolled back"})
+	case caller.tx == nil:
+		caller.end()
+		sessions.reply(caller, request, route.ResultSpec{Reason: "empty commit"})
+	default:
+		sessions.run(caller, sessions.finishing(caller, request), caller.tx.Access())
+	}
+}
+
+func (sessions *Sessions) rollback(caller *caller, request *model.Request) {
+	sessions.drop(caller)
+	caller.end()
+	sessions.reply(caller, request, route.ResultSpec{Reason: "rollback"})
+}
+
+func (sessions *Sessions) drop(caller *caller) {
+	if caller.tx != nil {
+		sessions.runner(caller.tx.Access()).Drop(caller.tx)
+	}
+}
+
+func (sessions *Sessions) statement(caller *caller, request *model.Request) {
+	job, refused := sessions.validate(caller, request)
+	if refused.code != codes.OK {
+		caller.failed = caller.inTx
+		sessions.refuse(caller, request, refused)
+		return
+	}
+	access := job.Kind().Access()
+	if job.Tx() != nil {
+		caller.tx = job.Tx()
+		access = caller.tx.Access()
+	}
+	sessions.run(caller, job, access)
+}
+
+// run hands a Job to its runner and sets its deadline.
+func (sessions *Sessions) run(caller *caller, job *route.Job, access model.Access) {
+	caller.job = job
+	caller.access = access
+	delay := job.Deadline() - sessions.context.Now()
+	caller.timer = sessions.context.Timers().After(delay, func() { sessions.expire(caller, job) })
+	sessions.runner(access).Start(job)
+}
+
+func (sessions *Sessions) expire(caller *caller, job *route.Job) {
+	if caller.job == job {
+		sessions.runner(caller.access).Expire(job)
+	}
+}
+
+// finishing returns the Job that commits the caller's transaction.
+func (sessions *Sessions) finishing(caller *caller, request *model.Request) *route.Job {
+	now := sessions.context.Now()
+	deployment, _ := sessions.context.State().Deployment(caller.deployment)
+	return route.NewJob(route.JobSpec{
+		Request:    request,
+		Deployment: deployment,
+		Group:      caller.tx.Group(),
+		RequestID:  caller.tx.RequestID(),
+		OwnID:      caller.tx.OwnID(),
+		Seen:       caller.token.Mark(caller.tx.Group()),
+		Tx:         caller.tx,
+		Arrived:    now,
+		Deadline:   now + sessions.timeout(request, model.Kind{}),
+	})
+}
+
+func (sessions *Sessions) timeout(request *model.Request, kind model.Kind) time.Duration {
+	switch {
+	case request.Timeout() > 0:
+		return request.Timeout()
+	case kind.Timeout() > 0:
+		return kind.Timeout()
+	default:
+		return sessions.context.Settings().DefaultTimeout()
+	}
+}
--- /dev/null
+++ b/internal/plug/sessn/validate.go
@@ -0,0 +1,158 @@
+package sessn
+
+import (
+	"time"
+
+	"almondway.dev/almondway/internal/core/codes"
+	"almondway.dev/almondway/internal/core/ident"
+	"almondway.dev/almondway/internal/core/model"
+	"almondway.dev/almondway/internal/core/route"
+)
+
+const (
+	// retentionMargin is the time before the end of the ledger's retention from
+	// which a request id counts as expired.
+	retentionMargin = time.Hour
+	// clockMargin is how far ahead of this proxy's clock a request id may be.
+	clockMargin = 5 * time.Minute
+)
+
+// serving checks whether the caller may be given new work.
+func (sessions *Sessions) serving(caller *caller) refusal {
+	state := sessions.context.State()
+	if state.Draining() && !caller.inTx {
+		return refusal{code: codes.Draining}
+	}
+	if !state.Confirmed() {
+		return refusal{code: codes.RevisionUnconfirmed}
+	}
+	if _, ok := state.Deployment(caller.deployment); !ok {
+		return refusal{codes.UnknownDeployment, caller.deployment}
+	}
+	return refusal{}
+}
+
+// validate returns the Job of a statement, or why it is refused.
+func (sessions *Sessions) validate(caller *caller, request *model.Request) (*route.Job, refusal) {
+	if refused := sessions.serving(caller); refused.code != codes.OK {
+		return nil, refused
+	}
+	if caller.failed {
+		return nil, refusal{codes.TransactionState, "the transaction has failed"}
+	}
+	deployment, _ := sessions.context.State().Deployment(caller.deployment)
+	class, ok := deployment.Class(caller.class)
+	if !ok {
+		return nil, refusal{codes.UnknownCaller, caller.class}
+	}
+	kind, refused := selectKind(deployment, request)
+	if refused.code != codes.OK {
+		return nil, refused
+	}
+	group, refused := selectGroup(deployment, kind, request, caller.tx)
+	if refused.code != codes.OK {
+		return nil, refused
+	}
+	spec := route.JobSpec{
+		Request:    request,
+		Deployment: deployment,
+		Class:      class,
+		Kind:       kind,
+		Group:      group,
+		Arrived:    sessions.context.Now(),
+	}
+	spec.Deadline = spec.Arrived + sessions.timeout(request, kind)
+	caller.token = caller.token.Merge(request.Token())
+	spec.Seen = caller.token.Mark(group)
+	if refused := sessions.identify(caller, &spec); refused.code != codes.OK {
+		return nil, refused
+	}
+	return route.NewJob(spec), refusal{}
+}
+
+// selectKind returns the kind that the request names, or the default kind. A
+// request for the types of a statement needs none.
+func selectKind(deployment *model.Deployment, request *model.Request) (model.Kind, refusal) {
+	name := request.Kind()
+	if name == "" {
+		name = deployment.DefaultKind()
+	}
+	kind, ok := deployment.Kind(name)
+	if ok || (request.Op() == model.OpDescribe && request.Kind() == "") {
+		return kind, refusal{}
+	}
+	if name == "" {
+		return kind, refusal{codes.UnknownKind, "the request names no kind and the deployment has no default kind"}
+	}
+	return kind, refusal{codes.UnknownKind, name}
+}
+
+// identify sets the transaction and the request id of a Job.
+func (sessions *Sessions) identify(caller *caller, spec *route.JobSpec) refusal {
+	if spec.Request.Op() == model.OpDescribe {
+		spec.Tx = caller.tx
+		return refusal{}
+	}
+	if caller.tx != nil {
+		return continueTx(caller.tx, spec)
+	}
+	if spec.Kind.Access() == model.AccessWrite {
+		if refused := sessions.requestID(caller, spec); refused.code != codes.OK {
+			return refused
+		}
+	}
+	if caller.inTx {
+		spec.Tx = route.NewTx(route.TxSpec{
+			Caller:    caller.id,
+			Group:     spec.Group,
+			Access:    spec.Kind.Access(),
+			RequestID: spec.RequestID,
+			OwnID:     spec.OwnID,
+			Digest:    spec.Request.Digest(),
+		})
+	}
+	return refusal{}
+}
+
+func continueTx(tx *route.Tx, spec *route.JobSpec) refusal {
+	spec.Tx = tx
+	spec.RequestID = tx.RequestID()
+	spec.OwnID = tx.OwnID()
+	if spec.Kind.Access() != model.AccessWrite {
+		return refusal{}
+	}
+	if tx.Access() != model.AccessWrite {
+		return refusal{codes.KindMismatch, "the transaction began with a read kind"}
+	}
+	if !spec.Kind.Idempotent() && tx.OwnID() {
+		return refusal{codes.RequestIDMissing, spec.Kind.Name()}
+	}
+	return refusal{}
+}
+
+// requestID checks the request id of a write, or makes one.
+func (sessions *Sessions) requestID(caller *caller, spec *route.JobSpec) refusal {
+	text := spec.Request.RequestID()
+	if text == "" {
+		text = caller.txID
+	}
+	wall := sessions.context.Wall()
+	if text == "" {
+		if !spec.Kind.Idempotent() {
+			return refusal{codes.RequestIDMissing, spec.Kind.Name()}
+		}
+		spec.RequestID = ident.New(wall, sessions.context.Random())
+		spec.OwnID = true
+		return refusal{}
+	}
+	id, origin, err := ident.Parse(text)
+	if err != nil {
+		return refusal{codes.MalformedRequestID, err.Error()}
+	}
+	oldest := wall.Add(retentionMargin - sessions.context.Settings().LedgerRetention())
+	if origin.Before(oldest) || origin.After(wall.Add(clockMargin)) {
+		return refusal{codes.RequestIDExpired, id}
+	}
+	spec.RequestID = id
+	return refusal{}
+}
--- /dev/null
+++ b/internal/plug/writes/confirm.go
@@ -0,0 +1,85 @@
+package writes
+
+import (
+	"almondway.dev/almondway/internal/core/codes"
+	"almondway.dev/almondway/internal/core/model"
+	"almondway.dev/almondway/internal/core/route"
+	"almondway.dev/almondway/internal/core/state"
+)
+
+// confirm holds a result until a majority is known to have mark, in the term in
+// which the primary answered.
+func (write *write) confirm(mark model.Mark, result route.ResultSpec) {
+	write.mark = mark
+	write.result = result
+	write.state = writeConfirming
+	view := write.view()
+	if view == nil || mark.Term() != write.term {
+		write.settle()
+		return
+	}
+	view.ObserveWrite(write.instance, mark)
+	write.check(view)
+}
+
+// check passes the result on once it is acknowledged. When the term was replaced
+// before that, the entry may be lost, and the write is settled in the new term.
+func (write *write) check(view *state.Group) {
+	switch {
+	case view.Acknowledged(write.mark):
+		write.conclude()
+	case view.Term() > write.mark.Term():
+		write.settle()
+	default:
+		write.demand()
+	}
+}
+
+// conclude passes an acknowledged result on. A write that was settled as not run
+// under an id that no caller knows runs again.
+func (write *write) conclude() {
+	result := write.result
+	if result.Outcome == model.OutcomeNotRun && write.job.OwnID() && write.job.Tx() == nil {
+		write.renew()
+		return
+	}
+	if result.Code == codes.OK {
+		result.Mark = write.mark
+	}
+	write.finish(result)
+}
+
+// settle finds out in the current term whether the write ran, and makes sure
+// that it never will if it did not.
+func (write *write) settle() {
+	write.settles = true
+	write.doubt = true
+	write.fenced = 0
+	write.seek()
+}
+
+// notRun returns the result of a write that can never run under its request id.
+func (write *write) notRun(reason string) route.ResultSpec {
+	code := codes.RequestIDSettled
+	if write.job.Tx() != nil && write.job.OwnID() {
+		code = codes.TransactionLost
+	}
+	return route.ResultSpec{Outcome: model.OutcomeNotRun, Code: code, Reason: reason}
+}
+
+// ran returns the result of a write whose row is in the request ledger.
+func (write *write) ran() route.ResultSpec {
+	switch {
+	case write.settles && write.result.Answer != nil:
+		return route.ResultSpec{Answer: write.result.Answer, Reason: "settled as done"}
+	case write.job.Tx() != nil && !write.commits():
+		return route.ResultSpec{
+			Outcome:  model.OutcomeDone,
+			Code:     codes.TransactionDone,
+			Replayed: true,
+			Reason:   "the ledger has the transaction",
+		}
+	default:
+		return route.ResultSpec{Replayed: true, Reason: "the ledger has the request"}
+	}
+}
--- /dev/null
+++ b/internal/plug/writes/fail.go
@@ -0,0 +1,130 @@
+package writes
+
+import (
+	"time"
+
+	"almondway.dev/almondway/internal/core/codes"
+	"almondway.dev/almondway/internal/core/event"
+	"almondway.dev/almondway/internal/core/ident"
+	"almondway.dev/almondway/internal/core/model"
+	"almondway.dev/almondway/internal/core/route"
+)
+
+// ExecuteFailed implements route.Taker.
+func (write *write) ExecuteFailed(failed event.ExecuteFailed) {
+	conn := write.conn
+	write.conn = 0
+	tx := write.job.Tx()
+	write.writes.conns.Release(conn, tx != nil && !write.settles)
+	if write.state == writeEnded {
+		return
+	}
+	if tx != nil && !write.settles {
+		tx.Close()
+	}
+	switch failed.Class() {
+	case model.FailureReplay:
+		write.confirm(failed.Mark(), write.ran())
+	case model.FailureTombstone:
+		write.confirm(failed.Mark(), write.notRun("the ledger has a tombstone"))
+	case model.FailureMismatch:
+		write.finish(route.ResultSpec{Outcome: model.OutcomeNotRun, Code: codes.RequestIDReused, Reason: "digest differs"})
+	case model.FailureLost:
+		write.lost()
+	case model.FailureStatement:
+		write.refused(failed)
+	default:
+		write.unsent(failed.Class())
+	}
+}
+
+// refused passes an error of the database on. A settlement is tried again.
+func (write *write) refused(failed event.ExecuteFailed) {
+	if write.settles {
+		write.backOff()
+		return
+	}
+	write.finish(route.ResultSpec{Outcome: model.OutcomeNotRun, Code: codes.Statement, Answer: failed.Answer(), Reason: "primary"})
+}
+
+// lost decides what follows from a lost answer. Nothing of a transaction whose
+// commit was not sent stands.
+func (write *write) lost() {
+	switch write.step {
+	case model.StepNext, model.StepDescribe:
+		write.loseTx("connection lost")
+	case model.StepFirst:
+		write.retry()
+	case model.StepSettle:
+		write.backOff()
+	default:
+		write.settle()
+	}
+}
+
+// unsent decides what follows when the instance refused before anything ran.
+func (write *write) unsent(class model.FailureClass) {
+	if class == model.FailureFenced {
+		write.fenced = write.term
+	}
+	switch {
+	case write.continues() || write.commits() && !write.settles:
+		write.loseTx("refused before the commit")
+	case write.settles:
+		write.backOff()
+	default:
+		write.retry()
+	}
+}
+
+// loseTx ends a transaction whose commit was never sent.
+func (write *write) loseTx(reason string) {
+	if tx := write.job.Tx(); tx.Conn() != 0 {
+		write.writes.conns.Discard(tx.Conn())
+		tx.Close()
+	}
+	write.finish(route.ResultSpec{Outcome: model.OutcomeNotRun, Code: codes.TransactionLost, Reason: reason})
+}
+
+// retry sends a write again that did not run.
+func (write *write) retry() {
+	if !write.writes.admission.Retry(write.job.Group()) {
+		write.finish(route.ResultSpec{
+			Outcome:    model.OutcomeNotRun,
+			Code:       codes.Overloaded,
+			RetryAfter: write.writes.admission.RetryAfter(),
+			Reason:     "retry budget used up",
+		})
+		return
+	}
+	if tx := write.job.Tx(); tx != nil {
+		tx.Restart()
+	}
+	write.backOff()
+}
+
+// backOff seeks the primary again after a time that doubles with each failure.
+func (write *write) backOff() {
+	context := write.writes.context
+	delay := min(maxBackoff, firstBackoff<<min(write.retries, 8))
+	delay = delay/2 + time.Duration(context.Random().Int64N(int64(delay)))
+	write.retries++
+	write.notUntil = context.Now() + delay
+	write.state = writeSeeking
+	write.demand()
+	context.Timers().After(delay, func() {
+		if write.state == writeSeeking {
+			write.seek()
+		}
+	})
+}
+
+// renew runs a write again under a new request id.
+func (write *write) renew() {
+	context := write.writes.context
+	write.id = ident.New(context.Wall(), context.Random())
+	write.settles = false
+	write.doubt = false
+	write.result = route.ResultSpec{}
+	write.retry()
+}
--- /dev/null
+++ b/internal/plug/writes/write.go
@@ -0,0 +1,198 @@
+package writes
+
+import (
+	"time"
+
+	"almondway.dev/almondway/internal/core/codes"
+	"almondway.dev/almondway/internal/core/event"
+	"almondway.dev/almondway/internal/core/model"
+	"almondway.dev/almondway/internal/core/route"
+	"almondway.dev/almondway/internal/core/state"
+)
+
+type writeState int
+
+const (
+	// writeSeeking: no primary can take the write as far as is known.
+	writeSeeking writeState = iota
+	// writeAcquiring: the write waits for a connection to the primary.
+	writeAcquiring
+	// writeExecuting: the primary runs the statement.
+	writeExecuting
+	// writeProving: the statement of an open transaction is held until it is proved.
+	writeProving
+	// writeConfirming: the result is held until a majority has its mark.
+	writeConfirming
+	writeEnded
+)
+
+const (
+	// minTimeout is the least time that the adapter is given for an execution.
+	minTimeout   = time.Millisecond
+	firstBackoff = 5 * time.Millisecond
+	maxBackoff   = 200 * time.Millisecond
+)
+
+// write is a running write. It implements route.Taker and route.Item.
+type write struct {
+	writes   *Writes
+	job      *route.Job
+	judge    route.Judge
+	state    writeState
+	place    int
+	id       string
+	term     model.Term
+	fenced   model.Term
+	instance model.InstanceID
+	ticket   route.Ticket
+	conn     model.ConnID
+	step     model.Step
+	settles  bool
+	doubt    bool
+	retries  int
+	notUntil time.Duration
+	mark     model.Mark
+	result   route.ResultSpec
+}
+
+// Group implements route.Item.
+func (write *write) Group() model.GroupID { return write.job.Group() }
+
+// Place implements route.Item.
+func (write *write) Place() int { return write.place }
+
+// SetPlace implements route.Item.
+func (write *write) SetPlace(place int) { write.place = place }
+
+func (write *write) view() *state.Group { return write.writes.context.State().Group(write.job.Group()) }
+
+func (write *write) commits() bool { return write.job.Request().Op() == model.OpCommit }
+
+// continues reports whether the write is a further statement of an open transaction.
+func (write *write) continues() bool {
+	return write.step == model.StepNext || write.step == model.StepDescribe
+}
+
+// demand asks for reports that are newer than all at hand.
+func (write *write) demand() {
+	write.writes.probes.Demand(write.job.Group(), write.writes.context.Now(), write.job.Arrived())
+}
+
+// seek asks for a connection to the primary, or waits for a primary.
+func (write *write) seek() {
+	view := write.view()
+	primary := primary(view)
+	if primary == nil || view.Term() == write.fenced {
+		write.state = writeSeeking
+		write.demand()
+		return
+	}
+	if write.writes.context.Now() < write.notUntil {
+		write.state = writeSeeking
+		return
+	}
+	write.term = view.Term()
+	write.instance = primary.ID()
+	write.state = writeAcquiring
+	ticket := write.writes.conns.Acquire(route.Ask{Instance: write.instance, Job: write.job}, write)
+	if ticket != 0 {
+		write.ticket = ticket
+	}
+}
+
+// ConnGranted implements route.Taker.
+func (write *write) ConnGranted(conn model.ConnID) {
+	write.ticket = 0
+	write.conn = conn
+	switch {
+	case write.settles:
+		write.execute(model.StepSettle)
+	case write.job.Tx() != nil:
+		write.job.Tx().Open(conn, write.instance, write.term)
+		write.execute(model.StepFirst)
+	default:
+		write.execute(model.StepSingle)
+	}
+}
+
+func (write *write) execute(step model.Step) {
+	write.state = writeExecuting
+	write.step = step
+	spec := model.WorkSpec{
+		Step:      step,
+		Write:     true,
+		Guard:     write.term,
+		LedgerID:  write.id,
+		Digest:    write.digest(),
+		Statement: write.job.Request().Statement(),
+		Timeout:   max(minTimeout, write.job.Deadline()-write.writes.context.Now()),
+	}
+	if step == model.StepSettle {
+		spec.Statement = nil
+	}
+	write.writes.conns.Execute(write.conn, model.NewWork(spec))
+}
+
+func (write *write) digest() uint64 {
+	if tx := write.job.Tx(); tx != nil {
+		return tx.Digest()
+	}
+	return write.job.Request().Digest()
+}
+
+// ConnDenied implements route.Taker.
+func (write *write) ConnDenied(code codes.Code, retryAfter time.Duration) {
+	write.ticket = 0
+	if write.doubt {
+		write.backOff()
+		return
+	}
+	write.finish(route.ResultSpec{Outcome: model.OutcomeNotRun, Code: code, RetryAfter: retryAfter, Reason: "no connection"})
+}
+
+// ConnLost implements route.Taker.
+func (write *write) ConnLost(model.ConnID) {
+	if tx := write.job.Tx(); tx != nil {
+		tx.Close()
+	}
+}
+
+// ExecuteDone implements route.Taker.
+func (write *write) ExecuteDone(done event.ExecuteDone) {
+	if write.state == writeEnded {
+		write.writes.conns.Release(write.conn, false)
+		return
+	}
+	switch write.step {
+	case model.StepFirst, model.StepNext, model.StepDescribe:
+		write.stepDone(done)
+	case model.StepSettle:
+		write.release()
+		write.confirm(done.Mark(), write.notRun("settled as not run"))
+	default:
+		write.release()
+		write.confirm(done.Mark(), route.ResultSpec{Answer: done.Answer(), Reason: "primary"})
+	}
+}
+
+// release gives the connection back after a statement that left it clean.
+func (write *write) release() {
+	write.writes.conns.Release(write.conn, false)
+	write.conn = 0
+	if write.commits() && !write.settles {
+		write.job.Tx().Close()
+	}
+}
+
+// finish gives the write its result.
+func (write *write) finish(result route.ResultSpec) {
+	result.Instance = write.instance
+	write.end()
+	write.writes.sessions.Finish(write.job, result)
+}
+
+func (write *write) end() {
+	write.state = writeEnded
+	delete(write.writes.running, write.job.Seq())
+	write.writes.board.Remove(write)
+}
--- /dev/null
+++ b/internal/plug/writes/writes.go
@@ -0,0 +1,122 @@
+// Package writes runs the writes and the write transactions: each is
+// acknowledged only when it survives every promotion, runs at most once, and is
+// said not to have run only when that is proved.
+package writes
+
+import (
+	"almondway.dev/almondway/internal/core/event"
+	"almondway.dev/almondway/internal/core/kern"
+	"almondway.dev/almondway/internal/core/model"
+	"almondway.dev/almondway/internal/core/route"
+	"almondway.dev/almondway/internal/core/state"
+)
+
+func init() { kern.Register("writes", kern.RankWrites, New) }
+
+// Writes runs the writes.
+type Writes struct {
+	context   *kern.Context
+	sessions  route.Sessions
+	conns     route.Conns
+	admission route.Admission
+	probes    route.Probes
+	running   map[model.RequestSeq]*write
+	board     *route.Board
+}
+
+// New returns the plug-in.
+func New(context *kern.Context) kern.Plugin {
+	writes := &Writes{
+		context:   context,
+		sessions:  context.Service(route.SessionsService).(route.Sessions),
+		conns:     context.Service(route.ConnsService).(route.Conns),
+		admission: context.Service(route.AdmissionService).(route.Admission),
+		probes:    context.Service(route.ProbesService).(route.Probes),
+		running:   make(map[model.RequestSeq]*write),
+		board:     route.NewBoard(),
+	}
+	writes.sessions.Serve(model.AccessWrite, writes)
+	context.Timers().Every(trimInterval, writes.trim)
+	return writes
+}
+
+// Handle implements kern.Plugin.
+func (writes *Writes) Handle(received event.Event) {
+	switch received := received.(type) {
+	case event.GroupObserved:
+		writes.observed(received.Group())
+	case event.TermChanged:
+		writes.observed(received.Group())
+	case event.LeavingChanged:
+		if group := writes.context.State().GroupOf(received.Instance()); group != nil {
+			writes.observed(group.ID())
+		}
+	}
+}
+
+// observed looks again at every write of a group.
+func (writes *Writes) observed(group model.GroupID) {
+	view := writes.context.State().Group(group)
+	if view == nil {
+		return
+	}
+	for _, item := range writes.board.Items(group) {
+		item.(*write).observed(view)
+	}
+}
+
+// Start implements route.Runner.
+func (writes *Writes) Start(job *route.Job) {
+	started := &write{writes: writes, job: job, id: job.RequestID(), judge: route.NewJudge(job)}
+	writes.running[job.Seq()] = started
+	writes.board.Add(started)
+	if tx := job.Tx(); tx != nil && tx.Opened() {
+		started.resume()
+		return
+	}
+	started.seek()
+}
+
+// Expire implements route.Runner.
+func (writes *Writes) Expire(job *route.Job) {
+	if running, ok := writes.running[job.Seq()]; ok {
+		running.expire()
+	}
+}
+
+// Cancel implements route.Runner.
+func (writes *Writes) Cancel(job *route.Job) {
+	if running, ok := writes.running[job.Seq()]; ok {
+		running.cancel()
+	}
+}
+
+// Abandon implements route.Runner.
+func (writes *Writes) Abandon(job *route.Job) {
+	if running, ok := writes.running[job.Seq()]; ok {
+		running.stop()
+	}
+	if tx := job.Tx(); tx != nil {
+		writes.Drop(tx)
+	}
+}
+
+// Drop implements route.Runner.
+func (writes *Writes) Drop(tx *route.Tx) {
+	if tx.Conn() != 0 {
+		writes.conns.Release(tx.Conn(), true)
+		tx.Close()
+	}
+}
+
+// primary returns the primary of a group if it may take writes.
+func primary(view *state.Group) *state.Member {
+	if view == nil || view.Term() == 0 {
+		return nil
+	}
+	primary := view.Primary()
+	if primary == nil || !primary.Serves(view.Term()) || primary.Leaving() {
+		return nil
+	}
+	return primary
+}
--- /dev/null
+++ b/internal/stand/script/instance.go
@@ -0,0 +1,87 @@
+package script
+
+import (
+	"almondway.dev/almondway/internal/core/event"
+	"almondway.dev/almondway/internal/core/model"
+)
+
+// Instance is what an instance reports. A silent one answers no probe; one that
+// refuses opens no connection.
+type Instance struct {
+	Fence    model.Term
+	Primary  bool
+	Tail     model.Mark
+	Upstream model.InstanceID
+	Leaving  bool
+	Silent   bool
+	Refuses  bool
+}
+
+func (instance *Instance) status() model.Status {
+	role := model.RoleReplica
+	upstream := instance.Upstream
+	if instance.Primary {
+		role = model.RolePrimary
+		upstream = ""
+	}
+	return model.NewStatus(instance.Fence, role, instance.Tail, upstream, 0, instance.Leaving)
+}
+
+// take sorts the actions of the kernel.
+func (script *Script) take(actions []event.Action) {
+	for _, action := range actions {
+		switch action := action.(type) {
+		case event.Probe:
+			script.probes = append(script.probes, action)
+		case event.Execute:
+			script.executes = append(script.executes, action)
+		case event.AnswerCaller:
+			script.replies = append(script.replies, action.Reply())
+		default:
+			script.others = append(script.others, action)
+		}
+	}
+}
+
+// settle lets the instances answer until they have nothing left to answer.
+func (script *Script) settle() {
+	for {
+		answer := script.nextAnswer()
+		if answer == nil {
+			return
+		}
+		script.take(script.kernel.Handle(script.now, answer))
+	}
+}
+
+func (script *Script) nextAnswer() event.Event {
+	for index, probe := range script.probes {
+		instance := script.instances[probe.Instance()]
+		if !instance.Silent {
+			script.probes = append(script.probes[:index:index], script.probes[index+1:]...)
+			return event.NewStatusReported(probe.Probe(), probe.Instance(), instance.status())
+		}
+	}
+	for index, action := range script.others {
+		if answer := script.answer(action); answer != nil {
+			script.others = append(script.others[:index:index], script.others[index+1:]...)
+			return answer
+		}
+	}
+	return nil
+}
+
+func (script *Script) answer(action event.Action) event.Event {
+	switch action := action.(type) {
+	case event.OpenConn:
+		script.conns[action.Conn()] = action.Instance()
+		if script.instances[action.Instance()].Refuses {
+			return event.NewConnFailed(action.Conn(), model.FailRefused)
+		}
+		return event.NewConnOpened(action.Conn())
+	case event.ResetConn:
+		return event.NewResetDone(action.Conn(), true)
+	default:
+		return nil
+	}
+}
