core: read index from the lowest majority, stability without the server

Cause: a read index took the highest tail of all reports, so that with the primary among them a replica seldom met it under writes. And a replica that served a read counted as a holder of the mark though it may have copied the entry in a later term, of which the proxy knows nothing yet; such an entry can still be taken away.

Change: ReadIndex takes the majority whose highest tail is lowest; each majority holds every acknowledged write. Stable counts reported holders and the primary that wrote the entry, and no longer the server. Each event that the kernel handles has a time of its own: two events at one reading of the clock could let a probe that was sent before a read count as sent after it.

Ruled out: reporting the fence beside the mark of an answer, which would change the protocol of the instances; the report that is demanded anyway has it.

Run: go test ./internal/core/... ./internal/plug/... ./internal/proof/check; the exhaustive search holds without the condition that the server is known to be in the term.

--- a/internal/core/kern/kern.go
+++ b/internal/core/kern/kern.go
@@ -35,10 +35,11 @@
 
 // Handle advances the clock to now, hands the event to every plug-in and
 // returns what the adapters shall do, in order. The slice is valid until the
-// next call.
+// next call. Each event has a time of its own, so that what was sent at the time
+// of an event or later was sent after it.
 func (kernel *Kernel) Handle(now time.Duration, received event.Event) []event.Action {
 	kernel.context.begin()
-	kernel.context.timers.Advance(now)
+	kernel.context.timers.Advance(max(now, kernel.context.Now()+1))
 	kernel.context.Publish(received)
 	kernel.deliver()
 	return kernel.context.actions
--- a/internal/core/state/group.go
+++ b/internal/core/state/group.go
@@ -111,18 +111,16 @@
 	return count >= group.Majority()
 }
 
-// Stable reports whether what server showed at mark survives every promotion. A
-// replica of the current term copied its entries from the primary, which
-// therefore counts beside it.
-func (group *Group) Stable(mark model.Mark, server model.InstanceID) bool {
-	if mark.Term() != group.term {
-		return false
-	}
+// Stable reports whether what was read at mark survives every promotion: a
+// majority is known to have held mark while fenced with its term. The primary of
+// the term wrote the entry, so it counts without a report. The instance that
+// served the read does not, since it may have copied the entry in a later term.
+func (group *Group) Stable(mark model.Mark) bool {
 	count := 0
 	for _, member := range group.members {
+		wrote := mark.Term() == group.term && member.ID() == group.primary
 		holds := member.proof.Term() == mark.Term() && member.proof.Covers(mark)
-		copied := server != group.primary && (member.ID() == server || member.ID() == group.primary)
-		if holds || copied {
+		if wrote || holds {
 			count++
 		}
 	}
@@ -130,21 +128,36 @@
 }
 
 // ReadIndex returns a Mark that covers every write that was acknowledged before
-// since, taken from reports whose probes were sent at since or later. It
-// reports false until a majority has reported.
+// since, taken from reports whose probes were sent at since or later: the
+// highest tail of that majority whose highest tail is lowest, since each
+// majority has an instance that holds the write. It reports false until a
+// majority has reported.
 func (group *Group) ReadIndex(since time.Duration) (model.Mark, bool) {
+	reported, below := 0, 0
 	var index model.Mark
-	count := 0
 	for _, member := range group.members {
-		if !member.heard || member.sentAt < since {
+		if !member.reportedSince(since) {
 			continue
 		}
-		count++
-		if member.status.Tail().Covers(index) {
-			index = member.status.Tail()
+		reported++
+		tail := member.status.Tail()
+		rank := group.rank(tail, since)
+		if rank >= group.Majority() && (below == 0 || rank < below) {
+			index, below = tail, rank
+		}
+	}
+	return index, reported >= group.Majority()
+}
+
+// rank returns how many reports since a time have a tail that mark covers.
+func (group *Group) rank(mark model.Mark, since time.Duration) int {
+	count := 0
+	for _, member := range group.members {
+		if member.reportedSince(since) && mark.Covers(member.status.Tail()) {
+			count++
 		}
 	}
-	return index, count >= group.Majority()
+	return count
 }
 
 // Within reports whether data at mark is at most bound old at the time now.
--- a/internal/core/state/member.go
+++ b/internal/core/state/member.go
@@ -73,6 +73,10 @@
 	return model.NewInstanceView(member.instance, member.status, now-member.sentAt, member.heard && member.failures == 0, member.Leaving())
 }
 
+func (member *Member) reportedSince(since time.Duration) bool {
+	return member.heard && member.sentAt >= since
+}
+
 func (member *Member) prove(mark model.Mark) {
 	if mark.Covers(member.proof) {
 		member.proof = mark
--- a/internal/core/state/rounds.go
+++ b/internal/core/state/rounds.go
@@ -29,6 +29,9 @@
 	}
 	last := len(rounds.list) - 1
 	if last >= 0 && added.since <= rounds.list[last].since {
+		if added.since == rounds.list[last].since && rounds.list[last].index.Covers(added.index) {
+			rounds.list[last] = added
+		}
 		return
 	}
 	if last >= 1 && added.since-rounds.list[last-1].since < roundSpacing {
--- a/internal/plug/reads/prove.go
+++ b/internal/plug/reads/prove.go
@@ -26,7 +26,7 @@
 
 // prove passes the answer on, waits for more reports, or repeats the read.
 func (read *read) prove(view *state.Group) {
-	switch read.judge.Verdict(view, read.mark, read.instance, read.reads.context.Now()) {
+	switch read.judge.Verdict(view, read.mark, read.reads.context.Now()) {
 	case route.VerdictProved:
 		read.finish(route.ResultSpec{Mark: read.mark, Answer: read.answer, Reason: read.reason})
 	case route.VerdictOpen:
--- a/internal/plug/reads/reads_test.go
+++ b/internal/plug/reads/reads_test.go
@@ -57,6 +57,7 @@
 			is.True(execution.Instance != "katalog-1-a") // not the primary
 			is.True(!execution.Work.Write())
 			script.Done(execution, mark, nil)
+			script.Advance(10 * time.Millisecond)
 			reply := script.Reply()
 			is.True(reply != nil)
 			is.Equal(reply.Code(), codes.OK)
