plug: member and deploy plug-ins, store and peers adapters

Cause: a proxy needs the platform's lists, the other proxies and the deployments before it can serve.

Ruled out: confirming by a majority of the live proxies, because a proxy that is cut off from all others would confirm itself; the registered ones count.

Run: go build ./..., make lint. No tests yet.

--- a/internal/core/state/state.go
+++ b/internal/core/state/state.go
@@ -20,6 +20,7 @@
 	confirmed   bool
 	deployments map[string]*model.Deployment
 	proxies     []model.ProxyView
+	registered  []model.ProxyID
 	draining    bool
 	promoter    uint32
 }
@@ -126,6 +127,14 @@
 // SetProxies records the live proxies, this one included, in ascending order of their names.
 func (state *State) SetProxies(proxies []model.ProxyView) { state.proxies = proxies }
 
+// Registered returns the proxies that may serve under some revision, heard or
+// not, this one included and draining ones left out, in ascending order. A
+// majority of them confirms a revision. Callers must not change it.
+func (state *State) Registered() []model.ProxyID { return state.registered }
+
+// SetRegistered records the proxies that may serve, in ascending order of their names.
+func (state *State) SetRegistered(registered []model.ProxyID) { state.registered = registered }
+
 // Draining reports whether the proxy takes no new work.
 func (state *State) Draining() bool { return state.draining }
 
--- /dev/null
+++ b/internal/core/table/table.go
@@ -0,0 +1,122 @@
+// Package table lets plug-ins query the platform's table service: each query
+// has a callback, which is called once, also if no answer comes.
+package table
+
+import (
+	"time"
+
+	"almondway.dev/almondway/internal/core/event"
+	"almondway.dev/almondway/internal/core/kern"
+	"almondway.dev/almondway/internal/core/model"
+	"almondway.dev/almondway/internal/core/timer"
+)
+
+// Outcome tells what became of a write.
+type Outcome int
+
+// The outcomes of a write.
+const (
+	// Written means that the transaction committed.
+	Written Outcome = iota
+	// Conflict means that a row had another version; nothing was changed.
+	Conflict
+	// Failed means that no answer came in time. The transaction may have
+	// committed, or may still commit.
+	Failed
+)
+
+// answerMargin is the time beyond the store's timeout after which a query
+// counts as failed though the adapter reported nothing.
+const answerMargin = 100 * time.Millisecond
+
+type query struct {
+	onRead  func(rows []model.Row, ok bool)
+	onWrite func(outcome Outcome)
+	timeout timer.ID
+}
+
+// Client sends queries through a kernel's Context. The plug-in that owns it
+// hands it every event.
+type Client struct {
+	context *kern.Context
+	queries map[model.QueryID]query
+}
+
+// New returns a Client of the plug-in that context belongs to.
+func New(context *kern.Context) *Client {
+	return &Client{context: context, queries: make(map[model.QueryID]query)}
+}
+
+// Read reads the rows of a table whose keys start with prefix. done gets the
+// rows, or false if no answer came in time.
+func (client *Client) Read(table, prefix string, done func(rows []model.Row, ok bool)) {
+	id := client.add(query{onRead: done})
+	client.context.Emit(event.NewReadStore(id, table, prefix))
+}
+
+// Write writes rows in one transaction.
+func (client *Client) Write(writes []model.RowWrite, done func(outcome Outcome)) {
+	id := client.add(query{onWrite: done})
+	client.context.Emit(event.NewWriteStore(id, writes))
+}
+
+// Handle calls the callback of the query that received answers, if it is one
+// of this Client and still waits.
+func (client *Client) Handle(received event.Event) {
+	switch received := received.(type) {
+	case event.StoreRead:
+		client.finishRead(received.Query(), received.Rows(), true)
+	case event.StoreWritten:
+		client.finishWrite(received.Query(), Written)
+	case event.StoreConflict:
+		client.finishWrite(received.Query(), Conflict)
+	case event.StoreFailed:
+		client.fail(received.Query())
+	}
+}
+
+func (client *Client) add(added query) model.QueryID {
+	id := model.QueryID(client.context.NextID())
+	limit := client.context.Settings().StoreTimeout() + answerMargin
+	added.timeout = client.context.Timers().After(limit, func() { client.fail(id) })
+	client.queries[id] = added
+	return id
+}
+
+func (client *Client) fail(id model.QueryID) {
+	client.finishRead(id, nil, false)
+	client.finishWrite(id, Failed)
+}
+
+func (client *Client) finishRead(id model.QueryID, rows []model.Row, ok bool) {
+	found, exists := client.queries[id]
+	if !exists || found.onRead == nil {
+		return
+	}
+	client.remove(id, found)
+	found.onRead(rows, ok)
+}
+
+func (client *Client) finishWrite(id model.QueryID, outcome Outcome) {
+	found, exists := client.queries[id]
+	if !exists || found.onWrite == nil {
+		return
+	}
+	client.remove(id, found)
+	found.onWrite(outcome)
+}
+
+func (client *Client) remove(id model.QueryID, found query) {
+	delete(client.queries, id)
+	client.context.Timers().Cancel(found.timeout)
+}
+
+// Find returns the row with the given key.
+func Find(rows []model.Row, key string) (model.Row, bool) {
+	for _, row := range rows {
+		if row.Key() == key {
+			return row, true
+		}
+	}
+	return model.Row{}, false
+}
--- /dev/null
+++ b/internal/edge/peers/decode.go
@@ -0,0 +1,69 @@
+package peers
+
+import (
+	"almondway.dev/almondway/internal/core/event"
+	"almondway.dev/almondway/internal/core/model"
+	"almondway.dev/almondway/internal/proto/peerpb"
+)
+
+// decode returns nil for a kind of message that a newer proxy sends and this
+// one does not know.
+func decode(request *peerpb.DeliverRequest) (*event.PeerReceived, error) {
+	switch message := request.GetMessage().(type) {
+	case *peerpb.DeliverRequest_Heartbeat:
+		heartbeat := decodeHeartbeat(message.Heartbeat)
+		return received(heartbeat.Proxy(), heartbeat), nil
+	case *peerpb.DeliverRequest_CatalogPush:
+		push, err := decodePush(message.CatalogPush)
+		if err != nil {
+			return nil, err
+		}
+		return received(push.Proxy(), push), nil
+	case *peerpb.DeliverRequest_CatalogAck:
+		ack := event.NewCatalogAck(model.ProxyID(message.CatalogAck.GetProxyId()), message.CatalogAck.GetRevision())
+		return received(ack.Proxy(), ack), nil
+	default:
+		return nil, nil
+	}
+}
+
+func received(from model.ProxyID, message event.PeerMessage) *event.PeerReceived {
+	posted := event.NewPeerReceived(from, message)
+	return &posted
+}
+
+func decodeHeartbeat(encoded *peerpb.Heartbeat) event.Heartbeat {
+	leaving := make([]model.InstanceID, 0, len(encoded.GetLeavingInstanceIds()))
+	for _, instance := range encoded.GetLeavingInstanceIds() {
+		leaving = append(leaving, model.InstanceID(instance))
+	}
+	terms := make([]model.TermView, 0, len(encoded.GetTerms()))
+	for _, term := range encoded.GetTerms() {
+		terms = append(terms, model.NewTermView(
+			model.GroupID(term.GetGroupId()),
+			model.Term(term.GetTerm()),
+			model.InstanceID(term.GetPrimaryId()),
+		))
+	}
+	return event.NewHeartbeat(
+		model.ProxyID(encoded.GetProxyId()),
+		encoded.GetAddress(),
+		encoded.GetRevision(),
+		encoded.GetConfirmed(),
+		encoded.GetDraining(),
+		leaving,
+		terms,
+	)
+}
+
+func decodePush(encoded *peerpb.CatalogPush) (event.CatalogPush, error) {
+	deployments := make([]*model.Deployment, 0, len(encoded.GetDeployments()))
+	for _, body := range encoded.GetDeployments() {
+		deployment, err := model.DecodeDeployment(body)
+		if err != nil {
+			return event.CatalogPush{}, err
+		}
+		deployments = append(deployments, deployment)
+	}
+	return event.NewCatalogPush(model.ProxyID(encoded.GetProxyId()), encoded.GetRevision(), deployments), nil
+}
--- /dev/null
+++ b/internal/edge/store/store.go
@@ -0,0 +1,105 @@
+// Package store is the adapter to the platform's table service, group list and
+// host list. It calls them over connect-go and posts their answers as events.
+package store
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"almondway.dev/almondway/internal/core/event"
+	"almondway.dev/almondway/internal/core/model"
+	"almondway.dev/almondway/internal/core/port"
+	"almondway.dev/almondway/internal/proto/platpb"
+)
+
+// Store carries out queries to the platform. Each query runs in a goroutine of
+// its own, until it is answered or the timeout ends it.
+type Store struct {
+	client  platpb.PlatformServiceClient
+	inbox   port.Inbox
+	timeout time.Duration
+}
+
+var _ port.Platform = (*Store)(nil)
+
+// New returns a Store of the platform at url. timeout bounds each query.
+func New(url string, client *http.Client, inbox port.Inbox, timeout time.Duration) *Store {
+	return &Store{
+		client:  platpb.NewPlatformServiceClient(client, url),
+		inbox:   inbox,
+		timeout: timeout,
+	}
+}
+
+// Read implements port.Platform. Every error is reported as StoreFailed.
+func (store *Store) Read(action event.ReadStore) {
+	go store.read(action)
+}
+
+// Write implements port.Platform. An answer that was lost is reported as
+// StoreFailed, also if the transaction took effect.
+func (store *Store) Write(action event.WriteStore) {
+	go store.write(action)
+}
+
+// ListGroups implements port.Platform. An error has no answer.
+func (store *Store) ListGroups(event.ListGroups) {
+	go store.listGroups()
+}
+
+// ListHosts implements port.Platform. An error has no answer.
+func (store *Store) ListHosts(event.ListHosts) {
+	go store.listHosts()
+}
+
+func (store *Store) read(action event.ReadStore) {
+	ctx, cancel := context.WithTimeout(context.Background(), store.timeout)
+	defer cancel()
+	request := &platpb.ReadRowsRequest{Table: action.Table(), Prefix: action.Prefix()}
+	response, err := store.client.ReadRows(ctx, connect.NewRequest(request))
+	if err != nil {
+		store.inbox.Post(event.NewStoreFailed(action.Query()))
+		return
+	}
+	store.inbox.Post(event.NewStoreRead(action.Query(), rowsOf(response.Msg)))
+}
+
+func (store *Store) write(action event.WriteStore) {
+	ctx, cancel := context.WithTimeout(context.Background(), store.timeout)
+	defer cancel()
+	_, err := store.client.WriteRows(ctx, connect.NewRequest(writesOf(action)))
+	switch {
+	case err == nil:
+		store.inbox.Post(event.NewStoreWritten(action.Query()))
+	case connect.CodeOf(err) == connect.CodeAborted:
+		store.inbox.Post(event.NewStoreConflict(action.Query()))
+	default:
+		store.inbox.Post(event.NewStoreFailed(action.Query()))
+	}
+}
+
+func (store *Store) listGroups() {
+	ctx, cancel := context.WithTimeout(context.Background(), store.timeout)
+	defer cancel()
+	response, err := store.client.ListGroups(ctx, connect.NewRequest(&platpb.ListGroupsRequest{}))
+	if err == nil {
+		store.inbox.Post(event.NewGroupsListed(groupsOf(response.Msg)))
+	}
+}
+
+func (store *Store) listHosts() {
+	ctx, cancel := context.WithTimeout(context.Background(), store.timeout)
+	defer cancel()
+	response, err := store.client.ListHosts(ctx, connect.NewRequest(&platpb.ListHostsRequest{}))
+	if err != nil {
+		return
+	}
+	hosts := make([]model.Host, 0, len(response.Msg.GetHosts()))
+	for _, host := range response.Msg.GetHosts() {
+		hosts = append(hosts, model.NewHost(model.InstanceID(host.GetInstanceId()), host.GetLeaving()))
+	}
+	store.inbox.Post(event.NewHostsListed(hosts))
+}
--- /dev/null
+++ b/internal/plug/deploy/deploy.go
@@ -0,0 +1,109 @@
+// Package deploy is the plug-in that keeps the deployments: it puts revisions in
+// force, confirms that the one in force is current, carries out operators'
+// changes and spreads them to the other proxies.
+package deploy
+
+import (
+	"almondway.dev/almondway/internal/core/codes"
+	"almondway.dev/almondway/internal/core/event"
+	"almondway.dev/almondway/internal/core/kern"
+	"almondway.dev/almondway/internal/core/model"
+	"almondway.dev/almondway/internal/core/table"
+)
+
+func init() {
+	kern.Register("deploy", kern.RankDeployments, func(context *kern.Context) kern.Plugin {
+		return New(context)
+	})
+}
+
+// Deploy is the plug-in.
+type Deploy struct {
+	context *kern.Context
+	client  *table.Client
+	lease   *lease
+	loader  *loader
+	spread  *spread
+}
+
+// New returns the plug-in of the kernel that context belongs to. It starts with
+// the kernel's clock.
+func New(context *kern.Context) *Deploy {
+	client := table.New(context)
+	lease := newLease(context)
+	spread := newSpread(context, lease)
+	deploy := &Deploy{
+		context: context,
+		client:  client,
+		lease:   lease,
+		loader:  newLoader(context, client, lease, spread),
+		spread:  spread,
+	}
+	context.Timers().After(0, deploy.start)
+	return deploy
+}
+
+// Handle implements kern.Plugin.
+func (deploy *Deploy) Handle(received event.Event) {
+	deploy.client.Handle(received)
+	switch received := received.(type) {
+	case event.PeerReceived:
+		deploy.receive(received)
+	case event.OperatorAsked:
+		deploy.command(received)
+	}
+}
+
+func (deploy *Deploy) start() {
+	deploy.lease.start()
+	deploy.loader.start()
+	deploy.spread.start()
+}
+
+func (deploy *Deploy) receive(received event.PeerReceived) {
+	switch message := received.Message().(type) {
+	case event.Heartbeat:
+		deploy.lease.hear(message.Proxy(), message.Revision())
+		deploy.spread.hear(message)
+		if revision, _ := deploy.context.State().Revision(); message.Revision() > revision {
+			deploy.loader.hurry()
+		}
+	case event.CatalogPush:
+		deploy.loader.put(message.Revision(), message.Deployments(), "pushed by "+string(message.Proxy()))
+		deploy.spread.acknowledge(message.Proxy())
+	case event.CatalogAck:
+		deploy.lease.hear(message.Proxy(), message.Revision())
+		deploy.spread.check()
+	}
+}
+
+func (deploy *Deploy) command(asked event.OperatorAsked) {
+	switch command := asked.Command().(type) {
+	case event.ApplyDeployment:
+		deploy.apply(asked.Ask(), command)
+	case event.DeleteDeployment:
+		deploy.remove(asked.Ask(), command)
+	case event.GetDeployments:
+		deploy.list(asked.Ask())
+	case event.GetHistory:
+		deploy.history(asked.Ask(), command.Name())
+	}
+}
+
+func (deploy *Deploy) list(ask model.AskID) {
+	state := deploy.context.State()
+	revision, known := state.Revision()
+	if !known {
+		deploy.refuse(ask, codes.StoreUnavailable, "no revision of the deployments is known yet")
+		return
+	}
+	deploy.answer(ask, event.NewDeployments(revision, state.Deployments()))
+}
+
+func (deploy *Deploy) answer(ask model.AskID, result event.Result) {
+	deploy.context.Emit(event.NewAnswerOperator(ask, result))
+}
+
+func (deploy *Deploy) refuse(ask model.AskID, code codes.Code, detail string) {
+	deploy.answer(ask, event.NewRefused(code, detail, retryAfter(code)))
+}
--- /dev/null
+++ b/internal/plug/deploy/loader.go
@@ -0,0 +1,149 @@
+package deploy
+
+import (
+	"time"
+
+	"almondway.dev/almondway/internal/core/event"
+	"almondway.dev/almondway/internal/core/kern"
+	"almondway.dev/almondway/internal/core/model"
+	"almondway.dev/almondway/internal/core/table"
+)
+
+// headReadRate is how many reads of the head row all proxies together make per second.
+const headReadRate = 200
+
+// loader reads the catalog from the store and puts revisions in force.
+type loader struct {
+	context *kern.Context
+	client  *table.Client
+	lease   *lease
+	spread  *spread
+	reading bool
+	pending bool // another read was asked for while one was on its way
+}
+
+func newLoader(context *kern.Context, client *table.Client, lease *lease, spread *spread) *loader {
+	return &loader{context: context, client: client, lease: lease, spread: spread}
+}
+
+// start reads the head row now and from then on again and again.
+func (loader *loader) start() { loader.poll() }
+
+func (loader *loader) poll() {
+	loader.hurry()
+	proxies := time.Duration(len(loader.context.State().Registered()))
+	interval := max(loader.context.Settings().StorePollInterval(), proxies*time.Second/headReadRate)
+	loader.context.Timers().After(interval, loader.poll)
+}
+
+// hurry reads the head row now, or once the read that is on its way has ended.
+func (loader *loader) hurry() {
+	if loader.reading {
+		loader.pending = true
+		return
+	}
+	loader.reading = true
+	sentAt := loader.context.Now()
+	loader.client.Read(catalogTable, headKey, func(rows []model.Row, ok bool) {
+		loader.reading = false
+		if ok {
+			loader.compare(rows, sentAt)
+		}
+		loader.resume()
+	})
+}
+
+// resume starts the read that was asked for meanwhile.
+func (loader *loader) resume() {
+	if loader.pending && !loader.reading {
+		loader.pending = false
+		loader.hurry()
+	}
+}
+
+// compare takes the head row, as it was at sentAt or later.
+func (loader *loader) compare(rows []model.Row, sentAt time.Duration) {
+	row, _ := table.Find(rows, headKey)
+	head, err := decodeHead(row)
+	if err != nil {
+		loader.log("catalog_unreadable", 0, err.Error())
+		return
+	}
+	revision, known := loader.context.State().Revision()
+	if !known || head.Revision > revision {
+		loader.load(head.Revision)
+	}
+	if known && head.Revision <= revision {
+		loader.lease.confirm(revision, sentAt)
+	}
+}
+
+// load reads the deployments of a revision. Their rows are those of the revision
+// if the head row still carries it afterwards.
+func (loader *loader) load(revision uint64) {
+	loader.reading = true
+	loader.client.Read(catalogTable, deploymentPrefix, func(rows []model.Row, ok bool) {
+		if !ok {
+			loader.reading = false
+			loader.resume()
+			return
+		}
+		loader.verify(revision, rows)
+	})
+}
+
+func (loader *loader) verify(revision uint64, deployments []model.Row) {
+	sentAt := loader.context.Now()
+	loader.client.Read(catalogTable, headKey, func(rows []model.Row, ok bool) {
+		loader.reading = false
+		if ok {
+			loader.settle(revision, deployments, rows, sentAt)
+		}
+		loader.resume()
+	})
+}
+
+// settle takes the head row that was read after the deployments.
+func (loader *loader) settle(revision uint64, deployments, rows []model.Row, sentAt time.Duration) {
+	row, _ := table.Find(rows, headKey)
+	head, err := decodeHead(row)
+	if err == nil && head.Revision == revision {
+		loader.install(revision, deployments, sentAt)
+		return
+	}
+	loader.compare(rows, sentAt)
+}
+
+func (loader *loader) install(revision uint64, rows []model.Row, sentAt time.Duration) {
+	deployments := make([]*model.Deployment, 0, len(rows))
+	for _, row := range rows {
+		deployment, err := model.DecodeDeployment(row.Value())
+		if err != nil {
+			loader.log("catalog_unreadable", revision, err.Error())
+			return
+		}
+		deployments = append(deployments, deployment)
+	}
+	loader.put(revision, deployments, "read from the store")
+	loader.lease.confirm(revision, sentAt)
+}
+
+// put puts a revision in force unless one as high is in force already.
+func (loader *loader) put(revision uint64, deployments []*model.Deployment, reason string) {
+	if !loader.context.State().SetDeployments(revision, deployments) {
+		return
+	}
+	loader.lease.update()
+	loader.log("revision_in_force", revision, reason)
+	loader.context.Publish(event.NewCatalogChanged(revision))
+	loader.spread.check()
+}
+
+func (loader *loader) log(name string, revision uint64, reason string) {
+	loader.context.Emit(event.NewLogDecision(model.Decision{
+		Name:     name,
+		Proxy:    loader.context.State().Self().ID(),
+		Revision: revision,
+		Reason:   reason,
+	}))
+}
--- /dev/null
+++ b/internal/plug/member/registry.go
@@ -0,0 +1,198 @@
+package member
+
+import (
+	"encoding/json"
+	"time"
+
+	"almondway.dev/almondway/internal/core/event"
+	"almondway.dev/almondway/internal/core/kern"
+	"almondway.dev/almondway/internal/core/model"
+	"almondway.dev/almondway/internal/core/table"
+)
+
+const (
+	proxiesTable = "proxies"
+
+	// The intervals hold as long as all proxies together stay under the rates.
+	registryReadInterval  = 2 * time.Second
+	registryReadRate      = 100 // reads per second of all proxies
+	registryWriteInterval = 10 * time.Second
+	registryWriteRate     = 20 // writes per second of all proxies
+
+	// deadRowLimit is how long a row stays unchanged before it is removed. It
+	// lies above the time for which regions lose each other, because a proxy
+	// without a row has no voice in the confirmation of a revision.
+	deadRowLimit = 15 * time.Minute
+)
+
+// proxyRecord is the value of a row of the table.
+type proxyRecord struct {
+	Address    string           `json:"address"`
+	DataCenter model.DataCenter `json:"data_center"`
+	At         time.Time        `json:"at"`
+}
+
+// registry keeps this proxy's row in the table of proxies and reads the others'.
+type registry struct {
+	context   *kern.Context
+	client    *table.Client
+	peers     *peers
+	version   uint64
+	withdrawn bool
+	writing   bool
+	seen      map[model.ProxyID]seenRow
+}
+
+// seenRow is the version of a row and when this proxy saw it first. The age of
+// a row rests on this proxy's own clock.
+type seenRow struct {
+	version uint64
+	since   time.Duration
+}
+
+func newRegistry(context *kern.Context, client *table.Client, peers *peers) *registry {
+	return &registry{
+		context: context,
+		client:  client,
+		peers:   peers,
+		seen:    make(map[model.ProxyID]seenRow),
+	}
+}
+
+func (registry *registry) start() {
+	registry.refresh()
+	registry.poll()
+}
+
+// withdraw removes this proxy's row: it takes no new work and needs no voice.
+func (registry *registry) withdraw() {
+	if registry.withdrawn {
+		return
+	}
+	registry.withdrawn = true
+	if registry.version > 0 {
+		registry.remove(registry.self(), registry.version)
+	}
+}
+
+func (registry *registry) refresh() {
+	if registry.withdrawn {
+		return
+	}
+	registry.write()
+	interval := registry.scaled(registryWriteInterval, registryWriteRate)
+	if registry.version == 0 {
+		interval = registryReadInterval
+	}
+	registry.context.Timers().After(interval, registry.refresh)
+}
+
+func (registry *registry) write() {
+	if registry.writing {
+		return
+	}
+	value, err := json.Marshal(proxyRecord{
+		Address:    registry.context.State().Self().Address(),
+		DataCenter: registry.context.State().Self().DataCenter(),
+		At:         registry.context.Wall().UTC(),
+	})
+	if err != nil {
+		return
+	}
+	registry.writing = true
+	expected := registry.version
+	row := model.NewRowWrite(proxiesTable, string(registry.self()), expected, value)
+	registry.client.Write([]model.RowWrite{row}, func(outcome table.Outcome) {
+		registry.writing = false
+		if outcome != table.Written {
+			registry.read()
+			return
+		}
+		registry.version = expected + 1
+		if registry.withdrawn {
+			registry.remove(registry.self(), registry.version)
+			return
+		}
+		registry.read()
+	})
+}
+
+func (registry *registry) poll() {
+	registry.read()
+	interval := registry.scaled(registryReadInterval, registryReadRate)
+	registry.context.Timers().After(interval, registry.poll)
+}
+
+func (registry *registry) read() {
+	registry.client.Read(proxiesTable, "", func(rows []model.Row, ok bool) {
+		if ok {
+			registry.apply(rows)
+		}
+	})
+}
+
+func (registry *registry) apply(rows []model.Row) {
+	registry.adopt(rows)
+	seen := make(map[model.ProxyID]seenRow, len(rows))
+	listed := make([]model.ProxyView, 0, len(rows))
+	for _, row := range rows {
+		id := model.ProxyID(row.Key())
+		if id == registry.self() {
+			continue
+		}
+		var record proxyRecord
+		if json.Unmarshal(row.Value(), &record) != nil {
+			continue
+		}
+		seen[id] = registry.observe(id, row.Version())
+		if registry.dead(id, seen[id]) {
+			registry.remove(id, row.Version())
+			continue
+		}
+		listed = append(listed, model.NewProxyView(id, record.Address, record.DataCenter, 0, false, 0))
+	}
+	registry.seen = seen
+	registry.peers.list(listed)
+}
+
+// adopt takes the version of this proxy's own row, which a lost answer leaves
+// open, and writes the row again if it is missing.
+func (registry *registry) adopt(rows []model.Row) {
+	if registry.writing || registry.withdrawn {
+		return
+	}
+	row, ok := table.Find(rows, string(registry.self()))
+	missing := !ok && registry.version != 0
+	registry.version = row.Version()
+	if missing {
+		registry.write()
+	}
+}
+
+func (registry *registry) observe(id model.ProxyID, version uint64) seenRow {
+	if previous, ok := registry.seen[id]; ok && previous.version == version {
+		return previous
+	}
+	return seenRow{version: version, since: registry.context.Now()}
+}
+
+func (registry *registry) dead(id model.ProxyID, row seenRow) bool {
+	return registry.context.Now()-row.since > deadRowLimit && !registry.peers.isLive(id)
+}
+
+func (registry *registry) remove(id model.ProxyID, version uint64) {
+	row := model.NewRowWrite(proxiesTable, string(id), version, nil)
+	registry.client.Write([]model.RowWrite{row}, func(outcome table.Outcome) {
+		if outcome == table.Written && id != registry.self() {
+			registry.context.Emit(event.NewLogDecision(model.Decision{Name: "proxy_removed", Proxy: id, Reason: "row was not refreshed"}))
+		}
+	})
+}
+
+func (registry *registry) self() model.ProxyID { return registry.context.State().Self().ID() }
+
+// scaled returns an interval with which all proxies together stay under rate.
+func (registry *registry) scaled(interval time.Duration, rate int) time.Duration {
+	proxies := len(registry.context.State().Registered())
+	return max(interval, time.Duration(proxies)*time.Second/time.Duration(rate))
+}
