failov: detection, promotion, switchover and stragglers

Cause: when a primary fails nobody else orders a promotion.

Change: the failov plug-in. Detection needs the replicas' corroboration; a promotion fences a majority with a term of its own, orders the member with the highest tail to lead and the others to follow; a promoter that meets a higher fence waits; a term that nobody leads is finished by another proxy. A switchover holds new writes back, here and by a heartbeat at the others, until the target has the primary's log. state notices an instance whose log went back: it is no member of a majority before it covers what a majority without it reported after the loss. Heartbeats name held groups and introduce known proxies.

Ruled out: fencing the old primary of a switchover before its successor has the log, because a fenced primary ships nothing.

No tests yet.

--- a/internal/core/event/peer.go
+++ b/internal/core/event/peer.go
@@ -13,6 +13,8 @@
 	draining  bool
 	leaving   []model.InstanceID
 	terms     []model.TermView
+	holding   []model.GroupID
+	known     []model.ProxyView
 }
 
 // NewHeartbeat returns a Heartbeat.
@@ -49,6 +51,25 @@
 // Terms returns the highest term and its primary that the sender knows, for each group.
 func (heartbeat Heartbeat) Terms() []model.TermView { return heartbeat.terms }
 
+// Holding returns the groups whose new writes wait while the sender moves their primary.
+func (heartbeat Heartbeat) Holding() []model.GroupID { return heartbeat.holding }
+
+// WithHolding returns a copy that names the groups whose new writes wait.
+func (heartbeat Heartbeat) WithHolding(holding []model.GroupID) Heartbeat {
+	heartbeat.holding = holding
+	return heartbeat
+}
+
+// Known returns the proxies that the sender knows. It is sent to a proxy that is
+// heard for the first time and empty otherwise.
+func (heartbeat Heartbeat) Known() []model.ProxyView { return heartbeat.known }
+
+// WithKnown returns a copy that names the proxies that the sender knows.
+func (heartbeat Heartbeat) WithKnown(known []model.ProxyView) Heartbeat {
+	heartbeat.known = known
+	return heartbeat
+}
+
 func (Heartbeat) isPeerMessage() {}
 
 // CatalogPush carries a whole revision of the deployments.
--- a/internal/core/state/group.go
+++ b/internal/core/state/group.go
@@ -14,6 +14,7 @@
 	term    model.Term
 	primary model.InstanceID
 	rounds  rounds
+	hold    hold
 }
 
 // NewGroup returns the view of a group of which nothing is known yet.
@@ -62,6 +63,7 @@
 	member.sentAt = sentAt
 	member.heard = true
 	member.failures = 0
+	group.recover(member)
 	if status.InTerm(status.Fence()) {
 		member.prove(status.Tail())
 	}
@@ -131,20 +133,10 @@
 
 // ReadIndex returns a Mark that covers every write that was acknowledged before
 // since, taken from reports whose probes were sent at since or later. It
-// reports false until a majority has reported.
+// reports false until a majority has reported. An instance that lost its log
+// does not count.
 func (group *Group) ReadIndex(since time.Duration) (model.Mark, bool) {
-	var index model.Mark
-	count := 0
-	for _, member := range group.members {
-		if !member.heard || member.sentAt < since {
-			continue
-		}
-		count++
-		if member.status.Tail().Covers(index) {
-			index = member.status.Tail()
-		}
-	}
-	return index, count >= group.Majority()
+	return group.indexWithout(nil, since)
 }
 
 // Within reports whether data at mark is at most bound old at the time now.
--- a/internal/core/state/member.go
+++ b/internal/core/state/member.go
@@ -18,6 +18,7 @@
 	listed    bool
 	announced bool
 	drained   bool
+	recovery  recovery
 }
 
 // Instance returns the instance as the platform lists it.
--- a/internal/core/tune/tune.go
+++ b/internal/core/tune/tune.go
@@ -24,6 +24,7 @@
 	MaxWaiting        int
 	DrainLimit        time.Duration
 	LedgerRetention   time.Duration
+	PeerSeeds         []string
 }
 
 const (
@@ -137,3 +138,7 @@
 
 // LedgerRetention returns how long the request ledger keeps its rows.
 func (settings *Settings) LedgerRetention() time.Duration { return settings.spec.LedgerRetention }
+
+// PeerSeeds returns the "ip:port" addresses of proxies that are greeted at start,
+// for the case that the table of proxies cannot be read. Callers must not change it.
+func (settings *Settings) PeerSeeds() []string { return settings.spec.PeerSeeds }
--- a/internal/edge/peers/decode.go
+++ b/internal/edge/peers/decode.go
@@ -45,7 +45,7 @@
 			model.InstanceID(term.GetPrimaryId()),
 		))
 	}
-	return event.NewHeartbeat(
+	heartbeat := event.NewHeartbeat(
 		model.ProxyID(encoded.GetProxyId()),
 		encoded.GetAddress(),
 		encoded.GetRevision(),
@@ -54,6 +54,24 @@
 		leaving,
 		terms,
 	)
+	return heartbeat.WithHolding(decodeHolding(encoded)).WithKnown(decodeKnown(encoded))
+}
+
+func decodeHolding(encoded *peerpb.Heartbeat) []model.GroupID {
+	holding := make([]model.GroupID, 0, len(encoded.GetHoldingGroupIds()))
+	for _, group := range encoded.GetHoldingGroupIds() {
+		holding = append(holding, model.GroupID(group))
+	}
+	return holding
+}
+
+func decodeKnown(encoded *peerpb.Heartbeat) []model.ProxyView {
+	known := make([]model.ProxyView, 0, len(encoded.GetKnownProxies()))
+	for _, proxy := range encoded.GetKnownProxies() {
+		id := model.ProxyID(proxy.GetId())
+		known = append(known, model.NewProxyView(id, proxy.GetAddress(), model.DataCenter(proxy.GetDataCenter()), 0, false, 0))
+	}
+	return known
 }
 
 func decodePush(encoded *peerpb.CatalogPush) (event.CatalogPush, error) {
--- a/internal/edge/peers/encode.go
+++ b/internal/edge/peers/encode.go
@@ -44,6 +44,16 @@
 			PrimaryId: string(term.Primary()),
 		})
 	}
+	for _, group := range heartbeat.Holding() {
+		encoded.HoldingGroupIds = append(encoded.HoldingGroupIds, string(group))
+	}
+	for _, proxy := range heartbeat.Known() {
+		encoded.KnownProxies = append(encoded.KnownProxies, &peerpb.Proxy{
+			Id:         string(proxy.ID()),
+			Address:    proxy.Address(),
+			DataCenter: string(proxy.DataCenter()),
+		})
+	}
 	return encoded
 }
 
--- /dev/null
+++ b/internal/plug/failov/move.go
@@ -0,0 +1,222 @@
+package failov
+
+import (
+	"fmt"
+	"time"
+
+	"almondway.dev/almondway/internal/core/codes"
+	"almondway.dev/almondway/internal/core/event"
+	"almondway.dev/almondway/internal/core/model"
+	"almondway.dev/almondway/internal/core/rank"
+	"almondway.dev/almondway/internal/core/state"
+)
+
+const (
+	// holdLimit is how long new writes are held back for a switchover.
+	holdLimit = 500 * time.Millisecond
+	// settleTime is how long writes that were sent before the hold may take to
+	// reach the primary.
+	settleTime = 30 * time.Millisecond
+	// moveLimit bounds a switchover with all its attempts.
+	moveLimit = 4 * time.Second
+	moveTries = 3
+	// moveRetry is the time between two switchovers away from a leaving primary.
+	moveRetry   = 2 * time.Second
+	moveStagger = 500 * time.Millisecond
+)
+
+// move is a switchover: new writes are held back until the target has the
+// primary's log, then a promotion makes it the primary.
+type move struct {
+	ask      model.AskID // the operator's call, or 0
+	target   model.InstanceID
+	heldAt   time.Duration
+	deadline time.Duration
+	tries    int
+}
+
+// beater is the service of the plug-in that sends heartbeats.
+type beater interface {
+	// Beat sends a heartbeat to every other proxy now.
+	Beat()
+}
+
+// command starts a switchover that an operator asks for.
+func (failover *Failover) command(ask model.AskID, command event.Switchover) {
+	group := failover.context.State().Group(command.Group())
+	if group == nil {
+		failover.refuse(ask, codes.UnknownGroup, fmt.Sprintf("the platform has no group %q", command.Group()))
+		return
+	}
+	watch := failover.watch(group)
+	target := group.Member(command.Target())
+	switch {
+	case group.Primary() == nil:
+		failover.refuse(ask, codes.NoPrimary, "no primary is known")
+		return
+	case command.Target() != "" && target == nil:
+		failover.refuse(ask, codes.SwitchoverFailed, fmt.Sprintf("group %q has no instance %q", group.ID(), command.Target()))
+		return
+	case target != nil && target == group.Primary():
+		failover.context.Emit(event.NewAnswerOperator(ask, event.NewMoved(group.Term(), target.ID())))
+		return
+	}
+	if command.Target() == "" {
+		target = failover.successor(watch)
+	}
+	if reason := failover.obstacle(watch, target); reason != "" {
+		failover.refuse(ask, codes.SwitchoverFailed, reason)
+		return
+	}
+	failover.startMove(watch, ask, target, "an operator asked for it")
+}
+
+// obstacle returns why a switchover to target cannot start, or the empty text.
+func (failover *Failover) obstacle(watch *watch, target *state.Member) string {
+	shared := failover.context.State()
+	switch {
+	case watch.attempt != nil || watch.move != nil:
+		return "the group is changing its primary already"
+	case shared.Promoter() == 0:
+		return "this proxy has no promoter number yet"
+	case shared.Draining():
+		return "this proxy is shutting down"
+	case target == nil:
+		return "no replica can take the lead"
+	case !failover.fresh(watch, target) || !follows(target, watch.group):
+		return fmt.Sprintf("instance %q does not follow the primary", target.ID())
+	default:
+		return ""
+	}
+}
+
+// successor returns the most advanced replica that stays, or nil.
+func (failover *Failover) successor(watch *watch) *state.Member {
+	var best *state.Member
+	for _, member := range watch.group.Members() {
+		if member.Leaving() || !failover.fresh(watch, member) || !follows(member, watch.group) {
+			continue
+		}
+		if best == nil || !best.Status().Tail().Covers(member.Status().Tail()) {
+			best = member
+		}
+	}
+	return best
+}
+
+// move starts a switchover if the primary leaves, and continues one that runs.
+func (failover *Failover) move(watch *watch) {
+	if watch.move != nil {
+		failover.continueMove(watch)
+		return
+	}
+	primary := watch.group.Primary()
+	now := failover.context.Now()
+	if primary == nil || !primary.Leaving() {
+		watch.moveAfter = 0
+		return
+	}
+	if watch.moveAfter == 0 {
+		shared := failover.context.State()
+		place := rank.Of("promote/"+string(watch.group.ID()), shared.Self().ID(), shared.Proxies())
+		watch.moveAfter = now + time.Duration(place)*moveStagger
+	}
+	target := failover.successor(watch)
+	if now < watch.moveAfter || failover.obstacle(watch, target) != "" {
+		return
+	}
+	watch.moveAfter = now + moveRetry
+	failover.startMove(watch, 0, target, "the primary is leaving")
+}
+
+func (failover *Failover) startMove(watch *watch, ask model.AskID, target *state.Member, reason string) {
+	now := failover.context.Now()
+	watch.move = &move{ask: ask, target: target.ID(), deadline: now + moveLimit, tries: moveTries}
+	failover.log(watch, model.Decision{Name: "switchover_started", Term: watch.group.Term(), Instance: target.ID(), Reason: reason})
+	failover.hold(watch)
+}
+
+// hold keeps new writes back, here and by a heartbeat at the other proxies.
+func (failover *Failover) hold(watch *watch) {
+	now := failover.context.Now()
+	watch.move.heldAt = now
+	watch.move.tries--
+	watch.group.Hold(now+holdLimit, true)
+	failover.beat()
+	failover.demand(watch)
+}
+
+func (failover *Failover) continueMove(watch *watch) {
+	now := failover.context.Now()
+	move := watch.move
+	target := watch.group.Member(move.target)
+	switch {
+	case now >= move.deadline || target == nil:
+		failover.failMove(watch, "it took too long")
+	case now >= move.heldAt+holdLimit:
+		failover.retryMove(watch, "the target did not catch up")
+	case caughtUp(watch.group, target, move.heldAt+settleTime):
+		failover.beginWith(watch, "switchover", move.target)
+	default:
+		failover.demand(watch)
+	}
+}
+
+// caughtUp reports whether the target had the primary's whole log at since or later.
+func caughtUp(group *state.Group, target *state.Member, since time.Duration) bool {
+	primary := group.Primary()
+	return primary != nil && primary.SentAt() >= since && target.SentAt() >= since &&
+		target.Status().InTerm(group.Term()) && target.Status().Tail().Covers(primary.Status().Tail())
+}
+
+// endMove looks at what the promotion of a switchover brought about.
+func (failover *Failover) endMove(watch *watch, changed event.TermChanged) {
+	move := watch.move
+	if move == nil {
+		return
+	}
+	if changed.Primary() != move.target {
+		failover.retryMove(watch, "another instance had more entries")
+		return
+	}
+	failover.release(watch)
+	failover.log(watch, model.Decision{Name: "switchover_done", Term: changed.Term(), Instance: changed.Primary()})
+	if move.ask != 0 {
+		failover.context.Emit(event.NewAnswerOperator(move.ask, event.NewMoved(changed.Term(), changed.Primary())))
+	}
+}
+
+func (failover *Failover) retryMove(watch *watch, reason string) {
+	if watch.move.tries == 0 {
+		failover.failMove(watch, reason)
+		return
+	}
+	failover.hold(watch)
+}
+
+func (failover *Failover) failMove(watch *watch, reason string) {
+	move := watch.move
+	failover.release(watch)
+	failover.log(watch, model.Decision{Name: "switchover_failed", Term: watch.group.Term(), Instance: move.target, Reason: reason})
+	if move.ask != 0 {
+		failover.refuse(move.ask, codes.SwitchoverFailed, reason)
+	}
+}
+
+// release lets writes go on, here and at the other proxies.
+func (failover *Failover) release(watch *watch) {
+	watch.move = nil
+	watch.group.Release()
+	failover.beat()
+	failover.context.Publish(event.NewGroupObserved(watch.group.ID()))
+}
+
+func (failover *Failover) beat() {
+	if member, ok := failover.context.Service("member").(beater); ok {
+		member.Beat()
+	}
+}
+
+func (failover *Failover) refuse(ask model.AskID, code codes.Code, detail string) {
+	failover.context.Emit(event.NewAnswerOperator(ask, event.NewRefused(code, detail, moveRetry)))
+}
--- a/internal/plug/member/member.go
+++ b/internal/plug/member/member.go
@@ -16,6 +16,9 @@
 	firstPollInterval = 250 * time.Millisecond
 )
 
+// ServiceName is the name under which the plug-in offers itself.
+const ServiceName = "member"
+
 func init() {
 	kern.Register("member", kern.RankMembership, func(context *kern.Context) kern.Plugin {
 		return New(context)
@@ -31,6 +34,7 @@
 	promoter *promoter
 	leaving  *leaving
 	drains   *drains
+	holds    *holds
 }
 
 // New returns the plug-in of the kernel that context belongs to. It starts with
@@ -47,11 +51,16 @@
 		promoter: newPromoter(context, client),
 		leaving:  leaving,
 		drains:   newDrains(context, client, leaving, peers),
+		holds:    newHolds(context),
 	}
+	context.Offer(ServiceName, member)
 	context.Timers().After(0, member.start)
 	return member
 }
 
+// Beat sends a heartbeat to every other proxy now.
+func (member *Member) Beat() { member.peers.beat() }
+
 // Handle implements kern.Plugin.
 func (member *Member) Handle(received event.Event) {
 	member.client.Handle(received)
@@ -104,6 +113,7 @@
 func (member *Member) receive(received event.PeerReceived) {
 	if heartbeat, ok := received.Message().(event.Heartbeat); ok {
 		member.peers.hear(heartbeat)
+		member.holds.hear(heartbeat)
 	}
 }
 
--- a/internal/plug/member/peers.go
+++ b/internal/plug/member/peers.go
@@ -34,11 +34,26 @@
 }
 
 func (peers *peers) start() {
+	peers.greet()
 	peers.beat()
 	peers.context.Timers().Every(peers.context.Settings().HeartbeatInterval(), peers.tick)
 }
 
+// greet sends a heartbeat to the addresses from the settings as long as no other
+// proxy is known. It helps a proxy that starts while the table cannot be read.
+func (peers *peers) greet() {
+	if len(peers.byID) > 0 {
+		return
+	}
+	for _, address := range peers.context.Settings().PeerSeeds() {
+		if address != peers.context.State().Self().Address() {
+			peers.context.Emit(event.NewSendPeer(address, peers.heartbeat()))
+		}
+	}
+}
+
 func (peers *peers) tick() {
+	peers.greet()
 	peers.forget()
 	peers.update()
 	peers.beat()
@@ -82,8 +97,9 @@
 	known.heard = true
 	known.heardAt = peers.context.Now()
 	peers.update()
+	peers.meet(heartbeat.Known())
 	if first {
-		peers.context.Emit(event.NewSendPeer(known.address, peers.heartbeat()))
+		peers.context.Emit(event.NewSendPeer(known.address, peers.heartbeat().WithKnown(peers.views())))
 	}
 	peers.leaving.announce(heartbeat.Proxy(), heartbeat.Leaving())
 	for _, term := range heartbeat.Terms() {
@@ -91,6 +107,24 @@
 	}
 }
 
+// meet takes proxies that another proxy knows. They have a voice until the table
+// shows that they are gone.
+func (peers *peers) meet(known []model.ProxyView) {
+	for _, proxy := range known {
+		if proxy.ID() == peers.context.State().Self().ID() || peers.byID[proxy.ID()] != nil {
+			continue
+		}
+		met := peers.peer(proxy.ID())
+		met.address = proxy.Address()
+		met.dataCenter = proxy.DataCenter()
+		met.listed = true
+		peers.context.Emit(event.NewSendPeer(met.address, peers.heartbeat()))
+	}
+	if len(known) > 0 {
+		peers.update()
+	}
+}
+
 // lead takes what another proxy knows of the leadership of a group.
 func (peers *peers) lead(view model.TermView) {
 	group := peers.context.State().Group(view.Group())
@@ -104,13 +138,18 @@
 	state := peers.context.State()
 	revision, _ := state.Revision()
 	var terms []model.TermView
+	var holding []model.GroupID
 	for _, group := range state.Groups() {
+		if group.HoldsOwn(peers.context.Now()) {
+			holding = append(holding, group.ID())
+		}
 		if primary := group.Primary(); primary != nil {
 			terms = append(terms, model.NewTermView(group.ID(), group.Term(), primary.ID()))
 		}
 	}
 	self := state.Self()
-	return event.NewHeartbeat(self.ID(), self.Address(), revision, state.Confirmed(), state.Draining(), peers.leaving.firstHand(), terms)
+	heartbeat := event.NewHeartbeat(self.ID(), self.Address(), revision, state.Confirmed(), state.Draining(), peers.leaving.firstHand(), terms)
+	return heartbeat.WithHolding(holding)
 }
 
 // isLive reports whether the proxy was heard within the limit.
