--- a/internal/core/state/member.go
+++ b/internal/core/state/member.go
@@ -18,6 +18,7 @@
 	listed    bool
 	announced bool
 	drained   bool
+	recovery  recovery
 }
 
 // Instance returns the instance as the platform lists it.
@@ -74,7 +75,7 @@
 }
 
 func (member *Member) reportedSince(since time.Duration) bool {
-	return member.heard && member.sentAt >= since
+	return member.heard && member.sentAt >= since && !member.Recovering()
 }
 
 func (member *Member) prove(mark model.Mark) {
