app: settings, log and frame of the proxy process

Cause: nothing could be started yet. Change: almondway proxy reads every setting from flags and ALMONDWAY_ variables, checks them all and reports every fault at once; decisions become JSON lines with sampling of routing lines; a signal asks the kernel for a shutdown, a second one or the drain limit ends it. Ruled out: pflag's own value types, since they stop at the first fault. Run: tests of internal/app; almondway proxy started and stopped by hand. Conclusion: the frame stands; adapters are wired as they come.

--- a/cmd/almondway/main.go
+++ b/cmd/almondway/main.go
@@ -1,4 +1,12 @@
-// Command almondway is built from the package of its command line.
+// Command almondway is a database proxy and the operator's client of its administration API.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"almondway.dev/almondway/internal/app/cli"
+)
+
+func main() {
+	os.Exit(cli.Run(os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/internal/app/cli/version.go
@@ -0,0 +1,35 @@
+package cli
+
+import (
+	"fmt"
+	"runtime"
+	"runtime/debug"
+
+	"github.com/spf13/cobra"
+)
+
+func newVersion() *cobra.Command {
+	return &cobra.Command{
+		Use:   "version",
+		Short: "Print the version",
+		Args:  cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			_, err := fmt.Fprintf(command.OutOrStdout(), "almondway %s %s\n", version(), runtime.Version())
+			return err
+		},
+	}
+}
+
+// version returns the module's version, or the revision of the source.
+func version() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "unknown"
+	}
+	for _, setting := range info.Settings {
+		if setting.Key == "vcs.revision" {
+			return setting.Value
+		}
+	}
+	return info.Main.Version
+}
--- /dev/null
+++ b/internal/app/config/setting.go
@@ -0,0 +1,70 @@
+package config
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// setting is one setting in its text form.
+type setting struct {
+	flag  string
+	kind  string
+	usage string
+	get   func(spec *Spec) string
+	set   func(spec *Spec, text string) error
+}
+
+func textSetting(flag, kind, usage string, field func(spec *Spec) *string) setting {
+	return setting{
+		flag:  flag,
+		kind:  kind,
+		usage: usage,
+		get:   func(spec *Spec) string { return *field(spec) },
+		set: func(spec *Spec, text string) error {
+			*field(spec) = text
+			return nil
+		},
+	}
+}
+
+func intSetting(flag, usage string, least int, field func(spec *Spec) *int) setting {
+	return setting{
+		flag:  flag,
+		kind:  "int",
+		usage: usage,
+		get:   func(spec *Spec) string { return strconv.Itoa(*field(spec)) },
+		set: func(spec *Spec, text string) error {
+			number, err := strconv.Atoi(text)
+			if err != nil {
+				return errors.Errorf("%q is not a whole number", text)
+			}
+			if number < least {
+				return errors.Errorf("%d is below the least value %d", number, least)
+			}
+			*field(spec) = number
+			return nil
+		},
+	}
+}
+
+func durationSetting(flag, usage string, field func(spec *Spec) *time.Duration) setting {
+	return setting{
+		flag:  flag,
+		kind:  "duration",
+		usage: usage,
+		get:   func(spec *Spec) string { return field(spec).String() },
+		set: func(spec *Spec, text string) error {
+			duration, err := time.ParseDuration(text)
+			if err != nil {
+				return errors.Errorf("%q is not a duration with a unit, as in 500ms or 30s", text)
+			}
+			if duration <= 0 {
+				return errors.Errorf("%s is not above 0", duration)
+			}
+			*field(spec) = duration
+			return nil
+		},
+	}
+}
--- /dev/null
+++ b/internal/app/logs/journal_test.go
@@ -0,0 +1,96 @@
+package logs_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"almondway.dev/almondway/internal/app/logs"
+	"almondway.dev/almondway/internal/core/codes"
+	"almondway.dev/almondway/internal/core/model"
+)
+
+func TestDecide(t *testing.T) {
+	tests := []struct {
+		name     string
+		level    string
+		sample   int
+		decision model.Decision
+		want     map[string]any
+	}{
+		{
+			name: "routing", level: "info", sample: 1,
+			decision: model.Decision{Name: "route", Caller: 3, Seq: 7, RequestID: "r-1", Deployment: "gradski", Kind: "browse", Group: "katalog-1", Instance: "katalog-1-b", Reason: "nearest"},
+			want:     map[string]any{"event": "route", "level": "info", "caller": 3.0, "seq": 7.0, "request_id": "r-1", "deployment": "gradski", "kind": "browse", "group": "katalog-1", "instance": "katalog-1-b", "reason": "nearest"},
+		},
+		{
+			name: "placement", level: "info",
+			decision: model.Decision{Name: "promote", Group: "katalog-1", Instance: "katalog-1-b", Term: 9, Reason: "refused"},
+			want:     map[string]any{"event": "promote", "level": "info", "group": "katalog-1", "instance": "katalog-1-b", "term": 9.0, "reason": "refused"},
+		},
+		{name: "not in the sample", level: "info", sample: 10, decision: model.Decision{Name: "route", Seq: 7}},
+		{name: "sampling off", level: "info", decision: model.Decision{Name: "route", Seq: 10}},
+		{
+			name: "in the sample", level: "info", sample: 10,
+			decision: model.Decision{Name: "route", Seq: 20},
+			want:     map[string]any{"event": "route", "level": "info", "seq": 20.0},
+		},
+		{
+			name: "unknown outcome whatever the sampling", level: "warn",
+			decision: model.Decision{Name: "answer", Seq: 7, Code: codes.OutcomeUnknown},
+			want:     map[string]any{"event": "answer", "level": "warning", "seq": 7.0, "code": "AW301 outcome_unknown"},
+		},
+		{name: "below the level", level: "error", sample: 1, decision: model.Decision{Name: "promote"}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			var output bytes.Buffer
+			log, err := logs.New(&output, test.level, test.sample)
+			is.NoErr(err)
+			log.Decide(test.decision)
+			if test.want == nil {
+				is.Equal(output.String(), "")
+				return
+			}
+			is.Equal(strings.Count(output.String(), "\n"), 1)
+			var line map[string]any
+			is.NoErr(json.Unmarshal(output.Bytes(), &line))
+			delete(line, "time")
+			is.Equal(line, test.want)
+		})
+	}
+}
+
+func TestSettableAtRunTime(t *testing.T) {
+	is := is.New(t)
+	var output bytes.Buffer
+	log, err := logs.New(&output, "error", 0)
+	is.NoErr(err)
+	log.Decide(model.Decision{Name: "route", Seq: 1})
+	is.Equal(output.Len(), 0)
+	is.NoErr(log.SetLevel("info"))
+	is.NoErr(log.SetSample(1))
+	log.Decide(model.Decision{Name: "route", Seq: 1})
+	is.True(output.Len() > 0)
+	is.True(log.SetLevel("loud") != nil)
+	is.True(log.SetSample(-1) != nil)
+	is.Equal(log.Level(), "info")
+	is.Equal(log.Sample(), 1)
+}
+
+func BenchmarkDecide(b *testing.B) {
+	log, err := logs.New(io.Discard, "info", 1)
+	if err != nil {
+		b.Fatal(err)
+	}
+	decision := model.Decision{Name: "route", Caller: 3, Seq: 7, RequestID: "0197d9a0-0000-7000-8000-000000000001", Deployment: "gradski", Kind: "browse", Group: "katalog-1", Instance: "katalog-1-b", Reason: "replica"}
+	b.ReportAllocs()
+	for b.Loop() {
+		log.Decide(decision)
+	}
+}
