admin: administration API with roles and result codes

Cause: operators had no way in. Change: schema of the administration API with typed messages, its server, which turns calls into events and answers into responses, bearer tokens of two roles from files that are read again when they change, certificates that are reloaded, and the loop's Inspect for status. Ruled out: deployments as JSON texts in the schema, since clients of other languages would need our form; a status command in the kernel, since the loop can show its state. Run: tests of internal/edge/admin (roles, lost and doubled answers, stream, reload). Conclusion: calls are served; the frame does not listen yet.

--- a/internal/app/daemon/daemon.go
+++ b/internal/app/daemon/daemon.go
@@ -5,9 +5,12 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"almondway.dev/almondway/internal/core/event"
 	"almondway.dev/almondway/internal/core/kern"
 	"almondway.dev/almondway/internal/core/port"
+	"almondway.dev/almondway/internal/core/state"
 )
 
 const (
@@ -31,13 +34,19 @@
 	kernel *kern.Kernel
 	start  time.Time
 	inbox  chan event.Event
+	looks  chan func(shared *state.State)
 	ports  Ports
 }
 
 // New returns a Loop for the kernel, whose clock stood at zero at start. The
 // ports are set with Connect before Run.
 func New(kernel *kern.Kernel, start time.Time) *Loop {
-	return &Loop{kernel: kernel, start: start, inbox: make(chan event.Event, inboxSize)}
+	return &Loop{
+		kernel: kernel,
+		start:  start,
+		inbox:  make(chan event.Event, inboxSize),
+		looks:  make(chan func(shared *state.State)),
+	}
 }
 
 // Connect sets the adapters.
@@ -46,6 +55,23 @@
 // Post implements port.Inbox. It blocks while the inbox is full.
 func (loop *Loop) Post(received event.Event) { loop.inbox <- received }
 
+// Inspect calls look with the shared state in the loop's goroutine and waits for
+// it. look must not change the state. After an error look was not called.
+func (loop *Loop) Inspect(ctx context.Context, look func(shared *state.State)) error {
+	done := make(chan struct{})
+	task := func(shared *state.State) {
+		look(shared)
+		close(done)
+	}
+	select {
+	case loop.looks <- task:
+	case <-ctx.Done():
+		return errors.Wrap(ctx.Err(), "inspect state")
+	}
+	<-done
+	return nil
+}
+
 // Run handles events and timers until the context ends.
 func (loop *Loop) Run(ctx context.Context) {
 	wake := time.NewTimer(0)
@@ -56,6 +82,8 @@
 			return
 		case received := <-loop.inbox:
 			loop.carryOut(loop.kernel.Handle(time.Since(loop.start), received))
+		case look := <-loop.looks:
+			look(loop.kernel.State())
 		case <-wake.C:
 			loop.carryOut(loop.kernel.Tick(time.Since(loop.start)))
 		}
--- /dev/null
+++ b/internal/edge/admin/admin.go
@@ -0,0 +1,129 @@
+// Package admin serves the administration API. Calls become events of the
+// kernel; its answers become responses.
+package admin
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"almondway.dev/almondway/internal/core/codes"
+	"almondway.dev/almondway/internal/core/event"
+	"almondway.dev/almondway/internal/core/model"
+	"almondway.dev/almondway/internal/core/port"
+	"almondway.dev/almondway/internal/core/state"
+	"almondway.dev/almondway/internal/proto/admpb"
+)
+
+const (
+	// askTimeout is the time after which the kernel's answer is no longer waited for.
+	askTimeout = 15 * time.Second
+	// watchInterval is the time between two looks at the revision in force.
+	watchInterval = 200 * time.Millisecond
+	retryAfter    = time.Second
+)
+
+// Inspector looks at the shared state of the kernel.
+type Inspector interface {
+	Inspect(ctx context.Context, look func(shared *state.State)) error
+}
+
+// Logging is the part of the log that operators may change.
+type Logging interface {
+	Level() string
+	SetLevel(level string) error
+	Sample() int
+	SetSample(sample int) error
+}
+
+// Spec lists what an Admin needs.
+type Spec struct {
+	Proxy     model.ProxyID
+	Version   string
+	Started   time.Time
+	Settings  []*admpb.Setting
+	Tokens    *Tokens
+	Inspector Inspector
+	Logging   Logging
+}
+
+// Admin implements port.Operators and the AdminService. It may be used by several goroutines.
+type Admin struct {
+	spec   Spec
+	inbox  port.Inbox
+	lastID atomic.Uint64
+
+	mutex   sync.Mutex
+	pending map[model.AskID]chan event.Result
+}
+
+var (
+	_ admpb.AdminServiceHandler = (*Admin)(nil)
+	_ port.Operators            = (*Admin)(nil)
+)
+
+// New returns an Admin that posts what operators ask to inbox.
+func New(spec Spec, inbox port.Inbox) *Admin {
+	return &Admin{spec: spec, inbox: inbox, pending: make(map[model.AskID]chan event.Result)}
+}
+
+// Handler returns the path and the handler of the AdminService.
+func (admin *Admin) Handler() (string, http.Handler) {
+	return admpb.NewAdminServiceHandler(admin, connect.WithInterceptors(guard{tokens: admin.spec.Tokens}))
+}
+
+// Answer implements port.Operators. An answer that nobody waits for is dropped.
+func (admin *Admin) Answer(action event.AnswerOperator) {
+	admin.mutex.Lock()
+	waiting, ok := admin.pending[action.Ask()]
+	delete(admin.pending, action.Ask())
+	admin.mutex.Unlock()
+	if ok {
+		waiting <- action.Result()
+	}
+}
+
+// ask posts a command and waits for its result. late is the code of a result
+// that does not come in time.
+func (admin *Admin) ask(ctx context.Context, command event.Command, late codes.Code) (event.Result, error) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	ask := model.AskID(admin.lastID.Add(1))
+	waiting := make(chan event.Result, 1)
+	admin.mutex.Lock()
+	admin.pending[ask] = waiting
+	admin.mutex.Unlock()
+	admin.inbox.Post(event.NewOperatorAsked(ask, command))
+	select {
+	case result := <-waiting:
+		if refused, ok := result.(event.Refused); ok {
+			return nil, refusal(refused)
+		}
+		return result, nil
+	case <-ctx.Done():
+		admin.mutex.Lock()
+		delete(admin.pending, ask)
+		admin.mutex.Unlock()
+		return nil, fault(late, "the proxy gave no answer in time", retryAfter)
+	}
+}
+
+// unexpected is the error of a result that does not belong to its command.
+func unexpected(result event.Result) error {
+	return fault(codes.Internal, fmt.Sprintf("unexpected result %T of the kernel", result), 0)
+}
+
+// inspect looks at the shared state for one call.
+func (admin *Admin) inspect(ctx context.Context, look func(shared *state.State)) error {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	if err := admin.spec.Inspector.Inspect(ctx, look); err != nil {
+		return fault(codes.DeadlineExceeded, "the proxy gave no answer in time", retryAfter)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/edge/admin/admin_test.go
@@ -0,0 +1,236 @@
+package admin_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/matryer/is"
+
+	"almondway.dev/almondway/internal/core/codes"
+	"almondway.dev/almondway/internal/core/event"
+	"almondway.dev/almondway/internal/core/model"
+	"almondway.dev/almondway/internal/core/state"
+	"almondway.dev/almondway/internal/edge/admin"
+	"almondway.dev/almondway/internal/edge/schema"
+	"almondway.dev/almondway/internal/proto/admpb"
+)
+
+const (
+	readerToken   = "reader-token-0123456789"
+	operatorToken = "operator-token-0123456789"
+)
+
+// script is an inbox that answers each command with the next result of a list.
+type script struct {
+	answer  func(action event.AnswerOperator)
+	results []event.Result
+	posted  []event.Event
+	noticed func()
+}
+
+func (script *script) Post(received event.Event) {
+	script.posted = append(script.posted, received)
+	if script.noticed != nil {
+		script.noticed()
+	}
+	asked, ok := received.(event.OperatorAsked)
+	if !ok || len(script.results) == 0 {
+		return
+	}
+	result := script.results[0]
+	script.results = script.results[1:]
+	script.answer(event.NewAnswerOperator(asked.Ask(), result))
+	script.answer(event.NewAnswerOperator(asked.Ask(), result)) // an answer that comes twice is dropped
+}
+
+type fixedState struct{ shared *state.State }
+
+func (fixedState fixedState) Inspect(_ context.Context, look func(shared *state.State)) error {
+	look(fixedState.shared)
+	return nil
+}
+
+type fakeLogging struct {
+	level  string
+	sample int
+}
+
+func (fakeLogging *fakeLogging) Level() string { return fakeLogging.level }
+
+func (fakeLogging *fakeLogging) SetLevel(level string) error {
+	fakeLogging.level = level
+	return nil
+}
+
+func (fakeLogging *fakeLogging) Sample() int { return fakeLogging.sample }
+
+func (fakeLogging *fakeLogging) SetSample(sample int) error {
+	fakeLogging.sample = sample
+	return nil
+}
+
+type bench struct {
+	script *script
+	shared *state.State
+	server *httptest.Server
+}
+
+func newBench(t *testing.T, tokens *admin.Tokens, results ...event.Result) *bench {
+	t.Helper()
+	shared := state.New(model.NewProxyView("proxy-1", "127.0.0.1:1", "dc", 0, false, 0))
+	shared.SetGroups([]model.Group{model.NewGroup("katalog-1", []model.Instance{model.NewInstance("katalog-1-a", "127.0.0.1:2", "dc")})})
+	script := &script{results: results}
+	served := admin.New(admin.Spec{
+		Proxy:     "proxy-1",
+		Started:   time.Now(),
+		Tokens:    tokens,
+		Inspector: fixedState{shared: shared},
+		Logging:   &fakeLogging{level: "info"},
+	}, script)
+	script.answer = served.Answer
+	mux := http.NewServeMux()
+	mux.Handle(served.Handler())
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	return &bench{script: script, shared: shared, server: server}
+}
+
+func (bench *bench) client(token string) admpb.AdminServiceClient {
+	bearer := connect.UnaryInterceptorFunc(func(next connect.UnaryFunc) connect.UnaryFunc {
+		return func(ctx context.Context, request connect.AnyRequest) (connect.AnyResponse, error) {
+			if token != "" {
+				request.Header().Set("Authorization", "Bearer "+token)
+			}
+			return next(ctx, request)
+		}
+	})
+	return admpb.NewAdminServiceClient(bench.server.Client(), bench.server.URL, connect.WithInterceptors(bearer))
+}
+
+func openTokens(t *testing.T) *admin.Tokens {
+	t.Helper()
+	tokens, err := admin.NewTokens("", "", true, func(error) {})
+	is.New(t).NoErr(err)
+	return tokens
+}
+
+func write(t *testing.T, name, content string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), name)
+	is.New(t).NoErr(os.WriteFile(path, []byte(content), 0o600))
+	return path
+}
+
+// resultCode returns the number in the detail of a failed call, or 0.
+func resultCode(err error) codes.Code {
+	failed := new(connect.Error)
+	if err == nil || !asConnect(err, &failed) {
+		return 0
+	}
+	for _, detail := range failed.Details() {
+		if value, err := detail.Value(); err == nil {
+			if message, ok := value.(*admpb.ResultCode); ok {
+				return codes.Code(message.GetNumber())
+			}
+		}
+	}
+	return 0
+}
+
+func deployment(group model.GroupID) *admpb.Deployment {
+	return schema.FromDeployment(model.NewDeployment(model.DeploymentSpec{
+		Name:      "gradski",
+		Groups:    []model.GroupID{group},
+		Kinds:     []model.Kind{model.NewKind(model.KindSpec{Name: "browse", Access: model.AccessRead, Staleness: 5 * time.Second})},
+		Classes:   []model.Class{model.NewClass(model.ClassSpec{Name: "student"})},
+		LagPolicy: model.LagWait,
+	}))
+}
+
+func TestApplyDeployment(t *testing.T) {
+	refused := event.NewRefused(codes.RevisionConflict, "revision 4 by mira", time.Second)
+	tests := []struct {
+		name     string
+		group    model.GroupID
+		changeID string
+		result   event.Result
+		want     codes.Code
+		status   connect.Code
+	}{
+		{name: "accepted", group: "katalog-1", changeID: "c-1", result: event.NewApplied(5, 2, 3)},
+		{name: "raced", group: "katalog-1", changeID: "c-1", result: refused, want: codes.RevisionConflict, status: connect.CodeAborted},
+		{name: "unlisted group", group: "katalog-9", changeID: "c-1", want: codes.InvalidDeployment, status: connect.CodeInvalidArgument},
+		{name: "no change id", group: "katalog-1", want: codes.InvalidDeployment, status: connect.CodeInvalidArgument},
+		{name: "wrong result", group: "katalog-1", changeID: "c-1", result: event.NewHistory(nil), want: codes.Internal, status: connect.CodeInternal},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			bench := newBench(t, openTokens(t), test.result)
+			response, err := bench.client("").ApplyDeployment(t.Context(), connect.NewRequest(&admpb.ApplyDeploymentRequest{
+				Deployment:       deployment(test.group),
+				ExpectedRevision: 4,
+				ChangeId:         test.changeID,
+				Operator:         "ivo",
+			}))
+			is.Equal(resultCode(err), test.want)
+			if test.want != codes.OK {
+				is.Equal(connect.CodeOf(err), test.status)
+				return
+			}
+			is.NoErr(err)
+			is.Equal(response.Msg.GetRevision(), uint64(5))
+			command := bench.script.posted[0].(event.OperatorAsked).Command().(event.ApplyDeployment)
+			is.Equal(command.Expected(), uint64(4))
+			is.Equal(command.ChangeID(), "c-1")
+			is.Equal(command.Operator(), "ivo")
+			is.Equal(command.Deployment().LagPolicy(), model.LagWait)
+		})
+	}
+}
+
+func TestLostAnswer(t *testing.T) {
+	is := is.New(t)
+	bench := newBench(t, openTokens(t))
+	ctx, cancel := context.WithCancel(t.Context())
+	bench.script.noticed = cancel
+	_, err := bench.client("").DeleteDeployment(ctx, connect.NewRequest(&admpb.DeleteDeploymentRequest{Name: "gradski", ChangeId: "c"}))
+	is.Equal(connect.CodeOf(err), connect.CodeCanceled)
+}
+
+func TestStatusAndDrain(t *testing.T) {
+	is := is.New(t)
+	bench := newBench(t, openTokens(t))
+	bench.shared.SetDeployments(7, []*model.Deployment{schema.ToDeployment(deployment("katalog-1"))})
+	client := bench.client("")
+	status, err := client.GetStatus(t.Context(), connect.NewRequest(&admpb.GetStatusRequest{}))
+	is.NoErr(err)
+	is.Equal(status.Msg.GetRevision(), uint64(7))
+	is.True(status.Msg.GetRevisionKnown())
+	is.Equal(status.Msg.GetGroupsWithoutPrimary(), int32(1))
+
+	_, err = client.DrainProxy(t.Context(), connect.NewRequest(&admpb.DrainProxyRequest{Proxy: "proxy-2"}))
+	is.Equal(connect.CodeOf(err), connect.CodeFailedPrecondition)
+	is.Equal(len(bench.script.posted), 0)
+	_, err = client.DrainProxy(t.Context(), connect.NewRequest(&admpb.DrainProxyRequest{Proxy: "proxy-1"}))
+	is.NoErr(err)
+	is.Equal(bench.script.posted, []event.Event{event.NewShutdownAsked()})
+}
+
+func TestWatch(t *testing.T) {
+	is := is.New(t)
+	bench := newBench(t, openTokens(t))
+	bench.shared.SetDeployments(3, []*model.Deployment{schema.ToDeployment(deployment("katalog-1"))})
+	stream, err := bench.client("").WatchDeployments(t.Context(), connect.NewRequest(&admpb.WatchDeploymentsRequest{}))
+	is.NoErr(err)
+	is.True(stream.Receive())
+	is.Equal(stream.Msg().GetRevision(), uint64(3))
+	is.Equal(stream.Msg().GetDeployments()[0].GetName(), "gradski")
+	is.NoErr(stream.Close())
+}
--- /dev/null
+++ b/internal/edge/admin/deploy.go
@@ -0,0 +1,180 @@
+package admin
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"almondway.dev/almondway/internal/core/codes"
+	"almondway.dev/almondway/internal/core/event"
+	"almondway.dev/almondway/internal/core/model"
+	"almondway.dev/almondway/internal/core/state"
+	"almondway.dev/almondway/internal/edge/schema"
+	"almondway.dev/almondway/internal/proto/admpb"
+)
+
+const maxChangeIDBytes = 200
+
+// ApplyDeployment implements admpb.AdminServiceHandler.
+func (admin *Admin) ApplyDeployment(ctx context.Context, request *connect.Request[admpb.ApplyDeploymentRequest]) (*connect.Response[admpb.ApplyDeploymentResponse], error) {
+	message := request.Msg
+	if err := checkChange(message.GetChangeId(), message.GetOperator()); err != nil {
+		return nil, err
+	}
+	if message.GetDeployment() == nil {
+		return nil, fault(codes.InvalidDeployment, "deployment: missing", 0)
+	}
+	deployment := schema.ToDeployment(message.GetDeployment())
+	if err := admin.checkDeployment(ctx, deployment); err != nil {
+		return nil, err
+	}
+	operator := operatorName(ctx, message.GetOperator())
+	command := event.NewApplyDeployment(deployment, message.GetExpectedRevision(), message.GetChangeId(), operator)
+	applied, err := admin.change(ctx, command)
+	if err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(&admpb.ApplyDeploymentResponse{
+		Revision: applied.Revision(),
+		InForce:  int32(applied.InForce()),
+		Proxies:  int32(applied.Proxies()),
+	}), nil
+}
+
+// DeleteDeployment implements admpb.AdminServiceHandler.
+func (admin *Admin) DeleteDeployment(ctx context.Context, request *connect.Request[admpb.DeleteDeploymentRequest]) (*connect.Response[admpb.DeleteDeploymentResponse], error) {
+	message := request.Msg
+	if err := checkChange(message.GetChangeId(), message.GetOperator()); err != nil {
+		return nil, err
+	}
+	operator := operatorName(ctx, message.GetOperator())
+	command := event.NewDeleteDeployment(message.GetName(), message.GetExpectedRevision(), message.GetChangeId(), operator)
+	applied, err := admin.change(ctx, command)
+	if err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(&admpb.DeleteDeploymentResponse{
+		Revision: applied.Revision(),
+		InForce:  int32(applied.InForce()),
+		Proxies:  int32(applied.Proxies()),
+	}), nil
+}
+
+// GetDeployment implements admpb.AdminServiceHandler.
+func (admin *Admin) GetDeployment(ctx context.Context, request *connect.Request[admpb.GetDeploymentRequest]) (*connect.Response[admpb.GetDeploymentResponse], error) {
+	var found *model.Deployment
+	err := admin.inspect(ctx, func(shared *state.State) { found, _ = shared.Deployment(request.Msg.GetName()) })
+	if err != nil {
+		return nil, err
+	}
+	if found == nil {
+		return nil, fault(codes.DeploymentNotFound, request.Msg.GetName(), 0)
+	}
+	return connect.NewResponse(&admpb.GetDeploymentResponse{Deployment: schema.FromDeployment(found)}), nil
+}
+
+// ListDeployments implements admpb.AdminServiceHandler.
+func (admin *Admin) ListDeployments(ctx context.Context, _ *connect.Request[admpb.ListDeploymentsRequest]) (*connect.Response[admpb.ListDeploymentsResponse], error) {
+	revision, deployments, err := admin.catalog(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(&admpb.ListDeploymentsResponse{
+		Revision:    revision,
+		Deployments: schema.FromDeployments(deployments),
+	}), nil
+}
+
+// ListChanges implements admpb.AdminServiceHandler.
+func (admin *Admin) ListChanges(ctx context.Context, request *connect.Request[admpb.ListChangesRequest]) (*connect.Response[admpb.ListChangesResponse], error) {
+	result, err := admin.ask(ctx, event.NewGetHistory(request.Msg.GetName()), codes.DeadlineExceeded)
+	if err != nil {
+		return nil, err
+	}
+	history, ok := result.(event.History)
+	if !ok {
+		return nil, unexpected(result)
+	}
+	return connect.NewResponse(&admpb.ListChangesResponse{Changes: schema.FromChanges(history.Changes())}), nil
+}
+
+// WatchDeployments implements admpb.AdminServiceHandler.
+func (admin *Admin) WatchDeployments(ctx context.Context, _ *connect.Request[admpb.WatchDeploymentsRequest], stream *connect.ServerStream[admpb.WatchDeploymentsResponse]) error {
+	ticker := time.NewTicker(watchInterval)
+	defer ticker.Stop()
+	for sent, first := uint64(0), true; ; first = false {
+		revision, deployments, err := admin.catalog(ctx)
+		if err != nil {
+			return err
+		}
+		if first || revision > sent {
+			sent = revision
+			message := &admpb.WatchDeploymentsResponse{Revision: revision, Deployments: schema.FromDeployments(deployments)}
+			if err := stream.Send(message); err != nil {
+				return err
+			}
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+func (admin *Admin) change(ctx context.Context, command event.Command) (event.Applied, error) {
+	result, err := admin.ask(ctx, command, codes.AcceptanceUnknown)
+	if err != nil {
+		return event.Applied{}, err
+	}
+	applied, ok := result.(event.Applied)
+	if !ok {
+		return event.Applied{}, unexpected(result)
+	}
+	return applied, nil
+}
+
+func (admin *Admin) catalog(ctx context.Context) (uint64, []*model.Deployment, error) {
+	var revision uint64
+	var deployments []*model.Deployment
+	err := admin.inspect(ctx, func(shared *state.State) {
+		revision, _ = shared.Revision()
+		deployments = shared.Deployments()
+	})
+	return revision, deployments, err
+}
+
+// checkDeployment refuses a deployment with a fault or with a group that the
+// platform does not list.
+func (admin *Admin) checkDeployment(ctx context.Context, deployment *model.Deployment) error {
+	var texts []string
+	for _, found := range model.Validate(deployment) {
+		texts = append(texts, found.Error())
+	}
+	err := admin.inspect(ctx, func(shared *state.State) {
+		for _, group := range deployment.Groups() {
+			if shared.Group(group) == nil {
+				texts = append(texts, "groups: the platform lists no group "+string(group))
+			}
+		}
+	})
+	if err != nil {
+		return err
+	}
+	if len(texts) > 0 {
+		return fault(codes.InvalidDeployment, strings.Join(texts, "; "), 0)
+	}
+	return nil
+}
+
+func checkChange(changeID, operator string) error {
+	if changeID == "" || len(changeID) > maxChangeIDBytes {
+		return fault(codes.InvalidDeployment, "change_id: must have 1 to 200 bytes", 0)
+	}
+	if len(operator) > maxChangeIDBytes {
+		return fault(codes.InvalidDeployment, "operator: must have at most 200 bytes", 0)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/edge/admin/fault.go
@@ -0,0 +1,69 @@
+package admin
+
+import (
+	"fmt"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"almondway.dev/almondway/internal/core/codes"
+	"almondway.dev/almondway/internal/core/event"
+	"almondway.dev/almondway/internal/proto/admpb"
+)
+
+// fault returns the connect error of a result code, with the code as its detail.
+func fault(code codes.Code, detail string, retryAfter time.Duration) *connect.Error {
+	return faultAs(connectCode(code), code, detail, retryAfter)
+}
+
+func faultAs(status connect.Code, code codes.Code, detail string, retryAfter time.Duration) *connect.Error {
+	text := code.String()
+	if detail != "" {
+		text = fmt.Sprintf("%s: %s", code, detail)
+	}
+	failed := connect.NewError(status, errors.New(text))
+	message := &admpb.ResultCode{Number: int32(code), Detail: detail}
+	if info, ok := codes.Lookup(code); ok {
+		message.Name = info.Name()
+	}
+	if retryAfter > 0 {
+		message.RetryAfter = durationpb.New(retryAfter)
+	}
+	if errorDetail, err := connect.NewErrorDetail(message); err == nil {
+		failed.AddDetail(errorDetail)
+	}
+	return failed
+}
+
+func refusal(refused event.Refused) *connect.Error {
+	return fault(refused.Code(), refused.Detail(), refused.RetryAfter())
+}
+
+func connectCode(code codes.Code) connect.Code {
+	switch code {
+	case codes.RevisionConflict, codes.PrimaryChanged:
+		return connect.CodeAborted
+	case codes.InvalidDeployment, codes.SettingInvalid:
+		return connect.CodeInvalidArgument
+	case codes.DeploymentNotFound, codes.UnknownGroup, codes.UnknownDeployment:
+		return connect.CodeNotFound
+	case codes.Unauthenticated:
+		return connect.CodeUnauthenticated
+	case codes.PermissionDenied:
+		return connect.CodePermissionDenied
+	case codes.ChangeIDReused:
+		return connect.CodeAlreadyExists
+	case codes.SwitchoverFailed:
+		return connect.CodeFailedPrecondition
+	case codes.AcceptanceUnknown:
+		return connect.CodeUnknown
+	case codes.DeadlineExceeded:
+		return connect.CodeDeadlineExceeded
+	case codes.Internal:
+		return connect.CodeInternal
+	default:
+		return connect.CodeUnavailable
+	}
+}
--- /dev/null
+++ b/internal/edge/admin/tokens.go
@@ -0,0 +1,191 @@
+package admin
+
+import (
+	"bufio"
+	"bytes"
+	"crypto/sha256"
+	"crypto/subtle"
+	"os"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// leastTokenBytes is the shortest token that is taken.
+const leastTokenBytes = 16
+
+// Role is what the bearer of a token may do.
+type Role int
+
+// The roles.
+const (
+	// RoleNone may do nothing.
+	RoleNone Role = iota
+	// RoleReader may look.
+	RoleReader
+	// RoleOperator may look and change.
+	RoleOperator
+)
+
+// identity is who makes a call.
+type identity struct {
+	role Role
+	name string
+}
+
+type token struct {
+	digest [sha256.Size]byte
+	name   string
+}
+
+// tokenFile holds the tokens of one role. Only their digests are kept.
+type tokenFile struct {
+	path     string
+	modified time.Time
+	tokens   []token
+}
+
+// Tokens holds the bearer tokens of both roles. It may be used by several goroutines.
+type Tokens struct {
+	mutex     sync.Mutex
+	readers   tokenFile
+	operators tokenFile
+	open      bool
+	report    func(err error)
+}
+
+// NewTokens reads the token files; an empty path stands for no file. A line
+// holds a token, or a name and a token. Files that change are read again; when
+// that fails, report is called and the tokens read before stay valid. Without
+// any operator token every call is allowed if loopback is set, and refused to
+// start if not.
+func NewTokens(readersPath, operatorsPath string, loopback bool, report func(err error)) (*Tokens, error) {
+	tokens := &Tokens{
+		readers:   tokenFile{path: readersPath},
+		operators: tokenFile{path: operatorsPath},
+		report:    report,
+	}
+	if err := tokens.readers.load(); err != nil {
+		return nil, err
+	}
+	if err := tokens.operators.load(); err != nil {
+		return nil, err
+	}
+	if len(tokens.operators.tokens) > 0 {
+		return tokens, nil
+	}
+	if !loopback {
+		return nil, errors.Errorf("operators' token file %q holds no token and the administration API listens beyond loopback", operatorsPath)
+	}
+	tokens.open = len(tokens.readers.tokens) == 0
+	return tokens, nil
+}
+
+// identify returns who bears the text of an Authorization header.
+func (tokens *Tokens) identify(header string) identity {
+	tokens.mutex.Lock()
+	defer tokens.mutex.Unlock()
+	if tokens.open {
+		return identity{role: RoleOperator}
+	}
+	tokens.reload()
+	text, ok := strings.CutPrefix(header, "Bearer ")
+	if !ok {
+		return identity{}
+	}
+	digest := sha256.Sum256([]byte(text))
+	readerName, isReader := tokens.readers.find(digest)
+	operatorName, isOperator := tokens.operators.find(digest)
+	switch {
+	case isOperator:
+		return identity{role: RoleOperator, name: operatorName}
+	case isReader:
+		return identity{role: RoleReader, name: readerName}
+	default:
+		return identity{}
+	}
+}
+
+func (tokens *Tokens) reload() {
+	for _, file := range []*tokenFile{&tokens.readers, &tokens.operators} {
+		if err := file.reload(); err != nil {
+			tokens.report(err)
+		}
+	}
+}
+
+// find compares digest with every token, in a time that does not depend on them.
+func (tokenFile *tokenFile) find(digest [sha256.Size]byte) (string, bool) {
+	found := -1
+	for index := range tokenFile.tokens {
+		equal := subtle.ConstantTimeCompare(tokenFile.tokens[index].digest[:], digest[:])
+		found = subtle.ConstantTimeSelect(equal, index, found)
+	}
+	if found < 0 {
+		return "", false
+	}
+	return tokenFile.tokens[found].name, true
+}
+
+func (tokenFile *tokenFile) reload() error {
+	if tokenFile.path == "" {
+		return nil
+	}
+	info, err := os.Stat(tokenFile.path)
+	if err != nil {
+		return errors.Wrap(err, "check token file")
+	}
+	if info.ModTime().Equal(tokenFile.modified) {
+		return nil
+	}
+	return tokenFile.load()
+}
+
+func (tokenFile *tokenFile) load() error {
+	if tokenFile.path == "" {
+		return nil
+	}
+	info, err := os.Stat(tokenFile.path)
+	if err != nil {
+		return errors.Wrap(err, "check token file")
+	}
+	content, err := os.ReadFile(tokenFile.path)
+	if err != nil {
+		return errors.Wrap(err, "read token file")
+	}
+	tokens, err := parseTokens(tokenFile.path, content)
+	if err != nil {
+		return err
+	}
+	tokenFile.tokens = tokens
+	tokenFile.modified = info.ModTime()
+	return nil
+}
+
+// parseTokens reads one token a line, with an optional name before it. Errors
+// name the line and never quote it.
+func parseTokens(path string, content []byte) ([]token, error) {
+	var tokens []token
+	scanner := bufio.NewScanner(bytes.NewReader(content))
+	for line := 1; scanner.Scan(); line++ {
+		fields := strings.Fields(scanner.Text())
+		if len(fields) == 0 || strings.HasPrefix(fields[0], "#") {
+			continue
+		}
+		if len(fields) > 2 {
+			return nil, errors.Errorf("%s:%d: more than a name and a token", path, line)
+		}
+		text := fields[len(fields)-1]
+		if len(text) < leastTokenBytes {
+			return nil, errors.Errorf("%s:%d: token is shorter than %d bytes", path, line, leastTokenBytes)
+		}
+		read := token{digest: sha256.Sum256([]byte(text))}
+		if len(fields) == 2 {
+			read.name = fields[0]
+		}
+		tokens = append(tokens, read)
+	}
+	return tokens, errors.Wrapf(scanner.Err(), "read token file %q", path)
+}
--- /dev/null
+++ b/internal/edge/admin/tokens_test.go
@@ -0,0 +1,125 @@
+package admin_test
+
+import (
+	"errors"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/matryer/is"
+
+	"almondway.dev/almondway/internal/core/codes"
+	"almondway.dev/almondway/internal/core/event"
+	"almondway.dev/almondway/internal/edge/admin"
+	"almondway.dev/almondway/internal/proto/admpb"
+)
+
+func asConnect(err error, target **connect.Error) bool { return errors.As(err, target) }
+
+func TestRoles(t *testing.T) {
+	tokens, err := admin.NewTokens(write(t, "readers", readerToken+"\n"), write(t, "operators", "# shift A\nmira "+operatorToken+"\n"), false, func(error) {})
+	is.New(t).NoErr(err)
+	tests := []struct {
+		name    string
+		token   string
+		reading codes.Code
+		writing codes.Code
+	}{
+		{name: "none", reading: codes.Unauthenticated, writing: codes.Unauthenticated},
+		{name: "wrong", token: "wrong-token-0123456789", reading: codes.Unauthenticated, writing: codes.Unauthenticated},
+		{name: "name instead of token", token: "mira", reading: codes.Unauthenticated, writing: codes.Unauthenticated},
+		{name: "prefix", token: operatorToken[:len(operatorToken)-1], reading: codes.Unauthenticated, writing: codes.Unauthenticated},
+		{name: "reader", token: readerToken, writing: codes.PermissionDenied},
+		{name: "operator", token: operatorToken},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			bench := newBench(t, tokens, event.NewApplied(1, 1, 1))
+			client := bench.client(test.token)
+			_, err := client.ListDeployments(t.Context(), connect.NewRequest(&admpb.ListDeploymentsRequest{}))
+			is.Equal(resultCode(err), test.reading)
+			is.True(test.token == "" || err == nil || !strings.Contains(err.Error(), test.token))
+			_, err = client.ApplyDeployment(t.Context(), connect.NewRequest(&admpb.ApplyDeploymentRequest{
+				Deployment: deployment("katalog-1"), ChangeId: "c-1", Operator: "somebody else",
+			}))
+			is.Equal(resultCode(err), test.writing)
+			if test.writing != codes.OK {
+				is.Equal(len(bench.script.posted), 0)
+				return
+			}
+			command := bench.script.posted[0].(event.OperatorAsked).Command().(event.ApplyDeployment)
+			is.Equal(command.Operator(), "mira") // the name of the token goes before the given one
+		})
+	}
+}
+
+func TestStreamNeedsToken(t *testing.T) {
+	is := is.New(t)
+	tokens, err := admin.NewTokens("", write(t, "operators", operatorToken), true, func(error) {})
+	is.NoErr(err)
+	bench := newBench(t, tokens)
+	stream, err := bench.client("").WatchDeployments(t.Context(), connect.NewRequest(&admpb.WatchDeploymentsRequest{}))
+	is.NoErr(err)
+	is.True(!stream.Receive())
+	is.Equal(resultCode(stream.Err()), codes.Unauthenticated)
+}
+
+func TestNewTokens(t *testing.T) {
+	tests := []struct {
+		name      string
+		readers   string
+		operators string
+		loopback  bool
+		fault     string
+	}{
+		{name: "nothing on loopback", loopback: true},
+		{name: "nothing beyond loopback", fault: "holds no token"},
+		{name: "empty beyond loopback", operators: "# none\n\n", fault: "holds no token"},
+		{name: "only readers beyond loopback", readers: readerToken, fault: "holds no token"},
+		{name: "operators beyond loopback", operators: operatorToken},
+		{name: "short", operators: "mira secret", loopback: true, fault: "operators:1: token is shorter"},
+		{name: "too many words", operators: "\na b " + operatorToken, loopback: true, fault: "operators:2: more than"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			_, err := admin.NewTokens(write(t, "readers", test.readers), write(t, "operators", test.operators), test.loopback, func(error) {})
+			if test.fault == "" {
+				is.NoErr(err)
+				return
+			}
+			is.True(err != nil)
+			is.True(strings.Contains(err.Error(), test.fault))
+			is.True(!strings.Contains(err.Error(), "secret"))
+		})
+	}
+}
+
+func TestTokensReload(t *testing.T) {
+	is := is.New(t)
+	path := write(t, "operators", operatorToken)
+	var faults []error
+	tokens, err := admin.NewTokens("", path, true, func(err error) { faults = append(faults, err) })
+	is.NoErr(err)
+	bench := newBench(t, tokens)
+	list := func(token string) codes.Code {
+		_, err := bench.client(token).ListDeployments(t.Context(), connect.NewRequest(&admpb.ListDeploymentsRequest{}))
+		return resultCode(err)
+	}
+	replace := func(content string, at time.Time) {
+		is.NoErr(os.WriteFile(path, []byte(content), 0o600))
+		is.NoErr(os.Chtimes(path, at, at))
+	}
+	replace("another-token-0123456789", time.Now().Add(time.Hour))
+	is.Equal(list(operatorToken), codes.Unauthenticated)
+	is.Equal(list("another-token-0123456789"), codes.OK)
+	replace("short", time.Now().Add(2*time.Hour)) // a bad file keeps the tokens read before
+	is.Equal(list("another-token-0123456789"), codes.OK)
+	is.Equal(len(faults), 1)
+	replace("", time.Now().Add(3*time.Hour)) // an emptied file lets nobody in
+	is.Equal(list("another-token-0123456789"), codes.Unauthenticated)
+	is.Equal(list(""), codes.Unauthenticated)
+}
--- /dev/null
+++ b/internal/edge/certs/certs.go
@@ -0,0 +1,92 @@
+// Package certs serves TLS certificates from files that may be replaced while
+// the process runs.
+package certs
+
+import (
+	"crypto/tls"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// checkInterval is the least time between two looks at the files.
+const checkInterval = time.Second
+
+// Reloader holds the certificate of a pair of files. It may be used by several goroutines.
+type Reloader struct {
+	certFile string
+	keyFile  string
+	report   func(err error)
+
+	mutex     sync.Mutex
+	current   *tls.Certificate
+	modified  time.Time
+	checkedAt time.Time
+}
+
+// New reads the files once and returns a Reloader. report is called when a
+// later reading fails; the last good certificate stays in use then.
+func New(certFile, keyFile string, report func(err error)) (*Reloader, error) {
+	reloader := &Reloader{certFile: certFile, keyFile: keyFile, report: report}
+	if err := reloader.load(); err != nil {
+		return nil, err
+	}
+	return reloader, nil
+}
+
+// Config returns a server's TLS configuration that uses the newest certificate.
+func (reloader *Reloader) Config() *tls.Config {
+	return &tls.Config{
+		MinVersion: tls.VersionTLS12,
+		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) {
+			return reloader.certificate(time.Now()), nil
+		},
+	}
+}
+
+func (reloader *Reloader) certificate(now time.Time) *tls.Certificate {
+	reloader.mutex.Lock()
+	defer reloader.mutex.Unlock()
+	if now.Sub(reloader.checkedAt) < checkInterval {
+		return reloader.current
+	}
+	reloader.checkedAt = now
+	if newest, err := reloader.newest(); err == nil && newest.Equal(reloader.modified) {
+		return reloader.current
+	}
+	if err := reloader.load(); err != nil {
+		reloader.report(err)
+	}
+	return reloader.current
+}
+
+func (reloader *Reloader) load() error {
+	newest, err := reloader.newest()
+	if err != nil {
+		return err
+	}
+	loaded, err := tls.LoadX509KeyPair(reloader.certFile, reloader.keyFile)
+	if err != nil {
+		return errors.Wrapf(err, "load certificate %q", reloader.certFile)
+	}
+	reloader.current = &loaded
+	reloader.modified = newest
+	return nil
+}
+
+// newest returns the later modification time of the two files.
+func (reloader *Reloader) newest() (time.Time, error) {
+	var newest time.Time
+	for _, file := range []string{reloader.certFile, reloader.keyFile} {
+		info, err := os.Stat(file)
+		if err != nil {
+			return time.Time{}, errors.Wrap(err, "check certificate file")
+		}
+		if info.ModTime().After(newest) {
+			newest = info.ModTime()
+		}
+	}
+	return newest, nil
+}
