cli: operator's commands and deployment files

Cause: the administration API had no client. Change: deployment apply, get, list, watch, history, delete and diff; group, proxies, drain, status, settings, logging, check and codes; documented exit codes; apply prints what changes, sends a lost answer again under its change id and names who raced. Deployment files in YAML or JSON are read by their nodes, so that each fault has file, line and field. Metrics registry with both forms of output. Ruled out: decoding files into structs, since duplicate and unknown fields lose their line. Run: tests of internal/app/parse; almondway check on the examples.

--- /dev/null
+++ b/internal/app/cli/check.go
@@ -0,0 +1,82 @@
+package cli
+
+import (
+	"fmt"
+	"os"
+	"strings"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+
+	"almondway.dev/almondway/internal/app/config"
+	"almondway.dev/almondway/internal/app/parse"
+	"almondway.dev/almondway/internal/core/codes"
+)
+
+func newCheck() *cobra.Command {
+	command := &cobra.Command{
+		Use:   "check [FILE...]",
+		Short: "Check settings and deployment files without a running system",
+		Long: `Check the settings of "almondway proxy", given as its flags and environment
+variables, and deployment files. Nothing is started and nothing is called.`,
+		Example: "  almondway check --listen 10.1.0.21:6432 examples/gradski.yaml",
+	}
+	loader := config.NewLoader(command.Flags())
+	command.Flags().SortFlags = false
+	command.RunE = func(command *cobra.Command, files []string) error {
+		var faults []string
+		if _, err := loader.Load(os.LookupEnv); err != nil {
+			faults = append(faults, err.Error())
+		}
+		for _, file := range files {
+			if _, err := parse.File(file); err != nil {
+				faults = append(faults, err.Error())
+			}
+		}
+		if len(faults) > 0 {
+			return usageError(errors.New(strings.Join(faults, "\n")))
+		}
+		_, err := fmt.Fprintf(command.OutOrStdout(), "settings and %d deployment files are valid\n", len(files))
+		return err
+	}
+	return command
+}
+
+func newCodes() *cobra.Command {
+	command := &cobra.Command{Use: "codes", Short: "List the result codes", Args: cobra.NoArgs}
+	output := command.Flags().StringP("output", "o", outputTable, "form of the output: table or json")
+	command.RunE = func(command *cobra.Command, _ []string) error {
+		if *output == outputJSON {
+			return printValue(command.OutOrStdout(), codeRecords())
+		}
+		table := newTable("CODE", "NAME", "SQLSTATE", "MEANING", "REMEDY")
+		for _, record := range codeRecords() {
+			table.add(record.Code, record.Name, record.SQLState, record.Meaning, record.Remedy)
+		}
+		return table.print(command.OutOrStdout())
+	}
+	return command
+}
+
+// codeRecord is a result code in the output.
+type codeRecord struct {
+	Code     string `json:"code"`
+	Name     string `json:"name"`
+	SQLState string `json:"sql_state"`
+	Meaning  string `json:"meaning"`
+	Remedy   string `json:"remedy"`
+}
+
+func codeRecords() []codeRecord {
+	var records []codeRecord
+	for _, info := range codes.All() {
+		records = append(records, codeRecord{
+			Code:     fmt.Sprintf("AW%03d", int(info.Code())),
+			Name:     info.Name(),
+			SQLState: info.SQLState(),
+			Meaning:  info.Meaning(),
+			Remedy:   info.Remedy(),
+		})
+	}
+	return records
+}
--- /dev/null
+++ b/internal/app/cli/deploy.go
@@ -0,0 +1,250 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"strings"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+
+	"almondway.dev/almondway/internal/app/parse"
+	"almondway.dev/almondway/internal/core/codes"
+	"almondway.dev/almondway/internal/core/model"
+	"almondway.dev/almondway/internal/edge/schema"
+	"almondway.dev/almondway/internal/proto/admpb"
+)
+
+func newDeployment() *cobra.Command {
+	return newParent("deployment", "Create, change, look at and delete deployments",
+		newApply(), newGet(), newList(), newWatch(), newHistory(), newDelete(), newDiff())
+}
+
+func newGet() *cobra.Command {
+	command := &cobra.Command{
+		Use:   "get NAME",
+		Short: "Print a deployment in the form of a deployment file",
+		Args:  cobra.ExactArgs(1),
+	}
+	flags := addClientFlags(command)
+	command.RunE = func(command *cobra.Command, args []string) error {
+		client, err := flags.client()
+		if err != nil {
+			return err
+		}
+		ctx, cancel := flags.context(command)
+		defer cancel()
+		deployment, err := fetch(ctx, client, args[0])
+		if err != nil {
+			return callError(err)
+		}
+		if flags.output == outputJSON {
+			return printDeployment(command.OutOrStdout(), deployment)
+		}
+		table := newTable("FIELD", "VALUE")
+		table.add("name", deployment.Name())
+		table.add("revision", fmt.Sprint(deployment.Revision()))
+		fields := flatten(deployment)
+		for _, field := range fields.order {
+			table.add(field, fields.values[field])
+		}
+		return table.print(command.OutOrStdout())
+	}
+	return command
+}
+
+func newList() *cobra.Command {
+	command := &cobra.Command{
+		Use:   "list",
+		Short: "List the deployments in force",
+		Args:  cobra.NoArgs,
+	}
+	flags := addClientFlags(command)
+	command.RunE = func(command *cobra.Command, _ []string) error {
+		client, err := flags.client()
+		if err != nil {
+			return err
+		}
+		ctx, cancel := flags.context(command)
+		defer cancel()
+		response, err := client.ListDeployments(ctx, connect.NewRequest(&admpb.ListDeploymentsRequest{}))
+		if err != nil {
+			return callError(err)
+		}
+		var deployments []*model.Deployment
+		for _, message := range response.Msg.GetDeployments() {
+			deployments = append(deployments, schema.ToDeployment(message))
+		}
+		if flags.output == outputJSON {
+			return printDeployments(command.OutOrStdout(), deployments)
+		}
+		table := newTable("NAME", "REVISION", "GROUPS", "KINDS", "CALLERS", "LAG_POLICY")
+		for _, deployment := range deployments {
+			table.add(deployment.Name(), fmt.Sprint(deployment.Revision()), groupList(deployment),
+				fmt.Sprint(len(deployment.Kinds())), fmt.Sprint(len(deployment.Classes())), orDefault(string(deployment.LagPolicy())))
+		}
+		return table.print(command.OutOrStdout())
+	}
+	return command
+}
+
+func newWatch() *cobra.Command {
+	command := &cobra.Command{
+		Use:   "watch",
+		Short: "Print a line for each revision that comes in force, until the timeout",
+		Args:  cobra.NoArgs,
+	}
+	flags := addClientFlags(command)
+	command.RunE = func(command *cobra.Command, _ []string) error {
+		client, err := flags.client()
+		if err != nil {
+			return err
+		}
+		ctx, cancel := flags.context(command)
+		defer cancel()
+		stream, err := client.WatchDeployments(ctx, connect.NewRequest(&admpb.WatchDeploymentsRequest{}))
+		if err != nil {
+			return callError(err)
+		}
+		defer func() { _ = stream.Close() }()
+		for stream.Receive() {
+			if err := printRevision(command, flags, stream.Msg()); err != nil {
+				return err
+			}
+		}
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			return nil
+		}
+		return callError(stream.Err())
+	}
+	return command
+}
+
+func printRevision(command *cobra.Command, flags *clientFlags, message *admpb.WatchDeploymentsResponse) error {
+	if flags.output == outputJSON {
+		return printMessage(command.OutOrStdout(), message)
+	}
+	var names []string
+	for _, deployment := range message.GetDeployments() {
+		names = append(names, fmt.Sprintf("%s@%d", deployment.GetName(), deployment.GetRevision()))
+	}
+	_, err := fmt.Fprintf(command.OutOrStdout(), "revision %d: %s\n", message.GetRevision(), strings.Join(names, " "))
+	return err
+}
+
+func newHistory() *cobra.Command {
+	command := &cobra.Command{
+		Use:   "history NAME",
+		Short: "List the accepted changes of a deployment, newest first",
+		Args:  cobra.ExactArgs(1),
+	}
+	flags := addClientFlags(command)
+	command.RunE = func(command *cobra.Command, args []string) error {
+		client, err := flags.client()
+		if err != nil {
+			return err
+		}
+		ctx, cancel := flags.context(command)
+		defer cancel()
+		response, err := client.ListChanges(ctx, connect.NewRequest(&admpb.ListChangesRequest{Name: args[0]}))
+		if err != nil {
+			return callError(err)
+		}
+		if flags.output == outputJSON {
+			return printMessage(command.OutOrStdout(), response.Msg)
+		}
+		return historyTable(response.Msg.GetChanges()).print(command.OutOrStdout())
+	}
+	return command
+}
+
+// historyTable shows what each change changed against the one before it.
+func historyTable(changes []*admpb.Change) *table {
+	table := newTable("REVISION", "TIME", "OPERATOR", "CHANGE_ID", "CHANGE")
+	for index, change := range changes {
+		var before *model.Deployment
+		if index+1 < len(changes) {
+			before = schema.ToDeployment(changes[index+1].GetDeployment())
+		}
+		table.add(fmt.Sprint(change.GetRevision()), change.GetTime().AsTime().Format("2006-01-02T15:04:05Z"),
+			change.GetOperator(), change.GetChangeId(), summary(before, change))
+	}
+	return table
+}
+
+func summary(before *model.Deployment, change *admpb.Change) string {
+	switch {
+	case change.GetDeleted():
+		return "deleted"
+	case before == nil:
+		return "created"
+	}
+	var texts []string
+	for _, difference := range compare(before, schema.ToDeployment(change.GetDeployment())) {
+		texts = append(texts, difference.String())
+	}
+	return strings.Join(texts, "; ")
+}
+
+func newDiff() *cobra.Command {
+	command := &cobra.Command{
+		Use:   "diff FILE",
+		Short: "Show what applying a deployment file would change",
+		Args:  cobra.ExactArgs(1),
+	}
+	flags := addClientFlags(command)
+	command.RunE = func(command *cobra.Command, args []string) error {
+		wanted, err := parse.File(args[0])
+		if err != nil {
+			return usageError(err)
+		}
+		client, err := flags.client()
+		if err != nil {
+			return err
+		}
+		ctx, cancel := flags.context(command)
+		defer cancel()
+		current, err := fetchOrNil(ctx, client, wanted.Name())
+		if err != nil {
+			return callError(err)
+		}
+		differences := compare(current, wanted)
+		if flags.output == outputJSON {
+			err = printValue(command.OutOrStdout(), differences)
+		} else {
+			err = printDifferences(command, differences)
+		}
+		if err == nil && len(differences) > 0 {
+			return exitError{code: ExitDiffers, cause: errors.Errorf("%d fields differ", len(differences))}
+		}
+		return err
+	}
+	return command
+}
+
+func printDifferences(command *cobra.Command, differences []difference) error {
+	for _, difference := range differences {
+		if _, err := fmt.Fprintln(command.OutOrStdout(), difference); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func fetch(ctx context.Context, client admpb.AdminServiceClient, name string) (*model.Deployment, error) {
+	response, err := client.GetDeployment(ctx, connect.NewRequest(&admpb.GetDeploymentRequest{Name: name}))
+	if err != nil {
+		return nil, err
+	}
+	return schema.ToDeployment(response.Msg.GetDeployment()), nil
+}
+
+// fetchOrNil returns nil for a deployment that does not exist.
+func fetchOrNil(ctx context.Context, client admpb.AdminServiceClient, name string) (*model.Deployment, error) {
+	deployment, err := fetch(ctx, client, name)
+	if resultCode(err) == codes.DeploymentNotFound {
+		return nil, nil
+	}
+	return deployment, err
+}
--- /dev/null
+++ b/internal/app/cli/print.go
@@ -0,0 +1,97 @@
+package cli
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+
+	"almondway.dev/almondway/internal/core/model"
+)
+
+const columnGap = 2
+
+// table collects the rows of a table.
+type table struct {
+	rows [][]string
+}
+
+func newTable(titles ...string) *table { return &table{rows: [][]string{titles}} }
+
+func (table *table) add(cells ...string) { table.rows = append(table.rows, cells) }
+
+func (table *table) print(output io.Writer) error {
+	writer := tabwriter.NewWriter(output, 0, 0, columnGap, ' ', 0)
+	for _, row := range table.rows {
+		if _, err := fmt.Fprintln(writer, strings.Join(row, "\t")); err != nil {
+			return errors.Wrap(err, "print table")
+		}
+	}
+	return errors.Wrap(writer.Flush(), "print table")
+}
+
+// printMessage prints a message in the JSON form of protobuf, with names in snake case.
+func printMessage(output io.Writer, message proto.Message) error {
+	options := protojson.MarshalOptions{UseProtoNames: true, EmitDefaultValues: true}
+	encoded, err := options.Marshal(message)
+	if err != nil {
+		return errors.Wrap(err, "encode output")
+	}
+	return printIndented(output, encoded)
+}
+
+// printDeployment prints a deployment in the form of a deployment file.
+func printDeployment(output io.Writer, deployment *model.Deployment) error {
+	encoded, err := model.EncodeDeployment(deployment)
+	if err != nil {
+		return err
+	}
+	return printIndented(output, encoded)
+}
+
+// printDeployments prints a list of deployments in the form of deployment files.
+func printDeployments(output io.Writer, deployments []*model.Deployment) error {
+	list := make([]json.RawMessage, 0, len(deployments))
+	for _, deployment := range deployments {
+		encoded, err := model.EncodeDeployment(deployment)
+		if err != nil {
+			return err
+		}
+		list = append(list, encoded)
+	}
+	return printValue(output, list)
+}
+
+func printValue(output io.Writer, value any) error {
+	encoded, err := json.Marshal(value)
+	if err != nil {
+		return errors.Wrap(err, "encode output")
+	}
+	return printIndented(output, encoded)
+}
+
+func printIndented(output io.Writer, encoded []byte) error {
+	var compact, indented bytes.Buffer
+	if err := json.Compact(&compact, encoded); err != nil {
+		return errors.Wrap(err, "encode output")
+	}
+	if err := json.Indent(&indented, compact.Bytes(), "", "  "); err != nil {
+		return errors.Wrap(err, "encode output")
+	}
+	indented.WriteByte('\n')
+	_, err := output.Write(indented.Bytes())
+	return errors.Wrap(err, "print output")
+}
+
+func yesNo(value bool) string {
+	if value {
+		return "yes"
+	}
+	return "no"
+}
--- a/internal/app/cli/proxy.go
+++ b/internal/app/cli/proxy.go
@@ -50,10 +50,10 @@
 	defer signal.Stop(signals)
 	proxy, err := serve.New(settings, log)
 	if err != nil {
-		return exitError{code: ExitFailed, cause: err}
+		return failure(err)
 	}
 	if err := proxy.Run(signals); err != nil {
-		return exitError{code: ExitFailed, cause: err}
+		return failure(err)
 	}
 	return nil
 }
--- a/internal/app/cli/root.go
+++ b/internal/app/cli/root.go
@@ -10,27 +10,6 @@
 	"github.com/spf13/cobra"
 )
 
-// The exit codes of the command line.
-const (
-	// ExitOK means that the command did what it was asked to.
-	ExitOK = 0
-	// ExitFailed means that it did not, for a reason that has no code of its own.
-	ExitFailed = 1
-	// ExitUsage means that the command line, a setting or a file has a fault. Nothing was changed.
-	ExitUsage = 2
-)
-
-type exitError struct {
-	code  int
-	cause error
-}
-
-func (exitError exitError) Error() string { return exitError.cause.Error() }
-
-func (exitError exitError) Unwrap() error { return exitError.cause }
-
-func usageError(cause error) error { return exitError{code: ExitUsage, cause: cause} }
-
 // Run runs the command line with the given arguments and returns its exit code.
 func Run(args []string, output, faults io.Writer) int {
 	root := newRoot()
@@ -51,11 +30,43 @@
 
 func newRoot() *cobra.Command {
 	root := &cobra.Command{
-		Use:           "almondway",
-		Short:         "Database proxy with session consistency",
+		Use:   "almondway",
+		Short: "Database proxy with session consistency",
+		Long: `almondway is a database proxy with session consistency and the operator's
+client of its administration API.
+
+Exit codes: 0 done, 1 failed, 2 fault of the command line, a setting or a file,
+3 another operator was faster, 4 not found, 5 access refused, 6 not available now,
+7 the change may be accepted (send it again with the same change id), 8 diff found a difference.`,
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newProxy(), newVersion())
+	root.AddCommand(
+		newProxy(),
+		newDeployment(),
+		newGroup(),
+		newProxies(),
+		newDrain(),
+		newStatus(),
+		newSettings(),
+		newLogging(),
+		newCheck(),
+		newCodes(),
+		newVersion(),
+	)
 	return root
 }
+
+// newParent returns a command that only holds others.
+func newParent(use, short string, children ...*cobra.Command) *cobra.Command {
+	parent := &cobra.Command{
+		Use:   use,
+		Short: short,
+		Args:  cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			return usageError(errors.Errorf("%s needs a command; see %s --help", command.CommandPath(), command.CommandPath()))
+		},
+	}
+	parent.AddCommand(children...)
+	return parent
+}
--- /dev/null
+++ b/internal/app/cli/status.go
@@ -0,0 +1,117 @@
+package cli
+
+import (
+	"fmt"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+
+	"almondway.dev/almondway/internal/proto/admpb"
+)
+
+func newStatus() *cobra.Command {
+	command := &cobra.Command{Use: "status", Short: "Show the state of a proxy", Args: cobra.NoArgs}
+	flags := addClientFlags(command)
+	command.RunE = func(command *cobra.Command, _ []string) error {
+		client, err := flags.client()
+		if err != nil {
+			return err
+		}
+		ctx, cancel := flags.context(command)
+		defer cancel()
+		response, err := client.GetStatus(ctx, connect.NewRequest(&admpb.GetStatusRequest{}))
+		if err != nil {
+			return callError(err)
+		}
+		if flags.output == outputJSON {
+			return printMessage(command.OutOrStdout(), response.Msg)
+		}
+		return statusTable(response.Msg).print(command.OutOrStdout())
+	}
+	return command
+}
+
+func statusTable(status *admpb.GetStatusResponse) *table {
+	revision := "unknown"
+	if status.GetRevisionKnown() {
+		revision = fmt.Sprint(status.GetRevision())
+	}
+	table := newTable("FIELD", "VALUE")
+	table.add("proxy", status.GetProxy())
+	table.add("data_center", status.GetDataCenter())
+	table.add("version", status.GetVersion())
+	table.add("uptime", status.GetUptime().AsDuration().Round(time.Second).String())
+	table.add("revision", revision)
+	table.add("confirmed", yesNo(status.GetConfirmed()))
+	table.add("draining", yesNo(status.GetDraining()))
+	table.add("may_promote", yesNo(status.GetMayPromote()))
+	table.add("deployments", fmt.Sprint(status.GetDeployments()))
+	table.add("groups", fmt.Sprint(status.GetGroups()))
+	table.add("groups_without_primary", fmt.Sprint(status.GetGroupsWithoutPrimary()))
+	table.add("proxies", fmt.Sprint(status.GetProxies()))
+	table.add("log_level", status.GetLogLevel())
+	table.add("log_sample", fmt.Sprint(status.GetLogSample()))
+	return table
+}
+
+func newSettings() *cobra.Command {
+	command := &cobra.Command{Use: "settings", Short: "Show the settings that a proxy has in effect", Args: cobra.NoArgs}
+	flags := addClientFlags(command)
+	command.RunE = func(command *cobra.Command, _ []string) error {
+		client, err := flags.client()
+		if err != nil {
+			return err
+		}
+		ctx, cancel := flags.context(command)
+		defer cancel()
+		response, err := client.GetSettings(ctx, connect.NewRequest(&admpb.GetSettingsRequest{}))
+		if err != nil {
+			return callError(err)
+		}
+		if flags.output == outputJSON {
+			return printMessage(command.OutOrStdout(), response.Msg)
+		}
+		table := newTable("FLAG", "VARIABLE", "VALUE")
+		for _, setting := range response.Msg.GetSettings() {
+			table.add("--"+setting.GetFlag(), setting.GetEnv(), setting.GetValue())
+		}
+		return table.print(command.OutOrStdout())
+	}
+	return command
+}
+
+func newLogging() *cobra.Command {
+	command := &cobra.Command{
+		Use:     "logging",
+		Short:   "Change the level of a proxy's log and the sampling of its routing lines",
+		Example: "  almondway logging --level info --sample 100",
+		Args:    cobra.NoArgs,
+	}
+	flags := addClientFlags(command)
+	level := command.Flags().String("level", "", "least level of log lines: error, warn, info or debug; kept if empty")
+	sample := command.Flags().Int32("sample", 0, "write the routing lines of one in this many requests; 0 writes none; kept if not given")
+	command.RunE = func(command *cobra.Command, _ []string) error {
+		request := &admpb.SetLoggingRequest{Level: *level}
+		if command.Flags().Changed("sample") {
+			request.Sample = sample
+		}
+		if request.Level == "" && request.Sample == nil {
+			return usageError(errors.New("neither --level nor --sample is given"))
+		}
+		client, err := flags.client()
+		if err != nil {
+			return err
+		}
+		ctx, cancel := flags.context(command)
+		defer cancel()
+		response, err := client.SetLogging(ctx, connect.NewRequest(request))
+		if err != nil {
+			return callError(err)
+		}
+		_, err = fmt.Fprintf(command.OutOrStdout(), "level %s, sample %d\n", response.Msg.GetLevel(), response.Msg.GetSample())
+		return err
+	}
+	return command
+}
--- /dev/null
+++ b/internal/app/metric/journal.go
@@ -0,0 +1,105 @@
+package metric
+
+import (
+	"fmt"
+
+	"github.com/rcrowley/go-metrics"
+
+	"almondway.dev/almondway/internal/core/codes"
+	"almondway.dev/almondway/internal/core/model"
+	"almondway.dev/almondway/internal/core/port"
+	"almondway.dev/almondway/internal/core/state"
+)
+
+// maxSeries bounds the series of a Journal. Decisions beyond it are counted in
+// the series without labels of requests.
+const maxSeries = 10000
+
+// The values of the label role.
+const (
+	rolePrimary = "primary"
+	roleReplica = "replica"
+	roleNone    = "none"
+)
+
+// series are the labels by which a decision is counted.
+type series struct {
+	name       string
+	deployment string
+	kind       string
+	role       string
+	code       codes.Code
+}
+
+// Journal counts decisions and hands them on. It is used by the kernel's loop alone.
+type Journal struct {
+	registry *Registry
+	next     port.Journal
+	shared   *state.State
+	counters map[series]metrics.Counter
+}
+
+// NewJournal returns a Journal that hands decisions on to next. It reads shared
+// in the kernel's loop to tell the role of an instance.
+func NewJournal(registry *Registry, next port.Journal, shared *state.State) *Journal {
+	return &Journal{registry: registry, next: next, shared: shared, counters: make(map[series]metrics.Counter)}
+}
+
+// Decide implements port.Journal.
+func (journal *Journal) Decide(decision model.Decision) {
+	counted := series{name: decision.Name, code: decision.Code}
+	if decision.IsRouting() {
+		counted.role = journal.role(decision.Instance)
+	}
+	if decision.IsRouting() && !isMistake(decision.Code) {
+		counted.deployment = decision.Deployment
+		counted.kind = decision.Kind
+	}
+	journal.counter(counted).Inc(1)
+	journal.next.Decide(decision)
+}
+
+func (journal *Journal) counter(counted series) metrics.Counter {
+	if counter, ok := journal.counters[counted]; ok {
+		return counter
+	}
+	if len(journal.counters) >= maxSeries {
+		return journal.registry.Counter("decisions_uncounted_total")
+	}
+	counter := journal.register(counted)
+	journal.counters[counted] = counter
+	return counter
+}
+
+func (journal *Journal) register(counted series) metrics.Counter {
+	labels := []Label{NewLabel("event", counted.name), NewLabel("code", fmt.Sprintf("AW%03d", int(counted.code)))}
+	if counted.role == "" {
+		return journal.registry.Counter("decisions_total", labels...)
+	}
+	labels = append(labels,
+		NewLabel("deployment", counted.deployment),
+		NewLabel("kind", counted.kind),
+		NewLabel("role", counted.role),
+	)
+	return journal.registry.Counter("requests_total", labels...)
+}
+
+// isMistake reports whether the request was wrong; its deployment and kind may
+// then be any text and are no labels.
+func isMistake(code codes.Code) bool {
+	return code >= codes.UnknownDeployment && code < codes.Overloaded
+}
+
+func (journal *Journal) role(instance model.InstanceID) string {
+	if instance == "" {
+		return roleNone
+	}
+	group := journal.shared.GroupOf(instance)
+	if group == nil {
+		return roleNone
+	}
+	if primary := group.Primary(); primary != nil && primary.ID() == instance {
+		return rolePrimary
+	}
+	return roleReplica
+}
--- /dev/null
+++ b/internal/app/metric/metric.go
@@ -0,0 +1,108 @@
+// Package metric holds the metrics of a proxy process and writes them in JSON
+// and in the Prometheus text form.
+package metric
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+
+	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+)
+
+const prefix = "almondway_"
+
+// Label is a label of a metric.
+type Label struct {
+	name  string
+	value string
+}
+
+// NewLabel returns a Label.
+func NewLabel(name, value string) Label { return Label{name: name, value: value} }
+
+// Registry holds metrics by name and labels. It may be used by several goroutines.
+type Registry struct {
+	metrics metrics.Registry
+}
+
+// NewRegistry returns an empty Registry.
+func NewRegistry() *Registry { return &Registry{metrics: metrics.NewRegistry()} }
+
+// Counter returns the counter of the given name and labels, which is made when
+// it is asked for first. The name is in snake case and ends in "_total".
+func (registry *Registry) Counter(name string, labels ...Label) metrics.Counter {
+	return metrics.GetOrRegisterCounter(key(name, labels), registry.metrics)
+}
+
+// Gauge returns the gauge of the given name and labels.
+func (registry *Registry) Gauge(name string, labels ...Label) metrics.Gauge {
+	return metrics.GetOrRegisterGauge(key(name, labels), registry.metrics)
+}
+
+// Ratio returns the gauge of a fraction between 0 and 1.
+func (registry *Registry) Ratio(name string, labels ...Label) metrics.GaugeFloat64 {
+	return metrics.GetOrRegisterGaugeFloat64(key(name, labels), registry.metrics)
+}
+
+// Seconds returns the histogram of durations, which are given in nanoseconds.
+func (registry *Registry) Seconds(name string, labels ...Label) metrics.Timer {
+	return metrics.GetOrRegisterTimer(key(name, labels), registry.metrics)
+}
+
+// key returns the name with its labels as the Prometheus text form writes them.
+func key(name string, labels []Label) string {
+	if len(labels) == 0 {
+		return prefix + name
+	}
+	var text strings.Builder
+	text.WriteString(prefix + name)
+	text.WriteByte('{')
+	for index, label := range labels {
+		if index > 0 {
+			text.WriteByte(',')
+		}
+		fmt.Fprintf(&text, `%s="%s"`, label.name, escape.Replace(label.value))
+	}
+	text.WriteByte('}')
+	return text.String()
+}
+
+var escape = strings.NewReplacer(`\`, `\\`, `"`, `\"`, "\n", `\n`)
+
+// WriteJSON writes all metrics as one JSON object.
+func (registry *Registry) WriteJSON(output io.Writer) error {
+	encoder := json.NewEncoder(output)
+	encoder.SetEscapeHTML(false)
+	return errors.Wrap(encoder.Encode(registry.metrics.GetAll()), "write metrics")
+}
+
+// WriteText writes all metrics in the Prometheus text form, in ascending order.
+func (registry *Registry) WriteText(output io.Writer) error {
+	var samples []sample
+	registry.metrics.Each(func(name string, metric any) {
+		samples = append(samples, samplesOf(name, metric)...)
+	})
+	slices.SortStableFunc(samples, func(left, right sample) int {
+		if left.family != right.family {
+			return strings.Compare(left.family, right.family)
+		}
+		return strings.Compare(left.labels, right.labels)
+	})
+	family := ""
+	for _, sample := range samples {
+		if sample.family != family {
+			family = sample.family
+			if _, err := fmt.Fprintf(output, "# TYPE %s %s\n", family, sample.kind); err != nil {
+				return errors.Wrap(err, "write metrics")
+			}
+		}
+		if _, err := fmt.Fprintf(output, "%s%s%s %v\n", sample.family, sample.suffix, sample.labels, sample.value); err != nil {
+			return errors.Wrap(err, "write metrics")
+		}
+	}
+	return nil
+}
