--- /dev/null
+++ b/internal/plug/bundle/bundle.go
@@ -0,0 +1,15 @@
+// Package bundle registers every plug-in of the product. It is imported for
+// its effect only.
+package bundle
+
+import (
+	_ "almondway.dev/almondway/internal/plug/conns"  // registers the plug-in
+	_ "almondway.dev/almondway/internal/plug/deploy" // registers the plug-in
+	_ "almondway.dev/almondway/internal/plug/failov" // registers the plug-in
+	_ "almondway.dev/almondway/internal/plug/limit"  // registers the plug-in
+	_ "almondway.dev/almondway/internal/plug/member" // registers the plug-in
+	_ "almondway.dev/almondway/internal/plug/probe"  // registers the plug-in
+	_ "almondway.dev/almondway/internal/plug/reads"  // registers the plug-in
+	_ "almondway.dev/almondway/internal/plug/sessn"  // registers the plug-in
+	_ "almondway.dev/almondway/internal/plug/writes" // registers the plug-in
+)
