stand: demo of the whole path, load client

`make demo` starts three groups and three proxies as separate processes and walks through a write, a roaming read, a stale read, the loss of a primary and a drain. The load client sends at a constant rate, so that waiting counts, and checks each answer against its own record of what every caller wrote and was told.

--- a/Makefile
+++ b/Makefile
@@ -15,6 +15,9 @@
 test:
 	go test $(PACKAGES)
 
+demo: build
+	$(OUT)/standin demo
+
 run: build
 	$(OUT)/almondway proxy
 
--- a/internal/stand/cmds/cmds.go
+++ b/internal/stand/cmds/cmds.go
@@ -3,6 +3,8 @@
 
 import (
 	"context"
+	"fmt"
+	"os"
 	"os/signal"
 	"syscall"
 
@@ -21,10 +23,10 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newTopology(), newPlatform(), newInstance(), newControl())
+	root.AddCommand(newTopology(), newPlatform(), newInstance(), newControl(), newDemo())
 	root.SetArgs(args)
 	if err := root.ExecuteContext(ctx); err != nil {
-		logrus.WithError(err).Error("command failed")
+		_, _ = fmt.Fprintf(os.Stderr, "standin: %s\n", err)
 		return 1
 	}
 	return 0
--- /dev/null
+++ b/internal/stand/demo/demo.go
@@ -0,0 +1,119 @@
+// Package demo shows the whole path in separate processes on the loopback address.
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"almondway.dev/almondway/internal/stand/fleet"
+	"almondway.dev/almondway/internal/stand/procs"
+	"almondway.dev/almondway/internal/stand/topol"
+)
+
+const (
+	demoLimit   = 55 * time.Second
+	proxyCount  = 3
+	catalogue   = "katalog-1"
+	breakfast   = "breakfast-1"
+	courseKey   = "course-17"
+	hotelKey    = "hotel-pavilion"
+	writeLimit  = 15 * time.Second
+	drainLimit  = 15 * time.Second
+	gradski     = "gradski"
+	morningBase = "morning-table"
+)
+
+// Options are the choices of a run.
+type Options struct {
+	// Programs is the directory of the built programs.
+	Programs string
+	// Examples is the directory of the deployment files.
+	Examples string
+	// Output takes one line a step.
+	Output io.Writer
+}
+
+// demo is a run.
+type demo struct {
+	options Options
+	fleet   *fleet.Fleet
+
+	token    string // of the registrar
+	killed   string // instance that was the primary
+	killedAt time.Time
+}
+
+type step struct {
+	name string
+	run  func(*demo, context.Context) (string, error)
+}
+
+var steps = []step{
+	{"start platform and instances", (*demo).startBackend},
+	{"start proxies", (*demo).startProxies},
+	{"apply deployments", (*demo).applyDeployments},
+	{"registrar writes", (*demo).registrarWrites},
+	{"registrar roams", (*demo).registrarRoams},
+	{"student reads from a replica", (*demo).studentReads},
+	{"hotel counts heads", (*demo).hotelCounts},
+	{"kill a primary", (*demo).killPrimary},
+	{"writes go on", (*demo).writesGoOn},
+	{"replace the killed instance", (*demo).replaceInstance},
+	{"drain a proxy", (*demo).drainProxy},
+}
+
+// Run runs all steps and stops everything that it started. Its error names the
+// step that failed.
+func Run(ctx context.Context, options Options) error {
+	ctx, cancel := context.WithTimeout(ctx, demoLimit)
+	defer cancel()
+	dir, err := os.MkdirTemp("", "almondway-demo-")
+	if err != nil {
+		return errors.Wrap(err, "make directory of the demo")
+	}
+	ports := procs.NewPorts()
+	started, err := fleet.New(fleet.Spec{Dir: dir, Programs: options.Programs, Topology: topology(ports), Ports: ports})
+	if err != nil {
+		return err
+	}
+	demo := &demo{options: options, fleet: started}
+	err = demo.runSteps(ctx)
+	started.Stop()
+	if err != nil {
+		return errors.Wrapf(err, "demo failed, logs are in %s", dir)
+	}
+	if err := os.RemoveAll(dir); err != nil {
+		return errors.Wrap(err, "remove directory of the demo")
+	}
+	demo.print("demo: ok\n")
+	return nil
+}
+
+func (demo *demo) runSteps(ctx context.Context) error {
+	for number, step := range steps {
+		startedAt := time.Now()
+		detail, err := step.run(demo, ctx)
+		if err != nil {
+			return errors.Wrapf(err, "step %d, %s", number+1, step.name)
+		}
+		demo.print("%2d. %s: %s (%s)\n", number+1, step.name, detail, time.Since(startedAt).Round(time.Millisecond))
+	}
+	return nil
+}
+
+func (demo *demo) print(format string, args ...any) {
+	_, _ = fmt.Fprintf(demo.options.Output, format, args...)
+}
+
+// topology returns two groups of the course catalogue and one of the breakfast ledger.
+func topology(ports topol.Ports) topol.Spec {
+	spec := topol.Zagreb().Spec(ports)
+	spec.Groups = spec.Groups[:2]
+	spec.Groups = append(spec.Groups, topol.Lakeshore().Spec(ports).Groups[0])
+	return spec
+}
--- /dev/null
+++ b/internal/stand/demo/system.go
@@ -0,0 +1,100 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"almondway.dev/almondway/internal/stand/fleet"
+	"almondway.dev/almondway/internal/stand/procs"
+	"almondway.dev/almondway/internal/stand/topol"
+)
+
+func (demo *demo) startBackend(ctx context.Context) (string, error) {
+	groups := demo.fleet.Topology().Groups
+	return fmt.Sprintf("%d groups of %d instances", len(groups), len(groups[0].Instances)), demo.fleet.StartBackend(ctx)
+}
+
+func (demo *demo) startProxies(ctx context.Context) (string, error) {
+	for place := range proxyCount {
+		if _, err := demo.fleet.StartProxy(topol.Zagreb().DataCenters()[place]); err != nil {
+			return "", err
+		}
+	}
+	for _, proxy := range demo.fleet.Proxies() {
+		if err := demo.fleet.AwaitProxy(ctx, proxy); err != nil {
+			return "", err
+		}
+	}
+	return fmt.Sprintf("%d proxies are ready", proxyCount), nil
+}
+
+func (demo *demo) applyDeployments(ctx context.Context) (string, error) {
+	for place, name := range []string{gradski, morningBase} {
+		file := filepath.Join(demo.options.Examples, name+".yaml")
+		if _, err := demo.fleet.Almondway(ctx, demo.proxy(place), "deployment", "apply", file); err != nil {
+			return "", err
+		}
+	}
+	return "gradski and morning-table are in force", nil
+}
+
+func (demo *demo) killPrimary(ctx context.Context) (string, error) {
+	primary, err := demo.fleet.Primary(ctx, catalogue)
+	if err != nil {
+		return "", err
+	}
+	demo.fleet.Instance(primary.ID).Kill()
+	demo.killed = primary.ID
+	demo.killedAt = time.Now()
+	return primary.ID + " was the primary of " + catalogue, nil
+}
+
+func (demo *demo) replaceInstance(ctx context.Context) (string, error) {
+	if err := demo.fleet.ReplaceInstance(demo.killed); err != nil {
+		return "", err
+	}
+	err := procs.Until(ctx, func() error {
+		primary, err := demo.fleet.Primary(ctx, catalogue)
+		if err != nil {
+			return err
+		}
+		leading, err := demo.fleet.State(ctx, primary.ID)
+		if err != nil {
+			return err
+		}
+		state, err := demo.fleet.State(ctx, demo.killed)
+		if err != nil {
+			return err
+		}
+		if state.GetTailPosition() < leading.GetTailPosition() || state.GetTailTerm() != leading.GetTailTerm() {
+			return errors.Errorf("instance %s holds the log up to %d", demo.killed, state.GetTailPosition())
+		}
+		return nil
+	})
+	return demo.killed + " came back as a replica and holds the whole log", err
+}
+
+func (demo *demo) drainProxy(ctx context.Context) (string, error) {
+	ctx, cancel := context.WithTimeout(ctx, drainLimit)
+	defer cancel()
+	drained := demo.proxy(0)
+	drained.Process().Signal(syscall.SIGTERM)
+	if err := drained.Process().Wait(ctx); err != nil {
+		return "", err
+	}
+	if code := drained.Process().ExitCode(); code != 0 {
+		return "", errors.Errorf("proxy %s ended with exit code %d", drained.ID(), code)
+	}
+	demo.fleet.RemoveProxy(drained)
+	if _, err := demo.writeCourse(ctx, demo.proxy(0), 1); err != nil {
+		return "", err
+	}
+	return drained.ID() + " ended; writes go on through " + demo.proxy(0).ID(), nil
+}
+
+func (demo *demo) proxy(place int) *fleet.Proxy { return demo.fleet.Proxies()[place] }
--- /dev/null
+++ b/internal/stand/load/driver.go
@@ -0,0 +1,109 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+)
+
+const (
+	requestLimit = 10 * time.Second
+	queueLength  = 1 << 16
+)
+
+// Spec lists the parts of a new Driver.
+type Spec struct {
+	Target Target
+	Kinds  []Kind
+	Groups []string
+	// KeysPerGroup is the number of keys that are written in each group.
+	KeysPerGroup int
+	// Callers is the number of sessions of each kind.
+	Callers int
+	Seed    uint64
+	Record  *Record
+	Result  *Result
+}
+
+// Driver sends the requests of a workload at a constant rate, whether or not
+// earlier ones were answered.
+type Driver struct {
+	spec Spec
+}
+
+// New returns a Driver.
+func New(spec Spec) *Driver { return &Driver{spec: spec} }
+
+type due struct {
+	request Request
+	at      time.Time
+}
+
+// Run sends requests until the context ends and waits for the last answers.
+func (driver *Driver) Run(ctx context.Context) {
+	var running sync.WaitGroup
+	for place, kind := range driver.spec.Kinds {
+		queue := make(chan due, queueLength)
+		running.Go(func() { driver.arrive(ctx, kind, uint64(place), queue) })
+		for range driver.spec.Callers {
+			running.Go(func() { driver.serve(kind, queue) })
+		}
+	}
+	running.Wait()
+}
+
+// arrive puts the requests of a kind into the queue as they fall due.
+func (driver *Driver) arrive(ctx context.Context, kind Kind, stream uint64, queue chan<- due) {
+	defer close(queue)
+	random := rand.New(rand.NewPCG(driver.spec.Seed, stream))
+	interval := time.Duration(float64(time.Second) / kind.Rate)
+	next := time.Now()
+	for ctx.Err() == nil {
+		next = next.Add(interval)
+		time.Sleep(time.Until(next))
+		queue <- due{request: driver.request(kind, random), at: next}
+	}
+}
+
+func (driver *Driver) request(kind Kind, random *rand.Rand) Request {
+	group := driver.spec.Groups[random.IntN(len(driver.spec.Groups))]
+	key := KeyName(group, random.IntN(driver.spec.KeysPerGroup))
+	request := Request{Kind: kind, Group: group, Key: key}
+	if kind.Write {
+		request.ID = uuid.Must(uuid.NewV7()).String()
+		request.SQL = fmt.Sprintf("UPDATE kv SET value = value + 1 WHERE key = '%s'", key)
+	} else {
+		request.SQL = fmt.Sprintf("SELECT key, value FROM kv WHERE key LIKE '%s'", key)
+	}
+	return request
+}
+
+// KeyName returns the name of a group's key.
+func KeyName(group string, number int) string { return fmt.Sprintf("%s-key-%d", group, number) }
+
+func (driver *Driver) serve(kind Kind, queue <-chan due) {
+	session := driver.spec.Target.Session(kind.Class)
+	defer session.Close()
+	for next := range queue {
+		driver.do(session, next)
+	}
+}
+
+func (driver *Driver) do(session Session, next due) {
+	request, record := next.request, driver.spec.Record
+	sentAt := time.Now()
+	if request.Kind.Write {
+		record.Sent(request.Key)
+	}
+	answer := session.Do(request, sentAt.Add(requestLimit))
+	answeredAt := time.Now()
+	if request.Kind.Write {
+		record.Told(request.Key, answer.Verdict, answeredAt)
+	}
+	wrong := !request.Kind.Write && answer.Verdict == VerdictDone && !record.Right(request.Kind, request.Key, answer.Values, sentAt)
+	driver.spec.Result.add(outcome{request: request, answer: answer, wrong: wrong, dueAt: next.at, sentAt: sentAt, answeredAt: answeredAt})
+}
--- /dev/null
+++ b/internal/stand/load/proxied.go
@@ -0,0 +1,209 @@
+package load
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/url"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgconn"
+
+	"almondway.dev/almondway/internal/stand/line"
+)
+
+const (
+	tokenParameter = "almondway.token"
+	roamShare      = 0.05
+	connectLimit   = 3 * time.Second
+	retryPause     = 50 * time.Millisecond
+	hintPrefix     = "retry after "
+)
+
+// Proxied is the Target of a system with proxies. Its sessions roam among them.
+type Proxied struct {
+	database string
+	delay    time.Duration
+
+	mu        sync.Mutex
+	random    *rand.Rand
+	addresses []string
+}
+
+// NewProxied returns a Proxied whose callers connect to a deployment; delay is
+// the one-way delay between callers and proxies.
+func NewProxied(deployment string, delay time.Duration, seed uint64) *Proxied {
+	return &Proxied{database: deployment, delay: delay, random: rand.New(rand.NewPCG(seed, seed))}
+}
+
+// SetAddresses replaces the "ip:port" addresses among which sessions roam.
+func (proxied *Proxied) SetAddresses(addresses []string) {
+	proxied.mu.Lock()
+	defer proxied.mu.Unlock()
+	proxied.addresses = append([]string(nil), addresses...)
+}
+
+// pick returns the proxy of the next request: the current one, unless it is
+// gone or the session roams.
+func (proxied *Proxied) pick(current string) string {
+	proxied.mu.Lock()
+	defer proxied.mu.Unlock()
+	next := proxied.addresses[proxied.random.IntN(len(proxied.addresses))]
+	if proxied.random.Float64() < roamShare {
+		return next
+	}
+	for _, address := range proxied.addresses {
+		if address == current {
+			return current
+		}
+	}
+	return next
+}
+
+// Session implements Target.
+func (proxied *Proxied) Session(class string) Session {
+	return &proxiedSession{proxied: proxied, class: class, conns: make(map[string]*pgconn.PgConn)}
+}
+
+type proxiedSession struct {
+	proxied *Proxied
+	class   string
+	current string
+	token   string
+	conns   map[string]*pgconn.PgConn
+}
+
+// Close implements Session.
+func (session *proxiedSession) Close() {
+	for address := range session.conns {
+		session.drop(address)
+	}
+}
+
+// Do implements Session. A write whose answer was lost or unknown is sent again
+// with the same request id until the deadline.
+func (session *proxiedSession) Do(request Request, deadline time.Time) Answer {
+	answer := session.once(request, deadline)
+	lost := answer.Lost
+	for request.Kind.Write && answer.Verdict == VerdictUnknown && time.Now().Before(deadline) {
+		time.Sleep(retryPause)
+		again := session.once(request, deadline)
+		if again.Verdict != VerdictNotRun || settled(again.Code) {
+			answer = again
+		}
+	}
+	answer.Lost = lost
+	return answer
+}
+
+// settled reports whether a refusal of a request that was sent before tells
+// that the earlier execution did not run either. A refusal by limits, as in
+// "AW201", tells it only of the last try.
+func settled(code string) bool { return code == "AW209" || code == "AW302" }
+
+func (session *proxiedSession) once(request Request, deadline time.Time) Answer {
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	address := session.proxied.pick(session.current)
+	session.current = address
+	conn, err := session.connect(ctx, address)
+	if err != nil {
+		session.current = ""
+		return classify(err, false)
+	}
+	result, err := conn.Exec(ctx, session.tag(request)+request.SQL).ReadAll()
+	session.token = conn.ParameterStatus(tokenParameter)
+	if err != nil {
+		answer := classify(err, true)
+		if conn.IsClosed() {
+			session.drop(address)
+		}
+		return answer
+	}
+	answer := Answer{Verdict: VerdictDone}
+	if len(result) > 0 && len(result[0].Rows) > 0 {
+		for _, value := range result[0].Rows[0] {
+			answer.Values = append(answer.Values, string(value))
+		}
+	}
+	return answer
+}
+
+func (session *proxiedSession) connect(ctx context.Context, address string) (*pgconn.PgConn, error) {
+	if conn := session.conns[address]; conn != nil && !conn.IsClosed() {
+		return conn, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, connectLimit)
+	defer cancel()
+	conn, err := connect(ctx, address, session.class, session.proxied.database, session.proxied.delay)
+	if err == nil {
+		session.conns[address] = conn
+	}
+	return conn, err
+}
+
+// connect opens a connection whose messages take delay each way.
+func connect(ctx context.Context, address, user, database string, delay time.Duration) (*pgconn.PgConn, error) {
+	target := url.URL{Scheme: "postgres", User: url.User(user), Host: address, Path: "/" + database, RawQuery: "sslmode=disable"}
+	config, err := pgconn.ParseConfig(target.String())
+	if err != nil {
+		return nil, err
+	}
+	config.DialFunc = func(ctx context.Context, network, address string) (net.Conn, error) {
+		var dialer net.Dialer
+		conn, err := dialer.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return line.New(conn, delay), nil
+	}
+	return pgconn.ConnectConfig(ctx, config)
+}
+
+func (session *proxiedSession) drop(address string) {
+	if conn := session.conns[address]; conn != nil {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		_ = conn.Close(ctx)
+		delete(session.conns, address)
+	}
+}
+
+func (session *proxiedSession) tag(request Request) string {
+	tags := []string{
+		fmt.Sprintf("group='%s'", request.Group),
+		fmt.Sprintf("key='%s'", url.QueryEscape(request.Key)),
+		fmt.Sprintf("kind='%s'", request.Kind.Name),
+	}
+	if request.ID != "" {
+		tags = append(tags, fmt.Sprintf("request_id='%s'", request.ID))
+	}
+	if session.token != "" {
+		tags = append(tags, fmt.Sprintf("token='%s'", url.QueryEscape(session.token)))
+	}
+	return "/*" + strings.Join(tags, ",") + "*/ "
+}
+
+// classify returns the Answer of a failed request.
+func classify(err error, sent bool) Answer {
+	var refused *pgconn.PgError
+	switch {
+	case errors.As(err, &refused):
+		answer := Answer{Verdict: VerdictNotRun, Code: refused.Code, Hinted: strings.HasPrefix(refused.Hint, hintPrefix)}
+		if strings.HasPrefix(refused.Routine, "AW") {
+			answer.Code = refused.Routine
+		}
+		if answer.Code == "AW301" {
+			answer.Verdict = VerdictUnknown
+		}
+		return answer
+	case !sent || pgconn.SafeToRetry(err):
+		return Answer{Verdict: VerdictNotRun, Code: "connect"}
+	default:
+		return Answer{Verdict: VerdictUnknown, Code: "lost", Lost: true}
+	}
+}
