edge: pipelined probes, lost callers, connections closed while unused

A probe held the next one up for its round trip, so an instance at 1 ms could take no more than 500 a second while the kernel may ask for 1000. A lane now sends without waiting, and a task that expires breaks its connection.

Ruled out: a second goroutine per caller to read ahead, which doubles the stacks of idle callers; RawConn.Read for the look, which waits for a reader.

Run: go test ./internal/edge/..., lint.

--- a/internal/edge/back/back.go
+++ b/internal/edge/back/back.go
@@ -22,6 +22,7 @@
 	defaultOpenTimeout    = 2 * time.Second
 	defaultExecuteTimeout = time.Minute
 	defaultCancelTimeout  = time.Second
+	defaultCheckInterval  = 100 * time.Millisecond
 	defaultMaxAnswer      = 16 << 20
 	applicationName       = "almondway"
 )
@@ -33,6 +34,7 @@
 	OpenTimeout    time.Duration
 	ExecuteTimeout time.Duration
 	CancelTimeout  time.Duration
+	CheckInterval  time.Duration
 	MaxAnswer      int
 }
 
@@ -46,6 +48,7 @@
 	mutex sync.Mutex
 	conns map[model.ConnID]*conn
 	lanes map[laneKey]*lane
+	ended chan struct{}
 }
 
 // New returns a Backend that posts its events to inbox.
@@ -60,14 +63,17 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Backend{
+	backend := &Backend{
 		spec:    spec,
 		inbox:   inbox,
 		data:    data,
 		control: control,
 		conns:   make(map[model.ConnID]*conn),
 		lanes:   make(map[laneKey]*lane),
-	}, nil
+		ended:   make(chan struct{}),
+	}
+	go backend.watch()
+	return backend, nil
 }
 
 // Open implements port.Backend.
@@ -89,7 +95,7 @@
 // Reset implements port.Backend.
 func (backend *Backend) Reset(action event.ResetConn) {
 	reset := backend.find(action.Conn())
-	if reset == nil || !reset.offer(command{reset: true}) {
+	if reset == nil || !reset.offer(command{kind: commandReset}) {
 		backend.postLater(event.NewResetDone(action.Conn(), false))
 	}
 }
@@ -120,8 +126,9 @@
 	backend.lane(laneOrder, action.Address()).offer(newOrderTask(action))
 }
 
-// Shutdown closes every connection.
+// Shutdown closes every connection. It is called once.
 func (backend *Backend) Shutdown() {
+	close(backend.ended)
 	backend.mutex.Lock()
 	defer backend.mutex.Unlock()
 	for _, open := range backend.conns {
@@ -144,6 +151,28 @@
 	delete(backend.conns, id)
 }
 
+// watch looks for connections that their instance has closed while they were unused.
+func (backend *Backend) watch() {
+	ticker := time.NewTicker(backend.spec.CheckInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-backend.ended:
+			return
+		case <-ticker.C:
+			backend.check()
+		}
+	}
+}
+
+func (backend *Backend) check() {
+	backend.mutex.Lock()
+	defer backend.mutex.Unlock()
+	for _, open := range backend.conns {
+		open.checkIdle()
+	}
+}
+
 // postLater posts from a goroutine of its own, since the kernel's loop must not
 // wait for room in its own inbox.
 func (backend *Backend) postLater(answer event.Event) { go backend.inbox.Post(answer) }
@@ -164,6 +193,9 @@
 	if spec.CancelTimeout == 0 {
 		spec.CancelTimeout = defaultCancelTimeout
 	}
+	if spec.CheckInterval == 0 {
+		spec.CheckInterval = defaultCheckInterval
+	}
 	if spec.MaxAnswer == 0 {
 		spec.MaxAnswer = defaultMaxAnswer
 	}
--- a/internal/edge/back/back_test.go
+++ b/internal/edge/back/back_test.go
@@ -256,3 +256,39 @@
 	close(release)
 	is.Equal(fixture.events.next(t), event.NewStatusReported(1, "katalog-1-a", status))
 }
+
+func TestStrayDataSpoilsTheConnection(t *testing.T) {
+	is := is.New(t)
+	fixture := newFixture(t, Spec{CheckInterval: time.Hour}, func(string) reply {
+		return reply{rows: [][][]byte{{[]byte("42")}}, tag: "SELECT 1", stray: true}
+	})
+	read := model.WorkSpec{Statement: simple("SELECT 1")}
+	_, ok := fixture.execute(t, 1, read).(event.ExecuteDone)
+	is.True(ok)
+	failed := fixture.execute(t, 2, read).(event.ExecuteFailed)
+	is.Equal(failed.Class(), model.FailureNotSent)
+	is.Equal(fixture.events.next(t), event.NewConnClosed(1))
+}
+
+func TestIdleConnectionIsWatched(t *testing.T) {
+	is := is.New(t)
+	fixture := newFixture(t, Spec{CheckInterval: time.Millisecond}, answerRow)
+	fixture.instance.hangUp()
+	is.Equal(fixture.events.next(t), event.NewConnClosed(1))
+}
+
+func TestCloseAnswersWhatRuns(t *testing.T) {
+	is := is.New(t)
+	started := make(chan struct{}, 1)
+	fixture := newFixture(t, Spec{}, func(string) reply {
+		started <- struct{}{}
+		return reply{hold: true}
+	})
+	fixture.backend.Execute(event.NewExecute(3, 1, model.NewWork(model.WorkSpec{Statement: simple("SELECT 1")})))
+	<-started
+	fixture.backend.Close(event.NewCloseConn(1))
+	failed := fixture.events.next(t).(event.ExecuteFailed)
+	is.Equal(failed.Class(), model.FailureLost)
+	fixture.backend.Reset(event.NewResetConn(1))
+	is.Equal(fixture.events.next(t), event.NewResetDone(1, false))
+}
--- a/internal/edge/back/conn.go
+++ b/internal/edge/back/conn.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgconn"
@@ -11,15 +12,24 @@
 
 	"almondway.dev/almondway/internal/core/event"
 	"almondway.dev/almondway/internal/core/model"
+	"almondway.dev/almondway/internal/edge/peek"
 )
 
 // queueSize is the number of commands that may wait for a connection. The
 // kernel gives a connection one command at a time.
 const queueSize = 4
 
-// command is what a connection's goroutine is asked to do.
+// commandKind tells what a connection's goroutine is asked to do.
+type commandKind int
+
+const (
+	commandExecute commandKind = iota
+	commandReset
+	commandCheck
+)
+
 type command struct {
-	reset   bool
+	kind    commandKind
 	execute event.Execute
 }
 
@@ -33,6 +43,10 @@
 	end      context.CancelFunc
 
 	hijacked *pgconn.HijackedConn
+	peeker   *peek.Peeker
+
+	// idle is set while the goroutine waits for a command.
+	idle atomic.Bool
 
 	mutex sync.Mutex
 	gone  bool
@@ -71,6 +85,13 @@
 	}
 }
 
+// checkIdle asks the goroutine to look at the connection unless it is in use.
+func (conn *conn) checkIdle() {
+	if conn.idle.Load() && len(conn.commands) == 0 {
+		conn.offer(command{kind: commandCheck})
+	}
+}
+
 // stop closes the connection without a ConnClosed event.
 func (conn *conn) stop() { conn.end() }
 
@@ -99,17 +120,19 @@
 		conn.backend.inbox.Post(event.NewConnFailed(conn.id, failReason(err)))
 		return false
 	}
-	conn.hijacked = hijacked
+	conn.hijacked, conn.peeker = hijacked, peek.New(hijacked.Conn)
 	return true
 }
 
 // serve carries out commands until the connection is spoiled or asked to close.
 func (conn *conn) serve() {
 	for {
+		conn.idle.Store(true)
 		select {
 		case <-conn.context.Done():
 			return
 		case given := <-conn.commands:
+			conn.idle.Store(false)
 			if !conn.carryOut(given) {
 				return
 			}
@@ -117,11 +140,23 @@
 	}
 }
 
+// carryOut returns false if the connection is spoiled.
 func (conn *conn) carryOut(given command) bool {
-	if given.reset {
+	switch given.kind {
+	case commandCheck:
+		return conn.clean()
+	case commandReset:
 		return conn.reset()
+	default:
+		return conn.execute(given.execute)
 	}
-	return conn.execute(given.execute)
+}
+
+// clean reports whether the instance has sent nothing beyond the answers that
+// were read. What it sends unasked, or after an answer, could be taken for the
+// answer to the next execution.
+func (conn *conn) clean() bool {
+	return conn.hijacked.Frontend.ReadBufferLen() == 0 && conn.peeker.Quiet()
 }
 
 func (conn *conn) reset() bool {
@@ -196,12 +231,14 @@
 }
 
 func (conn *conn) refuse(given command) {
-	if given.reset {
+	switch given.kind {
+	case commandCheck:
+	case commandReset:
 		conn.backend.inbox.Post(event.NewResetDone(conn.id, false))
-		return
+	default:
+		conn.backend.inbox.Post(event.NewExecuteFailed(
+			given.execute.Exec(), conn.id, model.FailureNotSent, false, model.Mark{}, nil))
 	}
-	conn.backend.inbox.Post(event.NewExecuteFailed(
-		given.execute.Exec(), conn.id, model.FailureNotSent, false, model.Mark{}, nil))
 }
 
 // cancel asks the instance to cancel the execution if it still runs.
--- a/internal/edge/back/instance_test.go
+++ b/internal/edge/back/instance_test.go
@@ -25,6 +25,8 @@
 	fatal bool
 	// cut closes the connection in place of an answer.
 	cut bool
+	// stray sends a row after the answer that nobody asked for.
+	stray bool
 	// hold waits until the connection is closed or the statement is canceled.
 	hold bool
 }
@@ -40,6 +42,7 @@
 	mutex      sync.Mutex
 	statements []string
 	batches    int
+	conns      []net.Conn
 }
 
 func newInstance(t testing.TB, script func(sql string) reply) *instance {
@@ -68,10 +71,22 @@
 		if err != nil {
 			return
 		}
+		instance.mutex.Lock()
+		instance.conns = append(instance.conns, conn)
+		instance.mutex.Unlock()
 		go instance.serve(conn)
 	}
 }
 
+// hangUp closes every connection.
+func (instance *instance) hangUp() {
+	instance.mutex.Lock()
+	defer instance.mutex.Unlock()
+	for _, conn := range instance.conns {
+		_ = conn.Close()
+	}
+}
+
 // session is one connection of an instance.
 type session struct {
 	instance *instance
@@ -79,6 +94,7 @@
 	status   byte
 	prepared string
 	skipping bool
+	stray    bool
 }
 
 func (instance *instance) serve(conn net.Conn) {
@@ -151,6 +167,7 @@
 	instance.statements = append(instance.statements, sql)
 	instance.mutex.Unlock()
 	answer := instance.script(sql)
+	session.stray = answer.stray
 	switch {
 	case answer.cut:
 		return false
@@ -205,6 +222,9 @@
 	session.instance.mutex.Unlock()
 	session.backend.Send(&pgproto3.ParameterStatus{Name: wire.MarkParameter, Value: "16777216/7"})
 	session.backend.Send(&pgproto3.ReadyForQuery{TxStatus: session.status})
+	if session.stray {
+		session.backend.Send(&pgproto3.DataRow{Values: [][]byte{[]byte("of another caller")}})
+	}
 	_ = session.backend.Flush()
 }
 
--- a/internal/edge/back/lane.go
+++ b/internal/edge/back/lane.go
@@ -5,17 +5,11 @@
 	"sync"
 	"time"
 
-	"github.com/jackc/pgx/v5/pgconn"
-	"github.com/jackc/pgx/v5/pgproto3"
-	"github.com/pkg/errors"
-
-	"almondway.dev/almondway/internal/core/event"
 	"almondway.dev/almondway/internal/core/model"
-	"almondway.dev/almondway/internal/edge/wire"
 )
 
-// laneKind parts the control connections of an instance, so that a probe that
-// hangs does not hold up an order.
+// laneKind parts the control connections of an instance, so that probes that
+// hang do not hold up an order.
 type laneKind int
 
 const (
@@ -28,54 +22,9 @@
 	address string
 }
 
-// task is a probe or an order and its answers.
-type task struct {
-	sql      string
-	deadline time.Time
-	done     func(status model.Status, accepted bool) event.Event
-	failed   func(reason model.FailReason) event.Event
-}
-
-func newProbeTask(action event.Probe) *task {
-	return &task{
-		sql:      wire.StatusSQL,
-		deadline: time.Now().Add(action.Timeout()),
-		done: func(status model.Status, _ bool) event.Event {
-			return event.NewStatusReported(action.Probe(), action.Instance(), status)
-		},
-		failed: func(reason model.FailReason) event.Event {
-			return event.NewStatusFailed(action.Probe(), action.Instance(), reason)
-		},
-	}
-}
-
-func newOrderTask(action event.SendOrder) *task {
-	return &task{
-		sql:      orderSQL(action.Body()),
-		deadline: time.Now().Add(action.Timeout()),
-		done: func(status model.Status, accepted bool) event.Event {
-			return event.NewOrderDone(action.Order(), action.Instance(), accepted, status)
-		},
-		failed: func(reason model.FailReason) event.Event {
-			return event.NewOrderFailed(action.Order(), action.Instance(), reason)
-		},
-	}
-}
-
-func orderSQL(order event.Order) string {
-	switch order := order.(type) {
-	case event.Fence:
-		return wire.Fence(order.Term())
-	case event.Promote:
-		return wire.Promote(order.Term())
-	case event.Follow:
-		return wire.Follow(order.Term(), order.Primary(), order.Address())
-	default:
-		return ""
-	}
-}
-
-// lane is a control connection. One goroutine uses it.
+// lane carries the probes or the orders of one instance over one connection,
+// which it opens when it is needed. Queries are sent without waiting for the
+// answers to those before. One goroutine runs the lane.
 type lane struct {
 	backend *Backend
 	address string
@@ -83,10 +32,21 @@
 	end     context.CancelFunc
 
 	mutex   sync.Mutex
-	waiting []*task
+	offered []*task
 	wake    chan struct{}
 
-	hijacked *pgconn.HijackedConn
+	dialed  chan dialResult
+	answers chan linkAnswer
+	dialing bool
+	link    *link
+	// waiting holds the tasks that were not sent, flight those that were.
+	waiting []*task
+	flight  []*task
+}
+
+type dialResult struct {
+	link *link
+	err  error
 }
 
 func (backend *Backend) lane(kind laneKind, address string) *lane {
@@ -103,6 +63,8 @@
 		context: ctx,
 		end:     end,
 		wake:    make(chan struct{}, 1),
+		dialed:  make(chan dialResult),
+		answers: make(chan linkAnswer),
 	}
 	backend.lanes[key] = opened
 	go opened.run()
@@ -111,7 +73,7 @@
 
 func (lane *lane) offer(given *task) {
 	lane.mutex.Lock()
-	lane.waiting = append(lane.waiting, given)
+	lane.offered = append(lane.offered, given)
 	lane.mutex.Unlock()
 	select {
 	case lane.wake <- struct{}{}:
@@ -122,85 +84,137 @@
 func (lane *lane) stop() { lane.end() }
 
 func (lane *lane) run() {
+	expiry := time.NewTimer(0)
+	defer expiry.Stop()
 	defer lane.hangUp()
 	for {
 		select {
 		case <-lane.context.Done():
 			return
 		case <-lane.wake:
+			lane.takeOffered()
+		case result := <-lane.dialed:
+			lane.takeDialed(result)
+		case answer := <-lane.answers:
+			lane.takeAnswer(answer)
+		case <-expiry.C:
 		}
-		for next := lane.next(); next != nil; next = lane.next() {
-			lane.carryOut(next)
+		lane.expire(time.Now())
+		lane.advance()
+		if next, ok := lane.nextDeadline(); ok {
+			expiry.Reset(time.Until(next))
 		}
 	}
 }
 
-func (lane *lane) next() *task {
+func (lane *lane) takeOffered() {
 	lane.mutex.Lock()
 	defer lane.mutex.Unlock()
-	if len(lane.waiting) == 0 {
-		return nil
-	}
-	next := lane.waiting[0]
-	lane.waiting = lane.waiting[1:]
-	return next
+	lane.waiting = append(lane.waiting, lane.offered...)
+	lane.offered = nil
 }
 
-func (lane *lane) carryOut(given *task) {
-	status, accepted, err := lane.ask(given)
-	if err != nil {
-		lane.hangUp()
-		lane.backend.inbox.Post(given.failed(failReason(err)))
+func (lane *lane) takeDialed(result dialResult) {
+	lane.dialing = false
+	if result.err == nil {
+		lane.link = result.link
+		go lane.link.read(lane.answers, lane.context.Done())
 		return
 	}
-	lane.backend.inbox.Post(given.done(status, accepted))
+	if reason := failReason(result.err); reason != model.FailTimeout {
+		lane.fail(lane.waiting, reason)
+		lane.waiting = nil
+	}
 }
 
-func (lane *lane) ask(given *task) (model.Status, bool, error) {
-	if err := lane.connect(given.deadline); err != nil {
-		return model.Status{}, false, err
-	}
-	if err := lane.hijacked.Conn.SetDeadline(given.deadline); err != nil {
-		return model.Status{}, false, errors.Wrap(err, "set deadline of control connection")
+func (lane *lane) takeAnswer(answer linkAnswer) {
+	if answer.link != lane.link {
+		return
 	}
-	lane.hijacked.Frontend.Send(&pgproto3.Query{String: given.sql})
-	if err := lane.hijacked.Frontend.Flush(); err != nil {
-		return model.Status{}, false, errors.Wrap(err, "send to control connection")
+	if answer.err != nil {
+		lane.breakLink(failReason(answer.err))
+		return
 	}
-	reader := newReader(lane.hijacked, 0, lane.backend.spec.MaxAnswer)
-	if err := reader.run(); err != nil {
-		return model.Status{}, false, err
+	if len(lane.flight) == 0 {
+		return
 	}
-	return readStatus(reader)
+	answered := lane.flight[0]
+	lane.flight = lane.flight[1:]
+	lane.backend.inbox.Post(answered.done(answer.status, answer.accepted))
 }
 
-func readStatus(reader *reader) (model.Status, bool, error) {
-	if reader.failure != nil {
-		return model.Status{}, false, pgconn.ErrorResponseToPgError(reader.failure)
+// expire fails the tasks whose time is over. A link that lets one expire is
+// broken, and with it the tasks that were sent after that one.
+func (lane *lane) expire(now time.Time) {
+	if len(lane.flight) > 0 && !lane.flight[0].deadline.After(now) {
+		lane.breakLink(model.FailTimeout)
 	}
-	if len(reader.results) != 1 || len(reader.results[0].Rows()) != 1 {
-		return model.Status{}, false, errors.New("answer of control connection is not one row")
+	for len(lane.waiting) > 0 && !lane.waiting[0].deadline.After(now) {
+		lane.fail(lane.waiting[:1], model.FailTimeout)
+		lane.waiting = lane.waiting[1:]
 	}
-	return wire.ParseStatus(reader.results[0].Rows()[0])
 }
 
-func (lane *lane) connect(deadline time.Time) error {
-	if lane.hijacked != nil {
-		return nil
+// advance sends what waits, and opens a connection for it where there is none.
+func (lane *lane) advance() {
+	switch {
+	case len(lane.waiting) == 0:
+	case lane.link != nil:
+		sent := lane.waiting
+		lane.flight = append(lane.flight, sent...)
+		lane.waiting = nil
+		if err := lane.link.send(sent); err != nil {
+			lane.breakLink(failReason(err))
+		}
+	case !lane.dialing:
+		lane.dialing = true
+		go lane.dial()
 	}
-	ctx, cancel := context.WithDeadline(lane.context, deadline)
+}
+
+func (lane *lane) dial() {
+	ctx, cancel := context.WithTimeout(lane.context, lane.backend.spec.OpenTimeout)
 	defer cancel()
 	hijacked, err := dial(ctx, lane.backend.control, lane.address)
-	if err != nil {
-		return err
+	result := dialResult{err: err}
+	if err == nil {
+		result.link = &link{hijacked: hijacked, limit: lane.backend.spec.MaxAnswer}
+	}
+	select {
+	case lane.dialed <- result:
+	case <-lane.context.Done():
+		if result.link != nil {
+			result.link.close()
+		}
 	}
-	lane.hijacked = hijacked
-	return nil
+}
+
+func (lane *lane) breakLink(reason model.FailReason) {
+	lane.fail(lane.flight, reason)
+	lane.flight = nil
+	lane.hangUp()
 }
 
 func (lane *lane) hangUp() {
-	if lane.hijacked != nil {
-		_ = lane.hijacked.Conn.Close()
-		lane.hijacked = nil
+	if lane.link != nil {
+		lane.link.close()
+		lane.link = nil
+	}
+}
+
+func (lane *lane) fail(tasks []*task, reason model.FailReason) {
+	for _, task := range tasks {
+		lane.backend.inbox.Post(task.failed(reason))
+	}
+}
+
+func (lane *lane) nextDeadline() (time.Time, bool) {
+	switch {
+	case len(lane.flight) > 0:
+		return lane.flight[0].deadline, true
+	case len(lane.waiting) > 0:
+		return lane.waiting[0].deadline, true
+	default:
+		return time.Time{}, false
 	}
 }
--- /dev/null
+++ b/internal/edge/back/task.go
@@ -0,0 +1,56 @@
+package back
+
+import (
+	"time"
+
+	"almondway.dev/almondway/internal/core/event"
+	"almondway.dev/almondway/internal/core/model"
+	"almondway.dev/almondway/internal/edge/wire"
+)
+
+// task is a probe or an order, and the events that answer it.
+type task struct {
+	sql      string
+	deadline time.Time
+	done     func(status model.Status, accepted bool) event.Event
+	failed   func(reason model.FailReason) event.Event
+}
+
+func newProbeTask(action event.Probe) *task {
+	return &task{
+		sql:      wire.StatusSQL,
+		deadline: time.Now().Add(action.Timeout()),
+		done: func(status model.Status, _ bool) event.Event {
+			return event.NewStatusReported(action.Probe(), action.Instance(), status)
+		},
+		failed: func(reason model.FailReason) event.Event {
+			return event.NewStatusFailed(action.Probe(), action.Instance(), reason)
+		},
+	}
+}
+
+func newOrderTask(action event.SendOrder) *task {
+	return &task{
+		sql:      orderSQL(action.Body()),
+		deadline: time.Now().Add(action.Timeout()),
+		done: func(status model.Status, accepted bool) event.Event {
+			return event.NewOrderDone(action.Order(), action.Instance(), accepted, status)
+		},
+		failed: func(reason model.FailReason) event.Event {
+			return event.NewOrderFailed(action.Order(), action.Instance(), reason)
+		},
+	}
+}
+
+func orderSQL(order event.Order) string {
+	switch order := order.(type) {
+	case event.Fence:
+		return wire.Fence(order.Term())
+	case event.Promote:
+		return wire.Promote(order.Term())
+	case event.Follow:
+		return wire.Follow(order.Term(), order.Primary(), order.Address())
+	default:
+		return ""
+	}
+}
--- a/internal/edge/back/work.go
+++ b/internal/edge/back/work.go
@@ -41,6 +41,9 @@
 	if timeout <= 0 {
 		timeout = conn.backend.spec.ExecuteTimeout
 	}
+	if !conn.clean() {
+		return outcome{class: model.FailureNotSent}
+	}
 	if err := conn.send(messages, timeout); err != nil {
 		if pgconn.SafeToRetry(err) {
 			return outcome{class: model.FailureNotSent}
--- a/internal/edge/front/caller.go
+++ b/internal/edge/front/caller.go
@@ -33,6 +33,8 @@
 	portals  map[string]*portal
 	// described is the portal whose description waits for its execution.
 	described *portal
+	// lost is set once the caller is known to have gone.
+	lost bool
 	// skipping is set after an error of the extended protocol until Sync.
 	skipping bool
 }
@@ -106,7 +108,7 @@
 		} else {
 			err = caller.handle(message)
 		}
-		if err != nil {
+		if err != nil || caller.lost {
 			return
 		}
 	}
@@ -205,13 +207,29 @@
 	caller.server.inbox.Post(event.NewRequestReceived(model.NewRequest(spec)))
 	for {
 		<-caller.box.wake
-		if reply := caller.box.takeReply(); reply != nil {
+		reply, lost := caller.box.takeReply()
+		switch {
+		case reply != nil:
 			caller.settle(spec.Op, reply)
 			return reply
+		case lost:
+			caller.lost = true
+			return lostReply(spec)
 		}
 	}
 }
 
+// lostReply stands for the reply that a caller did not wait for.
+func lostReply(spec model.RequestSpec) *model.Reply {
+	return model.NewReply(model.ReplySpec{
+		Seq:     spec.Seq,
+		Caller:  spec.Caller,
+		Outcome: model.OutcomeUnknown,
+		Code:    codes.Canceled,
+		Detail:  "the caller has gone",
+	})
+}
+
 // settle takes over what a reply changes for the session.
 func (caller *caller) settle(operation model.Op, reply *model.Reply) {
 	caller.txState = reply.TxState()
--- a/internal/edge/front/mailbox.go
+++ b/internal/edge/front/mailbox.go
@@ -1,9 +1,11 @@
 package front
 
 import (
+	"net"
 	"sync"
 
 	"almondway.dev/almondway/internal/core/model"
+	"almondway.dev/almondway/internal/edge/peek"
 )
 
 // admission is the kernel's answer to a caller's start-up.
@@ -21,6 +23,9 @@
 	expected model.RequestSeq
 	reply    *model.Reply
 	closing  *fault
+	lost     bool
+	// peeker looks after the connection while a reply is awaited.
+	peeker *peek.Peeker
 }
 
 func newMailbox() *mailbox { return &mailbox{wake: make(chan struct{}, 1)} }
@@ -56,15 +61,32 @@
 	mailbox.expected, mailbox.reply = seq, nil
 }
 
-// takeReply returns the reply to the expected request, or nil if it has not come.
-func (mailbox *mailbox) takeReply() *model.Reply {
+// takeReply returns the reply to the expected request, or nil if it has not
+// come, and whether the caller is gone.
+func (mailbox *mailbox) takeReply() (reply *model.Reply, lost bool) {
 	mailbox.mutex.Lock()
 	defer mailbox.mutex.Unlock()
-	reply := mailbox.reply
+	reply = mailbox.reply
 	if reply != nil {
 		mailbox.expected, mailbox.reply = 0, nil
 	}
-	return reply
+	return reply, mailbox.lost
+}
+
+// watch looks whether the caller on conn has gone while it waits for a reply.
+func (mailbox *mailbox) watch(conn net.Conn) {
+	mailbox.mutex.Lock()
+	defer mailbox.mutex.Unlock()
+	if mailbox.expected == 0 || mailbox.lost {
+		return
+	}
+	if mailbox.peeker == nil {
+		mailbox.peeker = peek.New(conn)
+	}
+	if mailbox.peeker.Gone() {
+		mailbox.lost = true
+		mailbox.signal()
+	}
 }
 
 func (mailbox *mailbox) admission() *admission {
--- a/internal/edge/front/protocol_test.go
+++ b/internal/edge/front/protocol_test.go
@@ -282,3 +282,23 @@
 		})
 	}
 }
+
+func TestCallerLostWhileItWaits(t *testing.T) {
+	is := is.New(t)
+	received, release := make(chan struct{}), make(chan struct{})
+	kernel := newKernel(t, Spec{WatchInterval: time.Millisecond}, func(*model.Request) model.ReplySpec {
+		close(received)
+		<-release
+		return model.ReplySpec{}
+	})
+	raw := openRaw(t, kernel)
+	raw.send(&pgproto3.Query{String: "UPDATE x"})
+	<-received
+	is.NoErr(raw.conn.Close())
+	for end := time.Now().Add(testWait); kernel.server.Count() > 0; {
+		is.True(time.Now().Before(end))
+	}
+	close(release)
+	is.Equal(<-kernel.closed, model.CallerID(raw.pid))
+	is.Equal(len(kernel.closed), 0)
+}
--- /dev/null
+++ b/internal/edge/front/registry.go
@@ -0,0 +1,77 @@
+package front
+
+import (
+	"time"
+
+	"almondway.dev/almondway/internal/core/model"
+)
+
+// acceptPause keeps a lack of file descriptors from using up the processor.
+const acceptPause = 10 * time.Millisecond
+
+// reserve counts a connection that starts up. Those beyond twice the limit of
+// callers are closed without an answer.
+func (server *Server) reserve() bool {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	if server.starting >= server.spec.MaxCallers {
+		return false
+	}
+	server.starting++
+	return true
+}
+
+func (server *Server) release() {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	server.starting--
+}
+
+// register makes a caller known under a new id. It returns false if the proxy
+// has as many callers as it may have.
+func (server *Server) register(caller *caller) bool {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	if len(server.callers) >= server.spec.MaxCallers {
+		return false
+	}
+	server.lastCaller++
+	caller.id = server.lastCaller
+	server.callers[caller.id] = caller
+	return true
+}
+
+func (server *Server) unregister(caller *caller) {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	delete(server.callers, caller.id)
+}
+
+func (server *Server) find(id model.CallerID) *caller {
+	server.mutex.RLock()
+	defer server.mutex.RUnlock()
+	return server.callers[id]
+}
+
+// watch looks after the callers that wait for a reply, so that a caller that
+// has gone does not hold on to its transaction until the reply comes.
+func (server *Server) watch() {
+	ticker := time.NewTicker(server.spec.WatchInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-server.ended:
+			return
+		case <-ticker.C:
+			server.watchCallers()
+		}
+	}
+}
+
+func (server *Server) watchCallers() {
+	server.mutex.RLock()
+	defer server.mutex.RUnlock()
+	for _, caller := range server.callers {
+		caller.box.watch(caller.conn)
+	}
+}
--- a/internal/edge/front/server.go
+++ b/internal/edge/front/server.go
@@ -17,27 +17,6 @@
 	"almondway.dev/almondway/internal/core/port"
 )
 
-const (
-	defaultMaxCallers     = 4000
-	defaultMaxMessage     = 4 << 20
-	defaultStartupTimeout = 10 * time.Second
-	defaultWriteTimeout   = 30 * time.Second
-	defaultServerVersion  = "15.0 (almondway)"
-)
-
-// Spec lists the settings of a Server. A zero field takes its default; without
-// certificate files TLS is off.
-type Spec struct {
-	Address        string
-	CertFile       string
-	KeyFile        string
-	MaxCallers     int
-	MaxMessage     int
-	StartupTimeout time.Duration
-	WriteTimeout   time.Duration
-	ServerVersion  string
-}
-
 // Server implements port.Callers.
 type Server struct {
 	spec   Spec
@@ -51,6 +30,7 @@
 	starting   int
 	lastCaller model.CallerID
 	lastSeq    atomic.Uint64
+	ended      chan struct{}
 }
 
 // New returns a Server that posts its events to inbox. It does not listen yet.
@@ -60,6 +40,7 @@
 		inbox:   inbox,
 		logger:  logger,
 		callers: make(map[model.CallerID]*caller),
+		ended:   make(chan struct{}),
 	}
 	if (spec.CertFile == "") != (spec.KeyFile == "") {
 		return nil, errors.New("certificate file and key file of the callers' side must be set together")
@@ -89,6 +70,7 @@
 		"tls":     server.tls != nil,
 	}).Info("listening for callers")
 	go server.accept(listener)
+	go server.watch()
 	return nil
 }
 
@@ -108,9 +90,11 @@
 	}
 }
 
-// Shutdown takes no further callers and closes every connection at once.
+// Shutdown takes no further callers and closes every connection at once. It is
+// called once.
 func (server *Server) Shutdown() {
 	server.Stop()
+	close(server.ended)
 	server.mutex.RLock()
 	defer server.mutex.RUnlock()
 	for _, caller := range server.callers {
@@ -173,69 +157,3 @@
 		go newCaller(server, conn).run()
 	}
 }
-
-// acceptPause keeps a lack of file descriptors from using up the processor.
-const acceptPause = 10 * time.Millisecond
-
-// reserve counts a connection that starts up. Those beyond twice the limit of
-// callers are closed without an answer.
-func (server *Server) reserve() bool {
-	server.mutex.Lock()
-	defer server.mutex.Unlock()
-	if server.starting >= server.spec.MaxCallers {
-		return false
-	}
-	server.starting++
-	return true
-}
-
-func (server *Server) release() {
-	server.mutex.Lock()
-	defer server.mutex.Unlock()
-	server.starting--
-}
-
-// register makes a caller known under a new id. It returns false if the proxy
-// has as many callers as it may have.
-func (server *Server) register(caller *caller) bool {
-	server.mutex.Lock()
-	defer server.mutex.Unlock()
-	if len(server.callers) >= server.spec.MaxCallers {
-		return false
-	}
-	server.lastCaller++
-	caller.id = server.lastCaller
-	server.callers[caller.id] = caller
-	return true
-}
-
-func (server *Server) unregister(caller *caller) {
-	server.mutex.Lock()
-	defer server.mutex.Unlock()
-	delete(server.callers, caller.id)
-}
-
-func (server *Server) find(id model.CallerID) *caller {
-	server.mutex.RLock()
-	defer server.mutex.RUnlock()
-	return server.callers[id]
-}
-
-func withDefaults(spec Spec) Spec {
-	if spec.MaxCallers == 0 {
-		spec.MaxCallers = defaultMaxCallers
-	}
-	if spec.MaxMessage == 0 {
-		spec.MaxMessage = defaultMaxMessage
-	}
-	if spec.StartupTimeout == 0 {
-		spec.StartupTimeout = defaultStartupTimeout
-	}
-	if spec.WriteTimeout == 0 {
-		spec.WriteTimeout = defaultWriteTimeout
-	}
-	if spec.ServerVersion == "" {
-		spec.ServerVersion = defaultServerVersion
-	}
-	return spec
-}
