plug: fair order, refusals at once and retry budgets

Cause: requests waited for a slot in the order of arrival without bound, and a pool whose instance was gone held its requests until their deadline.

Change: limit serves deployments by weight, classes of caller and flows in turn, bounds the waiting requests of a deployment and the concurrency of a class, and refuses at once what has no chance before its deadline. Retries come out of a budget of their group. conns keeps half of its share warm, closes what is beyond the share, sends requests away from an instance that cannot be connected to, and tells that an instance is leaving.

Ruled out: holding a slot for a whole transaction; the next statement of an open transaction goes first instead, so that connections come free.

Run: go test ./internal/plug/... ./internal/core/...

--- a/internal/core/route/route.go
+++ b/internal/core/route/route.go
@@ -26,7 +26,7 @@
 	Demand(group model.GroupID, since, began time.Duration)
 }
 
-// Ask is what a request needs of an instance.
+// Ask is what a request needs of an instance. Job is nil for the proxy's own upkeep.
 type Ask struct {
 	Instance model.InstanceID
 	Job      *Job
@@ -42,29 +42,32 @@
 	SlotDenied(code codes.Code, retryAfter time.Duration)
 }
 
-// Admission bounds the statements that run at once on an instance.
+// Admission bounds the statements that run at once on an instance and for a
+// class of caller.
 type Admission interface {
 	// Enter grants a slot at once or later, or denies it.
 	Enter(entrant Entrant)
 	// Withdraw ends the wait of an Entrant that has no slot yet.
 	Withdraw(entrant Entrant)
 	// Force takes a slot beyond the limit, for the next statement of an open transaction.
-	Force(instance model.InstanceID)
-	// Leave gives a slot back. busy reports that the instance refused for lack of slots.
-	Leave(instance model.InstanceID, held time.Duration, busy bool)
+	Force(ask Ask)
+	// Leave gives a slot back that was held for a time. busy reports that the
+	// instance refused for lack of slots.
+	Leave(ask Ask, held time.Duration, busy bool)
 	// Load returns how many statements run or wait at an instance.
 	Load(instance model.InstanceID) int
 	// Retry takes one retry out of the budget of a group. It reports false if none is left.
 	Retry(group model.GroupID) bool
 	// RetryAfter returns when a request that is refused now may come back.
-	RetryAfter() time.Duration
+	RetryAfter(instance model.InstanceID) time.Duration
 }
 
 // Taker uses a backend connection.
 type Taker interface {
 	// ConnGranted gives the Taker a connection, which it gives back with Release or Discard.
 	ConnGranted(conn model.ConnID)
-	// ConnDenied tells the Taker that it gets no connection.
+	// ConnDenied tells the Taker that it gets no connection. codes.NoReplica
+	// means that the instance cannot be reached.
 	ConnDenied(code codes.Code, retryAfter time.Duration)
 	// ExecuteDone hands over the answer of the Taker's execution.
 	ExecuteDone(done event.ExecuteDone)
--- a/internal/plug/conns/answer.go
+++ b/internal/plug/conns/answer.go
@@ -23,8 +23,12 @@
 	if !ok || conn.state != connOpening {
 		return
 	}
+	pools.openFailed(conn, failed.Reason())
+}
+
+func (pools *Pools) openFailed(conn *conn, reason model.FailReason) {
 	delete(pools.conns, conn.id)
-	conn.pool.openFailed(conn, failed.Reason())
+	conn.pool.openFailed(conn, reason)
 }
 
 func (pools *Pools) closed(closed event.ConnClosed) {
@@ -32,6 +36,10 @@
 	if !ok || conn.exec != 0 {
 		return
 	}
+	if conn.state == connOpening {
+		pools.openFailed(conn, model.FailReset)
+		return
+	}
 	taker := conn.taker
 	pools.drop(conn)
 	if taker != nil {
@@ -78,6 +86,9 @@
 	if failed.Class() == model.FailureBusy {
 		pools.leave(conn, true)
 	}
+	if failed.Class() == model.FailureLeaving {
+		pools.context.Publish(event.NewLeavingChanged(conn.pool.instance.ID(), true))
+	}
 	if !failed.Usable() {
 		pools.context.Emit(event.NewCloseConn(conn.id))
 		pools.drop(conn)
--- a/internal/plug/conns/conns.go
+++ b/internal/plug/conns/conns.go
@@ -58,7 +58,7 @@
 func (pools *Pools) Acquire(ask route.Ask, taker route.Taker) route.Ticket {
 	pool := pools.pool(ask.Instance)
 	if pool == nil {
-		taker.ConnDenied(noInstance, pools.admission.RetryAfter())
+		taker.ConnDenied(unreachable, 0)
 		return 0
 	}
 	added := &ticket{id: route.Ticket(pools.context.NextID()), ask: ask, taker: taker, pool: pool}
@@ -79,7 +79,7 @@
 	delete(pools.tickets, id)
 	if ticket.state == ticketAdmitted {
 		ticket.pool.unqueue(ticket)
-		pools.admission.Leave(ticket.ask.Instance, 0, false)
+		pools.admission.Leave(ticket.ask, 0, true)
 	} else {
 		pools.admission.Withdraw(ticket)
 	}
@@ -119,7 +119,7 @@
 	conn.taker = taker
 	if !conn.slot {
 		conn.slot = true
-		pools.admission.Force(conn.pool.instance.ID())
+		pools.admission.Force(conn.ask)
 	}
 	return true
 }
@@ -142,7 +142,7 @@
 	conn.pool.park(conn)
 	conn.pool.serve()
 	if slot {
-		pools.admission.Leave(conn.pool.instance.ID(), held, false)
+		pools.admission.Leave(conn.ask, held, false)
 	}
 }
 
@@ -176,7 +176,7 @@
 		return
 	}
 	conn.slot = false
-	pools.admission.Leave(conn.pool.instance.ID(), pools.context.Now()-conn.since, busy)
+	pools.admission.Leave(conn.ask, pools.context.Now()-conn.since, busy)
 }
 
 // drop forgets a connection that is closed.
--- a/internal/plug/conns/pool.go
+++ b/internal/plug/conns/pool.go
@@ -12,11 +12,12 @@
 )
 
 const (
-	// noInstance is the code for an instance that the platform lists no more.
-	noInstance = codes.NoReplica
+	// unreachable is the code for an instance that cannot be connected to.
+	unreachable = codes.NoReplica
 
-	maxOpening       = 2
-	minWarm          = 1
+	maxOpening       = 4
+	warmDivisor      = 2
+	maxDoublings     = 6
 	maintainInterval = time.Second
 	firstBackoff     = 20 * time.Millisecond
 	maxBackoff       = time.Second
@@ -38,6 +39,7 @@
 	pool  *pool
 	state connState
 	taker route.Taker
+	ask   route.Ask
 	exec  model.ExecID
 	slot  bool
 	since time.Duration
@@ -63,6 +65,9 @@
 	return max(1, context.Settings().ConnsPerInstance()/proxies)
 }
 
+// warm returns how many connections are kept open ahead of need.
+func (pool *pool) warm() int { return max(1, pool.limit()/warmDivisor) }
+
 // serve hands idle connections to the tickets that wait longest.
 func (pool *pool) serve() {
 	for len(pool.waiting) > 0 && len(pool.idle) > 0 {
@@ -91,6 +96,7 @@
 	conn.slot = true
 	conn.since = pool.pools.context.Now()
 	conn.taker = ticket.taker
+	conn.ask = ticket.ask
 	ticket.end()
 	ticket.taker.ConnGranted(conn.id)
 }
@@ -125,7 +131,7 @@
 }
 
 func (pool *pool) needs() bool {
-	return pool.opening < len(pool.waiting) || len(pool.idle)+pool.opening < minWarm
+	return pool.opening < len(pool.waiting) || pool.total < pool.warm()
 }
 
 func (pool *pool) open() {
@@ -137,16 +143,39 @@
 	context.Emit(event.NewOpenConn(added.id, pool.instance.ID(), pool.instance.Address()))
 }
 
-// openFailed holds further openings back for a time that doubles with each failure.
-func (pool *pool) openFailed(failed *conn, _ model.FailReason) {
+// openFailed holds further openings back for a time that doubles with each
+// failure. Requests that wait for an instance to which no connection stands are
+// sent away, so that reads can go elsewhere.
+func (pool *pool) openFailed(failed *conn, reason model.FailReason) {
 	failed.state = connClosed
 	pool.total--
 	pool.opening--
+	pool.backOff()
+	if reason == model.FailLeaving {
+		pool.pools.context.Publish(event.NewLeavingChanged(pool.instance.ID(), true))
+	}
+	if reason != model.FailFull && pool.total == pool.opening {
+		pool.sendAway()
+	}
+}
+
+func (pool *pool) backOff() {
 	context := pool.pools.context
-	backoff := min(maxBackoff, firstBackoff<<min(pool.failures, 10))
+	backoff := min(maxBackoff, firstBackoff<<min(pool.failures, maxDoublings))
 	backoff = backoff/2 + time.Duration(context.Random().Int64N(int64(backoff)))
 	pool.failures++
 	pool.blocked = context.Now() + backoff
 	context.Timers().Cancel(pool.retry)
 	pool.retry = context.Timers().After(backoff, pool.fill)
 }
+
+// sendAway denies every request that waits for a connection.
+func (pool *pool) sendAway() {
+	waiting := pool.waiting
+	pool.waiting = nil
+	for _, ticket := range waiting {
+		ticket.end()
+		pool.pools.admission.Leave(ticket.ask, 0, true)
+		ticket.taker.ConnDenied(unreachable, 0)
+	}
+}
--- a/internal/plug/conns/upkeep.go
+++ b/internal/plug/conns/upkeep.go
@@ -3,13 +3,13 @@
 import "almondway.dev/almondway/internal/core/event"
 
 // maintain keeps the warm reserve of every listed instance and closes
-// connections that were idle for long.
+// connections that are beyond this proxy's share or were idle for long.
 func (pools *Pools) maintain() {
 	for _, group := range pools.context.State().Groups() {
 		for _, member := range group.Members() {
 			pool := pools.pool(member.ID())
 			pool.instance = member.Instance()
-			pool.closeIdle()
+			pool.shrink()
 			if !member.Leaving() && member.Heard() && member.Failures() == 0 {
 				pool.fill()
 			}
@@ -17,10 +17,10 @@
 	}
 }
 
-func (pool *pool) closeIdle() {
+func (pool *pool) shrink() {
 	context := pool.pools.context
 	oldest := context.Now() - context.Settings().ConnIdle()
-	for len(pool.idle) > minWarm && pool.idle[0].since < oldest {
+	for len(pool.idle) > 0 && (pool.total > pool.limit() || pool.total > pool.warm() && pool.idle[0].since < oldest) {
 		idle := pool.idle[0]
 		context.Emit(event.NewCloseConn(idle.id))
 		pool.pools.drop(idle)
--- a/internal/plug/limit/limit.go
+++ b/internal/plug/limit/limit.go
@@ -1,10 +1,13 @@
-// Package limit admits requests to the slots of the instances. Requests that
-// wait are served in a fair order.
+// Package limit admits requests to the slots of the instances and to the
+// concurrency of their class of caller. Requests that wait are served in a fair
+// order; a request that has no chance before its deadline is refused at once.
 package limit
 
 import (
+	"strconv"
 	"time"
 
+	"almondway.dev/almondway/internal/core/codes"
 	"almondway.dev/almondway/internal/core/event"
 	"almondway.dev/almondway/internal/core/kern"
 	"almondway.dev/almondway/internal/core/model"
@@ -17,17 +20,20 @@
 type Limits struct {
 	context *kern.Context
 	gates   map[model.InstanceID]*gate
-}
-
-// gate bounds the statements that run at once on one instance.
-type gate struct {
-	running int
-	waiting []route.Entrant
+	classes map[classKey]*class
+	waiting map[string]int
+	budgets map[model.GroupID]*budget
 }
 
 // New returns the plug-in. It offers route.Admission.
 func New(context *kern.Context) kern.Plugin {
-	limits := &Limits{context: context, gates: make(map[model.InstanceID]*gate)}
+	limits := &Limits{
+		context: context,
+		gates:   make(map[model.InstanceID]*gate),
+		classes: make(map[classKey]*class),
+		waiting: make(map[string]int),
+		budgets: make(map[model.GroupID]*budget),
+	}
 	context.Offer(route.AdmissionService, limits)
 	return limits
 }
@@ -37,65 +43,132 @@
 
 // Enter implements route.Admission.
 func (limits *Limits) Enter(entrant route.Entrant) {
-	gate := limits.gate(entrant.Ask().Instance)
-	if gate.running < limits.share() {
-		gate.running++
-		entrant.SlotGranted()
+	ask := entrant.Ask()
+	class := limits.class(ask)
+	if class == nil || class.running < class.limit {
+		limits.enterGate(entrant, class)
 		return
 	}
-	gate.waiting = append(gate.waiting, entrant)
+	if code, retryAfter := limits.refusal(ask, limits.gate(ask.Instance)); code != codes.OK {
+		entrant.SlotDenied(code, retryAfter)
+		return
+	}
+	limits.wait(ask)
+	class.waiting = append(class.waiting, entrant)
 }
 
-// Withdraw implements route.Admission.
-func (limits *Limits) Withdraw(entrant route.Entrant) {
-	gate := limits.gate(entrant.Ask().Instance)
-	for index, waiting := range gate.waiting {
-		if waiting == entrant {
-			gate.waiting = append(gate.waiting[:index], gate.waiting[index+1:]...)
+// enterGate takes a slot of the class and one of the instance.
+func (limits *Limits) enterGate(entrant route.Entrant, class *class) {
+	ask := entrant.Ask()
+	gate := limits.gate(ask.Instance)
+	if gate.waiting.size > 0 || gate.running >= limits.share() {
+		if code, retryAfter := limits.refusal(ask, gate); code != codes.OK {
+			entrant.SlotDenied(code, retryAfter)
 			return
 		}
+		limits.wait(ask)
+		gate.waiting.push(path(ask), entrant)
+		class.enter()
+		return
+	}
+	class.enter()
+	gate.running++
+	limits.budget(ask).earn()
+	entrant.SlotGranted()
+}
+
+// Withdraw implements route.Admission.
+func (limits *Limits) Withdraw(entrant route.Entrant) {
+	ask := entrant.Ask()
+	class := limits.class(ask)
+	if class.remove(entrant) {
+		limits.unwait(ask)
+		return
+	}
+	if limits.gate(ask.Instance).waiting.remove(path(ask), entrant) {
+		limits.unwait(ask)
+		limits.leaveClass(class)
 	}
 }
 
 // Force implements route.Admission.
-func (limits *Limits) Force(instance model.InstanceID) { limits.gate(instance).running++ }
+func (limits *Limits) Force(ask route.Ask) {
+	limits.class(ask).enter()
+	limits.gate(ask.Instance).running++
+}
 
 // Leave implements route.Admission.
-func (limits *Limits) Leave(instance model.InstanceID, _ time.Duration, _ bool) {
-	gate := limits.gate(instance)
+func (limits *Limits) Leave(ask route.Ask, held time.Duration, busy bool) {
+	gate := limits.gate(ask.Instance)
 	gate.running--
-	for gate.running < limits.share() && len(gate.waiting) > 0 {
-		next := gate.waiting[0]
-		gate.waiting = gate.waiting[1:]
-		gate.running++
-		next.SlotGranted()
+	if !busy {
+		gate.learn(held)
 	}
+	limits.serve(gate)
+	limits.leaveClass(limits.class(ask))
 }
 
 // Load implements route.Admission.
 func (limits *Limits) Load(instance model.InstanceID) int {
 	gate := limits.gate(instance)
-	return gate.running + len(gate.waiting)
+	return gate.running + gate.waiting.size
 }
 
-// Retry implements route.Admission.
-func (limits *Limits) Retry(model.GroupID) bool { return true }
+// serve grants the free slots of an instance to those whose turn it is.
+func (limits *Limits) serve(gate *gate) {
+	for gate.waiting.size > 0 && gate.running < limits.share() {
+		next := gate.waiting.pop()
+		limits.unwait(next.Ask())
+		gate.running++
+		limits.budget(next.Ask()).earn()
+		next.SlotGranted()
+	}
+}
 
-// RetryAfter implements route.Admission.
-func (limits *Limits) RetryAfter() time.Duration { return 250 * time.Millisecond }
+// leaveClass gives a slot of a class back and admits the next entrant of the class.
+func (limits *Limits) leaveClass(class *class) {
+	if class == nil {
+		return
+	}
+	class.running--
+	for len(class.waiting) > 0 && class.running < class.limit {
+		next := class.waiting[0]
+		class.waiting = class.waiting[1:]
+		limits.unwait(next.Ask())
+		limits.enterGate(next, class)
+	}
+}
+
+func (limits *Limits) wait(ask route.Ask) {
+	if ask.Job != nil {
+		limits.waiting[ask.Job.Deployment().Name()]++
+	}
+}
 
-func (limits *Limits) gate(instance model.InstanceID) *gate {
-	found, ok := limits.gates[instance]
-	if !ok {
-		found = &gate{}
-		limits.gates[instance] = found
+func (limits *Limits) unwait(ask route.Ask) {
+	if ask.Job != nil {
+		limits.waiting[ask.Job.Deployment().Name()]--
 	}
-	return found
 }
 
-// share returns this proxy's share of the slots of an instance.
+// share returns this proxy's share of the slots of an instance. Where they do
+// not divide, each proxy has the part more.
 func (limits *Limits) share() int {
 	proxies := max(1, len(limits.context.State().Proxies()))
 	slots := limits.context.Settings().SlotsPerInstance()
 	return max(1, (slots+proxies-1)/proxies)
 }
+
+// path leads to the flow of a request: its deployment by weight, its class of
+// caller, and its key or else its caller.
+func path(ask route.Ask) []hop {
+	if ask.Job == nil {
+		return []hop{{"", 1}, {"", 1}, {"", 1}}
+	}
+	flow := ask.Job.Request().Key()
+	if flow == "" {
+		flow = "#" + strconv.FormatUint(uint64(ask.Job.Request().Caller()), 10)
+	}
+	deployment := ask.Job.Deployment()
+	return []hop{{deployment.Name(), deployment.Weight()}, {ask.Job.Class().Name(), 1}, {flow, 1}}
+}
--- a/internal/plug/reads/prove.go
+++ b/internal/plug/reads/prove.go
@@ -80,7 +80,7 @@
 	read.stop()
 	result := route.ResultSpec{Outcome: model.OutcomeNotRun, Code: code, Instance: read.instance, Reason: reason}
 	if code != codes.Canceled {
-		result.RetryAfter = read.reads.admission.RetryAfter()
+		result.RetryAfter = read.reads.admission.RetryAfter(read.instance)
 	}
 	read.reads.sessions.Finish(read.job, result)
 }
--- a/internal/plug/reads/read.go
+++ b/internal/plug/reads/read.go
@@ -26,8 +26,13 @@
 	readEnded
 )
 
-// minTimeout is the least time that the adapter is given for an execution.
-const minTimeout = time.Millisecond
+const (
+	// minTimeout is the least time that the adapter is given for an execution.
+	minTimeout = time.Millisecond
+	// seekDelay is the time after which a read looks for an instance again when
+	// the one it chose cannot be connected to.
+	seekDelay = 2 * time.Millisecond
+)
 
 // read is a running read. It implements route.Taker and route.Item.
 type read struct {
@@ -39,6 +44,7 @@
 	ticket   route.Ticket
 	conn     model.ConnID
 	instance model.InstanceID
+	term     model.Term
 	avoided  model.InstanceID
 	mark     model.Mark
 	answer   model.Payload
@@ -67,6 +73,7 @@
 		return
 	}
 	read.instance = instance
+	read.term = read.view().Term()
 	read.reason = reason
 	read.state = readAcquiring
 	ticket := read.reads.conns.Acquire(route.Ask{Instance: instance, Job: read.job}, read)
@@ -100,7 +107,7 @@
 	read.conn = conn
 	step := model.StepSingle
 	if tx := read.job.Tx(); tx != nil {
-		tx.Open(conn, read.instance, read.view().Term())
+		tx.Open(conn, read.instance, read.term)
 		step = model.StepFirst
 	}
 	read.execute(step)
@@ -121,9 +128,22 @@
 // ConnDenied implements route.Taker.
 func (read *read) ConnDenied(code codes.Code, retryAfter time.Duration) {
 	read.ticket = 0
+	if code == codes.NoReplica {
+		read.avoided = read.instance
+		read.state = readSeeking
+		read.demand()
+		read.reads.context.Timers().After(seekDelay, read.seekAgain)
+		return
+	}
 	read.finish(route.ResultSpec{Outcome: model.OutcomeNotRun, Code: code, RetryAfter: retryAfter, Reason: "no connection"})
 }
 
+func (read *read) seekAgain() {
+	if read.state == readSeeking {
+		read.seek()
+	}
+}
+
 // ConnLost implements route.Taker.
 func (read *read) ConnLost(model.ConnID) {
 	if tx := read.job.Tx(); tx != nil {
@@ -146,7 +166,11 @@
 		return
 	}
 	read.state = readProving
-	read.prove(read.view())
+	if view := read.view(); view != nil {
+		read.prove(view)
+		return
+	}
+	read.finish(route.ResultSpec{Outcome: model.OutcomeNotRun, Code: codes.NoReplica, Reason: "group is listed no more"})
 }
 
 // ExecuteFailed implements route.Taker.
@@ -183,7 +207,7 @@
 		read.finish(route.ResultSpec{
 			Outcome:    model.OutcomeNotRun,
 			Code:       codes.Overloaded,
-			RetryAfter: read.reads.admission.RetryAfter(),
+			RetryAfter: read.reads.admission.RetryAfter(read.instance),
 			Reason:     "retry budget used up",
 		})
 		return
--- a/internal/plug/sessn/caller.go
+++ b/internal/plug/sessn/caller.go
@@ -6,11 +6,14 @@
 	"almondway.dev/almondway/internal/core/timer"
 )
 
-// caller is one caller's connection.
+// caller is one caller's connection. inForce and inClass are those under which
+// its last statement ran.
 type caller struct {
 	id         model.CallerID
 	deployment string
 	class      string
+	inForce    *model.Deployment
+	inClass    model.Class
 	token      model.Token
 	job        *route.Job
 	access     model.Access
--- a/internal/plug/sessn/start.go
+++ b/internal/plug/sessn/start.go
@@ -74,6 +74,8 @@
 		sessions.refuse(caller, request, refused)
 		return
 	}
+	caller.inForce = job.Deployment()
+	caller.inClass = job.Class()
 	access := job.Kind().Access()
 	if job.Tx() != nil {
 		caller.tx = job.Tx()
@@ -100,10 +102,10 @@
 // finishing returns the Job that commits the caller's transaction.
 func (sessions *Sessions) finishing(caller *caller, request *model.Request) *route.Job {
 	now := sessions.context.Now()
-	deployment, _ := sessions.context.State().Deployment(caller.deployment)
 	return route.NewJob(route.JobSpec{
 		Request:    request,
-		Deployment: deployment,
+		Deployment: caller.inForce,
+		Class:      caller.inClass,
 		Group:      caller.tx.Group(),
 		RequestID:  caller.tx.RequestID(),
 		OwnID:      caller.tx.OwnID(),
--- a/internal/plug/writes/fail.go
+++ b/internal/plug/writes/fail.go
@@ -92,7 +92,7 @@
 		write.finish(route.ResultSpec{
 			Outcome:    model.OutcomeNotRun,
 			Code:       codes.Overloaded,
-			RetryAfter: write.writes.admission.RetryAfter(),
+			RetryAfter: write.writes.admission.RetryAfter(write.instance),
 			Reason:     "retry budget used up",
 		})
 		return
--- a/internal/plug/writes/tx.go
+++ b/internal/plug/writes/tx.go
@@ -106,7 +106,7 @@
 	seeking := write.state == writeSeeking
 	write.stop()
 	result := route.ResultSpec{Outcome: model.OutcomeNotRun, Code: codes.DeadlineExceeded, Instance: write.instance, Reason: "deadline"}
-	result.RetryAfter = write.writes.admission.RetryAfter()
+	result.RetryAfter = write.writes.admission.RetryAfter(write.instance)
 	switch {
 	case doubt:
 		result.Outcome = model.OutcomeUnknown
--- a/internal/plug/writes/write.go
+++ b/internal/plug/writes/write.go
@@ -143,7 +143,7 @@
 // ConnDenied implements route.Taker.
 func (write *write) ConnDenied(code codes.Code, retryAfter time.Duration) {
 	write.ticket = 0
-	if write.doubt {
+	if write.doubt || code == codes.NoReplica {
 		write.backOff()
 		return
 	}
