--- a/internal/core/codes/codes.go
+++ b/internal/core/codes/codes.go
@@ -26,7 +26,8 @@
 	UnknownCaller         Code = 113
 	MalformedTag          Code = 114
 	RequestIDMissing      Code = 115
-	RequestIDSettled      Code = 116
+	Unsupported           Code = 116
+	RequestIDSettled      Code = 117
 	Overloaded            Code = 201
 	NoPrimary             Code = 202
 	NoReplica             Code = 203
--- a/internal/core/state/group.go
+++ b/internal/core/state/group.go
@@ -14,6 +14,7 @@
 	term    model.Term
 	primary model.InstanceID
 	rounds  rounds
+	hold    hold
 }
 
 // NewGroup returns the view of a group of which nothing is known yet.
@@ -62,6 +63,7 @@
 	member.sentAt = sentAt
 	member.heard = true
 	member.failures = 0
+	group.recover(member)
 	if status.InTerm(status.Fence()) {
 		member.prove(status.Tail())
 	}
@@ -131,33 +133,9 @@
 // since, taken from reports whose probes were sent at since or later: the
 // highest tail of that majority whose highest tail is lowest, since each
 // majority has an instance that holds the write. It reports false until a
-// majority has reported.
+// majority has reported. An instance that lost its log does not count.
 func (group *Group) ReadIndex(since time.Duration) (model.Mark, bool) {
-	reported, below := 0, 0
-	var index model.Mark
-	for _, member := range group.members {
-		if !member.reportedSince(since) {
-			continue
-		}
-		reported++
-		tail := member.status.Tail()
-		rank := group.rank(tail, since)
-		if rank >= group.Majority() && (below == 0 || rank < below) {
-			index, below = tail, rank
-		}
-	}
-	return index, reported >= group.Majority()
-}
-
-// rank returns how many reports since a time have a tail that mark covers.
-func (group *Group) rank(mark model.Mark, since time.Duration) int {
-	count := 0
-	for _, member := range group.members {
-		if member.reportedSince(since) && mark.Covers(member.status.Tail()) {
-			count++
-		}
-	}
-	return count
+	return group.indexWithout(nil, since)
 }
 
 // Within reports whether data at mark is at most bound old at the time now.
