writes: trim the request ledger

Cause: ledger rows were never deleted.

Change: each minute the proxy that comes first for a group by rendezvous hashing deletes the rows beyond the retention time, by a guarded statement on the primary.

Ruled out: trimming in every proxy; one is enough and a failed trim is made up for by the next.

--- a/internal/plug/writes/trim.go
+++ b/internal/plug/writes/trim.go
@@ -1,8 +1,69 @@
 package writes
 
-import "time"
+import (
+	"time"
 
-const trimInterval = time.Minute
+	"almondway.dev/almondway/internal/core/codes"
+	"almondway.dev/almondway/internal/core/event"
+	"almondway.dev/almondway/internal/core/ident"
+	"almondway.dev/almondway/internal/core/model"
+	"almondway.dev/almondway/internal/core/rank"
+	"almondway.dev/almondway/internal/core/route"
+)
 
-// trim deletes the ledger rows that are beyond the retention time.
-func (writes *Writes) trim() {}
+const (
+	trimInterval = time.Minute
+	trimTimeout  = 10 * time.Second
+)
+
+// trim deletes the ledger rows that are beyond the retention time, in the groups
+// that fall to this proxy.
+func (writes *Writes) trim() {
+	shared := writes.context.State()
+	for _, view := range shared.Groups() {
+		primary := primary(view)
+		if primary == nil || rank.Of("trim/"+string(view.ID()), shared.Self().ID(), shared.Proxies()) != 0 {
+			continue
+		}
+		trimmer := &trimmer{writes: writes, term: view.Term()}
+		writes.conns.Acquire(route.Ask{Instance: primary.ID()}, trimmer)
+	}
+}
+
+// trimmer trims the ledger of one group once. It implements route.Taker. A trim
+// that fails is made up for by the next one.
+type trimmer struct {
+	writes *Writes
+	term   model.Term
+	conn   model.ConnID
+}
+
+// ConnGranted implements route.Taker.
+func (trimmer *trimmer) ConnGranted(conn model.ConnID) {
+	trimmer.conn = conn
+	context := trimmer.writes.context
+	oldest := context.Wall().Add(-context.Settings().LedgerRetention())
+	trimmer.writes.conns.Execute(conn, model.NewWork(model.WorkSpec{
+		Step:     model.StepTrim,
+		Write:    true,
+		Guard:    trimmer.term,
+		LedgerID: ident.Floor(oldest),
+		Timeout:  trimTimeout,
+	}))
+}
+
+// ConnDenied implements route.Taker.
+func (trimmer *trimmer) ConnDenied(codes.Code, time.Duration) {}
+
+// ConnLost implements route.Taker.
+func (trimmer *trimmer) ConnLost(model.ConnID) {}
+
+// ExecuteDone implements route.Taker.
+func (trimmer *trimmer) ExecuteDone(event.ExecuteDone) {
+	trimmer.writes.conns.Release(trimmer.conn, false)
+}
+
+// ExecuteFailed implements route.Taker.
+func (trimmer *trimmer) ExecuteFailed(event.ExecuteFailed) {
+	trimmer.writes.conns.Release(trimmer.conn, false)
+}
