deploy: changes and revisions under attack; drain: shutdown

Change: tests with a few kernels and a table service between them: operators race, answers are lost, the store goes down after the acceptance, a proxy starts from nothing, a paused one wakes with old messages, a lower revision is pushed, one hears of a revision that it cannot get. The drain plug-in waits until nothing is in flight, bounded by the drain limit.

Ruled out: tests that would pass without the mechanism. Each of these was taken out by hand and the tests failed: the deaf time after a pause, the majority of the registered proxies in the lease and in the acceptance, the equal revision in the lease, the row of the change, the check for a lower revision, the push.

Run: go test ./internal/plug/deploy.

--- /dev/null
+++ b/internal/plug/deploy/deploy_test.go
@@ -0,0 +1,351 @@
+package deploy_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"almondway.dev/almondway/internal/core/codes"
+	"almondway.dev/almondway/internal/core/event"
+	"almondway.dev/almondway/internal/core/model"
+)
+
+// outcome returns the revision of an accepted change or the code of a refusal.
+func outcome(result event.Result) (uint64, codes.Code) {
+	switch result := result.(type) {
+	case event.Applied:
+		return result.Revision(), codes.OK
+	case event.Refused:
+		return 0, result.Code()
+	default:
+		return 0, codes.Internal
+	}
+}
+
+func TestChangesUnderAttack(t *testing.T) {
+	tests := []struct {
+		name    string
+		attack  func(fleet *fleet)
+		want    []codes.Code // of the calls 1, 2, …, wherever they were made
+		inForce uint64       // on every proxy that is not cut off
+	}{
+		{
+			name: "one operator",
+			attack: func(fleet *fleet) {
+				fleet.proxies[0].ask(1, apply(1, 0, "c1", "ana"))
+			},
+			want:    []codes.Code{codes.OK},
+			inForce: 1,
+		},
+		{
+			name: "two operators race",
+			attack: func(fleet *fleet) {
+				fleet.proxies[0].ask(1, apply(1, 0, "c1", "ana"))
+				fleet.proxies[1].ask(2, apply(2, 0, "c2", "ivo"))
+			},
+			want:    []codes.Code{codes.OK, codes.RevisionConflict},
+			inForce: 1,
+		},
+		{
+			name: "the answer of the store is lost after the change took effect",
+			attack: func(fleet *fleet) {
+				fleet.lose = 1
+				fleet.proxies[0].ask(1, apply(1, 0, "c1", "ana"))
+			},
+			want:    []codes.Code{codes.OK},
+			inForce: 1,
+		},
+		{
+			name: "the write is lost before it took effect",
+			attack: func(fleet *fleet) {
+				fleet.dropped = 2
+				fleet.proxies[0].ask(1, apply(1, 0, "c1", "ana"))
+			},
+			want:    []codes.Code{codes.OK},
+			inForce: 1,
+		},
+		{
+			name: "the same change comes twice, through two proxies",
+			attack: func(fleet *fleet) {
+				fleet.proxies[0].ask(1, apply(1, 0, "c1", "ana"))
+				fleet.proxies[1].ask(2, apply(1, 0, "c1", "ana"))
+			},
+			want:    []codes.Code{codes.OK, codes.OK},
+			inForce: 1,
+		},
+		{
+			name: "the change id of another change",
+			attack: func(fleet *fleet) {
+				fleet.proxies[0].ask(1, apply(1, 0, "c1", "ana"))
+				fleet.run(time.Second)
+				fleet.proxies[1].ask(2, apply(7, 0, "c1", "ivo"))
+			},
+			want:    []codes.Code{codes.OK, codes.ChangeIDReused},
+			inForce: 1,
+		},
+		{
+			name: "the store goes down right after the acceptance",
+			attack: func(fleet *fleet) {
+				fleet.proxies[0].ask(1, apply(1, 0, "c1", "ana"))
+				for fleet.rows["catalog|head"].Version() == 0 {
+					fleet.run(step)
+				}
+				fleet.down = true
+			},
+			want:    []codes.Code{codes.OK},
+			inForce: 1,
+		},
+		{
+			name: "the store is down",
+			attack: func(fleet *fleet) {
+				fleet.down = true
+				fleet.proxies[0].ask(1, apply(1, 0, "c1", "ana"))
+			},
+			want:    []codes.Code{codes.StoreUnavailable},
+			inForce: 0,
+		},
+		{
+			name: "an unknown group",
+			attack: func(fleet *fleet) {
+				spec := model.DeploymentSpec{Name: "katalog-db", Groups: []model.GroupID{"katalog-9"}}
+				fleet.proxies[0].ask(1, event.NewApplyDeployment(model.NewDeployment(spec), 0, "c1", "ana"))
+			},
+			want:    []codes.Code{codes.InvalidDeployment},
+			inForce: 0,
+		},
+		{
+			name: "a deployment that does not exist is deleted",
+			attack: func(fleet *fleet) {
+				fleet.proxies[0].ask(1, event.NewDeleteDeployment("katalog-db", 0, "c1", "ana"))
+			},
+			want:    []codes.Code{codes.DeploymentNotFound},
+			inForce: 0,
+		},
+		{
+			name: "a majority is cut off from the store and the rest",
+			attack: func(fleet *fleet) {
+				for _, proxy := range fleet.proxies[1:] {
+					proxy.cut = true
+				}
+				fleet.proxies[0].ask(1, apply(1, 0, "c1", "ana"))
+			},
+			want:    []codes.Code{codes.AcceptanceUnknown},
+			inForce: 1,
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			fleet := newFleet(3)
+			test.attack(fleet)
+			fleet.run(8 * time.Second)
+			for index, want := range test.want {
+				ask := model.AskID(index + 1)
+				var got event.Result
+				for _, proxy := range fleet.proxies {
+					if result, ok := proxy.results[ask]; ok {
+						got = result
+					}
+				}
+				_, code := outcome(got)
+				is.Equal(code, want)
+			}
+			for _, proxy := range fleet.proxies {
+				if !proxy.cut {
+					is.Equal(proxy.revision(), test.inForce)
+				}
+				is.Equal(proxy.kernel.State().Confirmed(), !proxy.cut)
+			}
+		})
+	}
+}
+
+func TestConflictNamesTheOtherOperator(t *testing.T) {
+	is := is.New(t)
+	fleet := newFleet(2)
+	fleet.proxies[0].ask(1, apply(1, 0, "c1", "ana"))
+	fleet.run(time.Second)
+	fleet.proxies[1].ask(2, apply(2, 0, "c2", "ivo"))
+	fleet.run(time.Second)
+	refused, ok := fleet.proxies[1].results[2].(event.Refused)
+	is.True(ok)
+	is.True(strings.Contains(refused.Detail(), `revision 1 was set by "ana"`))
+}
+
+func TestRevisionNeverReverts(t *testing.T) {
+	tests := []struct {
+		name      string
+		attack    func(fleet *fleet) *proxy
+		revision  uint64
+		confirmed bool
+	}{
+		{
+			name: "a lower revision is pushed",
+			attack: func(fleet *fleet) *proxy {
+				push := event.NewCatalogPush("proxy-2", 1, []*model.Deployment{catalogue(1)})
+				fleet.proxies[0].post(event.NewPeerReceived("proxy-2", push))
+				return fleet.proxies[0]
+			},
+			revision:  2,
+			confirmed: true,
+		},
+		{
+			name: "a proxy starts from nothing while the store is down",
+			attack: func(fleet *fleet) *proxy {
+				fleet.down = true
+				return fleet.start("proxy-1")
+			},
+			revision:  2,
+			confirmed: true,
+		},
+		{
+			name: "a proxy starts from nothing beside one that is cut off",
+			attack: func(fleet *fleet) *proxy {
+				fleet.down = true
+				fleet.run(6 * time.Second)
+				fleet.proxies[1].cut = true
+				fleet.proxies[2].cut = true
+				return fleet.start("proxy-1")
+			},
+			revision:  2,
+			confirmed: false,
+		},
+		{
+			name: "a proxy wakes up cut off, with what the others said before the pause",
+			attack: func(fleet *fleet) *proxy {
+				fleet.proxies[2].paused = true
+				fleet.run(time.Second)
+				fleet.proxies[0].ask(1, apply(3, 2, "c3", "ana"))
+				fleet.run(20 * time.Second)
+				fleet.proxies[2].cut = true
+				fleet.proxies[2].waiting = fleet.proxies[2].waiting[:6]
+				fleet.proxies[2].wake()
+				return fleet.proxies[2]
+			},
+			revision:  2,
+			confirmed: false,
+		},
+		{
+			name: "a proxy wakes up and hears the others",
+			attack: func(fleet *fleet) *proxy {
+				fleet.proxies[2].paused = true
+				fleet.proxies[0].ask(1, apply(3, 2, "c3", "ana"))
+				fleet.run(20 * time.Second)
+				fleet.down = true
+				fleet.proxies[2].wake()
+				return fleet.proxies[2]
+			},
+			revision:  3,
+			confirmed: true,
+		},
+		{
+			name: "a proxy that is cut off stops serving",
+			attack: func(fleet *fleet) *proxy {
+				fleet.proxies[2].cut = true
+				fleet.run(5 * time.Second)
+				return fleet.proxies[2]
+			},
+			revision:  2,
+			confirmed: false,
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			fleet := newFleet(3)
+			fleet.proxies[0].ask(101, apply(1, 0, "c1", "ana"))
+			fleet.run(time.Second)
+			fleet.proxies[1].ask(102, apply(2, 1, "c2", "ivo"))
+			fleet.run(time.Second)
+			proxy := test.attack(fleet)
+			fleet.run(2 * time.Second)
+			is.Equal(proxy.revision(), test.revision)
+			is.Equal(proxy.kernel.State().Confirmed(), test.confirmed)
+			for _, proxy := range fleet.proxies {
+				is.True(!proxy.reverted)
+			}
+		})
+	}
+}
+
+func TestChangeIsInForceEverywhereAtOnce(t *testing.T) {
+	is := is.New(t)
+	fleet := newFleet(6)
+	fleet.proxies[0].ask(1, apply(1, 0, "c1", "ana"))
+	for fleet.rows["catalog|head"].Version() == 0 {
+		fleet.run(step)
+	}
+	fleet.down = true
+	fleet.run(4 * step)
+	for _, proxy := range fleet.proxies {
+		is.Equal(proxy.revision(), uint64(1))
+	}
+	_, code := outcome(fleet.proxies[0].results[1])
+	is.Equal(code, codes.OK)
+}
+
+func TestProxyThatCannotGetAHigherRevisionStopsServing(t *testing.T) {
+	is := is.New(t)
+	fleet := newFleet(3)
+	behind := fleet.proxies[2]
+	behind.paused = true
+	fleet.run(time.Second)
+	fleet.proxies[0].ask(1, apply(1, 0, "c1", "ana"))
+	fleet.run(time.Second)
+	fleet.down = true
+	fleet.noPush = true
+	behind.waiting = nil
+	behind.wake()
+	fleet.run(10 * time.Second)
+	is.Equal(behind.revision(), uint64(0))
+	is.True(!behind.kernel.State().Confirmed())
+	is.True(fleet.proxies[0].kernel.State().Confirmed())
+}
+
+func TestWokenProxyServesNothingBeforeItsRevisionIsConfirmed(t *testing.T) {
+	is := is.New(t)
+	fleet := newFleet(3)
+	fleet.proxies[0].ask(1, apply(1, 0, "c1", "ana"))
+	fleet.run(time.Second)
+	woken := fleet.proxies[2]
+	woken.paused = true
+	fleet.run(time.Second)
+	fleet.proxies[0].ask(2, apply(2, 1, "c2", "ana"))
+	fleet.run(10 * time.Second)
+	for _, received := range woken.waiting {
+		woken.kernel.Handle(fleet.now, received)
+		is.True(woken.revision() == 2 || !woken.kernel.State().Confirmed())
+	}
+}
+
+func TestHistoryIsBounded(t *testing.T) {
+	is := is.New(t)
+	fleet := newFleet(1)
+	proxy := fleet.proxies[0]
+	const changes = 60
+	for index := range uint64(changes) {
+		proxy.ask(model.AskID(index+1), apply(int(index), index, fmt.Sprintf("c%d", index), "ana"))
+		fleet.run(100 * time.Millisecond)
+	}
+	proxy.ask(1000, event.NewDeleteDeployment("katalog-db", changes, "gone", "ivo"))
+	fleet.run(100 * time.Millisecond)
+	proxy.ask(1001, event.NewGetHistory("katalog-db"))
+	fleet.run(100 * time.Millisecond)
+	history, ok := proxy.results[1001].(event.History)
+	is.True(ok)
+	is.Equal(len(history.Changes()), 50)
+	is.Equal(history.Changes()[0].Revision(), uint64(changes+1))
+	is.True(history.Changes()[0].Deleted())
+	is.Equal(history.Changes()[1].Deployment().Weight(), changes-1)
+	is.Equal(len(proxy.kernel.State().Deployments()), 0)
+	kept := 0
+	for key := range fleet.rows {
+		if strings.HasPrefix(key, "catalog|change/") {
+			kept++
+		}
+	}
+	is.Equal(kept, 50)
+}
--- /dev/null
+++ b/internal/plug/drain/drain.go
@@ -0,0 +1,109 @@
+// Package drain is the plug-in that shuts the proxy down: it takes no new work,
+// finishes what is in flight, hands over what it was driving, and stops.
+package drain
+
+import (
+	"time"
+
+	"almondway.dev/almondway/internal/core/event"
+	"almondway.dev/almondway/internal/core/kern"
+	"almondway.dev/almondway/internal/core/model"
+)
+
+const (
+	checkInterval = 20 * time.Millisecond
+	// settleTime is how long nothing has to be in flight before the proxy stops,
+	// so that the last answers are sent and the balancer and the other proxies
+	// have noticed.
+	settleTime = 200 * time.Millisecond
+
+	sessionsService = "sessions"
+	failoverService = "failov"
+)
+
+// sessions is the service of the plug-in that has the callers' requests.
+type sessions interface {
+	// InFlight returns how many requests and transactions are not finished.
+	InFlight() int
+}
+
+// failover is the service of the plug-in that orders promotions.
+type failover interface {
+	// Driving reports whether a promotion is under way.
+	Driving() bool
+}
+
+func init() {
+	kern.Register("drain", kern.RankDrain, func(context *kern.Context) kern.Plugin {
+		return New(context)
+	})
+}
+
+// Drain is the plug-in.
+type Drain struct {
+	context   *kern.Context
+	started   bool
+	startedAt time.Duration
+	idleSince time.Duration
+}
+
+// New returns the plug-in of the kernel that context belongs to.
+func New(context *kern.Context) *Drain { return &Drain{context: context} }
+
+// Handle implements kern.Plugin.
+func (drain *Drain) Handle(received event.Event) {
+	if _, ok := received.(event.ShutdownAsked); ok {
+		drain.start()
+	}
+}
+
+func (drain *Drain) start() {
+	if drain.started {
+		return
+	}
+	drain.started = true
+	drain.startedAt = drain.context.Now()
+	drain.idleSince = drain.context.Now()
+	drain.context.State().SetDraining()
+	drain.context.Publish(event.NewDrainStarted())
+	drain.log("drain_started", "shutdown was asked for")
+	drain.context.Timers().After(checkInterval, drain.check)
+}
+
+// check stops the proxy once nothing has been in flight for the settle time, or
+// when the drain limit has passed.
+func (drain *Drain) check() {
+	now := drain.context.Now()
+	if drain.busy() {
+		drain.idleSince = now
+	}
+	switch {
+	case now-drain.idleSince >= settleTime:
+		drain.stop("nothing is in flight")
+	case now-drain.startedAt >= drain.context.Settings().DrainLimit():
+		drain.stop("the drain limit has passed")
+	default:
+		drain.context.Timers().After(checkInterval, drain.check)
+	}
+}
+
+func (drain *Drain) busy() bool {
+	if sessions, ok := drain.context.Service(sessionsService).(sessions); ok && sessions.InFlight() > 0 {
+		return true
+	}
+	failover, ok := drain.context.Service(failoverService).(failover)
+	return ok && failover.Driving()
+}
+
+func (drain *Drain) stop(reason string) {
+	drain.log("drain_finished", reason)
+	drain.context.Emit(event.NewStopProxy())
+}
+
+func (drain *Drain) log(name, reason string) {
+	drain.context.Emit(event.NewLogDecision(model.Decision{
+		Name:   name,
+		Proxy:  drain.context.State().Self().ID(),
+		Reason: reason,
+	}))
+}
--- a/internal/plug/failov/failov.go
+++ b/internal/plug/failov/failov.go
@@ -20,6 +20,8 @@
 	// pauseLimit is the time without a check after which this process counts as
 	// paused: what it did not hear meanwhile says nothing about the instances.
 	pauseLimit = 200 * time.Millisecond
+	// driveLimit is how long a proxy that shuts down stays for a promotion.
+	driveLimit = 2 * time.Second
 )
 
 func init() {
@@ -48,10 +50,12 @@
 	return failover
 }
 
-// Driving reports whether this proxy is in the middle of a promotion.
+// Driving reports whether this proxy is in the middle of a promotion that it can
+// be expected to finish. One that finds no majority is left to others.
 func (failover *Failover) Driving() bool {
+	now := failover.context.Now()
 	for _, watch := range failover.watches {
-		if watch.attempt != nil || watch.move != nil {
+		if watch.move != nil || (watch.attempt != nil && now-watch.attempt.startedAt < driveLimit) {
 			return true
 		}
 	}
