--- a/internal/core/codes/table.go
+++ b/internal/core/codes/table.go
@@ -19,6 +19,7 @@
 	sqlStateBadRole     = "28000"
 	sqlStateNotFound    = "02000"
 	sqlStateDuplicate   = "23505"
+	sqlStateUnsupported = "0A000"
 )
 
 var table = []Info{
@@ -39,6 +40,8 @@
 	{UnknownCaller, "unknown_caller", sqlStateBadRole, "The deployment defines no such class of caller.", "Correct the user name or add the class to the deployment."},
 	{MalformedTag, "malformed_tag", sqlStateBadValue, "A comment tag or session setting has a bad value.", "Correct the tag."},
 	{RequestIDMissing, "request_id_missing", sqlStateBadValue, "A non-idempotent kind needs a request id.", "Send a version 7 UUID as request_id."},
+	{Unsupported, "unsupported", sqlStateUnsupported, "The proxy does not serve this form of request. It was not run.", "See the detail for the form to use instead."},
+	{RequestIDSettled, "request_id_settled", sqlStateRetry, "It was settled that no request of this id ever runs. The request was not run.", "Send the request again with a new id."},
 	{Overloaded, "overloaded", sqlStateOverload, "The request was refused because too much work is waiting. It was not run.", "Come back after the given time."},
 	{NoPrimary, "no_primary", sqlStateNotReady, "The group has no primary that may take the request. It was not run.", "Come back after the given time."},
 	{NoReplica, "no_replica", sqlStateNotReady, "No instance can serve the read within its staleness. It was not run.", "Come back after the given time."},
@@ -52,6 +55,7 @@
 	{OutcomeUnknown, "outcome_unknown", sqlStateUnknown, "It could not be proved in time whether the request ran.", "Send the request again with the same request id."},
 	{TransactionLost, "transaction_lost", sqlStateRetry, "The transaction was lost before its commit. It was rolled back.", "Start the transaction again."},
 	{AnswerTooLarge, "answer_too_large", sqlStateTooLarge, "The answer is larger than the limit.", "Ask for fewer rows."},
+	{TransactionDone, "transaction_done", sqlStateDuplicate, "A transaction with this request id has committed already.", "Look at the data; do not send the transaction again."},
 	{RevisionConflict, "revision_conflict", sqlStateRetry, "Another operator changed the deployment.", "Look at the current revision and apply again."},
 	{InvalidDeployment, "invalid_deployment", sqlStateBadValue, "The deployment has a fault.", "Correct the named field."},
 	{DeploymentNotFound, "deployment_not_found", sqlStateNotFound, "No such deployment exists.", "Correct the name."},
--- a/internal/core/state/recover.go
+++ b/internal/core/state/recover.go
@@ -66,7 +66,7 @@
 	var index model.Mark
 	count := 0
 	for _, member := range group.members {
-		if member == left || !member.heard || member.sentAt < since || member.Recovering() {
+		if member == left || !member.reportedSince(since) {
 			continue
 		}
 		count++
