serve: whole process, wired to its adapters

Cause: the frame of the proxy process started no adapter. Change: serve builds callers' side, backend side, store, peers, administration API, health and metrics around the kernel's loop, and ends them in one place: on SIGTERM, SIGINT or an operator's drain the kernel is asked to shut down, the last answers leave, then everything closes. Decisions are counted by event, code, deployment, kind and role of the instance. Ruled out: to close the callers' listener when a drain begins, since the kernel refuses new callers with AW205 and cancel requests come over new connections.

--- /dev/null
+++ b/internal/app/cli/cli_test.go
@@ -0,0 +1,229 @@
+package cli_test
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/matryer/is"
+
+	"almondway.dev/almondway/internal/app/cli"
+	"almondway.dev/almondway/internal/core/codes"
+	"almondway.dev/almondway/internal/core/event"
+	"almondway.dev/almondway/internal/core/model"
+	"almondway.dev/almondway/internal/core/state"
+	"almondway.dev/almondway/internal/edge/admin"
+	"almondway.dev/almondway/internal/edge/schema"
+	"almondway.dev/almondway/internal/proto/admpb"
+)
+
+const example = "../../../examples/gradski.yaml"
+
+// kernel answers commands from lists, as the plug-ins of a kernel would.
+type kernel struct {
+	answer  func(action event.AnswerOperator)
+	shared  *state.State
+	applies []event.Result
+	changes []model.Change
+	asked   []event.ApplyDeployment
+	drains  int
+}
+
+func (kernel *kernel) Post(received event.Event) {
+	asked := received.(event.OperatorAsked)
+	switch command := asked.Command().(type) {
+	case event.ApplyDeployment:
+		kernel.asked = append(kernel.asked, command)
+		result := kernel.applies[0]
+		kernel.applies = kernel.applies[1:]
+		kernel.reply(asked, result)
+	case event.GetHistory:
+		kernel.reply(asked, event.NewHistory(kernel.changes))
+	case event.GetGroups:
+		views := make([]model.GroupView, 0)
+		for _, group := range kernel.shared.Groups() {
+			views = append(views, group.View(0))
+		}
+		kernel.reply(asked, event.NewGroups(views))
+	case event.Switchover:
+		kernel.reply(asked, event.NewRefused(codes.SwitchoverFailed, "no replica is near", time.Second))
+	}
+}
+
+func (kernel *kernel) reply(asked event.OperatorAsked, result event.Result) {
+	kernel.answer(event.NewAnswerOperator(asked.Ask(), result))
+}
+
+func (kernel *kernel) Inspect(_ context.Context, look func(shared *state.State)) error {
+	look(kernel.shared)
+	return nil
+}
+
+func (kernel *kernel) Level() string { return "info" }
+
+func (kernel *kernel) SetLevel(string) error { return nil }
+
+func (kernel *kernel) Sample() int { return 1 }
+
+func (kernel *kernel) SetSample(int) error { return nil }
+
+type result struct {
+	code   int
+	output string
+	faults string
+}
+
+func run(args ...string) result {
+	var output, faults bytes.Buffer
+	code := cli.Run(args, &output, &faults)
+	return result{code: code, output: output.String(), faults: faults.String()}
+}
+
+// serve starts an administration API over a scripted kernel and returns its URL.
+func serve(t *testing.T, kernel *kernel, tokens *admin.Tokens) string {
+	t.Helper()
+	kernel.shared = state.New(model.NewProxyView("proxy-1", "127.0.0.1:1", "dc", 0, false, 0))
+	kernel.shared.SetGroups([]model.Group{
+		model.NewGroup("katalog-1", []model.Instance{model.NewInstance("katalog-1-a", "127.0.0.1:2", "dc")}),
+		model.NewGroup("katalog-2", nil),
+	})
+	served := admin.New(admin.Spec{
+		Proxy: "proxy-1", Started: time.Now(), Tokens: tokens, Inspector: kernel, Logging: kernel,
+		Settings: []*admpb.Setting{{Flag: "listen", Env: "ALMONDWAY_LISTEN", Value: "127.0.0.1:6432"}},
+		Drain:    func() { kernel.drains++ },
+	}, kernel)
+	kernel.answer = served.Answer
+	mux := http.NewServeMux()
+	mux.Handle(served.Handler())
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	return server.URL
+}
+
+func openTokens(t *testing.T) *admin.Tokens {
+	t.Helper()
+	tokens, err := admin.NewTokens("", "", true, func(error) {})
+	is.New(t).NoErr(err)
+	return tokens
+}
+
+func TestApply(t *testing.T) {
+	is := is.New(t)
+	lost := event.NewRefused(codes.AcceptanceUnknown, "", time.Second)
+	kernel := &kernel{applies: []event.Result{lost, event.NewApplied(1, 3, 3)}}
+	url := serve(t, kernel, openTokens(t))
+	done := run("deployment", "apply", example, "--admin", url, "--operator", "mira")
+	is.Equal(done.faults, "")
+	is.Equal(done.code, cli.ExitOK)
+	is.True(strings.Contains(done.output, "+ kinds.seat_count: read fresh timeout=3s\n"))
+	is.True(strings.Contains(done.output, "gradski: revision 1 accepted, in force on 3 of 3 proxies\n"))
+	is.Equal(len(kernel.asked), 2) // the lost answer was asked for again
+	is.Equal(kernel.asked[0].ChangeID(), kernel.asked[1].ChangeID())
+	is.Equal(kernel.asked[0].Expected(), uint64(0))
+	is.Equal(kernel.asked[0].Operator(), "mira")
+}
+
+func TestApplyRaced(t *testing.T) {
+	is := is.New(t)
+	kernel := &kernel{
+		applies: []event.Result{event.NewRefused(codes.RevisionConflict, "revision 8 is in force", 0)},
+		changes: []model.Change{
+			model.NewChange(8, "gradski", "c-8", "ivo", time.Unix(1, 0), false, nil),
+			model.NewChange(7, "gradski", "c-7", "ana", time.Unix(0, 0), false, nil),
+		},
+	}
+	url := serve(t, kernel, openTokens(t))
+	raced := run("deployment", "apply", example, "--admin", url, "--expected-revision", "7")
+	is.Equal(raced.code, cli.ExitConflict)
+	is.Equal(kernel.asked[0].Expected(), uint64(7))
+	is.True(strings.Contains(raced.faults, "AW401 revision_conflict: revision 8 is in force"))
+	is.True(strings.Contains(raced.faults, `revision 8 by "ivo" at 1970-01-01T00:00:01Z, change id c-8`))
+	is.True(!strings.Contains(raced.faults, "ana"))
+}
+
+func TestDiffAndGet(t *testing.T) {
+	is := is.New(t)
+	kernel := &kernel{}
+	url := serve(t, kernel, openTokens(t))
+	is.Equal(run("deployment", "diff", example, "--admin", url).code, cli.ExitDiffers)
+	is.Equal(run("deployment", "get", "gradski", "--admin", url).code, cli.ExitNotFound)
+
+	deployed := model.NewDeployment(model.DeploymentSpec{
+		Name: "gradski", Revision: 4, Groups: []model.GroupID{"katalog-1"},
+		Kinds:   []model.Kind{model.NewKind(model.KindSpec{Name: "browse", Access: model.AccessRead, Staleness: time.Second})},
+		Classes: []model.Class{model.NewClass(model.ClassSpec{Name: "student"})},
+	})
+	kernel.shared.SetDeployments(4, []*model.Deployment{deployed})
+	got := run("deployment", "get", "gradski", "--admin", url, "--output", "json")
+	is.Equal(got.code, cli.ExitOK)
+	path := filepath.Join(t.TempDir(), "again.json")
+	is.NoErr(os.WriteFile(path, []byte(got.output), 0o600))
+	same := run("deployment", "diff", path, "--admin", url) // what get prints is a deployment file
+	is.Equal(same, result{})
+	differs := run("deployment", "diff", example, "--admin", url)
+	is.True(strings.Contains(differs.output, "~ kinds.browse: read staleness=1s -> read staleness=5s timeout=2s\n"))
+}
+
+func TestExitCodes(t *testing.T) {
+	operators := filepath.Join(t.TempDir(), "operators")
+	is.New(t).NoErr(os.WriteFile(operators, []byte("mira operator-token-0123456789\n"), 0o600))
+	tokens, err := admin.NewTokens("", operators, true, func(error) {})
+	is.New(t).NoErr(err)
+	kernel := &kernel{}
+	url := serve(t, kernel, tokens)
+	tests := []struct {
+		name  string
+		args  []string
+		code  int
+		fault string
+	}{
+		{name: "unknown command", args: []string{"fly"}, code: cli.ExitUsage, fault: "unknown command"},
+		{name: "parent alone", args: []string{"group"}, code: cli.ExitUsage, fault: "needs a command"},
+		{name: "bad settings", args: []string{"proxy", "--listen", "x", "--max-callers", "0"}, code: cli.ExitUsage, fault: "AW502 setting_invalid"},
+		{name: "bad file", args: []string{"check", "../parse/parse.go"}, code: cli.ExitUsage, fault: "AW402 invalid_deployment"},
+		{name: "bad output", args: []string{"status", "--output", "xml"}, code: cli.ExitUsage, fault: "neither table nor json"},
+		{name: "no token", args: []string{"status", "--admin", url}, code: cli.ExitAccess, fault: "AW404 unauthenticated"},
+		{name: "token", args: []string{"status", "--admin", url, "--token-file", operators}, code: cli.ExitOK},
+		{name: "nobody there", args: []string{"status", "--admin", "http://127.0.0.1:1"}, code: cli.ExitUnavailable, fault: "refused"},
+		{name: "unknown group", args: []string{"group", "show", "x", "--admin", url, "--token-file", operators}, code: cli.ExitNotFound, fault: `no group "x"`},
+		{name: "switchover refused", args: []string{"group", "switchover", "katalog-1", "--admin", url, "--token-file", operators}, code: cli.ExitFailed, fault: "no replica is near"},
+		{name: "other proxy", args: []string{"drain", "proxy", "proxy-2", "--admin", url, "--token-file", operators}, code: cli.ExitUsage, fault: `this is "proxy-1"`},
+		{name: "drain", args: []string{"drain", "proxy", "proxy-1", "--admin", url, "--token-file", operators}, code: cli.ExitOK},
+		{name: "check", args: []string{"check", example}, code: cli.ExitOK},
+		{name: "settings", args: []string{"settings", "-o", "json", "--admin", url, "--token-file", operators}, code: cli.ExitOK},
+		{name: "nothing to change", args: []string{"logging", "--admin", url}, code: cli.ExitUsage, fault: "neither --level nor --sample"},
+		{name: "version", args: []string{"version"}, code: cli.ExitOK},
+		{name: "codes", args: []string{"codes", "-o", "json"}, code: cli.ExitOK},
+		{name: "completion", args: []string{"completion", "bash"}, code: cli.ExitOK},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			done := run(test.args...)
+			is.Equal(done.code, test.code)
+			is.True(strings.Contains(done.faults, test.fault))
+			is.True(!strings.Contains(done.faults+done.output, "operator-token"))
+		})
+	}
+	is.New(t).Equal(kernel.drains, 1)
+}
+
+func TestSchemaKeepsDeployment(t *testing.T) {
+	is := is.New(t)
+	kernel := &kernel{applies: []event.Result{event.NewApplied(1, 1, 1)}}
+	url := serve(t, kernel, openTokens(t))
+	is.Equal(run("deployment", "apply", example, "--admin", url).code, cli.ExitOK)
+	sent := kernel.asked[0].Deployment()
+	again := schema.ToDeployment(schema.FromDeployment(sent))
+	is.Equal(again, sent)
+	client := admpb.NewAdminServiceClient(http.DefaultClient, url)
+	_, err := client.GetDeployment(t.Context(), connect.NewRequest(&admpb.GetDeploymentRequest{Name: "none"}))
+	is.Equal(connect.CodeOf(err), connect.CodeNotFound)
+}
--- a/internal/app/cli/diff.go
+++ b/internal/app/cli/diff.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"strings"
-	"time"
 
 	"almondway.dev/almondway/internal/core/model"
 )
@@ -16,7 +15,7 @@
 	After  string `json:"after"`
 }
 
-// String returns one line, as in "~ kinds.browse.staleness: 5s -> 10s".
+// String returns one line, as in "~ weight: 1 -> 2".
 func (difference difference) String() string {
 	switch {
 	case difference.Before == "":
@@ -68,21 +67,46 @@
 	flat.add("weight", fmt.Sprint(deployment.Weight()))
 	flat.add("max_waiting", fmt.Sprint(deployment.MaxWaiting()))
 	for _, kind := range deployment.Kinds() {
-		path := "kinds." + kind.Name()
-		flat.add(path+".access", string(kind.Access()))
-		flat.add(path+".staleness", durationText(kind.Staleness(), "fresh"))
-		flat.add(path+".idempotent", yesNo(kind.Idempotent()))
-		flat.add(path+".group", orDefault(string(kind.Group())))
-		flat.add(path+".timeout", durationText(kind.Timeout(), "default"))
+		flat.add("kinds."+kind.Name(), kindText(kind))
 	}
 	for _, class := range deployment.Classes() {
-		path := "callers." + class.Name()
-		flat.add(path+".read_your_writes", yesNo(class.ReadYourWrites()))
-		flat.add(path+".max_concurrent", fmt.Sprint(class.MaxConcurrent()))
+		flat.add("callers."+class.Name(), classText(class))
 	}
 	return flat
 }
 
+func kindText(kind model.Kind) string {
+	words := []string{string(kind.Access())}
+	switch {
+	case kind.Access() == model.AccessRead && kind.Staleness() == 0:
+		words = append(words, "fresh")
+	case kind.Access() == model.AccessRead:
+		words = append(words, "staleness="+kind.Staleness().String())
+	case kind.Idempotent():
+		words = append(words, "idempotent")
+	default:
+		words = append(words, "at_most_once")
+	}
+	if kind.Group() != "" {
+		words = append(words, "group="+string(kind.Group()))
+	}
+	if kind.Timeout() != 0 {
+		words = append(words, "timeout="+kind.Timeout().String())
+	}
+	return strings.Join(words, " ")
+}
+
+func classText(class model.Class) string {
+	words := []string{"no_session"}
+	if class.ReadYourWrites() {
+		words[0] = "read_your_writes"
+	}
+	if class.MaxConcurrent() != 0 {
+		words = append(words, fmt.Sprintf("max_concurrent=%d", class.MaxConcurrent()))
+	}
+	return strings.Join(words, " ")
+}
+
 func groupList(deployment *model.Deployment) string {
 	names := make([]string, 0, len(deployment.Groups()))
 	for _, group := range deployment.Groups() {
@@ -97,10 +121,3 @@
 	}
 	return text
 }
-
-func durationText(duration time.Duration, zero string) string {
-	if duration == 0 {
-		return zero
-	}
-	return duration.String()
-}
--- /dev/null
+++ b/internal/app/metric/observe.go
@@ -0,0 +1,50 @@
+package metric
+
+import (
+	"runtime"
+	"time"
+
+	"almondway.dev/almondway/internal/core/state"
+)
+
+// ObserveState brings the gauges of the kernel's shared state up to date. It is
+// called in the kernel's loop.
+func ObserveState(registry *Registry, shared *state.State) {
+	revision, known := shared.Revision()
+	registry.Gauge("revision").Update(int64(revision))
+	registry.Gauge("revision_known").Update(truth(known))
+	registry.Gauge("revision_confirmed").Update(truth(shared.Confirmed()))
+	registry.Gauge("draining").Update(truth(shared.Draining()))
+	registry.Gauge("may_promote").Update(truth(shared.Promoter() != 0))
+	registry.Gauge("deployments").Update(int64(len(shared.Deployments())))
+	registry.Gauge("proxies").Update(int64(len(shared.Proxies())))
+	registry.Gauge("groups").Update(int64(len(shared.Groups())))
+	var headless, unreachable, leaving int64
+	for _, group := range shared.Groups() {
+		headless += truth(group.Primary() == nil)
+		for _, member := range group.Members() {
+			unreachable += truth(member.Failures() > 0)
+			leaving += truth(member.Leaving())
+		}
+	}
+	registry.Gauge("groups_without_primary").Update(headless)
+	registry.Gauge("instances_unreachable").Update(unreachable)
+	registry.Gauge("instances_leaving").Update(leaving)
+}
+
+// ObserveRuntime brings the gauges of the process up to date.
+func ObserveRuntime(registry *Registry, uptime time.Duration) {
+	var memory runtime.MemStats
+	runtime.ReadMemStats(&memory)
+	registry.Gauge("uptime_seconds").Update(int64(uptime / time.Second))
+	registry.Gauge("goroutines").Update(int64(runtime.NumGoroutine()))
+	registry.Gauge("heap_bytes").Update(int64(memory.HeapAlloc))
+	registry.Gauge("memory_bytes").Update(int64(memory.Sys))
+}
+
+func truth(value bool) int64 {
+	if value {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/app/serve/http.go
@@ -0,0 +1,87 @@
+package serve
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"almondway.dev/almondway/internal/edge/certs"
+)
+
+const headerTimeout = 5 * time.Second
+
+// server is an HTTP server on one address.
+type server struct {
+	address string
+	server  *http.Server
+}
+
+// newServer returns a server that speaks HTTP/1.1 and HTTP/2, without TLS if
+// encryption is nil.
+func newServer(address string, handler http.Handler, encryption *tls.Config) *server {
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	protocols.SetHTTP2(true)
+	protocols.SetUnencryptedHTTP2(true)
+	return &server{address: address, server: &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: headerTimeout,
+		TLSConfig:         encryption,
+		Protocols:         protocols,
+	}}
+}
+
+func (server *server) start() error {
+	listener, err := net.Listen("tcp", server.address)
+	if err != nil {
+		return errors.Wrapf(err, "listen at %s", server.address)
+	}
+	go func() {
+		if server.server.TLSConfig != nil {
+			_ = server.server.ServeTLS(listener, "", "")
+			return
+		}
+		_ = server.server.Serve(listener)
+	}()
+	return nil
+}
+
+// close lets calls end until the context does.
+func (server *server) close(ctx context.Context) {
+	if err := server.server.Shutdown(ctx); err != nil {
+		_ = server.server.Close()
+	}
+}
+
+// newPlatformClient returns the client for the platform's service.
+func newPlatformClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		MaxIdleConnsPerHost: maxIdlePlatformConns,
+		ForceAttemptHTTP2:   true,
+	}}
+}
+
+// newPeerClient returns the client for other proxies. It holds one connection
+// to each of them.
+func newPeerClient() *http.Client {
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(true)
+	return &http.Client{Transport: &http.Transport{Protocols: protocols}}
+}
+
+// tlsConfig returns the configuration of a certificate that is reloaded, or nil
+// without files.
+func tlsConfig(certFile, keyFile string, report func(err error)) (*tls.Config, error) {
+	if certFile == "" {
+		return nil, nil
+	}
+	reloader, err := certs.New(certFile, keyFile, report)
+	if err != nil {
+		return nil, err
+	}
+	return reloader.Config(), nil
+}
--- a/internal/app/serve/serve.go
+++ b/internal/app/serve/serve.go
@@ -11,27 +11,40 @@
 	"almondway.dev/almondway/internal/app/config"
 	"almondway.dev/almondway/internal/app/daemon"
 	"almondway.dev/almondway/internal/app/logs"
+	"almondway.dev/almondway/internal/app/metric"
 	"almondway.dev/almondway/internal/core/event"
 	"almondway.dev/almondway/internal/core/kern"
 	"almondway.dev/almondway/internal/core/model"
 )
 
-// hardStopGrace is the time beyond the drain limit after which the process ends
-// even if the kernel did not ask for it.
-const hardStopGrace = 2 * time.Second
+const (
+	// hardStopGrace is the time beyond the drain limit after which the process
+	// ends even if the kernel did not ask for it.
+	hardStopGrace = 2 * time.Second
+	// flushLimit is the time that the last answers may take to leave the process.
+	flushLimit = 2 * time.Second
+	flushPoll  = 5 * time.Millisecond
+)
 
 // Proxy is a proxy process.
 type Proxy struct {
-	config  *config.Config
-	log     *logs.Log
-	id      model.ProxyID
-	loop    *daemon.Loop
-	stopped chan struct{}
-	once    sync.Once
+	config   *config.Config
+	log      *logs.Log
+	registry *metric.Registry
+	id       model.ProxyID
+	version  string
+	started  time.Time
+	loop     *daemon.Loop
+	edges    *edges
+
+	stopped   chan struct{}
+	stopOnce  sync.Once
+	draining  chan struct{}
+	drainOnce sync.Once
 }
 
 // New returns the Proxy of the given settings. Nothing listens before Run.
-func New(config *config.Config, log *logs.Log) (*Proxy, error) {
+func New(config *config.Config, log *logs.Log, version string) (*Proxy, error) {
 	id, err := newProxyID(config.ID())
 	if err != nil {
 		return nil, err
@@ -43,52 +56,82 @@
 	self := model.NewProxyView(id, config.PeerAddress(), model.DataCenter(config.DataCenter()), 0, false, 0)
 	started := time.Now()
 	kernel := kern.New(self, config.Kernel(), started, seed)
-	return &Proxy{
-		config:  config,
-		log:     log,
-		id:      id,
-		loop:    daemon.New(kernel, started),
-		stopped: make(chan struct{}),
-	}, nil
+	proxy := &Proxy{
+		config:   config,
+		log:      log,
+		registry: metric.NewRegistry(),
+		id:       id,
+		version:  version,
+		started:  started,
+		loop:     daemon.New(kernel, started),
+		stopped:  make(chan struct{}),
+		draining: make(chan struct{}),
+	}
+	if proxy.edges, err = newEdges(proxy); err != nil {
+		return nil, err
+	}
+	journal := metric.NewJournal(proxy.registry, log, kernel.State())
+	proxy.loop.Connect(proxy.edges.ports(proxy, journal))
+	return proxy, nil
 }
 
 // Stop implements port.Process.
 func (proxy *Proxy) Stop() {
-	proxy.once.Do(func() { close(proxy.stopped) })
+	proxy.stopOnce.Do(func() { close(proxy.stopped) })
+}
+
+// Drain lets the work in flight finish and ends the process then.
+func (proxy *Proxy) Drain() {
+	proxy.drainOnce.Do(func() {
+		close(proxy.draining)
+		proxy.loop.Post(event.NewShutdownAsked())
+	})
 }
 
-// Run serves until a signal asks for a shutdown and the shutdown is over. The
-// first signal lets work in flight finish; the second one or the drain limit ends it.
+// Run serves until a shutdown is over. The first signal lets work in flight
+// finish; the second one or the drain limit ends it.
 func (proxy *Proxy) Run(signals <-chan os.Signal) error {
+	logger := proxy.log.Logger().WithField("proxy", proxy.id)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	proxy.loop.Connect(daemon.Ports{Journal: proxy.log, Process: proxy})
-	go proxy.loop.Run(ctx)
-	proxy.log.Logger().WithField("proxy", proxy.id).Info("started")
-	proxy.awaitEnd(signals)
+	if err := proxy.edges.start(); err != nil {
+		proxy.edges.close()
+		return err
+	}
+	looped := make(chan struct{})
+	go func() {
+		defer close(looped)
+		proxy.loop.Run(ctx)
+	}()
+	logger.WithField("version", proxy.version).WithField("data_center", proxy.config.DataCenter()).Info("started")
+	reason := proxy.awaitEnd(signals)
+	proxy.edges.flush(flushLimit)
+	proxy.edges.close()
+	cancel()
+	<-looped
+	logger.WithField("reason", reason).Info("stopped")
 	return nil
 }
 
-func (proxy *Proxy) awaitEnd(signals <-chan os.Signal) {
-	logger := proxy.log.Logger().WithField("proxy", proxy.id)
+// awaitEnd returns why the process ends.
+func (proxy *Proxy) awaitEnd(signals <-chan os.Signal) string {
+	draining := proxy.draining
 	var limit <-chan time.Time
-	for asked := false; ; {
+	for {
 		select {
 		case <-proxy.stopped:
-			logger.Info("stopped")
-			return
+			return "drained"
 		case <-limit:
-			logger.Warn("stopped at the drain limit")
-			return
+			return "drain limit"
+		case <-draining:
+			draining = nil
+			limit = time.After(proxy.config.Kernel().DrainLimit() + hardStopGrace)
+			proxy.log.Logger().WithField("proxy", proxy.id).Info("shutdown asked")
 		case <-signals:
-			if asked {
-				logger.Warn("stopped at the second signal")
-				return
+			if draining == nil {
+				return "second signal"
 			}
-			asked = true
-			logger.Info("shutdown asked")
-			limit = time.After(proxy.config.Kernel().DrainLimit() + hardStopGrace)
-			proxy.loop.Post(event.NewShutdownAsked())
+			proxy.Drain()
 		}
 	}
 }
--- a/internal/edge/admin/admin.go
+++ b/internal/edge/admin/admin.go
@@ -50,6 +50,8 @@
 	Tokens    *Tokens
 	Inspector Inspector
 	Logging   Logging
+	// Drain lets the proxy finish what is in flight and stop.
+	Drain func()
 }
 
 // Admin implements port.Operators and the AdminService. It may be used by several goroutines.
--- a/internal/edge/admin/admin_test.go
+++ b/internal/edge/admin/admin_test.go
@@ -92,6 +92,7 @@
 		Tokens:    tokens,
 		Inspector: fixedState{shared: shared},
 		Logging:   &fakeLogging{level: "info"},
+		Drain:     func() { script.Post(event.NewShutdownAsked()) },
 	}, script)
 	script.answer = served.Answer
 	mux := http.NewServeMux()
--- a/internal/edge/admin/fleet.go
+++ b/internal/edge/admin/fleet.go
@@ -61,7 +61,7 @@
 		detail := fmt.Sprintf("proxy: this is %q; call the administration address of %q", admin.spec.Proxy, request.Msg.GetProxy())
 		return nil, faultAs(connect.CodeFailedPrecondition, codes.SettingInvalid, detail, 0)
 	}
-	admin.inbox.Post(event.NewShutdownAsked())
+	admin.spec.Drain()
 	return connect.NewResponse(&admpb.DrainProxyResponse{}), nil
 }
 
