--- a/internal/plug/bundle/bundle.go
+++ b/internal/plug/bundle/bundle.go
@@ -5,6 +5,7 @@
 import (
 	_ "almondway.dev/almondway/internal/plug/conns"  // registers the plug-in
 	_ "almondway.dev/almondway/internal/plug/deploy" // registers the plug-in
+	_ "almondway.dev/almondway/internal/plug/drain"  // registers the plug-in
 	_ "almondway.dev/almondway/internal/plug/failov" // registers the plug-in
 	_ "almondway.dev/almondway/internal/plug/limit"  // registers the plug-in
 	_ "almondway.dev/almondway/internal/plug/member" // registers the plug-in
--- a/internal/proof/fuzz/caller_test.go
+++ b/internal/proof/fuzz/caller_test.go
@@ -193,12 +193,12 @@
 	return string(caller.node.id) + "/" + strconv.FormatUint(uint64(caller.id), 10)
 }
 
-func (caller *caller) write(key string) *request {
-	return caller.call("edit_listing", caller.world.newWrite(key), model.OpStatement, caller.world.newRequestID())
+func (caller *caller) write() *request {
+	return caller.call("edit_listing", caller.world.newWrite(scenarioKey), model.OpStatement, caller.world.newRequestID())
 }
 
-func (caller *caller) read(kind, key string) *request {
-	return caller.call(kind, &statement{key: key}, model.OpStatement, "")
+func (caller *caller) read(kind string) {
+	caller.call(kind, &statement{key: scenarioKey}, model.OpStatement, "")
 }
 
 // newWrite returns a write of a value that no other write has.
--- a/internal/proof/fuzz/deployment_test.go
+++ b/internal/proof/fuzz/deployment_test.go
@@ -47,12 +47,11 @@
 }
 
 // apply asks a proxy to accept the deployment of the given weight.
-func (world *world) apply(node *node, weight int, expected uint64, changeID string) model.AskID {
+func (world *world) apply(node *node, weight int, expected uint64, changeID string) {
 	world.oracle.lastAsk++
 	ask := world.oracle.lastAsk
 	world.oracle.asked[ask] = askRecord{node: node, weight: weight, changeID: changeID}
 	node.post(event.NewOperatorAsked(ask, event.NewApplyDeployment(world.newDeployment(weight), expected, changeID, "operator")))
-	return ask
 }
 
 func shutdownAsked() event.Event { return event.NewShutdownAsked() }
--- a/internal/proof/fuzz/fuzz_test.go
+++ b/internal/proof/fuzz/fuzz_test.go
@@ -97,7 +97,7 @@
 	machine.world.oracle.checkEnd()
 	machine.report(t)
 	registrar := machine.world.connect(machine.liveNodes()[0], "registrar")
-	if written := registrar.write("course"); written == nil || !written.done() {
+	if written := registrar.write(); written == nil || !written.done() {
 		t.Fatalf("at %s: no write succeeds after all faults ended", machine.world.now)
 	}
 }
--- a/internal/proof/fuzz/node_test.go
+++ b/internal/proof/fuzz/node_test.go
@@ -28,7 +28,7 @@
 	waiting  []event.Event
 }
 
-func (world *world) startNode() *node {
+func (world *world) startNode() {
 	number := len(world.nodes) + 1
 	started := &node{
 		world:   world,
@@ -43,7 +43,6 @@
 	self := model.NewProxyView(started.id, started.address, "gradska-dvorana", 0, false, 0)
 	started.brain = world.brains(self, tune.New(world.settings), wallStart.Add(world.now), world.random.Uint64())
 	world.nodes = append(world.nodes, started)
-	return started
 }
 
 func (node *node) clock() time.Duration { return node.world.now - node.started }
--- a/internal/proof/fuzz/product_test.go
+++ b/internal/proof/fuzz/product_test.go
@@ -6,6 +6,7 @@
 	"almondway.dev/almondway/internal/core/kern"
 	"almondway.dev/almondway/internal/core/model"
 	"almondway.dev/almondway/internal/core/tune"
+	_ "almondway.dev/almondway/internal/plug/bundle" // registers the plug-ins
 )
 
 // newProduct makes the product's kernel with every registered plug-in.
--- a/internal/proof/fuzz/promises_test.go
+++ b/internal/proof/fuzz/promises_test.go
@@ -11,6 +11,7 @@
 
 const (
 	scenarioSeed = 20261203
+	scenarioKey  = "course"
 	healTime     = 15 * time.Second
 )
 
@@ -104,14 +105,14 @@
 
 func attackRoaming(world *world) {
 	registrar := world.connect(world.nodes[0], "registrar")
-	registrar.write("course")
+	registrar.write()
 	for range 6 {
 		world.instances[1].lag = 2 * time.Second
 		world.instances[2].lag = 2 * time.Second
-		registrar.write("course")
+		registrar.write()
 		registrar.roam(world.nodes[1])
-		registrar.read("seat_count", "course")
-		registrar.read("browse", "course")
+		registrar.read("seat_count")
+		registrar.read("browse")
 		registrar.roam(world.nodes[0])
 	}
 }
@@ -120,13 +121,13 @@
 	registrar := world.connect(world.nodes[0], "registrar")
 	for range 6 {
 		world.instances[2].frozen = true
-		registrar.write("course")
+		registrar.write()
 		world.instances[2].cutGroup = true
 		world.instances[2].thaw()
-		registrar.write("course")
+		registrar.write()
 		registrar.token = model.Token{}
 		registrar.roam(world.nodes[2])
-		registrar.read("browse", "course")
+		registrar.read("browse")
 		world.instances[2].cutGroup = false
 		registrar.roam(world.nodes[0])
 	}
@@ -135,7 +136,7 @@
 func attackCutPrimary(world *world) {
 	registrar := world.connect(world.nodes[0], "registrar")
 	other := world.connect(world.nodes[1], "registrar")
-	registrar.write("course")
+	registrar.write()
 	old := world.primaryOf(world.groups[0].ID())
 	old.cutGroup = true
 	world.nodes[0].cutPeers = true
@@ -148,10 +149,10 @@
 		}
 	}
 	for range 4 {
-		registrar.write("course")
+		registrar.write()
 		world.run(time.Second)
-		other.write("course")
-		other.read("seat_count", "course")
+		other.write()
+		other.read("seat_count")
 	}
 }
 
@@ -166,7 +167,7 @@
 		}
 		for range 2 {
 			for index, caller := range callers {
-				write := world.newWrite("course")
+				write := world.newWrite(scenarioKey)
 				write.owner = ids[index]
 				caller.call("edit_listing", write, model.OpStatement, ids[index])
 			}
@@ -175,46 +176,46 @@
 			caller.call("", nil, model.OpCommit, "")
 		}
 	}
-	first.write("course")
+	first.write()
 	first.call("", nil, model.OpBegin, "")
-	first.call("edit_listing", world.newWrite("course"), model.OpStatement, world.newRequestID())
+	first.call("edit_listing", world.newWrite(scenarioKey), model.OpStatement, world.newRequestID())
 	first.leave()
-	second.write("course")
+	second.write()
 }
 
 func attackLateAnswer(world *world) {
 	primary := world.primaryOf(world.groups[0].ID())
 	first := world.connect(world.nodes[0], "registrar")
 	second := world.connect(world.nodes[0], "registrar")
-	first.write("course")
+	first.write()
 	primary.frozen = true
-	sent := first.send("edit_listing", world.newWrite("course"), model.OpStatement, world.newRequestID())
+	sent := first.send("edit_listing", world.newWrite(scenarioKey), model.OpStatement, world.newRequestID())
 	world.run(400 * time.Millisecond)
-	late := second.send("edit_listing", world.newWrite("course"), model.OpStatement, world.newRequestID())
+	late := second.send("edit_listing", world.newWrite(scenarioKey), model.OpStatement, world.newRequestID())
 	primary.thaw()
 	world.runUntil(10*time.Second, func() bool { return sent.answered() && late.answered() })
-	second.write("course")
-	first.write("course")
+	second.write()
+	first.write()
 }
 
 func attackLostAnswer(world *world) {
 	primary := world.primaryOf(world.groups[0].ID())
 	registrar := world.connect(world.nodes[0], "registrar")
-	registrar.write("course")
+	registrar.write()
 	primary.frozen = true
-	sent := registrar.send("edit_listing", world.newWrite("course"), model.OpStatement, world.newRequestID())
+	sent := registrar.send("edit_listing", world.newWrite(scenarioKey), model.OpStatement, world.newRequestID())
 	world.run(400 * time.Millisecond)
 	primary.thaw()
 	world.runUntil(10*time.Second, sent.answered)
-	registrar.write("course")
+	registrar.write()
 }
 
 func attackRetry(world *world) {
 	primary := world.primaryOf(world.groups[0].ID())
 	registrar := world.connect(world.nodes[0], "registrar")
-	registrar.write("course")
+	registrar.write()
 	for range 3 {
-		write, id := world.newWrite("course"), world.newRequestID()
+		write, id := world.newWrite(scenarioKey), world.newRequestID()
 		registrar.send("edit_listing", write, model.OpStatement, id)
 		world.run(3 * time.Millisecond)
 		primary.frozen = true
@@ -229,36 +230,36 @@
 
 func attackLeaving(world *world) {
 	registrar := world.connect(world.nodes[0], "registrar")
-	registrar.write("course")
+	registrar.write()
 	for _, leaving := range world.instances[1:] {
 		leaving.leaving = true
 		leaving.leavingAt = world.now
 		world.platform.down = true
 		for range 40 {
 			world.run(200 * time.Millisecond)
-			registrar.read("seat_count", "course")
+			registrar.read("seat_count")
 		}
 		leaving.leaving = false
 		world.run(time.Second)
 	}
-	registrar.write("course")
+	registrar.write()
 }
 
 func attackShutdown(world *world) {
 	primary := world.primaryOf(world.groups[0].ID())
 	registrar := world.connect(world.nodes[0], "registrar")
 	other := world.connect(world.nodes[0], "registrar")
-	registrar.write("course")
+	registrar.write()
 	other.call("", nil, model.OpBegin, "")
 	id := world.newRequestID()
-	other.call("edit_listing", world.newWrite("course"), model.OpStatement, id)
+	other.call("edit_listing", world.newWrite(scenarioKey), model.OpStatement, id)
 	primary.frozen = true
-	registrar.send("edit_listing", world.newWrite("course"), model.OpStatement, world.newRequestID())
+	registrar.send("edit_listing", world.newWrite(scenarioKey), model.OpStatement, world.newRequestID())
 	world.nodes[0].post(shutdownAsked())
 	world.run(300 * time.Millisecond)
 	primary.thaw()
 	world.run(100 * time.Millisecond)
-	other.call("edit_listing", world.newWrite("course"), model.OpStatement, id)
+	other.call("edit_listing", world.newWrite(scenarioKey), model.OpStatement, id)
 	other.call("", nil, model.OpCommit, "")
 	world.run(5 * time.Second)
 	if !world.nodes[0].stopped {
@@ -292,13 +293,13 @@
 				instance.lag = 30 * time.Millisecond
 			}
 		}
-		registrar.write("course")
-		registrar.write("course")
+		registrar.write()
+		registrar.write()
 		primary.alive = false
 		clear(primary.open)
 		world.run(3 * time.Second)
-		registrar.write("course")
-		registrar.read("seat_count", "course")
+		registrar.write()
+		registrar.read("seat_count")
 		world.oracle.check()
 		primary.alive = true
 		world.run(3 * time.Second)
@@ -308,11 +309,11 @@
 func attackStaleReplica(world *world) {
 	registrar := world.connect(world.nodes[0], "registrar")
 	student := world.connect(world.nodes[1], "student")
-	registrar.write("course")
+	registrar.write()
 	world.instances[2].cutGroup = true
-	registrar.write("course")
+	registrar.write()
 	world.run(5 * time.Second)
 	for range 6 {
-		student.read("browse", "course")
+		student.read("browse")
 	}
 }
--- a/internal/proof/fuzz/world_test.go
+++ b/internal/proof/fuzz/world_test.go
@@ -135,19 +135,18 @@
 	}
 }
 
-// runUntil lets time pass until done or the limit is reached, and reports which.
-func (world *world) runUntil(limit time.Duration, done func() bool) bool {
+// runUntil lets time pass until done or the limit is reached.
+func (world *world) runUntil(limit time.Duration, done func() bool) {
 	end := world.now + limit
 	for !done() {
 		next, ok := world.next()
 		if !ok || next > end {
 			world.now = end
-			return done()
+			return
 		}
 		world.now = max(world.now, next)
 		world.step()
 	}
-	return true
 }
 
 func (world *world) next() (time.Duration, bool) {
