--- a/internal/app/serve/plugins.go
+++ b/internal/app/serve/plugins.go
@@ -1,5 +1,3 @@
 package serve
 
-import (
-	_ "almondway.dev/almondway/internal/plug/bundle" // registers the plug-ins
-)
+import _ "almondway.dev/almondway/internal/plug/bundle" // registers the plug-ins
