metric: kernel's counters, ports' counters, gaps and replica share

Cause: refusals that keep a promise and the two measures could not be seen from outside. Change: a plug-in counts what the kernel meets (fenced writes, replays, tombstones, lost answers, refused orders, store failures) and measures the gap of each change of primaries, from the last report of the old one until a majority has an entry of the new term. Ports count what they send; the share of reads by replicas is kept for each deployment. Ruled out: the gap from the first write after the change, since it measures the callers' pace. Run: tests of internal/plug/tally, internal/app (also with -race), make lint.

--- a/internal/app/metric/journal.go
+++ b/internal/app/metric/journal.go
@@ -15,6 +15,9 @@
 // the series without labels of requests.
 const maxSeries = 10000
 
+// readEvent is the name of the decision that ends a read.
+const readEvent = "route_read"
+
 // The values of the label role.
 const (
 	rolePrimary = "primary"
@@ -37,12 +40,25 @@
 	next     port.Journal
 	shared   *state.State
 	counters map[series]metrics.Counter
+	shares   map[string]*share
+}
+
+// share counts the reads of a deployment that were answered.
+type share struct {
+	reads     int64
+	byReplica int64
 }
 
 // NewJournal returns a Journal that hands decisions on to next. It reads shared
 // in the kernel's loop to tell the role of an instance.
 func NewJournal(registry *Registry, next port.Journal, shared *state.State) *Journal {
-	return &Journal{registry: registry, next: next, shared: shared, counters: make(map[series]metrics.Counter)}
+	return &Journal{
+		registry: registry,
+		next:     next,
+		shared:   shared,
+		counters: make(map[series]metrics.Counter),
+		shares:   make(map[string]*share),
+	}
 }
 
 // Decide implements port.Journal.
@@ -56,9 +72,32 @@
 		counted.kind = decision.Kind
 	}
 	journal.counter(counted).Inc(1)
+	if counted.name == readEvent && counted.code == codes.OK {
+		journal.countRead(counted)
+	}
 	journal.next.Decide(decision)
 }
 
+// Observe brings the share of reads that replicas served up to date, for each deployment.
+func (journal *Journal) Observe() {
+	for deployment, share := range journal.shares {
+		ratio := float64(share.byReplica) / float64(share.reads)
+		journal.registry.Ratio("replica_read_share", NewLabel("deployment", deployment)).Update(ratio)
+	}
+}
+
+func (journal *Journal) countRead(counted series) {
+	counts, ok := journal.shares[counted.deployment]
+	if !ok {
+		counts = &share{}
+		journal.shares[counted.deployment] = counts
+	}
+	counts.reads++
+	if counted.role == roleReplica {
+		counts.byReplica++
+	}
+}
+
 func (journal *Journal) counter(counted series) metrics.Counter {
 	if counter, ok := journal.counters[counted]; ok {
 		return counter
--- a/internal/app/metric/observe.go
+++ b/internal/app/metric/observe.go
@@ -4,6 +4,7 @@
 	"runtime"
 	"time"
 
+	"almondway.dev/almondway/internal/core/count"
 	"almondway.dev/almondway/internal/core/state"
 )
 
@@ -30,6 +31,19 @@
 	registry.Gauge("groups_without_primary").Update(headless)
 	registry.Gauge("instances_unreachable").Update(unreachable)
 	registry.Gauge("instances_leaving").Update(leaving)
+	observeCounts(registry, shared.Counts())
+}
+
+// observeCounts brings the counters of the kernel and the failover gaps up to date.
+func observeCounts(registry *Registry, counts *count.Counts) {
+	for _, name := range count.Names() {
+		counter := registry.Counter(name.String() + "_total")
+		counter.Inc(int64(counts.Value(name)) - counter.Count())
+	}
+	gaps := registry.Seconds("failover_gap_seconds")
+	for _, gap := range counts.TakeGaps() {
+		gaps.Update(gap)
+	}
 }
 
 // ObserveRuntime brings the gauges of the process up to date.
--- a/internal/app/serve/edges.go
+++ b/internal/app/serve/edges.go
@@ -10,7 +10,7 @@
 
 	"almondway.dev/almondway/internal/app/config"
 	"almondway.dev/almondway/internal/app/daemon"
-	"almondway.dev/almondway/internal/core/port"
+	"almondway.dev/almondway/internal/app/metric"
 	"almondway.dev/almondway/internal/edge/admin"
 	"almondway.dev/almondway/internal/edge/back"
 	"almondway.dev/almondway/internal/edge/front"
@@ -100,14 +100,14 @@
 }
 
 // ports returns the adapters as the kernel's loop needs them.
-func (edges *edges) ports(proxy *Proxy, journal port.Journal) daemon.Ports {
+func (edges *edges) ports(proxy *Proxy) daemon.Ports {
 	return daemon.Ports{
 		Callers:   edges.callers,
-		Backend:   edges.backend,
-		Platform:  edges.store,
-		Peers:     edges.peers,
+		Backend:   metric.NewBackend(proxy.registry, edges.backend),
+		Platform:  metric.NewPlatform(proxy.registry, edges.store),
+		Peers:     metric.NewPeers(proxy.registry, edges.peers),
 		Operators: edges.admin,
-		Journal:   journal,
+		Journal:   proxy.journal,
 		Process:   proxy,
 	}
 }
--- a/internal/app/serve/health.go
+++ b/internal/app/serve/health.go
@@ -84,5 +84,8 @@
 	proxy.registry.Gauge("callers").Update(int64(proxy.edges.callers.Count()))
 	proxy.registry.Gauge("log_lines_dropped").Update(proxy.log.Dropped())
 	metric.ObserveRuntime(proxy.registry, time.Since(proxy.started))
-	_ = proxy.loop.Inspect(ctx, func(shared *state.State) { metric.ObserveState(proxy.registry, shared) })
+	_ = proxy.loop.Inspect(ctx, func(shared *state.State) {
+		metric.ObserveState(proxy.registry, shared)
+		proxy.journal.Observe()
+	})
 }
--- a/internal/app/serve/http.go
+++ b/internal/app/serve/http.go
@@ -16,8 +16,9 @@
 
 // server is an HTTP server on one address.
 type server struct {
-	address string
-	server  *http.Server
+	address  string
+	listener net.Listener
+	server   *http.Server
 }
 
 // newServer returns a server that speaks HTTP/1.1 and HTTP/2, without TLS if
@@ -40,6 +41,7 @@
 	if err != nil {
 		return errors.Wrapf(err, "listen at %s", server.address)
 	}
+	server.listener = listener
 	go func() {
 		if server.server.TLSConfig != nil {
 			_ = server.server.ServeTLS(listener, "", "")
--- a/internal/app/serve/serve.go
+++ b/internal/app/serve/serve.go
@@ -31,6 +31,7 @@
 	config   *config.Config
 	log      *logs.Log
 	registry *metric.Registry
+	journal  *metric.Journal
 	id       model.ProxyID
 	version  string
 	started  time.Time
@@ -70,8 +71,8 @@
 	if proxy.edges, err = newEdges(proxy); err != nil {
 		return nil, err
 	}
-	journal := metric.NewJournal(proxy.registry, log, kernel.State())
-	proxy.loop.Connect(proxy.edges.ports(proxy, journal))
+	proxy.journal = metric.NewJournal(proxy.registry, log, kernel.State())
+	proxy.loop.Connect(proxy.edges.ports(proxy))
 	return proxy, nil
 }
 
@@ -91,18 +92,24 @@
 // Run serves until a shutdown is over. The first signal lets work in flight
 // finish; the second one or the drain limit ends it.
 func (proxy *Proxy) Run(signals <-chan os.Signal) error {
-	logger := proxy.log.Logger().WithField("proxy", proxy.id)
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
 	if err := proxy.edges.start(); err != nil {
 		proxy.edges.close()
 		return err
 	}
+	proxy.run(signals)
+	return nil
+}
+
+// run serves with adapters that listen.
+func (proxy *Proxy) run(signals <-chan os.Signal) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
 	looped := make(chan struct{})
 	go func() {
 		defer close(looped)
 		proxy.loop.Run(ctx)
 	}()
+	logger := proxy.log.Logger().WithField("proxy", proxy.id)
 	logger.WithField("version", proxy.version).WithField("data_center", proxy.config.DataCenter()).Info("started")
 	reason := proxy.awaitEnd(signals)
 	proxy.edges.flush(flushLimit)
@@ -110,7 +117,6 @@
 	cancel()
 	<-looped
 	logger.WithField("reason", reason).Info("stopped")
-	return nil
 }
 
 // awaitEnd returns why the process ends.
--- /dev/null
+++ b/internal/app/serve/serve_test.go
@@ -0,0 +1,151 @@
+package serve
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/spf13/pflag"
+
+	"almondway.dev/almondway/internal/app/config"
+	"almondway.dev/almondway/internal/app/logs"
+)
+
+// output is a log that may be read while it is written.
+type output struct {
+	mutex  sync.Mutex
+	buffer bytes.Buffer
+}
+
+func (output *output) Write(line []byte) (int, error) {
+	output.mutex.Lock()
+	defer output.mutex.Unlock()
+	return output.buffer.Write(line)
+}
+
+func (output *output) text() string {
+	output.mutex.Lock()
+	defer output.mutex.Unlock()
+	return output.buffer.String()
+}
+
+type running struct {
+	proxy   *Proxy
+	output  *output
+	log     *logs.Log
+	signals chan os.Signal
+	done    chan struct{}
+}
+
+// start runs a proxy whose platform does not exist.
+func start(t *testing.T, args ...string) *running {
+	t.Helper()
+	is := is.New(t)
+	flags := pflag.NewFlagSet("proxy", pflag.ContinueOnError)
+	loader := config.NewLoader(flags)
+	is.NoErr(flags.Parse(append([]string{
+		"--id", "test", "--listen", "127.0.0.1:0", "--peer-listen", "127.0.0.1:0",
+		"--admin-listen", "127.0.0.1:0", "--platform", "http://127.0.0.1:1",
+	}, args...)))
+	settings, err := loader.Load(func(string) (string, bool) { return "", false })
+	is.NoErr(err)
+	started := &running{output: &output{}, signals: make(chan os.Signal, 2), done: make(chan struct{})}
+	started.log, err = logs.New(started.output, "info", 1)
+	is.NoErr(err)
+	started.proxy, err = New(settings, started.log, "test")
+	is.NoErr(err)
+	is.NoErr(started.proxy.edges.start())
+	go func() {
+		started.proxy.run(started.signals)
+		close(started.done)
+	}()
+	return started
+}
+
+func (running *running) get(t *testing.T, path string) (int, string) {
+	t.Helper()
+	is := is.New(t)
+	response, err := http.Get("http://" + running.proxy.edges.adminServer.listener.Addr().String() + path)
+	is.NoErr(err)
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	is.NoErr(err)
+	return response.StatusCode, string(body)
+}
+
+func TestHealthAndDrainWithoutAPlatform(t *testing.T) {
+	is := is.New(t)
+	running := start(t)
+	status, _ := running.get(t, "/healthz")
+	is.Equal(status, http.StatusOK)
+	status, body := running.get(t, "/readyz")
+	is.Equal(status, http.StatusServiceUnavailable)
+	is.Equal(body, "no revision of the deployments is known\n")
+	status, body = running.get(t, "/metrics")
+	is.Equal(status, http.StatusOK)
+	is.True(strings.Contains(body, "almondway_revision_known 0\n"))
+	status, body = running.get(t, "/metrics.json")
+	is.Equal(status, http.StatusOK)
+	is.True(strings.HasPrefix(body, "{"))
+
+	running.signals <- syscall.SIGTERM
+	<-running.done
+	running.log.Close()
+	is.True(strings.Contains(running.output.text(), `"reason":"drained"`))
+	_, err := net.Dial("tcp", running.proxy.edges.adminServer.listener.Addr().String())
+	is.True(err != nil) // nothing listens any more
+}
+
+func TestSecondSignalEndsAtOnce(t *testing.T) {
+	is := is.New(t)
+	running := start(t)
+	running.proxy.drainOnce.Do(func() { close(running.proxy.draining) }) // a drain that never ends
+	for !strings.Contains(running.output.text(), "shutdown asked") {
+		running.get(t, "/healthz")
+	}
+	running.signals <- syscall.SIGINT
+	<-running.done
+	running.log.Close()
+	is.True(strings.Contains(running.output.text(), `"reason":"second signal"`))
+}
+
+func TestNewRefuses(t *testing.T) {
+	is := is.New(t)
+	log, err := logs.New(io.Discard, "info", 1)
+	is.NoErr(err)
+	spec := config.Default()
+	spec.AdminListen, spec.OperatorTokensFile = "0.0.0.0:6434", t.TempDir()+"/none"
+	settings, err := config.New(spec)
+	is.NoErr(err)
+	_, err = New(settings, log, "test")
+	is.True(err != nil) // the token file is missing
+	is.NoErr(os.WriteFile(spec.OperatorTokensFile, nil, 0o600))
+	_, err = New(settings, log, "test")
+	is.True(err != nil && strings.Contains(err.Error(), "holds no token"))
+	spec = config.Default()
+	spec.AdminTLSCert, spec.AdminTLSKey = "none", "none"
+	settings, err = config.New(spec)
+	is.NoErr(err)
+	_, err = New(settings, log, "test")
+	is.True(err != nil)
+}
+
+func TestProxyIDIsNewAtEachStart(t *testing.T) {
+	is := is.New(t)
+	first, err := newProxyID("p1")
+	is.NoErr(err)
+	second, err := newProxyID("p1")
+	is.NoErr(err)
+	is.True(first != second)
+	is.True(strings.HasPrefix(string(first), "p1-"))
+	host, err := newProxyID("")
+	is.NoErr(err)
+	is.True(!notInName.MatchString(string(host)))
+}
--- a/internal/core/kern/register.go
+++ b/internal/core/kern/register.go
@@ -34,6 +34,7 @@
 	RankWrites
 	RankFailover
 	RankDrain
+	RankTally
 )
 
 // registrations is complete before main runs: only init functions register.
--- a/internal/core/state/state.go
+++ b/internal/core/state/state.go
@@ -6,6 +6,7 @@
 import (
 	"slices"
 
+	"almondway.dev/almondway/internal/core/count"
 	"almondway.dev/almondway/internal/core/model"
 )
 
@@ -23,6 +24,7 @@
 	registered  []model.ProxyID
 	draining    bool
 	promoter    uint32
+	counts      *count.Counts
 }
 
 // New returns an empty State of the proxy self.
@@ -32,9 +34,13 @@
 		groups:      make(map[model.GroupID]*Group),
 		byInstance:  make(map[model.InstanceID]*Group),
 		deployments: make(map[string]*model.Deployment),
+		counts:      count.New(),
 	}
 }
 
+// Counts returns the counters of the kernel.
+func (state *State) Counts() *count.Counts { return state.counts }
+
 // Self returns the identity of this proxy.
 func (state *State) Self() model.ProxyView { return state.self }
 
--- a/internal/plug/bundle/bundle.go
+++ b/internal/plug/bundle/bundle.go
@@ -12,5 +12,6 @@
 	_ "almondway.dev/almondway/internal/plug/probe"  // registers the plug-in
 	_ "almondway.dev/almondway/internal/plug/reads"  // registers the plug-in
 	_ "almondway.dev/almondway/internal/plug/sessn"  // registers the plug-in
+	_ "almondway.dev/almondway/internal/plug/tally"  // registers the plug-in
 	_ "almondway.dev/almondway/internal/plug/writes" // registers the plug-in
 )
