proof: kernel and plug-ins without concurrency; certs: every replaced file is seen

Cause: goroutines and channels in the kernel were kept out by reading alone; a certificate file that was replaced by one with an older time was missed. Change: a test walks the source of internal/core and internal/plug; certificates and token files are compared by time and size of each file.

--- a/internal/edge/admin/tokens.go
+++ b/internal/edge/admin/tokens.go
@@ -44,6 +44,7 @@
 type tokenFile struct {
 	path     string
 	modified time.Time
+	size     int64
 	tokens   []token
 }
 
@@ -137,7 +138,7 @@
 	if err != nil {
 		return errors.Wrap(err, "check token file")
 	}
-	if info.ModTime().Equal(tokenFile.modified) {
+	if info.ModTime().Equal(tokenFile.modified) && info.Size() == tokenFile.size {
 		return nil
 	}
 	return tokenFile.load()
@@ -161,6 +162,7 @@
 	}
 	tokenFile.tokens = tokens
 	tokenFile.modified = info.ModTime()
+	tokenFile.size = info.Size()
 	return nil
 }
 
--- a/internal/edge/certs/certs.go
+++ b/internal/edge/certs/certs.go
@@ -22,10 +22,16 @@
 
 	mutex     sync.Mutex
 	current   *tls.Certificate
-	modified  time.Time
+	stamps    stamps
 	checkedAt time.Time
 }
 
+// stamps tells whether the files were replaced.
+type stamps struct {
+	certAt, keyAt     time.Time
+	certSize, keySize int64
+}
+
 // New reads the files once and returns a Reloader. report is called when a
 // later reading fails; the last good certificate stays in use then.
 func New(certFile, keyFile string, report func(err error)) (*Reloader, error) {
@@ -53,7 +59,7 @@
 		return reloader.current
 	}
 	reloader.checkedAt = now
-	if newest, err := reloader.newest(); err == nil && newest.Equal(reloader.modified) {
+	if read, err := reloader.stamp(); err == nil && read == reloader.stamps {
 		return reloader.current
 	}
 	if err := reloader.load(); err != nil {
@@ -63,7 +69,7 @@
 }
 
 func (reloader *Reloader) load() error {
-	newest, err := reloader.newest()
+	read, err := reloader.stamp()
 	if err != nil {
 		return err
 	}
@@ -72,21 +78,18 @@
 		return errors.Wrapf(err, "load certificate %q", reloader.certFile)
 	}
 	reloader.current = &loaded
-	reloader.modified = newest
+	reloader.stamps = read
 	return nil
 }
 
-// newest returns the later modification time of the two files.
-func (reloader *Reloader) newest() (time.Time, error) {
-	var newest time.Time
-	for _, file := range []string{reloader.certFile, reloader.keyFile} {
-		info, err := os.Stat(file)
-		if err != nil {
-			return time.Time{}, errors.Wrap(err, "check certificate file")
-		}
-		if info.ModTime().After(newest) {
-			newest = info.ModTime()
-		}
+func (reloader *Reloader) stamp() (stamps, error) {
+	cert, err := os.Stat(reloader.certFile)
+	if err != nil {
+		return stamps{}, errors.Wrap(err, "check certificate file")
+	}
+	key, err := os.Stat(reloader.keyFile)
+	if err != nil {
+		return stamps{}, errors.Wrap(err, "check key file")
 	}
-	return newest, nil
+	return stamps{certAt: cert.ModTime(), keyAt: key.ModTime(), certSize: cert.Size(), keySize: key.Size()}, nil
 }
--- /dev/null
+++ b/internal/proof/rules/rules_test.go
@@ -0,0 +1,99 @@
+// Package rules checks the source of the kernel and its plug-ins for what would
+// make their decisions depend on anything but their events.
+package rules
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+const root = "../../.."
+
+// concurrency returns what a node has to do with goroutines and channels, or the empty text.
+func concurrency(node ast.Node) string {
+	switch node := node.(type) {
+	case *ast.GoStmt:
+		return "go statement"
+	case *ast.SelectStmt:
+		return "select"
+	case *ast.SendStmt:
+		return "send on a channel"
+	case *ast.ChanType:
+		return "channel type"
+	case *ast.UnaryExpr:
+		if node.Op == token.ARROW {
+			return "receive from a channel"
+		}
+	case *ast.CallExpr:
+		if name, ok := node.Fun.(*ast.Ident); ok && name.Name == "close" {
+			return "close of a channel"
+		}
+	}
+	return ""
+}
+
+func faults(files *token.FileSet, file *ast.File) []string {
+	var found []string
+	ast.Inspect(file, func(node ast.Node) bool {
+		if fault := concurrency(node); node != nil && fault != "" {
+			found = append(found, files.Position(node.Pos()).String()+": "+fault)
+		}
+		return true
+	})
+	return found
+}
+
+func TestKernelAndPluginsHaveNoConcurrency(t *testing.T) {
+	is := is.New(t)
+	files := token.NewFileSet()
+	checked := 0
+	for _, area := range []string{"internal/core", "internal/plug"} {
+		err := filepath.WalkDir(filepath.Join(root, area), func(path string, entry fs.DirEntry, err error) error {
+			if err != nil || entry.IsDir() || filepath.Ext(path) != ".go" || strings.HasSuffix(path, "_test.go") {
+				return err
+			}
+			file, err := parser.ParseFile(files, path, nil, parser.SkipObjectResolution)
+			if err != nil {
+				return err
+			}
+			checked++
+			is.Equal(faults(files, file), nil)
+			return nil
+		})
+		is.NoErr(err)
+	}
+	is.True(checked > 40)
+}
+
+// The check finds each form.
+func TestFaultsAreFound(t *testing.T) {
+	tests := []struct {
+		source string
+		want   string
+	}{
+		{"go f()", "go statement"},
+		{"select {}", "select"},
+		{"c <- 1", "send on a channel"},
+		{"x := <-c; _ = x", "receive from a channel"},
+		{"var c chan int; _ = c", "channel type"},
+		{"close(c)", "close of a channel"},
+	}
+	for _, test := range tests {
+		t.Run(test.want, func(t *testing.T) {
+			is := is.New(t)
+			files := token.NewFileSet()
+			file, err := parser.ParseFile(files, "f.go", "package p\nfunc g() {\n"+test.source+"\n}\n", parser.SkipObjectResolution)
+			is.NoErr(err)
+			found := faults(files, file)
+			is.Equal(len(found), 1)
+			is.True(strings.HasSuffix(found[0], test.want))
+		})
+	}
+}
