front: callers' certificate is reloaded when its files change

Cause: a new certificate needed a restart of the proxy. Change: the callers' side uses the reloader of the administration API. Run: tests of internal/edge/front and internal/edge/certs.

--- a/internal/edge/front/server.go
+++ b/internal/edge/front/server.go
@@ -15,6 +15,7 @@
 	"almondway.dev/almondway/internal/core/event"
 	"almondway.dev/almondway/internal/core/model"
 	"almondway.dev/almondway/internal/core/port"
+	"almondway.dev/almondway/internal/edge/certs"
 )
 
 // Server implements port.Callers.
@@ -48,11 +49,13 @@
 	if spec.CertFile == "" {
 		return server, nil
 	}
-	certificate, err := tls.LoadX509KeyPair(spec.CertFile, spec.KeyFile)
+	reloader, err := certs.New(spec.CertFile, spec.KeyFile, func(err error) {
+		logger.WithError(err).Error("reload of the callers' certificate failed")
+	})
 	if err != nil {
 		return nil, errors.Wrap(err, "load certificate of the callers' side")
 	}
-	server.tls = &tls.Config{Certificates: []tls.Certificate{certificate}, MinVersion: tls.VersionTLS12}
+	server.tls = reloader.Config()
 	return server, nil
 }
 
