cli: apply finds a change that was accepted before

Cause: after a lost answer the command fetched the revision that its own change had made and sent the change id again with another expected revision, which is refused as AW407. Change: with a change id given, the history is asked first; a file that is in force already is not sent; codes can print the table of RESULT_CODES.md. Ruled out: the change id alone as digest on the server, since a reused id must be noticed.

--- a/internal/app/cli/apply.go
+++ b/internal/app/cli/apply.go
@@ -100,20 +100,65 @@
 	if expected == 0 && current != nil {
 		expected = current.Revision()
 	}
-	change, err := changeFlags.change(client, wanted.Name(), expected)
-	if err != nil {
-		return err
+	if made, err := changeFlags.made(ctx, client, wanted); err != nil || made != 0 {
+		return printKnown(command, flags, wanted.Name(), "was accepted under this change id", made, err)
 	}
 	differences := compare(current, wanted)
+	if current != nil && len(differences) == 0 {
+		return printKnown(command, flags, wanted.Name(), "is in force and the same", current.Revision(), nil)
+	}
 	if flags.output == outputTable {
 		if err := printDifferences(command, differences); err != nil {
 			return err
 		}
 	}
+	change, err := changeFlags.change(client, wanted.Name(), expected)
+	if err != nil {
+		return err
+	}
+	return change.apply(ctx, command, flags, wanted)
+}
+
+// made returns the revision that a change with the given id and content made
+// before, or 0. The change id is then not sent again with another expected revision.
+func (changeFlags *changeFlags) made(ctx context.Context, client admpb.AdminServiceClient, wanted *model.Deployment) (uint64, error) {
+	if changeFlags.changeID == "" {
+		return 0, nil
+	}
+	response, err := client.ListChanges(ctx, connect.NewRequest(&admpb.ListChangesRequest{Name: wanted.Name()}))
+	if resultCode(err) == codes.DeploymentNotFound {
+		return 0, nil
+	}
+	if err != nil {
+		return 0, callError(err)
+	}
+	for _, made := range response.Msg.GetChanges() {
+		same := len(compare(schema.ToDeployment(made.GetDeployment()), wanted)) == 0
+		if made.GetChangeId() == changeFlags.changeID && same {
+			return made.GetRevision(), nil
+		}
+	}
+	return 0, nil
+}
+
+// printKnown prints that nothing has to be changed.
+func printKnown(command *cobra.Command, flags *clientFlags, name, state string, revision uint64, err error) error {
+	if err != nil {
+		return err
+	}
+	if flags.output == outputJSON {
+		return printMessage(command.OutOrStdout(), &admpb.ApplyDeploymentResponse{Revision: revision})
+	}
+	_, err = fmt.Fprintf(command.OutOrStdout(), "%s: revision %d %s\n", name, revision, state)
+	return err
+}
+
+// apply sends the change and prints its revision.
+func (change change) apply(ctx context.Context, command *cobra.Command, flags *clientFlags, wanted *model.Deployment) error {
 	var response *connect.Response[admpb.ApplyDeploymentResponse]
-	err = change.send(ctx, func(ctx context.Context) error {
+	err := change.send(ctx, func(ctx context.Context) error {
 		var err error
-		response, err = client.ApplyDeployment(ctx, connect.NewRequest(&admpb.ApplyDeploymentRequest{
+		response, err = change.client.ApplyDeployment(ctx, connect.NewRequest(&admpb.ApplyDeploymentRequest{
 			Deployment:       schema.FromDeployment(wanted),
 			ExpectedRevision: change.expected,
 			ChangeId:         change.id,
--- a/internal/app/cli/check.go
+++ b/internal/app/cli/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"os"
 	"strings"
 
@@ -44,10 +45,13 @@
 
 func newCodes() *cobra.Command {
 	command := &cobra.Command{Use: "codes", Short: "List the result codes", Args: cobra.NoArgs}
-	output := command.Flags().StringP("output", "o", outputTable, "form of the output: table or json")
+	output := command.Flags().StringP("output", "o", outputTable, "form of the output: table, json or markdown")
 	command.RunE = func(command *cobra.Command, _ []string) error {
-		if *output == outputJSON {
+		switch *output {
+		case outputJSON:
 			return printValue(command.OutOrStdout(), codeRecords())
+		case outputMarkdown:
+			return printCodePage(command.OutOrStdout())
 		}
 		table := newTable("CODE", "NAME", "SQLSTATE", "MEANING", "REMEDY")
 		for _, record := range codeRecords() {
@@ -58,6 +62,16 @@
 	return command
 }
 
+// printCodePage prints the table of docs/RESULT_CODES.md.
+func printCodePage(output io.Writer) error {
+	lines := []string{"| Code | Name | SQLSTATE | Meaning | What to do |", "|---|---|---|---|---|"}
+	for _, record := range codeRecords() {
+		lines = append(lines, fmt.Sprintf("| %s | `%s` | %s | %s | %s |", record.Code, record.Name, record.SQLState, record.Meaning, record.Remedy))
+	}
+	_, err := fmt.Fprintln(output, strings.Join(lines, "\n"))
+	return err
+}
+
 // codeRecord is a result code in the output.
 type codeRecord struct {
 	Code     string `json:"code"`
--- a/internal/app/cli/cli_test.go
+++ b/internal/app/cli/cli_test.go
@@ -148,6 +148,22 @@
 	is.True(!strings.Contains(raced.faults, "ana"))
 }
 
+// A change that was accepted, though its sender never heard so, is found by its id.
+func TestApplyAgain(t *testing.T) {
+	is := is.New(t)
+	kernel := &kernel{applies: []event.Result{event.NewApplied(1, 1, 1)}}
+	url := serve(t, kernel, openTokens(t))
+	is.Equal(run("deployment", "apply", example, "--admin", url, "--change-id", "c-1").code, cli.ExitOK)
+	deployed := kernel.asked[0].Deployment().WithRevision(1)
+	kernel.changes = []model.Change{model.NewChange(1, "gradski", "c-1", "mira", time.Unix(0, 0), false, deployed)}
+	kernel.shared.SetDeployments(1, []*model.Deployment{deployed})
+	again := run("deployment", "apply", example, "--admin", url, "--change-id", "c-1")
+	is.Equal(again.output, "gradski: revision 1 was accepted under this change id\n")
+	same := run("deployment", "apply", example, "--admin", url)
+	is.Equal(same.output, "gradski: revision 1 is in force and the same\n")
+	is.Equal(len(kernel.asked), 1)
+}
+
 func TestDiffAndGet(t *testing.T) {
 	is := is.New(t)
 	kernel := &kernel{}
--- a/internal/app/cli/client.go
+++ b/internal/app/cli/client.go
@@ -29,6 +29,7 @@
 	defaultTimeout = 15 * time.Second
 	outputTable    = "table"
 	outputJSON     = "json"
+	outputMarkdown = "markdown"
 )
 
 // clientFlags are the flags of the commands that call a proxy.
