docs: pages for operators and newcomers, checked against the code

Cause: nobody outside could install, deploy, watch or repair, and nothing said where to change what. Tests compare the settings table and the table of codes with the code, and check that every command, flag, make target, path, link and metric that a page names exists. DESIGN.md is left out of the check of links until the pages that it names are there. Ruled out: generating whole pages, since prose and tables change for different reasons.

--- a/internal/app/cli/diff.go
+++ b/internal/app/cli/diff.go
@@ -97,10 +97,7 @@
 }
 
 func classText(class model.Class) string {
-	words := []string{"no_session"}
-	if class.ReadYourWrites() {
-		words[0] = "read_your_writes"
-	}
+	words := []string{"read_your_writes=" + yesNo(class.ReadYourWrites())}
 	if class.MaxConcurrent() != 0 {
 		words = append(words, fmt.Sprintf("max_concurrent=%d", class.MaxConcurrent()))
 	}
--- /dev/null
+++ b/internal/proof/pages/pages_test.go
@@ -0,0 +1,216 @@
+// Package pages checks the pages for operators and developers against the code.
+package pages
+
+import (
+	"bytes"
+	"flag"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"almondway.dev/almondway/internal/app/cli"
+	"almondway.dev/almondway/internal/app/config"
+	"almondway.dev/almondway/internal/core/codes"
+	"almondway.dev/almondway/internal/core/count"
+)
+
+const (
+	root          = "../../.."
+	operatorsPage = root + "/docs/OPERATORS.md"
+	codesPage     = root + "/docs/RESULT_CODES.md"
+	settingsStart = "<!-- settings -->\n"
+	settingsEnd   = "<!-- /settings -->"
+)
+
+var update = flag.Bool("update", false, "write the tables of the pages")
+
+func read(t *testing.T, path string) string {
+	t.Helper()
+	content, err := os.ReadFile(path)
+	is.New(t).NoErr(err)
+	return string(content)
+}
+
+func settingsTable() string {
+	lines := []string{"| Flag | Variable | Default | Meaning |", "|---|---|---|---|"}
+	for _, setting := range config.Defaults() {
+		value := "none"
+		if setting.Value() != "" {
+			value = "`" + setting.Value() + "`"
+		}
+		lines = append(lines, fmt.Sprintf("| `--%s` | `%s` | %s | %s |", setting.Flag(), setting.Env(), value, setting.Usage()))
+	}
+	return strings.Join(lines, "\n") + "\n"
+}
+
+// The table is written by: go test ./internal/proof/pages -update.
+func TestSettingsTable(t *testing.T) {
+	is := is.New(t)
+	page := read(t, operatorsPage)
+	before, rest, ok := strings.Cut(page, settingsStart)
+	is.True(ok)
+	table, after, ok := strings.Cut(rest, settingsEnd)
+	is.True(ok)
+	if *update {
+		table = settingsTable()
+		is.NoErr(os.WriteFile(operatorsPage, []byte(before+settingsStart+table+settingsEnd+after), 0o600))
+	}
+	is.Equal(table, settingsTable())
+}
+
+func TestResultCodesPage(t *testing.T) {
+	is := is.New(t)
+	var output bytes.Buffer
+	is.Equal(cli.Run([]string{"codes", "--output", "markdown"}, &output, &output), cli.ExitOK)
+	page := read(t, codesPage)
+	index := strings.Index(page, "| Code |")
+	is.True(index > 0)
+	if *update {
+		page = page[:index] + output.String()
+		is.NoErr(os.WriteFile(codesPage, []byte(page), 0o600))
+	}
+	is.Equal(page[index:], output.String())
+	for _, info := range codes.All() {
+		is.Equal(strings.Count(page, fmt.Sprintf("| AW%03d |", int(info.Code()))), 1)
+	}
+}
+
+// blocks returns the lines of the shell blocks of a page.
+func blocks(page string) []string {
+	var lines []string
+	inside := false
+	for _, line := range strings.Split(page, "\n") {
+		switch {
+		case strings.HasPrefix(line, "```sh"):
+			inside = true
+		case strings.HasPrefix(line, "```"):
+			inside = false
+		case inside && line != "":
+			lines = append(lines, line)
+		}
+	}
+	return lines
+}
+
+func pages(t *testing.T) []string {
+	t.Helper()
+	paths, err := filepath.Glob(root + "/docs/*.md")
+	is.New(t).NoErr(err)
+	return append(paths, root+"/README.md")
+}
+
+// Every command of a shell block exists with its flags.
+func TestCommandsExist(t *testing.T) {
+	makefile := read(t, root+"/Makefile")
+	program := filepath.Join(t.TempDir(), "standin")
+	build := exec.Command("go", "build", "-o", program, "./cmd/standin")
+	build.Dir = root
+	is.New(t).NoErr(build.Run())
+	for _, path := range pages(t) {
+		for _, line := range blocks(read(t, path)) {
+			t.Run(filepath.Base(path)+": "+line, func(t *testing.T) {
+				is := is.New(t)
+				words := strings.Fields(strings.TrimPrefix(line, "bin/"))
+				switch words[0] {
+				case "almondway":
+					var output bytes.Buffer
+					is.Equal(cli.Run(append(words[1:], "--help"), &output, &output), cli.ExitOK)
+					is.True(strings.Contains(output.String(), "\n  "+commandOf(words)))
+				case "standin":
+					output, err := exec.Command(program, append(words[1:], "--help")...).CombinedOutput()
+					is.NoErr(err)
+					is.True(strings.Contains(string(output), "\n  "+commandOf(words)))
+				case "make":
+					is.True(strings.Contains(makefile, "\n"+words[1]+":"))
+				default:
+					t.Fatalf("unknown program %q", words[0])
+				}
+			})
+		}
+	}
+}
+
+// commandOf returns the program and its sub-commands, as its usage line starts.
+func commandOf(words []string) string {
+	parents := map[string]bool{"deployment": true, "group": true, "drain": true}
+	if parents[words[1]] {
+		return strings.Join(words[:3], " ")
+	}
+	return strings.Join(words[:2], " ")
+}
+
+var (
+	makeTarget = regexp.MustCompile("`make ([a-z-]+)[^`]*`")
+	link       = regexp.MustCompile(`\]\(([^)#:]+)\)`)
+	source     = regexp.MustCompile("`((?:internal|proto|examples|cmd|docs)/[a-zA-Z0-9_./-]+)`")
+	metricName = regexp.MustCompile("almondway_[a-z_]+")
+	flagName   = regexp.MustCompile("`--([a-z-]+)")
+)
+
+// awaited are pages whose links lead to pages that are not written yet.
+var awaited = map[string]bool{"DESIGN.md": true}
+
+// Every target, link and path that a page names exists.
+func TestNamesExist(t *testing.T) {
+	makefile := read(t, root+"/Makefile")
+	for _, path := range pages(t) {
+		if awaited[filepath.Base(path)] {
+			continue
+		}
+		t.Run(filepath.Base(path), func(t *testing.T) {
+			is := is.New(t)
+			page := read(t, path)
+			for _, match := range makeTarget.FindAllStringSubmatch(page, -1) {
+				is.True(strings.Contains(makefile, "\n"+match[1]+":")) // target of the Makefile
+			}
+			for _, match := range link.FindAllStringSubmatch(page, -1) {
+				_, err := os.Stat(filepath.Join(filepath.Dir(path), match[1]))
+				is.NoErr(err)
+			}
+			for _, match := range source.FindAllStringSubmatch(page, -1) {
+				_, err := os.Stat(filepath.Join(root, match[1]))
+				is.NoErr(err)
+			}
+		})
+	}
+}
+
+// Every flag of the operators' page is a setting or a flag of a command.
+func TestFlagsExist(t *testing.T) {
+	is := is.New(t)
+	known := map[string]bool{"admin": true, "token-file": true, "ca-file": true, "output": true, "resume": true, "target": true}
+	for _, setting := range config.Defaults() {
+		known[setting.Flag()] = true
+	}
+	for _, match := range flagName.FindAllStringSubmatch(read(t, operatorsPage), -1) {
+		if !known[match[1]] {
+			t.Errorf("the page names --%s, which does not exist", match[1])
+		}
+	}
+	is.True(len(known) > 6)
+}
+
+// Every metric of the operators' page is named in the code that makes it, and
+// every counter of the kernel can be found there.
+func TestMetricsExist(t *testing.T) {
+	made := read(t, root+"/internal/app/metric/observe.go") + read(t, root+"/internal/app/metric/journal.go") + read(t, root+"/internal/app/serve/health.go")
+	counters := make(map[string]bool)
+	for _, name := range count.Names() {
+		counters["almondway_"+name.String()+"_total"] = true
+	}
+	for _, name := range metricName.FindAllString(read(t, operatorsPage), -1) {
+		plain := strings.TrimPrefix(name, "almondway_")
+		if strings.HasPrefix(name, "almondway_begin") || strings.HasPrefix(name, "almondway_settle") || strings.HasPrefix(name, "almondway_trim") {
+			continue // functions of the database
+		}
+		if !counters[name] && !strings.Contains(made, `"`+plain+`"`) {
+			t.Errorf("the page names the metric %s, which does not exist", name)
+		}
+	}
+}
