stand: measurement of replica reads and failover gap

The two measures need a run of separate processes with each user's sizes, a constant arrival rate, faults, and a checker with a record of its own. `make measure` prints one JSON line for each deployment, scenario and policy; the naive baseline goes straight to the primary.

Reads are attributed to kinds by a comment in the statement, since a proxy takes tag comments away. Gaps count only writes that were sent after the loss, since the answer of an earlier one may still be on its way.

--- a/Makefile
+++ b/Makefile
@@ -18,6 +18,9 @@
 demo: build
 	$(OUT)/standin demo
 
+measure: build
+	$(OUT)/standin measure --scenario "$(SCENARIO)" --deployment "$(DEPLOYMENT)" --policy "$(POLICY)"
+
 run: build
 	$(OUT)/almondway proxy
 
--- /dev/null
+++ b/internal/stand/cmds/measure.go
@@ -0,0 +1,42 @@
+package cmds
+
+import (
+	"github.com/spf13/cobra"
+
+	"almondway.dev/almondway/internal/stand/fleet"
+	"almondway.dev/almondway/internal/stand/meas"
+)
+
+const defaultSeed = 20261203
+
+func newMeasure() *cobra.Command {
+	var options meas.Options
+	command := &cobra.Command{
+		Use:   "measure",
+		Short: "Measure a system of separate processes under load and faults",
+		Long: `Measure a system of separate processes under load and faults.
+
+Prints one JSON line for each deployment, scenario and policy.`,
+		Args: cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			if options.Programs == "" {
+				programs, err := fleet.ProgramDir()
+				if err != nil {
+					return err
+				}
+				options.Programs = programs
+			}
+			options.Output = command.OutOrStdout()
+			return meas.Measure(command.Context(), options)
+		},
+	}
+	flags := command.Flags()
+	flags.StringVar(&options.Programs, "programs", "", "directory of the programs to measure; that of this program if empty")
+	flags.StringVar(&options.Examples, "examples", "examples", "directory of the deployment files")
+	flags.StringVar(&options.Scenario, "scenario", "", "scenario to run; all if empty")
+	flags.StringVar(&options.Deployment, "deployment", "", "deployment to run; all if empty")
+	flags.StringVar(&options.Policy, "policy", "", "policy to run, almondway or naive; all if empty")
+	flags.Uint64Var(&options.Seed, "seed", defaultSeed, "seed of the load and of the faults")
+	flags.BoolVar(&options.KeepLogs, "keep-logs", false, "keep the output of the processes")
+	return command
+}
--- a/internal/stand/insta/call.go
+++ b/internal/stand/insta/call.go
@@ -16,6 +16,7 @@
 	instance *Instance
 	tx       *tx
 	args     []string
+	label    string
 	result   *result
 }
 
@@ -147,9 +148,12 @@
 func (call *call) selectLike(ctx context.Context) error {
 	prefix, pattern := strings.CutSuffix(call.args[0], "%")
 	return call.read(ctx, func(instance *Instance) {
-		for _, key := range instance.tables.keys(tableKV, prefix) {
-			value, ok := instance.lookup(call.tx, tableKV, key)
-			if ok && (pattern || key == prefix) {
+		keys := []string{prefix}
+		if pattern {
+			keys = instance.tables.keys(tableKV, prefix)
+		}
+		for _, key := range keys {
+			if value, ok := instance.lookup(call.tx, tableKV, key); ok {
 				call.result.row(key, value)
 			}
 		}
@@ -164,6 +168,9 @@
 				return killedError()
 			}
 			look(instance)
+			if instance.primary {
+				instance.primaryReads[call.label]++
+			}
 			return nil
 		})
 	})
--- a/internal/stand/insta/control.go
+++ b/internal/stand/insta/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 
 	"connectrpc.com/connect"
 
@@ -44,5 +45,6 @@
 		Commits:      instance.counters.commits.Load(),
 		Promotions:   instance.counters.promotions.Load(),
 		Connections:  uint64(instance.sessions.count()),
+		PrimaryReads: maps.Clone(instance.primaryReads),
 	}), nil
 }
--- a/internal/stand/insta/forms.go
+++ b/internal/stand/insta/forms.go
@@ -76,8 +76,8 @@
 }
 
 // execute runs the form in a transaction.
-func (form form) execute(ctx context.Context, instance *Instance, tx *tx, args []string) (*result, error) {
-	call := &call{instance: instance, tx: tx, args: args, result: &result{columns: form.columns}}
+func (form form) execute(ctx context.Context, instance *Instance, tx *tx, args []string, label string) (*result, error) {
+	call := &call{instance: instance, tx: tx, args: args, label: label, result: &result{columns: form.columns}}
 	if err := form.run(call, ctx); err != nil {
 		return nil, err
 	}
--- a/internal/stand/insta/instance.go
+++ b/internal/stand/insta/instance.go
@@ -64,6 +64,8 @@
 	open     map[*tx]struct{} // transactions that hold writes or locks
 	changed  chan struct{}    // closed when the log or the role changes
 	stopPull func()
+
+	primaryReads map[string]uint64 // by label
 }
 
 type counters struct {
@@ -95,6 +97,8 @@
 		open:     make(map[*tx]struct{}),
 		changed:  make(chan struct{}),
 		stopPull: func() {},
+
+		primaryReads: make(map[string]uint64),
 	}
 	if !options.Empty {
 		instance.fence = FirstTerm
--- a/internal/stand/insta/parse.go
+++ b/internal/stand/insta/parse.go
@@ -18,8 +18,11 @@
 type statement struct {
 	template string
 	args     []argument
+	label    string // of a comment "/*label NAME*/"
 }
 
+const labelPrefix = "/*label "
+
 var tokens = regexp.MustCompile(`(?s)/\*.*?\*/|--[^\n]*|'(?:[^']|'')*'|\$\d+|::\s*\w+|"[^"]*"|\d+(?:\.\d+)?|[A-Za-z_][\w.]*|\s+|.`)
 
 var wordEnd = regexp.MustCompile(`[\w?*"]$`)
@@ -38,6 +41,8 @@
 		switch {
 		case token == ";":
 			finish()
+		case strings.HasPrefix(token, labelPrefix):
+			current.label = strings.TrimSpace(strings.TrimSuffix(token[len(labelPrefix):], "*/"))
 		case strings.TrimSpace(token) == "", strings.HasPrefix(token, "/*"), strings.HasPrefix(token, "--"), strings.HasPrefix(token, "::"):
 		default:
 			current.add(token)
--- a/internal/stand/insta/session.go
+++ b/internal/stand/insta/session.go
@@ -195,7 +195,7 @@
 	}
 	ctx, stop := session.cancelable()
 	defer stop()
-	answer, err := found.execute(ctx, session.instance, session.tx, args)
+	answer, err := found.execute(ctx, session.instance, session.tx, args, statement.label)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/stand/load/driver.go
+++ b/internal/stand/load/driver.go
@@ -77,7 +77,7 @@
 		request.ID = uuid.Must(uuid.NewV7()).String()
 		request.SQL = fmt.Sprintf("UPDATE kv SET value = value + 1 WHERE key = '%s'", key)
 	} else {
-		request.SQL = fmt.Sprintf("SELECT key, value FROM kv WHERE key LIKE '%s'", key)
+		request.SQL = fmt.Sprintf("SELECT /*label %s*/ key, value FROM kv WHERE key LIKE '%s'", kind.Name, key)
 	}
 	return request
 }
--- /dev/null
+++ b/internal/stand/load/monitor.go
@@ -0,0 +1,72 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"almondway.dev/almondway/internal/core/model"
+	"almondway.dev/almondway/internal/edge/wire"
+)
+
+const naiveProbeInterval = 100 * time.Millisecond
+
+// Monitor replaces primaries that do not answer, until the context ends.
+func (naive *Naive) Monitor(ctx context.Context) {
+	for group := range naive.groups {
+		go naive.watch(ctx, group)
+	}
+}
+
+func (naive *Naive) watch(ctx context.Context, group string) {
+	for ctx.Err() == nil {
+		instance, _ := naive.primary(group)
+		if command(ctx, instance.Address, wire.StatusSQL) != nil && ctx.Err() == nil {
+			naive.replace(ctx, group)
+		}
+		naive.orderFollow(ctx, group)
+		time.Sleep(naiveProbeInterval)
+	}
+}
+
+// orderFollow orders all other instances to follow the primary.
+func (naive *Naive) orderFollow(ctx context.Context, group string) {
+	naive.mu.Lock()
+	found := naive.groups[group]
+	leader := found.spec.Instances[found.primary]
+	term := model.NewTerm(found.count, 0)
+	naive.mu.Unlock()
+	for _, other := range found.spec.Instances {
+		if other.ID != leader.ID {
+			go func() { _ = command(ctx, other.Address, fmt.Sprintf(wire.FollowSQL, term, leader.ID, leader.Address)) }()
+		}
+	}
+}
+
+// replace promotes the next instance that takes the order.
+func (naive *Naive) replace(ctx context.Context, group string) {
+	naive.mu.Lock()
+	found := naive.groups[group]
+	found.count++
+	term := model.NewTerm(found.count, 0)
+	next := (found.primary + 1) % len(found.spec.Instances)
+	naive.mu.Unlock()
+	leader := found.spec.Instances[next]
+	_ = command(ctx, leader.Address, fmt.Sprintf(wire.FenceSQL+"; "+wire.PromoteSQL, term, term))
+	naive.mu.Lock()
+	defer naive.mu.Unlock()
+	found.primary = next
+}
+
+// command runs a control function on an instance.
+func command(ctx context.Context, address, sql string) error {
+	ctx, cancel := context.WithTimeout(ctx, naiveTimeout)
+	defer cancel()
+	conn, err := connect(ctx, address, wire.ControlUser, "platform", 0)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = conn.Close(ctx) }()
+	_, err = conn.Exec(ctx, sql).ReadAll()
+	return err
+}
--- /dev/null
+++ b/internal/stand/load/naive.go
@@ -0,0 +1,116 @@
+package load
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgconn"
+
+	"almondway.dev/almondway/internal/stand/topol"
+)
+
+const (
+	naiveTimeout     = time.Second
+	naiveTries       = 2
+	naiveConnections = 30
+)
+
+// Naive is the baseline without a proxy. It sends all requests to the primary,
+// believes the primary's answer, repeats what failed and calls it not run if it
+// fails again. A primary that does not answer within a fixed time is replaced by
+// the next instance without asking anyone.
+type Naive struct {
+	database string
+	mu       sync.Mutex
+	groups   map[string]*naiveGroup
+}
+
+type naiveGroup struct {
+	spec    topol.GroupSpec
+	primary int
+	count   uint64
+	pools   []chan *pgconn.PgConn // nil stands for a connection to be opened
+}
+
+// NewNaive returns the Naive of a topology.
+func NewNaive(database string, spec topol.Spec) *Naive {
+	naive := &Naive{database: database, groups: make(map[string]*naiveGroup)}
+	for _, listed := range spec.Groups {
+		group := &naiveGroup{spec: listed, count: 1}
+		for place, instance := range listed.Instances {
+			if instance.Primary {
+				group.primary = place
+			}
+			pool := make(chan *pgconn.PgConn, naiveConnections)
+			for range naiveConnections {
+				pool <- nil
+			}
+			group.pools = append(group.pools, pool)
+		}
+		naive.groups[listed.ID] = group
+	}
+	return naive
+}
+
+// Session implements Target.
+func (naive *Naive) Session(class string) Session { return naiveSession{naive: naive, class: class} }
+
+// primary returns the instance that counts as the primary of a group.
+func (naive *Naive) primary(group string) (topol.InstanceSpec, chan *pgconn.PgConn) {
+	naive.mu.Lock()
+	defer naive.mu.Unlock()
+	found := naive.groups[group]
+	return found.spec.Instances[found.primary], found.pools[found.primary]
+}
+
+type naiveSession struct {
+	naive *Naive
+	class string
+}
+
+// Close implements Session.
+func (naiveSession) Close() {}
+
+// Do implements Session.
+func (session naiveSession) Do(request Request, deadline time.Time) Answer {
+	var answer Answer
+	for range naiveTries {
+		answer = session.once(request, deadline)
+		if answer.Verdict == VerdictDone {
+			return answer
+		}
+	}
+	answer.Verdict = VerdictNotRun
+	return answer
+}
+
+func (session naiveSession) once(request Request, deadline time.Time) Answer {
+	instance, pool := session.naive.primary(request.Group)
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	ctx, stop := context.WithTimeout(ctx, naiveTimeout)
+	defer stop()
+	var conn *pgconn.PgConn
+	select {
+	case conn = <-pool:
+	case <-ctx.Done():
+		return Answer{Verdict: VerdictNotRun, Code: "pool"}
+	}
+	defer func() { pool <- conn }()
+	if conn == nil {
+		opened, err := connect(ctx, instance.Address, session.class, session.naive.database, 0)
+		if err != nil {
+			return classify(err, false)
+		}
+		conn = opened
+	}
+	result, err := conn.Exec(ctx, request.SQL).ReadAll()
+	if err != nil {
+		if conn.IsClosed() {
+			conn = nil
+		}
+		return classify(err, true)
+	}
+	return answerOf(result)
+}
--- a/internal/stand/load/proxied.go
+++ b/internal/stand/load/proxied.go
@@ -124,9 +124,13 @@
 		}
 		return answer
 	}
+	return answerOf(result)
+}
+
+func answerOf(results []*pgconn.Result) Answer {
 	answer := Answer{Verdict: VerdictDone}
-	if len(result) > 0 && len(result[0].Rows) > 0 {
-		for _, value := range result[0].Rows[0] {
+	if len(results) > 0 && len(results[0].Rows) > 0 {
+		for _, value := range results[0].Rows[0] {
 			answer.Values = append(answer.Values, string(value))
 		}
 	}
--- a/internal/stand/load/result.go
+++ b/internal/stand/load/result.go
@@ -30,6 +30,7 @@
 // Result collects the outcomes of a run.
 type Result struct {
 	mu      sync.Mutex
+	from    time.Time
 	reads   *hdrhistogram.Histogram
 	writes  *hdrhistogram.Histogram
 	counts  Counts
@@ -65,6 +66,13 @@
 	}
 }
 
+// MeasureFrom leaves requests that fell due before at out of the latencies.
+func (result *Result) MeasureFrom(at time.Time) {
+	result.mu.Lock()
+	defer result.mu.Unlock()
+	result.from = at
+}
+
 // add counts an outcome. The latency starts when the request fell due, so that
 // waiting for a free caller is counted.
 func (result *Result) add(outcome outcome) {
@@ -89,22 +97,27 @@
 		return
 	case VerdictDone:
 	}
-	latency := min(outcome.answeredAt.Sub(outcome.dueAt), longestLatency).Microseconds()
 	if outcome.request.Kind.Write {
 		counts.Writes++
-		_ = result.writes.RecordValue(latency)
+		result.latency(result.writes, outcome)
 		group := outcome.request.Group
 		result.ackedIn[group] = append(result.ackedIn[group], acknowledged{sentAt: outcome.sentAt, answeredAt: outcome.answeredAt})
 		return
 	}
 	counts.Reads++
 	result.byKind[outcome.request.Kind.Name]++
-	_ = result.reads.RecordValue(latency)
+	result.latency(result.reads, outcome)
 	if outcome.wrong {
 		counts.Wrong++
 	}
 }
 
+func (result *Result) latency(histogram *hdrhistogram.Histogram, outcome outcome) {
+	if !outcome.dueAt.Before(result.from) {
+		_ = histogram.RecordValue(min(outcome.answeredAt.Sub(outcome.dueAt), longestLatency).Microseconds())
+	}
+}
+
 // Counts returns the numbers of outcomes.
 func (result *Result) Counts() Counts {
 	result.mu.Lock()
--- /dev/null
+++ b/internal/stand/meas/report.go
@@ -0,0 +1,115 @@
+package meas
+
+import (
+	"encoding/json"
+	"io"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"almondway.dev/almondway/internal/stand/load"
+)
+
+// report is the JSON line of a scenario.
+type report struct {
+	Deployment             string             `json:"deployment"`
+	Scenario               string             `json:"scenario"`
+	Policy                 string             `json:"policy"`
+	Seconds                float64            `json:"seconds"`
+	Reads                  int                `json:"reads"`
+	Writes                 int                `json:"writes"`
+	ReplicaReadShare       float64            `json:"replica_read_share"`
+	ReplicaReadShareByKind map[string]float64 `json:"replica_read_share_by_kind"`
+	Failovers              int                `json:"failovers"`
+	FailoverGapP50         float64            `json:"failover_gap_p50_ms"`
+	FailoverGapP99         float64            `json:"failover_gap_p99_ms"`
+	FailoverGapMax         float64            `json:"failover_gap_max_ms"`
+	UnfinishedFailovers    int                `json:"unfinished_failovers"`
+	FailedRejoins          int                `json:"failed_rejoins"`
+	FalsePromotions        int                `json:"false_promotions"`
+	WrongAnswers           int                `json:"wrong_answers"`
+	LostWrites             int                `json:"lost_writes"`
+	DoubledWrites          int                `json:"doubled_writes"`
+	WrongNotRun            int                `json:"wrong_not_run"`
+	Refused                int                `json:"refused"`
+	RefusedWithoutHint     int                `json:"refused_without_hint"`
+	Unknown                int                `json:"unknown"`
+	CutRequests            int                `json:"cut_requests"`
+	WorkAfterLeaving       int                `json:"work_after_leaving"`
+	Codes                  map[string]int     `json:"codes"`
+	ReadP50                float64            `json:"read_p50_ms"`
+	ReadP99                float64            `json:"read_p99_ms"`
+	WriteP50               float64            `json:"write_p50_ms"`
+	WriteP99               float64            `json:"write_p99_ms"`
+	Seed                   uint64             `json:"seed"`
+}
+
+func (report report) print(output io.Writer) error {
+	return errors.Wrap(json.NewEncoder(output).Encode(report), "print report")
+}
+
+func milliseconds(duration time.Duration) float64 {
+	return math.Round(float64(duration.Microseconds())/10) / 100
+}
+
+// addResult fills in what the load client saw.
+func (report *report) addResult(result *load.Result) {
+	counts := result.Counts()
+	report.Reads = counts.Reads
+	report.Writes = counts.Writes
+	report.WrongAnswers = counts.Wrong
+	report.Refused = counts.Refused
+	report.RefusedWithoutHint = counts.Unhinted
+	report.Unknown = counts.Unknown
+	report.CutRequests = counts.Cut
+	report.Codes = result.Codes()
+	report.ReadP50 = milliseconds(result.ReadLatency(50))
+	report.ReadP99 = milliseconds(result.ReadLatency(99))
+	report.WriteP50 = milliseconds(result.WriteLatency(50))
+	report.WriteP99 = milliseconds(result.WriteLatency(99))
+}
+
+// addShares fills in the share of reads that no primary ran. Reads that ran on
+// a primary and whose answers were not used count for the primary.
+func (report *report) addShares(reads map[string]int, onPrimary map[string]uint64) {
+	report.ReplicaReadShareByKind = make(map[string]float64)
+	all, primary := 0, 0
+	for kind, count := range reads {
+		served := min(int(onPrimary[kind]), count)
+		report.ReplicaReadShareByKind[kind] = share(count, served)
+		all += count
+		primary += served
+	}
+	report.ReplicaReadShare = share(all, primary)
+}
+
+func share(all, primary int) float64 {
+	if all == 0 {
+		return 0
+	}
+	return math.Round(10000*(1-float64(primary)/float64(all))) / 10000
+}
+
+// addGaps fills in the failover gaps.
+func (report *report) addGaps(gaps []time.Duration) {
+	report.Failovers = len(gaps)
+	if len(gaps) == 0 {
+		return
+	}
+	slices.Sort(gaps)
+	at := func(percentile float64) float64 {
+		place := int(math.Ceil(percentile/100*float64(len(gaps)))) - 1
+		return milliseconds(gaps[max(0, place)])
+	}
+	report.FailoverGapP50 = at(50)
+	report.FailoverGapP99 = at(99)
+	report.FailoverGapMax = at(100)
+}
+
+func (report *report) addAudit(audit load.Audit) {
+	report.LostWrites = audit.Lost
+	report.DoubledWrites = audit.Doubled
+	report.WrongNotRun = audit.WrongNotRun
+}
--- /dev/null
+++ b/internal/stand/meas/run.go
@@ -0,0 +1,290 @@
+package meas
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/pkg/errors"
+
+	"almondway.dev/almondway/internal/stand/fleet"
+	"almondway.dev/almondway/internal/stand/load"
+	"almondway.dev/almondway/internal/stand/procs"
+)
+
+const (
+	proxyCount = 6
+	warmUp     = time.Second
+	auditLimit = 10 * time.Second
+)
+
+// run is one scenario of one deployment with one policy.
+type run struct {
+	options  Options
+	profile  profile
+	scenario scenario
+	policy   string
+	fleet    *fleet.Fleet
+	proxied  *load.Proxied
+	record   *load.Record
+	result   *load.Result
+
+	mu         sync.Mutex
+	gaps       []time.Duration
+	unfinished int
+	unjoined   int
+	lateWork   int
+	ended      totals // of instances that were killed
+}
+
+// totals are sums over instances.
+type totals struct {
+	promotions   uint64
+	primaryReads map[string]uint64
+}
+
+func (totals *totals) add(promotions uint64, primaryReads map[string]uint64) {
+	if totals.primaryReads == nil {
+		totals.primaryReads = make(map[string]uint64)
+	}
+	totals.promotions += promotions
+	for kind, count := range primaryReads {
+		totals.primaryReads[kind] += count
+	}
+}
+
+// execute starts the system, runs the scenario and returns its report.
+func (run *run) execute(ctx context.Context) (report, error) {
+	dir, err := os.MkdirTemp("", "almondway-measure-")
+	if err != nil {
+		return report{}, errors.Wrap(err, "make directory of the measurement")
+	}
+	ports := procs.NewPorts()
+	run.record, run.result = load.NewRecord(), load.NewResult()
+	run.fleet, err = fleet.New(fleet.Spec{
+		Dir:       dir,
+		Programs:  run.options.Programs,
+		Topology:  run.profile.topology(ports),
+		Ports:     ports,
+		ProxyArgs: run.proxyArgs(),
+	})
+	if err != nil {
+		return report{}, err
+	}
+	defer run.fleet.Stop()
+	made, err := run.measure(ctx)
+	if err != nil {
+		return report{}, errors.Wrapf(err, "scenario %s of %s, logs are in %s", run.scenario.name, run.profile.deployment, dir)
+	}
+	if run.options.KeepLogs {
+		return made, nil
+	}
+	return made, errors.Wrap(os.RemoveAll(dir), "remove directory of the measurement")
+}
+
+func (run *run) proxyArgs() []string {
+	spec := run.profile.topology(procs.NewPorts())
+	return []string{
+		"--slots-per-instance", strconv.Itoa(spec.Slots),
+		"--conns-per-instance", strconv.Itoa(spec.Connections),
+		"--log-sample", "0",
+	}
+}
+
+func (run *run) measure(ctx context.Context) (report, error) {
+	if err := run.fleet.StartBackend(ctx); err != nil {
+		return report{}, err
+	}
+	if err := run.seed(ctx); err != nil {
+		return report{}, err
+	}
+	target, err := run.target(ctx)
+	if err != nil {
+		return report{}, err
+	}
+	startedAt := time.Now()
+	if err := run.drive(ctx, target); err != nil {
+		return report{}, err
+	}
+	return run.report(ctx, time.Since(startedAt))
+}
+
+// target starts the proxies, or the baseline that does without.
+func (run *run) target(ctx context.Context) (load.Target, error) {
+	if run.policy == PolicyNaive {
+		naive := load.NewNaive(run.profile.deployment, run.fleet.Topology())
+		naive.Monitor(ctx)
+		return naive, nil
+	}
+	centers := run.profile.site.DataCenters()
+	for place := range proxyCount {
+		if _, err := run.fleet.StartProxy(centers[place%len(centers)]); err != nil {
+			return nil, err
+		}
+	}
+	for _, proxy := range run.fleet.Proxies() {
+		if err := run.fleet.AwaitProxy(ctx, proxy); err != nil {
+			return nil, err
+		}
+	}
+	file := filepath.Join(run.options.Examples, run.profile.file)
+	if _, err := run.fleet.Almondway(ctx, run.fleet.Proxies()[0], "deployment", "apply", file); err != nil {
+		return nil, err
+	}
+	run.proxied = load.NewProxied(run.profile.deployment, time.Duration(run.fleet.Topology().ClientDelay), run.options.Seed)
+	run.useProxies()
+	return run.proxied, nil
+}
+
+func (run *run) useProxies() {
+	var addresses []string
+	for _, proxy := range run.fleet.Proxies() {
+		addresses = append(addresses, proxy.Address())
+	}
+	run.proxied.SetAddresses(addresses)
+}
+
+// drive runs the load and, after a warm-up, the faults of the scenario.
+func (run *run) drive(ctx context.Context, target load.Target) error {
+	kinds := run.profile.kinds
+	if run.scenario.surge {
+		kinds = run.profile.surging()
+	}
+	driver := load.New(load.Spec{
+		Target:       target,
+		Kinds:        kinds,
+		Groups:       run.groups(),
+		KeysPerGroup: keysPerGroup,
+		Callers:      run.profile.callers,
+		Seed:         run.options.Seed,
+		Record:       run.record,
+		Result:       run.result,
+	})
+	loadCtx, stop := context.WithCancel(ctx)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		driver.Run(loadCtx)
+	}()
+	sleep(ctx, warmUp)
+	run.result.MeasureFrom(time.Now())
+	err := run.scenario.disturb(run, ctx)
+	stop()
+	<-ended
+	return err
+}
+
+func (run *run) groups() []string {
+	var groups []string
+	for _, group := range run.fleet.Topology().Groups {
+		groups = append(groups, group.ID)
+	}
+	return groups
+}
+
+// seed writes the keys straight to the first primaries.
+func (run *run) seed(ctx context.Context) error {
+	for _, group := range run.fleet.Topology().Groups {
+		conn, err := direct(ctx, group.Primary().Address)
+		if err != nil {
+			return err
+		}
+		sql := "BEGIN"
+		for number := range keysPerGroup {
+			sql += fmt.Sprintf("; INSERT INTO kv (key, value) VALUES ('%s', '0')", load.KeyName(group.ID, number))
+		}
+		_, err = conn.Exec(ctx, sql+"; COMMIT").ReadAll()
+		_ = conn.Close(ctx)
+		if err != nil {
+			return errors.Wrapf(err, "write the keys of group %s", group.ID)
+		}
+	}
+	return nil
+}
+
+// final reads the values of all keys straight from the primaries.
+func (run *run) final(ctx context.Context) (map[string]int, error) {
+	ctx, cancel := context.WithTimeout(ctx, auditLimit)
+	defer cancel()
+	values := make(map[string]int)
+	for _, group := range run.groups() {
+		primary, err := run.fleet.Primary(ctx, group)
+		if err != nil {
+			return nil, err
+		}
+		conn, err := direct(ctx, primary.Address)
+		if err != nil {
+			return nil, err
+		}
+		results, err := conn.Exec(ctx, "SELECT key, value FROM kv WHERE key LIKE '%'").ReadAll()
+		_ = conn.Close(ctx)
+		if err != nil {
+			return nil, errors.Wrapf(err, "read the keys of group %s", group)
+		}
+		for _, row := range results[0].Rows {
+			value, err := strconv.Atoi(string(row[1]))
+			if err != nil {
+				return nil, errors.Wrapf(err, "parse the value of key %s", row[0])
+			}
+			values[string(row[0])] = value
+		}
+	}
+	return values, nil
+}
+
+func direct(ctx context.Context, address string) (*pgconn.PgConn, error) {
+	conn, err := pgconn.Connect(ctx, "postgres://measure@"+address+"/kv?sslmode=disable")
+	return conn, errors.Wrapf(err, "connect to %s", address)
+}
+
+func (run *run) report(ctx context.Context, taken time.Duration) (report, error) {
+	made := report{
+		Deployment:          run.profile.deployment,
+		Scenario:            run.scenario.name,
+		Policy:              run.policy,
+		Seconds:             taken.Seconds(),
+		UnfinishedFailovers: run.unfinished,
+		FailedRejoins:       run.unjoined,
+		WorkAfterLeaving:    run.lateWork,
+		Seed:                run.options.Seed,
+	}
+	made.addResult(run.result)
+	made.addGaps(run.gaps)
+	sums := run.ended
+	for _, group := range run.fleet.Topology().Groups {
+		for _, instance := range group.Instances {
+			if !run.fleet.Instance(instance.ID).Alive() {
+				continue
+			}
+			state, err := run.fleet.State(ctx, instance.ID)
+			if err != nil {
+				return report{}, err
+			}
+			sums.add(state.GetPromotions(), state.GetPrimaryReads())
+		}
+	}
+	made.addShares(run.result.ReadsByKind(), sums.primaryReads)
+	made.FalsePromotions = max(0, int(sums.promotions)-run.wanted())
+	values, err := run.final(ctx)
+	if err != nil {
+		return report{}, err
+	}
+	made.addAudit(run.record.Audit(values))
+	return made, nil
+}
+
+// wanted returns how many promotions the losses and departures called for.
+func (run *run) wanted() int { return len(run.gaps) + run.unfinished + run.scenario.switchovers }
+
+// sleep waits unless the context ends.
+func sleep(ctx context.Context, duration time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(duration):
+	}
+}
