--- /dev/null
+++ b/internal/app/cli/diff.go
@@ -0,0 +1,123 @@
+package cli
+
+import (
+	"fmt"
+	"strings"
+
+	"almondway.dev/almondway/internal/core/model"
+)
+
+// difference is a field of a deployment that changes. An empty text stands for
+// a field that is not there.
+type difference struct {
+	Field  string `json:"field"`
+	Before string `json:"before"`
+	After  string `json:"after"`
+}
+
+// String returns one line, as in "~ weight: 1 -> 2".
+func (difference difference) String() string {
+	switch {
+	case difference.Before == "":
+		return fmt.Sprintf("+ %s: %s", difference.Field, difference.After)
+	case difference.After == "":
+		return fmt.Sprintf("- %s: %s", difference.Field, difference.Before)
+	default:
+		return fmt.Sprintf("~ %s: %s -> %s", difference.Field, difference.Before, difference.After)
+	}
+}
+
+// compare returns what changes from before, which may be nil, to after. The
+// revision does not count.
+func compare(before, after *model.Deployment) []difference {
+	old, current := flatten(before), flatten(after)
+	var differences []difference
+	for _, field := range current.order {
+		if old.values[field] != current.values[field] {
+			differences = append(differences, difference{Field: field, Before: old.values[field], After: current.values[field]})
+		}
+	}
+	for _, field := range old.order {
+		if _, ok := current.values[field]; !ok {
+			differences = append(differences, difference{Field: field, Before: old.values[field]})
+		}
+	}
+	return differences
+}
+
+// flat holds the fields of a deployment by path.
+type flat struct {
+	order  []string
+	values map[string]string
+}
+
+func (flat *flat) add(field, value string) {
+	flat.order = append(flat.order, field)
+	flat.values[field] = value
+}
+
+func flatten(deployment *model.Deployment) *flat {
+	flat := &flat{values: make(map[string]string)}
+	if deployment == nil {
+		return flat
+	}
+	flat.add("groups", groupList(deployment))
+	flat.add("lag_policy", orDefault(string(deployment.LagPolicy())))
+	flat.add("default_kind", orDefault(deployment.DefaultKind()))
+	flat.add("weight", fmt.Sprint(deployment.Weight()))
+	flat.add("max_waiting", fmt.Sprint(deployment.MaxWaiting()))
+	for _, kind := range deployment.Kinds() {
+		flat.add("kinds."+kind.Name(), kindText(kind))
+	}
+	for _, class := range deployment.Classes() {
+		flat.add("callers."+class.Name(), classText(class))
+	}
+	return flat
+}
+
+func kindText(kind model.Kind) string {
+	words := []string{string(kind.Access())}
+	switch {
+	case kind.Access() == model.AccessRead && kind.Staleness() == 0:
+		words = append(words, "fresh")
+	case kind.Access() == model.AccessRead:
+		words = append(words, "staleness="+kind.Staleness().String())
+	case kind.Idempotent():
+		words = append(words, "idempotent")
+	default:
+		words = append(words, "at_most_once")
+	}
+	if kind.Group() != "" {
+		words = append(words, "group="+string(kind.Group()))
+	}
+	if kind.Timeout() != 0 {
+		words = append(words, "timeout="+kind.Timeout().String())
+	}
+	return strings.Join(words, " ")
+}
+
+func classText(class model.Class) string {
+	words := []string{"no_session"}
+	if class.ReadYourWrites() {
+		words[0] = "read_your_writes"
+	}
+	if class.MaxConcurrent() != 0 {
+		words = append(words, fmt.Sprintf("max_concurrent=%d", class.MaxConcurrent()))
+	}
+	return strings.Join(words, " ")
+}
+
+func groupList(deployment *model.Deployment) string {
+	names := make([]string, 0, len(deployment.Groups()))
+	for _, group := range deployment.Groups() {
+		names = append(names, string(group))
+	}
+	return strings.Join(names, ",")
+}
+
+func orDefault(text string) string {
+	if text == "" {
+		return "default"
+	}
+	return text
+}
--- a/internal/core/state/group.go
+++ b/internal/core/state/group.go
@@ -14,6 +14,7 @@
 	term    model.Term
 	primary model.InstanceID
 	rounds  rounds
+	hold    hold
 }
 
 // NewGroup returns the view of a group of which nothing is known yet.
@@ -62,6 +63,7 @@
 	member.sentAt = sentAt
 	member.heard = true
 	member.failures = 0
+	group.recover(member)
 	if status.InTerm(status.Fence()) {
 		member.prove(status.Tail())
 	}
@@ -111,18 +113,16 @@
 	return count >= group.Majority()
 }
 
-// Stable reports whether what server showed at mark survives every promotion. A
-// replica of the current term copied its entries from the primary, which
-// therefore counts beside it.
-func (group *Group) Stable(mark model.Mark, server model.InstanceID) bool {
-	if mark.Term() != group.term {
-		return false
-	}
+// Stable reports whether what was read at mark survives every promotion: a
+// majority is known to have held mark while fenced with its term. The primary of
+// the term wrote the entry, so it counts without a report. The instance that
+// served the read does not, since it may have copied the entry in a later term.
+func (group *Group) Stable(mark model.Mark) bool {
 	count := 0
 	for _, member := range group.members {
+		wrote := mark.Term() == group.term && member.ID() == group.primary
 		holds := member.proof.Term() == mark.Term() && member.proof.Covers(mark)
-		copied := server != group.primary && (member.ID() == server || member.ID() == group.primary)
-		if holds || copied {
+		if wrote || holds {
 			count++
 		}
 	}
@@ -130,21 +130,12 @@
 }
 
 // ReadIndex returns a Mark that covers every write that was acknowledged before
-// since, taken from reports whose probes were sent at since or later. It
-// reports false until a majority has reported.
+// since, taken from reports whose probes were sent at since or later: the
+// highest tail of that majority whose highest tail is lowest, since each
+// majority has an instance that holds the write. It reports false until a
+// majority has reported. An instance that lost its log does not count.
 func (group *Group) ReadIndex(since time.Duration) (model.Mark, bool) {
-	var index model.Mark
-	count := 0
-	for _, member := range group.members {
-		if !member.heard || member.sentAt < since {
-			continue
-		}
-		count++
-		if member.status.Tail().Covers(index) {
-			index = member.status.Tail()
-		}
-	}
-	return index, count >= group.Majority()
+	return group.indexWithout(nil, since)
 }
 
 // Within reports whether data at mark is at most bound old at the time now.
