--- a/internal/stand/demo/system.go
+++ b/internal/stand/demo/system.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"path/filepath"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -83,7 +83,13 @@
 	ctx, cancel := context.WithTimeout(ctx, drainLimit)
 	defer cancel()
 	drained := demo.proxy(0)
-	drained.Process().Signal(syscall.SIGTERM)
+	name, err := demo.fullName(ctx, drained)
+	if err != nil {
+		return "", err
+	}
+	if _, err := demo.fleet.Almondway(ctx, drained, "drain", "proxy", name); err != nil {
+		return "", err
+	}
 	if err := drained.Process().Wait(ctx); err != nil {
 		return "", err
 	}
@@ -97,4 +103,17 @@
 	return drained.ID() + " ended; writes go on through " + demo.proxy(0).ID(), nil
 }
 
+// fullName returns the name of a proxy with the suffix of its start.
+func (demo *demo) fullName(ctx context.Context, proxy *fleet.Proxy) (string, error) {
+	output, err := demo.fleet.Almondway(ctx, proxy, "status", "--output", "json")
+	if err != nil {
+		return "", err
+	}
+	var status struct {
+		Proxy string `json:"proxy"`
+	}
+	err = json.Unmarshal([]byte(output), &status)
+	return status.Proxy, errors.Wrapf(err, "parse status of %s", proxy.ID())
+}
+
 func (demo *demo) proxy(place int) *fleet.Proxy { return demo.fleet.Proxies()[place] }
--- /dev/null
+++ b/internal/stand/line/line_test.go
@@ -0,0 +1,43 @@
+package line_test
+
+import (
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"almondway.dev/almondway/internal/stand/line"
+)
+
+func TestGateHoldsAndDelivers(t *testing.T) {
+	for _, delay := range []time.Duration{0, time.Millisecond} {
+		t.Run(delay.String(), func(t *testing.T) {
+			is := is.New(t)
+			near, far := net.Pipe()
+			gate := line.NewGate()
+			conn := line.New(near, delay, gate)
+			gate.Set(true)
+			written := make(chan error, 1)
+			go func() {
+				_, err := conn.Write([]byte("late"))
+				_ = conn.Close()
+				written <- err
+			}()
+			received := make(chan string, 1)
+			go func() {
+				data, _ := io.ReadAll(far)
+				received <- string(data)
+			}()
+			select {
+			case data := <-received:
+				t.Fatalf("received %q through a closed gate", data)
+			default:
+			}
+			gate.Set(false)
+			is.NoErr(<-written)
+			is.Equal(<-received, "late")
+		})
+	}
+}
--- a/internal/stand/meas/report.go
+++ b/internal/stand/meas/report.go
@@ -28,6 +28,7 @@
 	FailoverGapMax         float64            `json:"failover_gap_max_ms"`
 	UnfinishedFailovers    int                `json:"unfinished_failovers"`
 	FailedRejoins          int                `json:"failed_rejoins"`
+	Promotions             int                `json:"promotions"`
 	FalsePromotions        int                `json:"false_promotions"`
 	WrongAnswers           int                `json:"wrong_answers"`
 	LostWrites             int                `json:"lost_writes"`
--- a/internal/stand/meas/run.go
+++ b/internal/stand/meas/run.go
@@ -269,6 +269,7 @@
 		}
 	}
 	made.addShares(run.result.ReadsByKind(), sums.primaryReads)
+	made.Promotions = int(sums.promotions)
 	made.FalsePromotions = max(0, int(sums.promotions)-run.wanted())
 	values, err := run.final(ctx)
 	if err != nil {
