slope: costs per group, peer, caller, statement, deployment and change

Cause: the costs at the target size could not be worked out from anything measured. Change: make slopes runs a proxy process under each load at several sizes, with stand-ins in the measuring process, reads processor time, bytes and memory of the process from the system, and fits a line; it prints slope, intercept and the largest residual. Ruled out: Go benchmarks, since most of the cost lies in sockets and the scheduler.

--- a/Makefile
+++ b/Makefile
@@ -21,6 +21,9 @@
 measure: build
 	$(OUT)/standin measure --scenario "$(SCENARIO)" --deployment "$(DEPLOYMENT)" --policy "$(POLICY)"
 
+slopes: build
+	$(OUT)/standin slopes --only "$(ONLY)"
+
 run: build
 	$(OUT)/almondway proxy
 
--- /dev/null
+++ b/internal/stand/slope/callers.go
@@ -0,0 +1,133 @@
+package slope
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+)
+
+const (
+	staleness = 5 * time.Second
+	// workers is the number of callers that send statements.
+	workers = 32
+	// dialers is the number of callers that connect at once.
+	dialers = 16
+	keys    = 100
+)
+
+// statementKind is a statement that callers send.
+type statementKind struct {
+	kind string
+	sql  string
+}
+
+var (
+	statementStale = statementKind{kind: "stale", sql: "SELECT value FROM kv WHERE key = 'key-%d'"}
+	statementFresh = statementKind{kind: "fresh", sql: "SELECT value FROM kv WHERE key = 'key-%d'"}
+	statementWrite = statementKind{kind: "write", sql: "INSERT INTO kv(key,value) VALUES ('key-%d','v') ON CONFLICT (key) DO UPDATE SET value=EXCLUDED.value"}
+)
+
+func (kind statementKind) text(number int) string {
+	return fmt.Sprintf("/*kind='%s'*/ ", kind.kind) + fmt.Sprintf(kind.sql, number%keys)
+}
+
+func runCallers(ctx context.Context, runner *runner, size int) (float64, observation, error) {
+	system, err := runner.deployed(ctx, 1, 1)
+	if err != nil {
+		return 0, observation{}, err
+	}
+	defer system.stop()
+	conns, err := system.dial(ctx, size)
+	defer closeAll(conns)
+	if err != nil {
+		return 0, observation{}, err
+	}
+	seen, err := system.observe(settleTime, windowTime, nil, nil)
+	return float64(size), seen, err
+}
+
+// runStatements sends statements at a constant rate and returns the rate of those that were answered.
+func runStatements(ctx context.Context, runner *runner, kind statementKind, size int) (float64, observation, error) {
+	limits := []string{"--slots-per-instance", fmt.Sprint(slots), "--conns-per-instance", fmt.Sprint(connections)}
+	system, err := runner.deployed(ctx, 1, 1, limits...)
+	if err != nil {
+		return 0, observation{}, err
+	}
+	defer system.stop()
+	conns, err := system.dial(ctx, workers)
+	defer closeAll(conns)
+	if err != nil {
+		return 0, observation{}, err
+	}
+	if err := fill(ctx, conns[0]); err != nil {
+		return 0, observation{}, err
+	}
+	pace := time.Second * workers / time.Duration(size)
+	send(ctx, conns, kind, pace, time.Now().Add(time.Second)) // opens the backend connections
+	var answered int64
+	work := func(until time.Time) { answered = send(ctx, conns, kind, pace, until) }
+	counters := []string{"probes_sent_total", "executions_sent_total"}
+	seen, err := system.observe(settleTime, windowTime, counters, work)
+	return float64(answered) / windowTime.Seconds(), seen, err
+}
+
+func fill(ctx context.Context, conn *pgconn.PgConn) error {
+	for number := range keys {
+		if _, err := conn.Exec(ctx, statementWrite.text(number)).ReadAll(); err != nil {
+			return errors.Wrap(err, "fill the database")
+		}
+	}
+	return nil
+}
+
+// send lets each connection send a statement every pace, and returns how many were answered.
+func send(ctx context.Context, conns []*pgconn.PgConn, kind statementKind, pace time.Duration, until time.Time) int64 {
+	var answered atomic.Int64
+	var running sync.WaitGroup
+	for index, conn := range conns {
+		running.Go(func() {
+			next := time.Now().Add(pace * time.Duration(index) / time.Duration(len(conns)))
+			for number := index; next.Before(until) && ctx.Err() == nil; number++ {
+				time.Sleep(time.Until(next))
+				next = next.Add(pace)
+				if _, err := conn.Exec(ctx, kind.text(number)).ReadAll(); err == nil {
+					answered.Add(1)
+				}
+			}
+		})
+	}
+	running.Wait()
+	return answered.Load()
+}
+
+// dial connects callers to the first proxy.
+func (system *system) dial(ctx context.Context, count int) ([]*pgconn.PgConn, error) {
+	url := fmt.Sprintf("postgres://caller@%s/deployment-0?sslmode=disable", system.proxies[0].address)
+	conns := make([]*pgconn.PgConn, count)
+	var group errgroup.Group
+	group.SetLimit(dialers)
+	for index := range conns {
+		group.Go(func() error {
+			conn, err := pgconn.Connect(ctx, url)
+			conns[index] = conn
+			return errors.Wrap(err, "connect a caller")
+		})
+	}
+	return conns, group.Wait()
+}
+
+func closeAll(conns []*pgconn.PgConn) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	for _, conn := range conns {
+		if conn != nil {
+			_ = conn.Close(ctx)
+		}
+	}
+}
--- /dev/null
+++ b/internal/stand/slope/control.go
@@ -0,0 +1,141 @@
+package slope
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+
+	"almondway.dev/almondway/internal/core/model"
+	"almondway.dev/almondway/internal/edge/schema"
+	"almondway.dev/almondway/internal/proto/admpb"
+)
+
+const (
+	// changesInWindow is the number of changes at each number of deployments.
+	changesInWindow = 10
+	// bystanders is the number of deployments while changes are counted.
+	bystanders = 50
+	// changeProxies is the number of proxies that take a change.
+	changeProxies = 3
+)
+
+func runGroups(ctx context.Context, runner *runner, size int) (float64, observation, error) {
+	system, err := newSystem(ctx, almondway(runner.options.Programs), runner.dir, size)
+	if err != nil {
+		return 0, observation{}, err
+	}
+	defer system.stop()
+	if err := system.start(1); err != nil {
+		return 0, observation{}, err
+	}
+	seen, err := system.observe(settleOf(size), windowTime, []string{"probes_sent_total"}, nil)
+	return float64(size), seen, err
+}
+
+func runPeers(ctx context.Context, runner *runner, size int) (float64, observation, error) {
+	system, err := newSystem(ctx, almondway(runner.options.Programs), runner.dir, 1)
+	if err != nil {
+		return 0, observation{}, err
+	}
+	defer system.stop()
+	if err := system.start(size); err != nil {
+		return 0, observation{}, err
+	}
+	counters := []string{"peer_messages_sent_total", "store_reads_total", "store_writes_total"}
+	seen, err := system.observe(settleOf(10*size), 2*windowTime, counters, nil)
+	return float64(size), seen, err
+}
+
+func runDeployments(ctx context.Context, runner *runner, size int) (float64, observation, error) {
+	system, err := runner.deployed(ctx, 1, size)
+	if err != nil {
+		return 0, observation{}, err
+	}
+	defer system.stop()
+	seen, err := system.observe(settleTime, windowTime, nil, nil)
+	return float64(size), seen, err
+}
+
+func runChanges(ctx context.Context, runner *runner, size int) (float64, observation, error) {
+	return runner.changes(ctx, bystanders, size, float64(size))
+}
+
+func runChangesByDeployments(ctx context.Context, runner *runner, size int) (float64, observation, error) {
+	return runner.changes(ctx, size, changesInWindow, float64(size))
+}
+
+// changes measures a proxy that another one tells of changes.
+func (runner *runner) changes(ctx context.Context, deployments, changes int, reached float64) (float64, observation, error) {
+	system, err := runner.deployed(ctx, changeProxies, deployments)
+	if err != nil {
+		return 0, observation{}, err
+	}
+	defer system.stop()
+	asked := system.proxies[len(system.proxies)-1]
+	var failed error
+	work := func(until time.Time) {
+		pause := time.Until(until) / time.Duration(changes+1)
+		for number := 0; number < changes && failed == nil; number++ {
+			begun := time.Now()
+			failed = apply(ctx, asked, 0, 2+number)
+			time.Sleep(max(0, pause-time.Since(begun)))
+		}
+	}
+	seen, err := system.observe(settleTime, windowTime, nil, work)
+	if failed != nil {
+		err = failed
+	}
+	return reached, seen, err
+}
+
+// deployed starts proxies with further arguments and applies deployments.
+func (runner *runner) deployed(ctx context.Context, proxies, deployments int, args ...string) (*system, error) {
+	system, err := newSystem(ctx, almondway(runner.options.Programs), runner.dir, 1)
+	if err != nil {
+		return nil, err
+	}
+	if err := system.start(proxies, args...); err != nil {
+		system.stop()
+		return nil, err
+	}
+	for number := range deployments {
+		if err := apply(ctx, system.proxies[0], number, 1); err != nil {
+			system.stop()
+			return nil, err
+		}
+	}
+	return system, nil
+}
+
+// apply creates a deployment of a usual size, or gives it another weight.
+func apply(ctx context.Context, proxy *proxy, number, weight int) error {
+	spec := model.DeploymentSpec{
+		Name:    fmt.Sprintf("deployment-%d", number),
+		Groups:  []model.GroupID{model.GroupID(groupName(0))},
+		Weight:  weight,
+		Classes: []model.Class{model.NewClass(model.ClassSpec{Name: "caller"}), model.NewClass(model.ClassSpec{Name: "editor", ReadYourWrites: true})},
+		Kinds: []model.Kind{
+			model.NewKind(model.KindSpec{Name: "stale", Access: model.AccessRead, Staleness: staleness}),
+			model.NewKind(model.KindSpec{Name: "fresh", Access: model.AccessRead}),
+			model.NewKind(model.KindSpec{Name: "write", Access: model.AccessWrite, Idempotent: true}),
+			model.NewKind(model.KindSpec{Name: "enrol", Access: model.AccessWrite}),
+		},
+	}
+	client := proxy.client()
+	expected := uint64(0)
+	current, err := client.GetDeployment(ctx, connect.NewRequest(&admpb.GetDeploymentRequest{Name: spec.Name}))
+	if err == nil {
+		expected = current.Msg.GetDeployment().GetRevision()
+	}
+	_, err = client.ApplyDeployment(ctx, connect.NewRequest(&admpb.ApplyDeploymentRequest{
+		Deployment:       schema.FromDeployment(model.NewDeployment(spec)),
+		ExpectedRevision: expected,
+		ChangeId:         uuid.NewString(),
+		Operator:         "slopes",
+	}))
+	return errors.Wrapf(err, "apply %s", spec.Name)
+}
--- /dev/null
+++ b/internal/stand/slope/observe.go
@@ -0,0 +1,66 @@
+package slope
+
+import (
+	"time"
+
+	"almondway.dev/almondway/internal/stand/procs"
+)
+
+// observation is what a proxy used in a window, per second but for resident.
+type observation struct {
+	cpu      float64 // cores
+	bytes    float64 // received and sent
+	resident float64 // bytes at the end
+	counters map[string]float64
+}
+
+// observe measures the first proxy while it is busy with work, which may be nil.
+func (system *system) observe(settle, window time.Duration, names []string, work func(until time.Time)) (observation, error) {
+	time.Sleep(settle)
+	first := system.proxies[0]
+	countersBefore, err := first.counters(names)
+	if err != nil {
+		return observation{}, err
+	}
+	before, err := usageOf(first.proc)
+	if err != nil {
+		return observation{}, err
+	}
+	if work != nil {
+		work(before.at.Add(window))
+	}
+	time.Sleep(time.Until(before.at.Add(window)))
+	after, err := usageOf(first.proc)
+	if err != nil {
+		return observation{}, err
+	}
+	countersAfter, err := first.counters(names)
+	if err != nil {
+		return observation{}, err
+	}
+	seconds := after.at.Sub(before.at).Seconds()
+	seen := observation{
+		cpu:      (after.cpu - before.cpu).Seconds() / seconds,
+		bytes:    (after.received + after.sent - before.received - before.sent) / seconds,
+		resident: after.resident,
+		counters: make(map[string]float64),
+	}
+	for _, name := range names {
+		seen.counters[name] = (countersAfter[name] - countersBefore[name]) / seconds
+	}
+	return seen, nil
+}
+
+func usageOf(proc *procs.Proc) (usage, error) { return readUsage(proc.PID()) }
+
+func (proxy *proxy) counters(names []string) (map[string]float64, error) {
+	values := make(map[string]float64, len(names))
+	for _, name := range names {
+		value, err := proxy.counter(name)
+		if err != nil {
+			return nil, err
+		}
+		values[name] = value
+	}
+	return values, nil
+}
--- /dev/null
+++ b/internal/stand/slope/slope.go
@@ -0,0 +1,148 @@
+// Package slope measures what a proxy costs per unit of its work: it runs each
+// load at several sizes and fits a line through what the process used.
+package slope
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	settleTime = 3 * time.Second
+	windowTime = 6 * time.Second
+)
+
+// Options are the choices of a run.
+type Options struct {
+	// Programs is the directory of the built programs.
+	Programs string
+	// Only names one dimension; empty runs all.
+	Only string
+	// JSON selects JSON lines instead of a table.
+	JSON bool
+	// Output takes the rows.
+	Output io.Writer
+}
+
+// Row is the line of one measure over the sizes of a dimension.
+type Row struct {
+	Dimension string    `json:"dimension"`
+	Measure   string    `json:"measure"`
+	Unit      string    `json:"unit"`
+	Sizes     []float64 `json:"sizes"`
+	Values    []float64 `json:"values"`
+	Slope     float64   `json:"slope"`
+	Intercept float64   `json:"intercept"`
+	Residual  float64   `json:"residual"`
+}
+
+// measure is what is read from each run of a dimension.
+type measure struct {
+	name string
+	unit string
+	// scale turns the value into the unit.
+	scale float64
+	value func(seen observation) float64
+}
+
+// dimension is a load that is run at several sizes.
+type dimension struct {
+	name     string
+	sizes    []int
+	counters []string
+	measures []measure
+	// run returns the size that was reached and what was seen.
+	run func(ctx context.Context, runner *runner, size int) (float64, observation, error)
+}
+
+// runner runs dimensions.
+type runner struct {
+	options Options
+	dir     string
+}
+
+// Run measures and prints all rows.
+func Run(ctx context.Context, options Options) error {
+	dir, err := workDir()
+	if err != nil {
+		return err
+	}
+	runner := &runner{options: options, dir: dir}
+	var rows []Row
+	for _, dimension := range dimensions() {
+		if options.Only != "" && options.Only != dimension.name {
+			continue
+		}
+		measured, err := runner.measure(ctx, dimension)
+		if err != nil {
+			return errors.Wrapf(err, "measure %s", dimension.name)
+		}
+		rows = append(rows, measured...)
+	}
+	if len(rows) == 0 {
+		return errors.Errorf("no dimension is named %q", options.Only)
+	}
+	if options.JSON {
+		return printJSON(options.Output, rows)
+	}
+	return printTable(options.Output, rows)
+}
+
+func (runner *runner) measure(ctx context.Context, dimension dimension) ([]Row, error) {
+	rows := make([]Row, len(dimension.measures))
+	for _, size := range dimension.sizes {
+		reached, seen, err := dimension.run(ctx, runner, size)
+		if err != nil {
+			return nil, errors.Wrapf(err, "size %d", size)
+		}
+		for index, measure := range dimension.measures {
+			rows[index].Sizes = append(rows[index].Sizes, reached)
+			rows[index].Values = append(rows[index].Values, measure.value(seen)*measure.scale)
+		}
+	}
+	for index, measure := range dimension.measures {
+		fit := NewFit(rows[index].Sizes, rows[index].Values)
+		rows[index].Dimension = dimension.name
+		rows[index].Measure = measure.name
+		rows[index].Unit = measure.unit
+		rows[index].Slope = fit.Slope()
+		rows[index].Intercept = fit.Intercept()
+		rows[index].Residual = fit.Residual()
+	}
+	return rows, nil
+}
+
+func printJSON(output io.Writer, rows []Row) error {
+	encoder := json.NewEncoder(output)
+	for _, row := range rows {
+		if err := encoder.Encode(row); err != nil {
+			return errors.Wrap(err, "print slopes")
+		}
+	}
+	return nil
+}
+
+func printTable(output io.Writer, rows []Row) error {
+	writer := tabwriter.NewWriter(output, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(writer, "PER\tMEASURE\tUNIT\tSIZES\tVALUES\tSLOPE\tINTERCEPT\tRESIDUAL")
+	for _, row := range rows {
+		_, _ = fmt.Fprintf(writer, "%s\t%s\t%s\t%s\t%s\t%.4g\t%.4g\t%.0f%%\n", row.Dimension, row.Measure, row.Unit,
+			list(row.Sizes), list(row.Values), row.Slope, row.Intercept, row.Residual*100)
+	}
+	return errors.Wrap(writer.Flush(), "print slopes")
+}
+
+func list(numbers []float64) string {
+	texts := make([]string, 0, len(numbers))
+	for _, number := range numbers {
+		texts = append(texts, fmt.Sprintf("%.4g", number))
+	}
+	return strings.Join(texts, " ")
+}
--- /dev/null
+++ b/internal/stand/slope/system.go
@@ -0,0 +1,166 @@
+package slope
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"almondway.dev/almondway/internal/proto/admpb"
+	"almondway.dev/almondway/internal/stand/insta"
+	"almondway.dev/almondway/internal/stand/plat"
+	"almondway.dev/almondway/internal/stand/procs"
+	"almondway.dev/almondway/internal/stand/topol"
+)
+
+const (
+	readyLimit = 30 * time.Second
+	// slots and connections of the stand-in instances lie above what is measured.
+	slots       = 64
+	connections = 200
+)
+
+// system is a platform and instances in this process, and proxies as processes of their own.
+type system struct {
+	ctx     context.Context
+	cancel  context.CancelFunc
+	pool    *procs.Pool
+	ports   *procs.Ports
+	program string
+	url     string
+	proxies []*proxy
+}
+
+// proxy is a measured process.
+type proxy struct {
+	proc    *procs.Proc
+	address string
+	admin   string
+}
+
+func newSystem(ctx context.Context, program, dir string, groups int) (*system, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	ports := procs.NewPorts()
+	system := &system{ctx: ctx, cancel: cancel, pool: procs.NewPool(dir), ports: ports, program: program}
+	spec := topology(ports, groups)
+	if err := system.serve(spec); err != nil {
+		system.stop()
+		return nil, err
+	}
+	return system, nil
+}
+
+// topology returns groups of three instances without delays.
+func topology(ports *procs.Ports, groups int) topol.Spec {
+	spec := topol.Spec{Slots: slots, Connections: connections}
+	for number := range groups {
+		group := topol.GroupSpec{ID: groupName(number)}
+		for place := range 3 {
+			group.Instances = append(group.Instances, topol.InstanceSpec{
+				ID:         fmt.Sprintf("%s-%c", group.ID, 'a'+place),
+				Address:    fmt.Sprintf("127.0.0.1:%d", ports.Port()),
+				DataCenter: "local",
+				Primary:    place == 0,
+			})
+		}
+		spec.Groups = append(spec.Groups, group)
+	}
+	return spec
+}
+
+func groupName(number int) string { return fmt.Sprintf("group-%d", number+1) }
+
+func (system *system) serve(spec topol.Spec) error {
+	for _, group := range spec.Groups {
+		for _, member := range group.Instances {
+			instance, err := insta.New(spec, member.ID, insta.Options{})
+			if err != nil {
+				return err
+			}
+			listener, err := net.Listen("tcp", member.Address)
+			if err != nil {
+				return errors.Wrapf(err, "listen for instance %s", member.ID)
+			}
+			instance.Start()
+			go func() { _ = instance.Serve(system.ctx, listener) }()
+		}
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return errors.Wrap(err, "listen for the platform")
+	}
+	system.url = "http://" + listener.Addr().String()
+	server := &http.Server{Handler: plat.New(spec).Handler(), ReadHeaderTimeout: readyLimit}
+	context.AfterFunc(system.ctx, func() { _ = server.Close() })
+	go func() { _ = server.Serve(listener) }()
+	return nil
+}
+
+// start starts proxies with further arguments and waits until they are ready.
+func (system *system) start(count int, args ...string) error {
+	ctx, cancel := context.WithTimeout(system.ctx, readyLimit)
+	defer cancel()
+	for range count {
+		started := &proxy{
+			address: fmt.Sprintf("127.0.0.1:%d", system.ports.Port()),
+			admin:   fmt.Sprintf("127.0.0.1:%d", system.ports.Port()),
+		}
+		name := fmt.Sprintf("proxy-%d", len(system.proxies)+1)
+		proc, err := system.pool.Start(name, system.program, append([]string{
+			"proxy", "--id", name, "--listen", started.address, "--admin-listen", started.admin,
+			"--peer-listen", fmt.Sprintf("127.0.0.1:%d", system.ports.Port()),
+			"--platform", system.url, "--log-level", "error",
+		}, args...)...)
+		if err != nil {
+			return err
+		}
+		started.proc = proc
+		system.proxies = append(system.proxies, started)
+	}
+	for _, proxy := range system.proxies {
+		err := procs.Until(ctx, func() error { return procs.Healthy(ctx, "http://"+proxy.admin+"/readyz") })
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (system *system) stop() {
+	system.pool.Stop()
+	system.cancel()
+}
+
+func (proxy *proxy) client() admpb.AdminServiceClient {
+	return admpb.NewAdminServiceClient(http.DefaultClient, "http://"+proxy.admin)
+}
+
+// counter reads a counter of the proxy's metrics.
+func (proxy *proxy) counter(name string) (float64, error) {
+	response, err := http.Get("http://" + proxy.admin + "/metrics.json")
+	if err != nil {
+		return 0, errors.Wrap(err, "read metrics")
+	}
+	defer func() { _ = response.Body.Close() }()
+	var values map[string]struct {
+		Count float64 `json:"count"`
+	}
+	if err := json.NewDecoder(response.Body).Decode(&values); err != nil {
+		return 0, errors.Wrap(err, "decode metrics")
+	}
+	return values["almondway_"+name].Count, nil
+}
+
+// workDir returns a new directory for the output of processes.
+func workDir() (string, error) {
+	dir, err := os.MkdirTemp("", "almondway-slopes-")
+	return dir, errors.Wrap(err, "make directory of the slopes")
+}
+
+func almondway(programs string) string { return filepath.Join(programs, "almondway") }
