--- a/internal/plug/drain/drain.go
+++ b/internal/plug/drain/drain.go
@@ -12,6 +12,9 @@
 
 const (
 	checkInterval = 20 * time.Millisecond
+	// maxCheckGap is the time between two checks beyond which the process was
+	// paused and requests may wait unread.
+	maxCheckGap = 5 * checkInterval
 	// settleTime is how long nothing has to be in flight before the proxy stops,
 	// so that the last answers are sent and the balancer and the other proxies
 	// have noticed.
@@ -44,6 +47,7 @@
 	context   *kern.Context
 	started   bool
 	startedAt time.Duration
+	checkedAt time.Duration
 	idleSince time.Duration
 }
 
@@ -63,6 +67,7 @@
 	}
 	drain.started = true
 	drain.startedAt = drain.context.Now()
+	drain.checkedAt = drain.context.Now()
 	drain.idleSince = drain.context.Now()
 	drain.context.State().SetDraining()
 	drain.context.Publish(event.NewDrainStarted())
@@ -74,9 +79,10 @@
 // when the drain limit has passed.
 func (drain *Drain) check() {
 	now := drain.context.Now()
-	if drain.busy() {
+	if drain.busy() || now-drain.checkedAt > maxCheckGap {
 		drain.idleSince = now
 	}
+	drain.checkedAt = now
 	switch {
 	case now-drain.idleSince >= settleTime:
 		drain.stop("nothing is in flight")
--- a/internal/proof/fuzz/instance_test.go
+++ b/internal/proof/fuzz/instance_test.go
@@ -60,6 +60,7 @@
 	log       []entry
 	lag       time.Duration
 	alive     bool
+	boots     int
 	frozen    bool
 	cutGroup  bool
 	leaving   bool
@@ -151,6 +152,29 @@
 	callback()
 }
 
+// kill ends the process. Its log and its fence stay on disk; its connections break.
+func (instance *instance) kill() {
+	if !instance.alive {
+		return
+	}
+	instance.alive = false
+	instance.boots++
+	clear(instance.open)
+	instance.thaw()
+	for _, node := range instance.world.nodes {
+		node.reset(instance)
+	}
+}
+
+// boot starts the process again. A former primary does not lead.
+func (instance *instance) boot() {
+	if instance.alive {
+		return
+	}
+	instance.alive = true
+	instance.primary = false
+}
+
 func (instance *instance) thaw() {
 	instance.frozen = false
 	waiting := instance.waiting
