--- a/internal/edge/back/back_test.go
+++ b/internal/edge/back/back_test.go
@@ -46,6 +46,10 @@
 	return wire.NewStatement(wire.StatementSpec{SQL: sql, Simple: true})
 }
 
+func withModes(modes string) model.Payload {
+	return wire.NewStatement(wire.StatementSpec{SQL: "SELECT 1", Simple: true, BeginModes: modes})
+}
+
 func extended(sql string, params ...string) model.Payload {
 	spec := wire.StatementSpec{SQL: sql}
 	for _, param := range params {
@@ -73,6 +77,8 @@
 		{"first of write", withStep(write, model.StepFirst, simple("UPDATE x")), []string{"BEGIN", begin, "UPDATE x"}},
 		{"first of write with parameters", withStep(write, model.StepFirst, extended("UPDATE x")), []string{"BEGIN", begin, "UPDATE x"}},
 		{"first of read", model.WorkSpec{Step: model.StepFirst, Statement: simple("SELECT 1")}, []string{"BEGIN READ ONLY", "SELECT 1"}},
+		{"first with modes", model.WorkSpec{Step: model.StepFirst, Statement: withModes("ISOLATION LEVEL SERIALIZABLE")}, []string{"BEGIN ISOLATION LEVEL SERIALIZABLE READ ONLY", "SELECT 1"}},
+		{"first read-only", model.WorkSpec{Step: model.StepFirst, Statement: withModes("READ ONLY")}, []string{"BEGIN READ ONLY", "SELECT 1"}},
 		{"settle", withStep(write, model.StepSettle, nil), []string{"SELECT almondway_settle('16777216', 'id')"}},
 		{"trim", withStep(write, model.StepTrim, nil), []string{"SELECT almondway_trim('16777216', 'id')"}},
 	}
--- a/internal/edge/back/messages.go
+++ b/internal/edge/back/messages.go
@@ -1,6 +1,8 @@
 package back
 
 import (
+	"strings"
+
 	"github.com/jackc/pgx/v5/pgconn"
 	"github.com/jackc/pgx/v5/pgproto3"
 
@@ -16,19 +18,20 @@
 )
 
 const (
-	sqlBegin         = "BEGIN"
-	sqlBeginReadOnly = "BEGIN READ ONLY"
-	sqlCommit        = "COMMIT"
-	sqlRollback      = "ROLLBACK"
-	sqlDiscard       = "DISCARD ALL"
+	sqlBegin    = "BEGIN"
+	sqlCommit   = "COMMIT"
+	sqlRollback = "ROLLBACK"
+	sqlDiscard  = "DISCARD ALL"
+
+	modeReadOnly = "READ ONLY"
 )
 
 // prefix returns the statements that go before the statement of a Work in the
 // same round trip.
-func prefix(work *model.Work) []string {
+func prefix(work *model.Work, statement *wire.Statement) []string {
 	var statements []string
 	if work.Step() == model.StepFirst {
-		statements = append(statements, beginStatement(work.Write()))
+		statements = append(statements, beginStatement(work.Write(), statement.BeginModes()))
 	}
 	if work.Write() && work.Step() != model.StepNext {
 		statements = append(statements, wire.Begin(work.Guard(), work.LedgerID(), work.Digest()))
@@ -36,11 +39,15 @@
 	return statements
 }
 
-func beginStatement(write bool) string {
-	if write {
-		return sqlBegin
+func beginStatement(write bool, modes string) string {
+	begin := sqlBegin
+	if modes != "" {
+		begin += " " + modes
+	}
+	if !write && !strings.Contains(modes, modeReadOnly) {
+		begin += " " + modeReadOnly
 	}
-	return sqlBeginReadOnly
+	return begin
 }
 
 // workMessages returns the messages of a Work, which end with one ReadyForQuery,
@@ -63,7 +70,7 @@
 	if work.Step() == model.StepDescribe {
 		return describeMessages(statement), 0
 	}
-	before := prefix(work)
+	before := prefix(work, statement)
 	if statement.Simple() {
 		return simpleMessages(joinSimple(before, statement.SQL())), len(before)
 	}
--- a/internal/edge/back/reader.go
+++ b/internal/edge/back/reader.go
@@ -9,6 +9,9 @@
 	"almondway.dev/almondway/internal/edge/wire"
 )
 
+// maxNotices bounds the notices that are kept of one answer.
+const maxNotices = 100
+
 // reader reads the answers up to one ReadyForQuery.
 type reader struct {
 	hijacked *pgconn.HijackedConn
@@ -20,6 +23,7 @@
 	rows       [][][]byte
 	paramTypes []uint32
 	size       int
+	notices    []*pgproto3.NoticeResponse
 	failure    *pgproto3.ErrorResponse
 	mark       model.Mark
 	marked     bool
@@ -62,6 +66,8 @@
 		reader.paramTypes = append([]uint32(nil), message.ParameterOIDs...)
 	case *pgproto3.ErrorResponse:
 		reader.addFailure(message)
+	case *pgproto3.NoticeResponse:
+		reader.addNotice(message)
 	case *pgproto3.ParameterStatus:
 		return false, reader.addParameter(message)
 	case *pgproto3.ReadyForQuery:
@@ -119,15 +125,27 @@
 	return nil
 }
 
+func (reader *reader) addNotice(message *pgproto3.NoticeResponse) {
+	if len(reader.notices) < maxNotices {
+		notice := *message
+		reader.notices = append(reader.notices, &notice)
+	}
+}
+
 func (reader *reader) answer() *wire.Answer {
-	if !reader.overflows() {
-		return wire.NewAnswer(reader.results, reader.size)
+	spec := wire.AnswerSpec{
+		Results:  reader.results,
+		Notices:  reader.notices,
+		Size:     reader.size,
+		Overflow: reader.overflows(),
 	}
-	results := make([]wire.Result, 0, len(reader.results))
-	for _, result := range reader.results {
-		results = append(results, wire.NewResult(result.Fields(), nil, result.Tag()))
+	if spec.Overflow {
+		spec.Results = make([]wire.Result, 0, len(reader.results))
+		for _, result := range reader.results {
+			spec.Results = append(spec.Results, wire.NewResult(result.Fields(), nil, result.Tag()))
+		}
 	}
-	return wire.NewOverflow(results, reader.size)
+	return wire.NewAnswer(spec)
 }
 
 // copyRow copies the values, which the next message overwrites, into one array.
--- a/internal/edge/front/caller.go
+++ b/internal/edge/front/caller.go
@@ -31,6 +31,10 @@
 	pending  int
 	prepared map[string]*prepared
 	portals  map[string]*portal
+	// held is the number of bytes of prepared statements and parameters.
+	held int
+	// beginModes are the modes of the open transaction.
+	beginModes string
 	// described is the portal whose description waits for its execution.
 	described *portal
 	// lost is set once the caller is known to have gone.
--- a/internal/edge/front/extended.go
+++ b/internal/edge/front/extended.go
@@ -9,10 +9,7 @@
 	"almondway.dev/almondway/internal/edge/wire"
 )
 
-const (
-	objectStatement = 'S'
-	maxPrepared     = 1000
-)
+const objectStatement = 'S'
 
 // failExtended reports an error and drops what comes before the next Sync.
 func (caller *caller) failExtended(reason *fault) {
@@ -34,14 +31,12 @@
 		caller.failExtended(newFault(codes.Unsupported, "a prepared statement holds one statement only"))
 		return
 	}
-	if caller.prepared == nil {
-		caller.prepared = make(map[string]*prepared)
-	}
-	if len(caller.prepared) >= maxPrepared && message.Name != "" {
-		caller.failExtended(faultf(codes.Overloaded, "the caller holds %d prepared statements; close some", maxPrepared))
+	caller.closePrepared(message.Name)
+	if reason := caller.hold(len(statement.sql), len(caller.prepared)); reason != nil {
+		caller.failExtended(reason)
 		return
 	}
-	caller.prepared[message.Name] = statement
+	caller.keepPrepared(message.Name, statement)
 	caller.send(&pgproto3.ParseComplete{})
 }
 
@@ -54,14 +49,13 @@
 		caller.failExtended(unknownObject("prepared statement", message.PreparedStatement))
 		return
 	}
-	if caller.portals == nil {
-		caller.portals = make(map[string]*portal)
-	}
-	if len(caller.portals) >= maxPrepared && message.DestinationPortal != "" {
-		caller.failExtended(faultf(codes.Overloaded, "the caller holds %d portals; close some", maxPrepared))
+	bound := newPortal(statement, message)
+	caller.closePortal(message.DestinationPortal)
+	if reason := caller.hold(bound.size(), len(caller.portals)); reason != nil {
+		caller.failExtended(reason)
 		return
 	}
-	caller.portals[message.DestinationPortal] = newPortal(statement, message)
+	caller.keepPortal(message.DestinationPortal, bound)
 	caller.send(&pgproto3.BindComplete{})
 }
 
@@ -192,6 +186,7 @@
 		caller.send(&pgproto3.PortalSuspended{})
 		return
 	}
+	portal.release()
 	caller.sendTag(portal.result.Tag())
 }
 
@@ -205,7 +200,7 @@
 		var tag string
 		tag, reason = caller.control(statement.form, statement.sql)
 		portal.result = tagResult(tag)
-	case statement.form.IsLocal():
+	case caller.answersLocally(statement.form, statement.sql):
 		portal.result, reason = caller.runLocal(statement.form, statement.sql)
 	default:
 		reason = caller.runStatement(portal)
@@ -234,9 +229,9 @@
 		return
 	}
 	if message.ObjectType == objectStatement {
-		delete(caller.prepared, message.Name)
+		caller.closePrepared(message.Name)
 	} else {
-		delete(caller.portals, message.Name)
+		caller.closePortal(message.Name)
 	}
 	caller.send(&pgproto3.CloseComplete{})
 }
@@ -254,13 +249,6 @@
 	return caller.flush()
 }
 
-func (caller *caller) dropPortals() {
-	if caller.txState == model.TxNone {
-		clear(caller.portals)
-	}
-	caller.described = nil
-}
-
 func unknownObject(kind string, name string) *fault {
 	return faultf(codes.BadProtocol, "%s %q does not exist", kind, name)
 }
--- a/internal/edge/front/kernel_test.go
+++ b/internal/edge/front/kernel_test.go
@@ -56,7 +56,7 @@
 		end:      make(chan struct{}),
 		states:   make(map[model.CallerID]model.TxState),
 		canceled: make(chan model.CallerID, 16),
-		closed:   make(chan model.CallerID, 4096),
+		closed:   make(chan model.CallerID, 16),
 	}
 	if spec.Address == "" {
 		spec.Address = "127.0.0.1:0"
@@ -97,7 +97,10 @@
 	case event.CancelReceived:
 		kernel.canceled <- received.Caller()
 	case event.CallerClosed:
-		kernel.closed <- received.Caller()
+		select {
+		case kernel.closed <- received.Caller():
+		default: // no test waits for so many
+		}
 	}
 }
 
@@ -168,14 +171,14 @@
 		return model.ReplySpec{Answer: wire.NewDescription(types, echoFields(text))}
 	}
 	if echoFields(text) == nil {
-		return model.ReplySpec{Answer: wire.NewAnswer([]wire.Result{wire.NewResult(nil, nil, "UPDATE 1")}, 0)}
+		return model.ReplySpec{Answer: wire.NewAnswer(wire.AnswerSpec{Results: []wire.Result{wire.NewResult(nil, nil, "UPDATE 1")}})}
 	}
 	row := append([][]byte{[]byte("seats")}, statement.Params()...)
 	for len(row) < len(echoFields(text)) {
 		row = append(row, nil)
 	}
 	result := wire.NewResult(echoFields(text), [][][]byte{row, row, row}, "SELECT 3")
-	return model.ReplySpec{Answer: wire.NewAnswer([]wire.Result{result}, 16)}
+	return model.ReplySpec{Answer: wire.NewAnswer(wire.AnswerSpec{Results: []wire.Result{result}, Size: 16})}
 }
 
 func echoFields(text string) []pgproto3.FieldDescription {
--- a/internal/edge/front/local.go
+++ b/internal/edge/front/local.go
@@ -19,6 +19,22 @@
 	wordPrepare = "PREPARE"
 )
 
+// answersLocally reports whether the proxy answers a statement by itself.
+// Inside a transaction, SET LOCAL of a setting of the database and SET
+// TRANSACTION go to the connection that the transaction owns.
+func (caller *caller) answersLocally(form query.Form, sql string) bool {
+	if form != query.FormSet || caller.txState != model.TxOpen {
+		return form.IsLocal()
+	}
+	_, text := query.Keyword(sql)
+	word, rest := query.Keyword(text)
+	return word != "TRANSACTION" && (word != "LOCAL" || isTagSetting(query.SkipBlank(rest)))
+}
+
+func isTagSetting(text string) bool {
+	return len(text) >= len(settingPrefix) && strings.EqualFold(text[:len(settingPrefix)], settingPrefix)
+}
+
 // runLocal answers a statement about the session itself.
 func (caller *caller) runLocal(form query.Form, sql string) (wire.Result, *fault) {
 	if caller.txState == model.TxFailed {
@@ -65,7 +81,7 @@
 func (caller *caller) runReset(text string) *fault {
 	name := strings.ToLower(unquote(text))
 	if name == strings.ToLower(wordAll) {
-		caller.session.clear()
+		caller.session.clearTags()
 		return nil
 	}
 	if strings.HasPrefix(name, settingPrefix) {
@@ -97,7 +113,7 @@
 		return newFault(codes.TransactionState, "DISCARD ALL cannot run inside a transaction")
 	}
 	caller.session.clear()
-	clear(caller.prepared)
+	caller.dropPrepared()
 	caller.dropPortals()
 	return nil
 }
@@ -109,10 +125,10 @@
 		word, _ = query.Keyword(text)
 	}
 	if word == wordAll {
-		clear(caller.prepared)
+		caller.dropPrepared()
 		return
 	}
-	delete(caller.prepared, strings.Trim(unquote(text), `"`))
+	caller.closePrepared(strings.Trim(unquote(text), `"`))
 }
 
 func tagResult(tag string) wire.Result { return wire.NewResult(nil, nil, tag) }
--- a/internal/edge/front/prepared.go
+++ b/internal/edge/front/prepared.go
@@ -99,3 +99,18 @@
 	portal.sent += len(rows)
 	return rows, portal.sent == len(portal.result.Rows())
 }
+
+// size returns the number of bytes of the parameters.
+func (portal *portal) size() int {
+	size := 0
+	for _, param := range portal.params {
+		size += len(param)
+	}
+	return size
+}
+
+// release drops the rows, all of which were sent.
+func (portal *portal) release() {
+	portal.result = wire.NewResult(portal.result.Fields(), nil, portal.result.Tag())
+	portal.sent = 0
+}
--- a/internal/edge/front/protocol_test.go
+++ b/internal/edge/front/protocol_test.go
@@ -13,6 +13,7 @@
 	"almondway.dev/almondway/internal/core/codes"
 	"almondway.dev/almondway/internal/core/event"
 	"almondway.dev/almondway/internal/core/model"
+	"almondway.dev/almondway/internal/edge/wire"
 )
 
 const testWait = 10 * time.Second
@@ -126,6 +127,47 @@
 	}
 }
 
+func TestTransactionProtocol(t *testing.T) {
+	is := is.New(t)
+	kernel := newKernel(t, Spec{}, echo)
+	raw := openRaw(t, kernel)
+	steps := []struct{ sql, want string }{
+		{"BEGIN ISOLATION LEVEL SERIALIZABLE", "BEGIN T"},
+		{"BEGIN", "WARNING BEGIN T"},
+		{"SET LOCAL almondway.kind = 'browse'", "SET T"},
+		{"SET LOCAL lock_timeout = '1s'", "UPDATE 1 T"},
+		{"SELECT 1", "fields row row row SELECT 3 T"},
+		{"DISCARD ALL", "ERROR:25P02:AW112 T"},
+		{"UPDATE fail", "ERROR:23505: E"},
+		{"SET almondway.kind = 'a'", "ERROR:25P02:AW112 E"},
+		{"COMMIT", "ROLLBACK I"},
+		{"SHOW almondway.kind", "fields row SHOW I"},
+		{"BEGIN SNAPSHOT", "ERROR:0A000:AW116 I"},
+	}
+	for _, step := range steps {
+		raw.send(&pgproto3.Query{String: step.sql})
+		is.Equal(raw.until(t), step.want)
+	}
+	is.Equal(kernel.ops(), "begin statement statement statement commit")
+	first := kernel.requests[2]
+	is.Equal(first.Kind(), "browse")
+	is.Equal(first.Statement().(*wire.Statement).BeginModes(), "ISOLATION LEVEL SERIALIZABLE")
+}
+
+func TestHeldObjectsAreBounded(t *testing.T) {
+	is := is.New(t)
+	raw := openRaw(t, newKernel(t, Spec{}, echo))
+	large := "SELECT " + strings.Repeat("x", maxHeldBytes/4)
+	for _, name := range []string{"a", "b", "c", "c"} {
+		raw.send(&pgproto3.Parse{Name: name, Query: large}, &pgproto3.Sync{})
+		is.Equal(raw.until(t), "I")
+	}
+	raw.send(&pgproto3.Parse{Name: "d", Query: large}, &pgproto3.Sync{})
+	is.Equal(raw.until(t), "ERROR:53000:AW201 I")
+	raw.send(&pgproto3.Close{ObjectType: 'S', Name: "a"}, &pgproto3.Parse{Name: "d", Query: large}, &pgproto3.Sync{})
+	is.Equal(raw.until(t), "I")
+}
+
 func TestExtendedProtocol(t *testing.T) {
 	read := &pgproto3.Parse{Query: "SELECT 1"}
 	write := &pgproto3.Parse{Query: "UPDATE x"}
--- a/internal/edge/front/session.go
+++ b/internal/edge/front/session.go
@@ -90,9 +90,12 @@
 
 // clear sets every tag back and forgets the token.
 func (session *session) clear() {
-	session.tags, session.local, session.token = query.Tags{}, query.Tags{}, model.Token{}
+	session.clearTags()
+	session.token = model.Token{}
 }
 
+func (session *session) clearTags() { session.tags, session.local = query.Tags{}, query.Tags{} }
+
 // conclude takes over the token after a request. Outside of a transaction the
 // request id and the tags of SET LOCAL are used up. It returns whether the
 // token has changed.
--- a/internal/edge/front/simple.go
+++ b/internal/edge/front/simple.go
@@ -76,7 +76,7 @@
 			caller.complete(tag)
 		}
 		return reason
-	case form.IsLocal():
+	case caller.answersLocally(form, sql):
 		result, reason := caller.runLocal(form, sql)
 		if reason == nil {
 			_ = caller.sendResult(result)
@@ -109,6 +109,9 @@
 // of its statement, and the caller is told by a notice.
 func (caller *caller) results(reply *model.Reply, keyword string) []wire.Result {
 	if answer, ok := reply.Answer().(*wire.Answer); ok && !reply.Replayed() {
+		for _, notice := range answer.Notices() {
+			caller.send(notice)
+		}
 		return answer.Results()
 	}
 	if reply.Replayed() {
--- a/internal/edge/front/statement.go
+++ b/internal/edge/front/statement.go
@@ -35,6 +35,7 @@
 	}
 	request := model.RequestSpec{Op: operation, Digest: digest(rest, spec.Params)}
 	if operation == model.OpStatement || operation == model.OpDescribe {
+		spec.BeginModes = caller.beginModes
 		request.Statement = wire.NewStatement(spec)
 	}
 	return request, caller.session.describe(tags, &request)
@@ -70,6 +71,10 @@
 		caller.notice(severityWarning, "25P01", "there is no transaction in progress")
 		return controlTag(form), nil
 	}
+	modes, reason := beginModes(form, sql)
+	if reason != nil {
+		return "", reason
+	}
 	spec, reason := caller.newRequest(operation(form), wire.StatementSpec{SQL: sql})
 	if reason != nil {
 		return "", reason
@@ -79,12 +84,30 @@
 	if reason := answerFault(reply); reason != nil {
 		return "", reason
 	}
+	caller.beginModes = modes
 	if form == query.FormCommit && failed {
 		return "ROLLBACK", nil
 	}
 	return controlTag(form), nil
 }
 
+// beginModes returns the transaction modes that a statement sets, or none for
+// one that ends a transaction.
+func beginModes(form query.Form, sql string) (string, *fault) {
+	if form != query.FormBegin {
+		return "", nil
+	}
+	_, rest, err := query.ParseTags(sql)
+	if err != nil {
+		return "", newFault(codes.MalformedTag, err.Error())
+	}
+	modes, err := query.BeginModes(rest)
+	if err != nil {
+		return "", newFault(codes.Unsupported, err.Error())
+	}
+	return modes, nil
+}
+
 func controlTag(form query.Form) string {
 	switch form {
 	case query.FormBegin:
--- a/internal/edge/wire/wire.go
+++ b/internal/edge/wire/wire.go
@@ -15,7 +15,9 @@
 	ParamTypes    []uint32
 	ParamFormats  []int16
 	ResultFormats []int16
-	MaxRows       uint32
+	// BeginModes are the transaction modes of the transaction that the
+	// statement may be the first of.
+	BeginModes string
 }
 
 // Statement is a statement of the simple or the extended query protocol. It is immutable.
@@ -45,6 +47,10 @@
 // Params returns the parameter values; nil is NULL.
 func (statement *Statement) Params() [][]byte { return statement.spec.Params }
 
+// BeginModes returns the modes of the statement's transaction, such as
+// "ISOLATION LEVEL SERIALIZABLE", or the empty text.
+func (statement *Statement) BeginModes() string { return statement.spec.BeginModes }
+
 // ParamTypes returns the type OIDs of the parameters; 0 leaves one to the database.
 func (statement *Statement) ParamTypes() []uint32 { return statement.spec.ParamTypes }
 
@@ -75,31 +81,6 @@
 // Tag returns the command tag.
 func (result Result) Tag() string { return result.tag }
 
-// Answer is the whole answer to a Statement. It is immutable.
-type Answer struct {
-	results  []Result
-	size     int
-	overflow bool
-}
-
-// NewAnswer returns the Answer of the given results; size is their number of bytes.
-func NewAnswer(results []Result, size int) *Answer { return &Answer{results: results, size: size} }
-
-// NewOverflow returns the Answer to a Statement that ran and whose rows took
-// size bytes, more than the limit. Its results hold no rows.
-func NewOverflow(results []Result, size int) *Answer {
-	return &Answer{results: results, size: size, overflow: true}
-}
-
-// Size implements model.Payload.
-func (answer *Answer) Size() int { return answer.size }
-
-// Overflow reports whether the rows were dropped because they exceeded the limit.
-func (answer *Answer) Overflow() bool { return answer.overflow }
-
-// Results returns the results in order.
-func (answer *Answer) Results() []Result { return answer.results }
-
 // Description is the answer to a request for the types of a statement.
 type Description struct {
 	paramTypes []uint32
