edge: statements outside of a guarded transaction cannot write

A statement of a read kind that was served by the primary could write: without the guard of a term, without a ledger row and without acknowledgement. Data connections now start read-only and a write transaction begins by saying READ WRITE, in the same round trip; the stand-in keeps the settings of the start-up. SET may not lift this within a transaction.

Ruled out: BEGIN READ ONLY around each single read, which leaves a failed transaction behind and needs two more messages.

Run: go test ./internal/edge/... ./internal/stand/..., make demo.

--- a/internal/edge/back/back.go
+++ b/internal/edge/back/back.go
@@ -58,7 +58,7 @@
 	if err != nil {
 		return nil, err
 	}
-	data.RuntimeParams["default_transaction_read_only"] = "on"
+	data.RuntimeParams[wire.ReadOnlyParameter] = "on"
 	control, err := baseConfig(wire.ControlUser, spec)
 	if err != nil {
 		return nil, err
--- a/internal/edge/back/messages.go
+++ b/internal/edge/back/messages.go
@@ -23,17 +23,20 @@
 	sqlRollback = "ROLLBACK"
 	sqlDiscard  = "DISCARD ALL"
 
-	modeReadOnly = "READ ONLY"
+	modeReadOnly  = "READ ONLY"
+	modeReadWrite = "READ WRITE"
 )
 
 // prefix returns the statements that go before the statement of a Work in the
-// same round trip.
-func prefix(work *model.Work, statement *wire.Statement) []string {
+// same round trip. Connections are read-only unless a transaction says otherwise.
+func prefix(work *model.Work, modes string) []string {
 	var statements []string
 	if work.Step() == model.StepFirst {
-		statements = append(statements, beginStatement(work.Write(), statement.BeginModes()))
+		statements = append(statements, beginStatement(work.Write(), modes))
+	} else if work.Write() && work.Step() != model.StepNext {
+		statements = append(statements, wire.ReadWriteSQL)
 	}
-	if work.Write() && work.Step() != model.StepNext {
+	if work.Write() && (work.Step() == model.StepFirst || work.Step() == model.StepSingle) {
 		statements = append(statements, wire.Begin(work.Guard(), work.LedgerID(), work.Digest()))
 	}
 	return statements
@@ -44,10 +47,14 @@
 	if modes != "" {
 		begin += " " + modes
 	}
-	if !write && !strings.Contains(modes, modeReadOnly) {
-		begin += " " + modeReadOnly
+	switch {
+	case strings.Contains(modes, modeReadOnly):
+		return begin
+	case write:
+		return begin + " " + modeReadWrite
+	default:
+		return begin + " " + modeReadOnly
 	}
-	return begin
 }
 
 // workMessages returns the messages of a Work, which end with one ReadyForQuery,
@@ -59,9 +66,9 @@
 	case model.StepRollback:
 		return simpleMessages(sqlRollback), 0
 	case model.StepSettle:
-		return simpleMessages(wire.Settle(work.Guard(), work.LedgerID())), 0
+		return simpleMessages(joinSimple(prefix(work, ""), wire.Settle(work.Guard(), work.LedgerID()))), 0
 	case model.StepTrim:
-		return simpleMessages(wire.Trim(work.Guard(), work.LedgerID())), 0
+		return simpleMessages(joinSimple(prefix(work, ""), wire.Trim(work.Guard(), work.LedgerID()))), 0
 	}
 	statement, ok := work.Statement().(*wire.Statement)
 	if !ok {
@@ -70,7 +77,7 @@
 	if work.Step() == model.StepDescribe {
 		return describeMessages(statement), 0
 	}
-	before := prefix(work, statement)
+	before := prefix(work, statement.BeginModes())
 	if statement.Simple() {
 		return simpleMessages(joinSimple(before, statement.SQL())), len(before)
 	}
--- a/internal/edge/front/extended.go
+++ b/internal/edge/front/extended.go
@@ -203,7 +203,9 @@
 	case caller.answersLocally(statement.form, statement.sql):
 		portal.result, reason = caller.runLocal(statement.form, statement.sql)
 	default:
-		reason = caller.runStatement(portal)
+		if reason = checkPassed(statement.form, statement.sql); reason == nil {
+			reason = caller.runStatement(portal)
+		}
 	}
 	portal.executed = reason == nil
 	return reason
--- a/internal/edge/front/local.go
+++ b/internal/edge/front/local.go
@@ -31,6 +31,16 @@
 	return word != "TRANSACTION" && (word != "LOCAL" || isTagSetting(query.SkipBlank(rest)))
 }
 
+// checkPassed returns why a SET may not go to the connection of the open
+// transaction: whether it may write is decided by the kind of the request.
+func checkPassed(form query.Form, sql string) *fault {
+	upper := strings.ToUpper(sql)
+	if form == query.FormSet && (strings.Contains(upper, "WRITE") || strings.Contains(upper, "READ_ONLY")) {
+		return newFault(codes.Unsupported, "the kind of the request decides whether a transaction may write")
+	}
+	return nil
+}
+
 func isTagSetting(text string) bool {
 	return len(text) >= len(settingPrefix) && strings.EqualFold(text[:len(settingPrefix)], settingPrefix)
 }
--- a/internal/edge/front/protocol_test.go
+++ b/internal/edge/front/protocol_test.go
@@ -136,6 +136,8 @@
 		{"BEGIN", "WARNING BEGIN T"},
 		{"SET LOCAL almondway.kind = 'browse'", "SET T"},
 		{"SET LOCAL lock_timeout = '1s'", "UPDATE 1 T"},
+		{"SET TRANSACTION READ WRITE", "ERROR:0A000:AW116 T"},
+		{"SET LOCAL transaction_read_only = off", "ERROR:0A000:AW116 T"},
 		{"SELECT 1", "fields row row row SELECT 3 T"},
 		{"DISCARD ALL", "ERROR:25P02:AW112 T"},
 		{"UPDATE fail", "ERROR:23505: E"},
--- a/internal/edge/front/simple.go
+++ b/internal/edge/front/simple.go
@@ -83,6 +83,9 @@
 		}
 		return reason
 	default:
+		if reason := checkPassed(form, sql); reason != nil {
+			return reason
+		}
 		return caller.runPlain(sql, keyword)
 	}
 }
--- a/internal/edge/wire/dialect.go
+++ b/internal/edge/wire/dialect.go
@@ -21,6 +21,12 @@
 	// primary and its address. It answers with the status row.
 	FollowSQL = "SELECT * FROM platform_follow('%d', '%s', '%s')"
 
+	// ReadOnlyParameter is the start-up parameter of data connections, which is
+	// "on": a statement that runs outside of a guarded transaction cannot write.
+	ReadOnlyParameter = "default_transaction_read_only"
+	// ReadWriteSQL is the first statement of a transaction that may write.
+	ReadWriteSQL = "SET TRANSACTION READ WRITE"
+
 	// BeginSQL guards a write transaction and inserts its ledger row; its
 	// arguments are the term, the request id and the digest.
 	BeginSQL = "SELECT almondway_begin('%d', '%s', '%d')"
--- a/internal/stand/insta/command.go
+++ b/internal/stand/insta/command.go
@@ -1,6 +1,7 @@
 package insta
 
 import (
+	"maps"
 	"strings"
 
 	"almondway.dev/almondway/internal/core/model"
@@ -25,18 +26,31 @@
 
 func (session *session) begin(template string) error {
 	if session.tx == nil {
-		session.tx = &tx{readOnly: session.settings["default_transaction_read_only"] == "on"}
+		session.tx = session.newTx()
 	}
 	if session.tx.failed {
 		return newError(stateFailedTx, "current transaction is aborted, commands ignored until end of transaction block")
 	}
 	session.tx.explicit = true
-	if strings.Contains(template, "read only") {
+	switch {
+	case strings.Contains(template, "read only"):
 		session.tx.readOnly = true
+	case strings.Contains(template, "read write"):
+		session.tx.readOnly = false
 	}
 	return nil
 }
 
+// newTx returns a transaction that has the session's default mode.
+func (session *session) newTx() *tx {
+	return &tx{readOnly: session.settings["default_transaction_read_only"] == "on"}
+}
+
+// resetSettings takes the settings back to those of the start-up.
+func (session *session) resetSettings() {
+	session.settings = maps.Clone(session.startup)
+}
+
 func (session *session) end() (*result, error) {
 	if session.tx == nil {
 		return &result{tag: "COMMIT"}, nil
@@ -61,10 +75,10 @@
 		answer.row(session.settings[rest])
 		return answer, true
 	case "reset":
-		clear(session.settings)
+		session.resetSettings()
 		return &result{tag: "RESET"}, true
 	case "discard":
-		clear(session.settings)
+		session.resetSettings()
 		clear(session.prepared)
 		clear(session.portals)
 		return &result{tag: "DISCARD ALL"}, true
@@ -76,8 +90,12 @@
 }
 
 func (session *session) set(rest string, args []string) {
-	if strings.HasPrefix(rest, "transaction read only") && session.tx != nil {
-		session.tx.readOnly = true
+	if mode, ok := strings.CutPrefix(rest, "transaction read "); ok {
+		if session.tx == nil {
+			session.tx = session.newTx()
+		}
+		session.tx.readOnly = mode == "only"
+		return
 	}
 	rest = strings.TrimPrefix(strings.TrimPrefix(rest, "session "), "local ")
 	name, value, ok := strings.Cut(rest, "=")
--- a/internal/stand/insta/server.go
+++ b/internal/stand/insta/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/binary"
+	"maps"
 	"net"
 	"sync"
 	"time"
@@ -71,7 +72,8 @@
 		instance: instance,
 		backend:  backend,
 		control:  user == wire.ControlUser,
-		settings: make(map[string]string),
+		settings: maps.Clone(startup.Parameters),
+		startup:  maps.Clone(startup.Parameters),
 		prepared: make(map[string]prepared),
 		portals:  make(map[string]portal),
 	}
--- a/internal/stand/insta/session.go
+++ b/internal/stand/insta/session.go
@@ -17,6 +17,7 @@
 	backend  *pgproto3.Backend
 	control  bool
 	settings map[string]string
+	startup  map[string]string
 	tx       *tx
 	mark     model.Mark
 
@@ -191,7 +192,7 @@
 		if session.instance.refusesWork() {
 			return nil, newError(wire.StateShutdown, "terminating connection due to administrator command")
 		}
-		session.tx = &tx{readOnly: session.settings["default_transaction_read_only"] == "on"}
+		session.tx = session.newTx()
 	}
 	ctx, stop := session.cancelable()
 	defer stop()
