sessn: asking for the types of a write does not run it

A driver that prepares a statement asks for its types first. Outside of a transaction that request went to the runner of the kind's access, and for a write kind it was executed as a single write, without a ledger row: the statement ran once when it was prepared and once when it was executed. It now goes to the readers, whose executions describe only. Within a transaction the backend side took the open transaction for one that the statement had opened.

Run: go test ./internal/proof/whole ./internal/edge/... ./internal/plug/..., lint.

--- a/internal/edge/back/back_test.go
+++ b/internal/edge/back/back_test.go
@@ -122,6 +122,8 @@
 	is.Equal(failed.Usable(), true)
 	_, ok = fixture.execute(t, 4, write).(event.ExecuteDone)
 	is.True(ok)
+	described := fixture.execute(t, 5, model.WorkSpec{Step: model.StepDescribe, Statement: extended("SELECT $1")}).(event.ExecuteDone)
+	is.Equal(described.Answer().(*wire.Description).ParamTypes(), []uint32{25})
 	fixture.backend.Reset(event.NewResetConn(1))
 	is.Equal(fixture.events.next(t), event.NewResetDone(1, true))
 	statements, _ := fixture.instance.seen()
--- a/internal/edge/back/work.go
+++ b/internal/edge/back/work.go
@@ -104,8 +104,11 @@
 // escaped the guard of its Work, so its connection is spoiled.
 func concludedOutcome(step model.Step, txStatus byte, reader *reader) outcome {
 	expected := byte(txIdle)
-	if step == model.StepFirst || step == model.StepNext {
+	switch step {
+	case model.StepFirst, model.StepNext:
 		expected = txOpen
+	case model.StepDescribe:
+		expected = txStatus
 	}
 	switch {
 	case txStatus == expected:
--- a/internal/plug/sessn/start.go
+++ b/internal/plug/sessn/start.go
@@ -77,9 +77,12 @@
 	caller.inForce = job.Deployment()
 	caller.inClass = job.Class()
 	access := job.Kind().Access()
-	if job.Tx() != nil {
+	switch {
+	case job.Tx() != nil:
 		caller.tx = job.Tx()
 		access = caller.tx.Access()
+	case request.Op() == model.OpDescribe:
+		access = model.AccessRead // nothing runs, whatever the kind may write
 	}
 	sessions.run(caller, job, access)
 }
--- /dev/null
+++ b/internal/proof/whole/system_test.go
@@ -0,0 +1,147 @@
+package whole
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"almondway.dev/almondway/internal/app/cli"
+	"almondway.dev/almondway/internal/app/config"
+	"almondway.dev/almondway/internal/app/logs"
+	"almondway.dev/almondway/internal/app/serve"
+	_ "almondway.dev/almondway/internal/plug/bundle" // registers the plug-ins
+	"almondway.dev/almondway/internal/stand/insta"
+	"almondway.dev/almondway/internal/stand/plat"
+	"almondway.dev/almondway/internal/stand/procs"
+	"almondway.dev/almondway/internal/stand/topol"
+)
+
+const (
+	testWait   = 20 * time.Second
+	deployment = `
+name: katalog
+groups: [katalog-1]
+default_kind: browse
+kinds:
+  - {name: browse, access: read, staleness: 10s, timeout: 5s}
+  - {name: seat_count, access: read, timeout: 5s}
+  - {name: edit, access: write, idempotent: true, timeout: 5s}
+callers:
+  - {name: registrar, read_your_writes: true}
+  - {name: student}
+`
+)
+
+// system is a running proxy with its stand-ins.
+type system struct {
+	listen   string
+	admin    string
+	topology topol.Spec
+}
+
+// newSystem starts one group of three instances and a proxy.
+func newSystem(t testing.TB) *system {
+	t.Helper()
+	is := is.New(t)
+	ports := procs.NewPorts()
+	address := func() string { return fmt.Sprintf("127.0.0.1:%d", ports.Port()) }
+	spec := topol.Spec{Slots: 8, Connections: 40}
+	group := topol.GroupSpec{ID: "katalog-1"}
+	for place := range 3 {
+		group.Instances = append(group.Instances, topol.InstanceSpec{
+			ID:         fmt.Sprintf("katalog-1-%c", 'a'+place),
+			Address:    address(),
+			DataCenter: "gradska-dvorana",
+			Primary:    place == 0,
+		})
+	}
+	spec.Groups = []topol.GroupSpec{group}
+	for _, self := range group.Instances {
+		startInstance(t, spec, self)
+	}
+	platform := httptest.NewServer(plat.New(spec).Handler())
+	t.Cleanup(platform.Close)
+	system := &system{listen: address(), admin: address(), topology: spec}
+	system.startProxy(t, platform.URL, address())
+	is.NoErr(procs.Until(system.context(t), func() error {
+		return procs.Healthy(context.Background(), "http://"+system.admin+"/healthz")
+	}))
+	system.apply(t)
+	return system
+}
+
+func startInstance(t testing.TB, spec topol.Spec, self topol.InstanceSpec) {
+	t.Helper()
+	is := is.New(t)
+	instance, err := insta.New(spec, self.ID, insta.Options{})
+	is.NoErr(err)
+	listener, err := net.Listen("tcp", self.Address)
+	is.NoErr(err)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	instance.Start()
+	go func() { _ = instance.Serve(ctx, listener) }()
+}
+
+func (system *system) startProxy(t testing.TB, platform string, peer string) {
+	t.Helper()
+	is := is.New(t)
+	spec := config.Default()
+	spec.ID, spec.DataCenter = "proxy-1", "gradska-dvorana"
+	spec.Listen, spec.AdminListen, spec.PeerListen, spec.PeerAddress = system.listen, system.admin, peer, peer
+	spec.Platform = platform
+	spec.Kernel.ConnsPerInstance, spec.Kernel.SlotsPerInstance = 40, 8
+	settings, err := config.New(spec)
+	is.NoErr(err)
+	log, err := logs.New(io.Discard, "error", 0)
+	is.NoErr(err)
+	proxy, err := serve.New(settings, log, "test")
+	is.NoErr(err)
+	ended := make(chan error, 1)
+	go func() { ended <- proxy.Run(make(chan os.Signal)) }()
+	t.Cleanup(func() {
+		proxy.Stop()
+		<-ended
+		log.Close()
+	})
+}
+
+// apply puts the deployment in force with the operators' client.
+func (system *system) apply(t testing.TB) {
+	t.Helper()
+	is := is.New(t)
+	file := filepath.Join(t.TempDir(), "katalog.yaml")
+	is.NoErr(os.WriteFile(file, []byte(deployment), 0o600))
+	is.NoErr(procs.Until(system.context(t), func() error {
+		return procs.Healthy(context.Background(), "http://"+system.admin+"/readyz")
+	}))
+	is.Equal(cli.Run([]string{"deployment", "apply", file, "--admin", "http://" + system.admin}, io.Discard, os.Stderr), 0)
+	is.NoErr(procs.Until(system.context(t), func() error {
+		return procs.Listening(context.Background(), system.listen)
+	}))
+}
+
+func (system *system) context(t testing.TB) context.Context {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), testWait)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+// url returns the connection string of a class of caller.
+func (system *system) url(class string) string {
+	return "postgres://" + class + "@" + system.listen + "/katalog?sslmode=disable"
+}
+
+// directURL returns the connection string of the primary itself.
+func (system *system) directURL() string {
+	return "postgres://almondway@" + system.topology.Groups[0].Primary().Address + "/katalog?sslmode=disable"
+}
