--- a/internal/edge/back/back_test.go
+++ b/internal/edge/back/back_test.go
@@ -46,6 +46,10 @@
 	return wire.NewStatement(wire.StatementSpec{SQL: sql, Simple: true})
 }
 
+func withModes(modes string) model.Payload {
+	return wire.NewStatement(wire.StatementSpec{SQL: "SELECT 1", Simple: true, BeginModes: modes})
+}
+
 func extended(sql string, params ...string) model.Payload {
 	spec := wire.StatementSpec{SQL: sql}
 	for _, param := range params {
@@ -61,6 +65,7 @@
 		return spec
 	}
 	const begin = "SELECT almondway_begin('16777216', 'id', '9')"
+	const readWrite = "SET TRANSACTION READ WRITE"
 	tests := []struct {
 		name string
 		work model.WorkSpec
@@ -68,13 +73,15 @@
 	}{
 		{"read", model.WorkSpec{Statement: simple("SELECT 1")}, []string{"SELECT 1"}},
 		{"read with parameters", model.WorkSpec{Statement: extended("SELECT $1", "x")}, []string{"SELECT $1"}},
-		{"write", withStep(write, model.StepSingle, simple("UPDATE x")), []string{begin, "UPDATE x"}},
-		{"write with parameters", withStep(write, model.StepSingle, extended("UPDATE x", "y")), []string{begin, "UPDATE x"}},
-		{"first of write", withStep(write, model.StepFirst, simple("UPDATE x")), []string{"BEGIN", begin, "UPDATE x"}},
-		{"first of write with parameters", withStep(write, model.StepFirst, extended("UPDATE x")), []string{"BEGIN", begin, "UPDATE x"}},
+		{"write", withStep(write, model.StepSingle, simple("UPDATE x")), []string{readWrite, begin, "UPDATE x"}},
+		{"write with parameters", withStep(write, model.StepSingle, extended("UPDATE x", "y")), []string{readWrite, begin, "UPDATE x"}},
+		{"first of write", withStep(write, model.StepFirst, simple("UPDATE x")), []string{"BEGIN READ WRITE", begin, "UPDATE x"}},
+		{"first of write with parameters", withStep(write, model.StepFirst, extended("UPDATE x")), []string{"BEGIN READ WRITE", begin, "UPDATE x"}},
 		{"first of read", model.WorkSpec{Step: model.StepFirst, Statement: simple("SELECT 1")}, []string{"BEGIN READ ONLY", "SELECT 1"}},
-		{"settle", withStep(write, model.StepSettle, nil), []string{"SELECT almondway_settle('16777216', 'id')"}},
-		{"trim", withStep(write, model.StepTrim, nil), []string{"SELECT almondway_trim('16777216', 'id')"}},
+		{"first with modes", model.WorkSpec{Step: model.StepFirst, Statement: withModes("ISOLATION LEVEL SERIALIZABLE")}, []string{"BEGIN ISOLATION LEVEL SERIALIZABLE READ ONLY", "SELECT 1"}},
+		{"first read-only", model.WorkSpec{Step: model.StepFirst, Statement: withModes("READ ONLY")}, []string{"BEGIN READ ONLY", "SELECT 1"}},
+		{"settle", withStep(write, model.StepSettle, nil), []string{readWrite, "SELECT almondway_settle('16777216', 'id')"}},
+		{"trim", withStep(write, model.StepTrim, nil), []string{readWrite, "SELECT almondway_trim('16777216', 'id')"}},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -115,6 +122,8 @@
 	is.Equal(failed.Usable(), true)
 	_, ok = fixture.execute(t, 4, write).(event.ExecuteDone)
 	is.True(ok)
+	described := fixture.execute(t, 5, model.WorkSpec{Step: model.StepDescribe, Statement: extended("SELECT $1")}).(event.ExecuteDone)
+	is.Equal(described.Answer().(*wire.Description).ParamTypes(), []uint32{25})
 	fixture.backend.Reset(event.NewResetConn(1))
 	is.Equal(fixture.events.next(t), event.NewResetDone(1, true))
 	statements, _ := fixture.instance.seen()
