writes: table cases, and no work for silent instances

Cause: a write was sent to a primary that had been silent for up to the probe timeout, and then ended as unknown.

Change: an instance that was not heard for half of the silence limit gets no new reads or writes; the probe timeout is 800 ms. Log lines for settlements, refused acknowledgements, retries, repeats and spoiled connections.

Ruled out: a shorter probe timeout instead; a 500 ms pause would then count as a failed probe.

Run: go test ./internal/plug/...

--- /dev/null
+++ b/internal/core/route/serves.go
@@ -0,0 +1,23 @@
+package route
+
+import (
+	"almondway.dev/almondway/internal/core/kern"
+	"almondway.dev/almondway/internal/core/model"
+	"almondway.dev/almondway/internal/core/state"
+)
+
+const (
+	// silenceDivisor gives the part of the silence limit after which an instance
+	// gets no new work.
+	silenceDivisor = 2
+	// silentProbes is the least silence, in probe intervals, that counts.
+	silentProbes = 4
+)
+
+// Serves reports whether an instance may be given work of term: it holds the
+// term, answered its last probe, and was heard lately.
+func Serves(context *kern.Context, member *state.Member, term model.Term) bool {
+	settings := context.Settings()
+	limit := max(settings.SilenceLimit()/silenceDivisor, silentProbes*settings.ProbeInterval())
+	return member.Serves(term) && context.Now()-member.SentAt() <= limit
+}
--- a/internal/core/tune/tune.go
+++ b/internal/core/tune/tune.go
@@ -30,7 +30,7 @@
 const (
 	defaultProbeInterval     = 50 * time.Millisecond
 	defaultProbeSpacing      = time.Millisecond
-	defaultProbeTimeout      = 2 * time.Second
+	defaultProbeTimeout      = 800 * time.Millisecond
 	defaultSilenceLimit      = 560 * time.Millisecond
 	defaultPromotionStagger  = 60 * time.Millisecond
 	defaultOrderTimeout      = time.Second
--- a/internal/plug/conns/answer.go
+++ b/internal/plug/conns/answer.go
@@ -90,8 +90,7 @@
 		pools.context.Publish(event.NewLeavingChanged(conn.pool.instance.ID(), true))
 	}
 	if !failed.Usable() {
-		pools.context.Emit(event.NewCloseConn(conn.id))
-		pools.drop(conn)
+		pools.spoil(conn, "the answer was lost")
 	}
 	taker.ExecuteFailed(failed)
 }
--- a/internal/plug/conns/conns.go
+++ b/internal/plug/conns/conns.go
@@ -153,7 +153,17 @@
 		return
 	}
 	pools.Cancel(id)
-	pools.context.Emit(event.NewCloseConn(id))
+	pools.spoil(conn, "the answer was abandoned")
+}
+
+// spoil closes a connection that must not be used again.
+func (pools *Pools) spoil(conn *conn, reason string) {
+	pools.context.Emit(event.NewLogDecision(model.Decision{
+		Name:     "conn_spoiled",
+		Instance: conn.pool.instance.ID(),
+		Reason:   reason,
+	}))
+	pools.context.Emit(event.NewCloseConn(conn.id))
 	pools.drop(conn)
 }
 
--- a/internal/plug/reads/choose.go
+++ b/internal/plug/reads/choose.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"almondway.dev/almondway/internal/core/model"
+	"almondway.dev/almondway/internal/core/route"
 	"almondway.dev/almondway/internal/core/state"
 )
 
@@ -28,7 +29,7 @@
 		return replica.ID(), "replica"
 	}
 	primary := view.Primary()
-	if primary == nil || !primary.Serves(view.Term()) || primary.Leaving() {
+	if primary == nil || !reads.serves(primary, view) || primary.Leaving() {
 		return "", ""
 	}
 	switch {
@@ -49,7 +50,7 @@
 	var best *state.Member
 	var bestLoad, count, ties int
 	for _, member := range view.Members() {
-		if member == view.Primary() || !member.Serves(view.Term()) || member.Leaving() {
+		if member == view.Primary() || !reads.serves(member, view) || member.Leaving() {
 			continue
 		}
 		count++
@@ -83,6 +84,10 @@
 	return view.Within(tail, nearLag, now)
 }
 
+func (reads *Reads) serves(member *state.Member, view *state.Group) bool {
+	return route.Serves(reads.context, member, view.Term())
+}
+
 // load returns what runs and waits at an instance. Another data centre and an
 // instance that just failed count in addition.
 func (reads *Reads) load(read *read, member *state.Member) int {
--- a/internal/plug/reads/prove.go
+++ b/internal/plug/reads/prove.go
@@ -39,6 +39,7 @@
 // repeat runs the read again. The first statement of a transaction may move to
 // another instance; a later one waits until its instance has caught up.
 func (read *read) repeat(view *state.Group) {
+	read.log("repeat", "the answer was too old")
 	read.answer = nil
 	tx := read.job.Tx()
 	switch {
@@ -58,7 +59,7 @@
 // reported to have what the statement needs.
 func (read *read) catchUp(view *state.Group) {
 	member := view.Member(read.instance)
-	if member != nil && member.Serves(view.Term()) && read.judge.Suffices(view, member.Status().Tail(), read.reads.context.Now()) {
+	if member != nil && read.reads.serves(member, view) && read.judge.Suffices(view, member.Status().Tail(), read.reads.context.Now()) {
 		read.resume()
 		return
 	}
--- a/internal/plug/reads/read.go
+++ b/internal/plug/reads/read.go
@@ -215,10 +215,25 @@
 	if tx != nil {
 		tx.Restart()
 	}
+	read.log("retry", "the answer was lost")
 	read.avoided = read.instance
 	read.seek()
 }
 
+// log writes a decision that the result alone does not show.
+func (read *read) log(name, reason string) {
+	read.reads.context.Emit(event.NewLogDecision(model.Decision{
+		Name:       name,
+		Caller:     read.job.Request().Caller(),
+		Deployment: read.job.Deployment().Name(),
+		Kind:       read.job.Kind().Name(),
+		Group:      read.job.Group(),
+		Instance:   read.instance,
+		Term:       read.term,
+		Reason:     reason,
+	}))
+}
+
 func (read *read) finish(result route.ResultSpec) {
 	result.Instance = read.instance
 	read.end()
--- a/internal/plug/writes/confirm.go
+++ b/internal/plug/writes/confirm.go
@@ -29,6 +29,7 @@
 	case view.Acknowledged(write.mark):
 		write.conclude()
 	case view.Term() > write.mark.Term():
+		write.log("ack_refused", codes.PrimaryChanged, "the term was replaced before a majority had the mark")
 		write.settle()
 	default:
 		write.demand()
@@ -52,6 +53,7 @@
 // settle finds out in the current term whether the write ran, and makes sure
 // that it never will if it did not.
 func (write *write) settle() {
+	write.log("settle", codes.OK, "the outcome is not known")
 	write.settles = true
 	write.doubt = true
 	write.fenced = 0
--- a/internal/plug/writes/fail.go
+++ b/internal/plug/writes/fail.go
@@ -100,6 +100,7 @@
 	if tx := write.job.Tx(); tx != nil {
 		tx.Restart()
 	}
+	write.log("retry", codes.OK, "the write did not run")
 	write.backOff()
 }
 
--- a/internal/plug/writes/tx.go
+++ b/internal/plug/writes/tx.go
@@ -73,7 +73,7 @@
 	case writeSeeking:
 		write.seek()
 	case writeAcquiring:
-		if replaced || primary(view) == nil {
+		if replaced || write.writes.primary(view) == nil {
 			write.writes.conns.Withdraw(write.ticket)
 			write.ticket = 0
 			write.seek()
--- a/internal/plug/writes/write.go
+++ b/internal/plug/writes/write.go
@@ -81,7 +81,7 @@
 // seek asks for a connection to the primary, or waits for a primary.
 func (write *write) seek() {
 	view := write.view()
-	primary := primary(view)
+	primary := write.writes.primary(view)
 	if primary == nil || view.Term() == write.fenced {
 		write.state = writeSeeking
 		write.demand()
@@ -184,6 +184,21 @@
 	}
 }
 
+// log writes a decision that the result alone does not show.
+func (write *write) log(name string, code codes.Code, reason string) {
+	write.writes.context.Emit(event.NewLogDecision(model.Decision{
+		Name:       name,
+		Caller:     write.job.Request().Caller(),
+		RequestID:  write.id,
+		Deployment: write.job.Deployment().Name(),
+		Group:      write.job.Group(),
+		Instance:   write.instance,
+		Term:       write.term,
+		Reason:     reason,
+		Code:       code,
+	}))
+}
+
 // finish gives the write its result.
 func (write *write) finish(result route.ResultSpec) {
 	result.Instance = write.instance
--- a/internal/plug/writes/writes.go
+++ b/internal/plug/writes/writes.go
@@ -109,13 +109,14 @@
 	}
 }
 
-// primary returns the primary of a group if it may take writes.
-func primary(view *state.Group) *state.Member {
+// primary returns the primary of a group if it may take writes. A silent one is
+// not given any, because what it does with them would be unknown.
+func (writes *Writes) primary(view *state.Group) *state.Member {
 	if view == nil || view.Term() == 0 {
 		return nil
 	}
 	primary := view.Primary()
-	if primary == nil || !primary.Serves(view.Term()) || primary.Leaving() {
+	if primary == nil || primary.Leaving() || !route.Serves(writes.context, primary, view.Term()) {
 		return nil
 	}
 	return primary
--- a/internal/plug/writes/writes_test.go
+++ b/internal/plug/writes/writes_test.go
@@ -1,12 +1,15 @@
 package writes
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
 	"almondway.dev/almondway/internal/core/codes"
+	"almondway.dev/almondway/internal/core/event"
+	"almondway.dev/almondway/internal/core/ident"
 	"almondway.dev/almondway/internal/core/model"
 	"almondway.dev/almondway/internal/core/tune"
 	_ "almondway.dev/almondway/internal/plug/conns"
@@ -17,7 +20,12 @@
 	"almondway.dev/almondway/internal/stand/script"
 )
 
-const registrar model.CallerID = 1
+const (
+	registrar model.CallerID = 1
+	answer                   = script.Text("answer")
+)
+
+var requestID = ident.New(time.Date(2026, 12, 3, 20, 0, 0, 0, time.UTC), rand.New(rand.NewPCG(1, 1)))
 
 func deployment() *model.Deployment {
 	return model.NewDeployment(model.DeploymentSpec{
@@ -36,26 +44,195 @@
 func start() *script.Script {
 	started := script.New(deployment(), tune.Default())
 	started.Open(registrar, "registrar")
-	started.Executions()
 	started.Actions()
 	return started
 }
 
-func TestWriteNeedsAMajority(t *testing.T) {
-	is := is.New(t)
-	mark := script.Mark(1, 2)
-	script := start()
-	script.Send(model.RequestSpec{Caller: registrar, Kind: "edit"})
+// step is one step of a scripted history.
+type step func(script *script.Script)
+
+// done answers the running execution, which must be of the given step on the given instance.
+func done(instance model.InstanceID, work model.Step, mark model.Mark) step {
+	return func(script *script.Script) {
+		script.Done(expect(script, instance, work), mark, answer)
+	}
+}
+
+func fail(instance model.InstanceID, work model.Step, class model.FailureClass, mark model.Mark) step {
+	return func(script *script.Script) {
+		script.Fail(expect(script, instance, work), class, mark)
+	}
+}
+
+// unanswered takes the running execution, whose answer never comes.
+func unanswered(instance model.InstanceID, work model.Step) step {
+	return func(script *script.Script) { expect(script, instance, work) }
+}
+
+func expect(script *script.Script, instance model.InstanceID, work model.Step) script.Execution {
 	execution := script.Execution()
-	is.Equal(execution.Instance, model.InstanceID("katalog-1-a")) // the primary
-	is.True(execution.Work.Write())
-	script.Done(execution, mark, nil)
-	is.Equal(len(script.Replies()), 0) // the primary's answer alone proves nothing
-	script.Instance("katalog-1-b").Tail = mark
-	script.Advance(100 * time.Millisecond)
-	reply := script.Reply()
+	if execution.Instance != instance || execution.Work.Step() != work {
+		panic("unexpected execution on " + string(execution.Instance))
+	}
+	return execution
+}
+
+func tail(instance model.InstanceID, mark model.Mark) step {
+	return func(script *script.Script) { script.Instance(instance).Tail = mark }
+}
+
+func fence(instance model.InstanceID, count uint64) step {
+	return func(played *script.Script) { played.Instance(instance).Fence = script.Term(count) }
+}
+
+func wait(delay time.Duration) step {
+	return func(script *script.Script) { script.Advance(delay) }
+}
+
+// promote cuts A off and lets B lead the next term.
+func promote(played *script.Script) {
+	played.Instance(script.A).Silent = true
+	played.Promote(script.B, 2, script.C)
+	played.Advance(100 * time.Millisecond)
+}
+
+func silence(played *script.Script) {
+	for _, id := range []model.InstanceID{script.A, script.B, script.C} {
+		played.Instance(id).Silent = true
+	}
+	played.Advance(time.Second)
+}
+
+func TestWrite(t *testing.T) {
+	const (
+		single  = model.StepSingle
+		settles = model.StepSettle
+		a       = script.A
+		b       = script.B
+	)
+	first := script.Mark(1, 2)
+	second := script.Mark(2, 3)
+	none := model.Mark{}
+	tests := []struct {
+		name      string
+		kind      string
+		requestID string
+		steps     []step
+		outcome   model.Outcome
+		code      codes.Code
+		replayed  bool
+	}{
+		{"acknowledged by a replica", "edit", "", []step{done(a, single, first), tail(b, first)}, model.OutcomeDone, codes.OK, false},
+		{"answer of the primary alone", "edit", "", []step{done(a, single, first), wait(time.Second)}, model.OutcomeUnknown, codes.OutcomeUnknown, false},
+		{"report of an instance with another fence", "edit", "", []step{
+			done(a, single, first), tail(b, first), fence(b, 2), wait(time.Second),
+		}, model.OutcomeUnknown, codes.OutcomeUnknown, false},
+		{"error of the database", "edit", "", []step{fail(a, single, model.FailureStatement, none)}, model.OutcomeNotRun, codes.Statement, false},
+		{"replayed", "enrol", requestID, []step{fail(a, single, model.FailureReplay, first), tail(b, first)}, model.OutcomeDone, codes.OK, true},
+		{"replay that no majority has", "enrol", requestID, []step{
+			fail(a, single, model.FailureReplay, first), wait(time.Second),
+		}, model.OutcomeUnknown, codes.OutcomeUnknown, false},
+		{"tombstone", "enrol", requestID, []step{fail(a, single, model.FailureTombstone, first), tail(b, first)}, model.OutcomeNotRun, codes.RequestIDSettled, false},
+		{"id of another statement", "enrol", requestID, []step{fail(a, single, model.FailureMismatch, none)}, model.OutcomeNotRun, codes.RequestIDReused, false},
+		{"no request id", "enrol", "", nil, model.OutcomeNotRun, codes.RequestIDMissing, false},
+		{"request id that is no UUID", "enrol", "17", nil, model.OutcomeNotRun, codes.MalformedRequestID, false},
+		{"request id beyond retention", "enrol", ident.Floor(time.Date(2026, 12, 2, 20, 0, 0, 0, time.UTC)), nil, model.OutcomeNotRun, codes.RequestIDExpired, false},
+		{"request id from the future", "enrol", ident.Floor(time.Date(2026, 12, 3, 21, 0, 0, 0, time.UTC)), nil, model.OutcomeNotRun, codes.RequestIDExpired, false},
+		{"refused by a fenced primary", "enrol", requestID, []step{
+			fail(a, single, model.FailureFenced, none), promote, done(b, single, second), tail(script.C, second),
+		}, model.OutcomeDone, codes.OK, false},
+		{"never sent", "enrol", requestID, []step{
+			fail(a, single, model.FailureNotSent, none), wait(50 * time.Millisecond), done(a, single, first), tail(b, first),
+		}, model.OutcomeDone, codes.OK, false},
+		{"lost and settled as done", "enrol", requestID, []step{
+			fail(a, single, model.FailureLost, none), fail(a, settles, model.FailureReplay, first), tail(b, first),
+		}, model.OutcomeDone, codes.OK, true},
+		{"lost and settled as not run", "enrol", requestID, []step{
+			fail(a, single, model.FailureLost, none), done(a, settles, first), tail(b, first),
+		}, model.OutcomeNotRun, codes.RequestIDSettled, false},
+		{"settlement that no majority has", "enrol", requestID, []step{
+			fail(a, single, model.FailureLost, none), done(a, settles, first), wait(time.Second),
+		}, model.OutcomeUnknown, codes.OutcomeUnknown, false},
+		{"lost, settled and run under a new id", "edit", "", []step{
+			fail(a, single, model.FailureLost, none), done(a, settles, first), tail(b, first), wait(50 * time.Millisecond),
+			done(a, single, script.Mark(1, 3)), tail(b, script.Mark(1, 3)),
+		}, model.OutcomeDone, codes.OK, false},
+		{"lost and no primary", "enrol", requestID, []step{unanswered(a, single), silence}, model.OutcomeUnknown, codes.OutcomeUnknown, false},
+		{"replaced while it ran, row survived", "enrol", requestID, []step{
+			unanswered(a, single), promote, fail(b, settles, model.FailureReplay, second), tail(script.C, second),
+		}, model.OutcomeDone, codes.OK, true},
+		{"replaced before the acknowledgement, row survived", "enrol", requestID, []step{
+			done(a, single, first), promote, fail(b, settles, model.FailureReplay, second), tail(script.C, second),
+		}, model.OutcomeDone, codes.OK, false},
+		{"replaced before the acknowledgement, row lost", "enrol", requestID, []step{
+			done(a, single, first), promote, done(b, settles, second), tail(script.C, second),
+		}, model.OutcomeNotRun, codes.RequestIDSettled, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			played := start()
+			played.Send(model.RequestSpec{Caller: registrar, Kind: test.kind, RequestID: test.requestID})
+			for _, step := range test.steps {
+				is.Equal(len(played.Replies()), 0) // answered before the outcome is proved
+				step(played)
+			}
+			played.Advance(50 * time.Millisecond)
+			reply := played.Reply()
+			is.True(reply != nil)
+			is.Equal(reply.Code(), test.code)
+			is.Equal(reply.Outcome(), test.outcome)
+			is.Equal(reply.Replayed(), test.replayed)
+			is.Equal(len(played.Executions()), 0)
+		})
+	}
+}
+
+func TestWriteWaitsForAPrimary(t *testing.T) {
+	is := is.New(t)
+	played := start()
+	silence(played)
+	played.Send(model.RequestSpec{Caller: registrar, Kind: "edit"})
+	played.Advance(900 * time.Millisecond)
+	is.Equal(len(played.Replies()), 0)
+	played.Advance(200 * time.Millisecond)
+	reply := played.Reply()
 	is.True(reply != nil)
-	is.Equal(reply.Code(), codes.OK)
-	is.Equal(reply.Outcome(), model.OutcomeDone)
-	is.Equal(reply.Token().Mark("katalog-1"), mark)
+	is.Equal(reply.Outcome(), model.OutcomeNotRun)
+	is.Equal(reply.Code(), codes.NoPrimary)
+	is.True(reply.RetryAfter() > 0)
+	is.Equal(len(played.Executions()), 0)
+}
+
+func TestTokenOfAWrite(t *testing.T) {
+	is := is.New(t)
+	played := start()
+	mark := script.Mark(1, 2)
+	played.Send(model.RequestSpec{Caller: registrar, Kind: "edit"})
+	done(script.A, model.StepSingle, mark)(played)
+	tail(script.B, mark)(played)
+	played.Advance(50 * time.Millisecond)
+	is.Equal(played.Reply().Token().Mark(script.Group), mark)
+}
+
+func TestTrim(t *testing.T) {
+	is := is.New(t)
+	played := start()
+	played.Advance(61 * time.Second)
+	execution := expect(played, script.A, model.StepTrim)
+	is.Equal(execution.Work.Guard(), script.Term(1))
+	_, origin, err := ident.Parse(execution.Work.LedgerID())
+	is.NoErr(err)
+	is.True(origin.Before(time.Date(2026, 12, 2, 20, 2, 1, 0, time.UTC)))
+	played.Done(execution, script.Mark(1, 2), nil)
+}
+
+// closes reports whether the connection was closed.
+func closes(actions []event.Action, conn model.ConnID) bool {
+	for _, action := range actions {
+		if closed, ok := action.(event.CloseConn); ok && closed.Conn() == conn {
+			return true
+		}
+	}
+	return false
 }
--- a/internal/stand/script/caller.go
+++ b/internal/stand/script/caller.go
@@ -94,3 +94,10 @@
 	script.others = nil
 	return actions
 }
+
+// Resets returns the connections that were reset since the last call.
+func (script *Script) Resets() []model.ConnID {
+	resets := script.resets
+	script.resets = nil
+	return resets
+}
--- a/internal/stand/script/instance.go
+++ b/internal/stand/script/instance.go
@@ -80,6 +80,7 @@
 		}
 		return event.NewConnOpened(action.Conn())
 	case event.ResetConn:
+		script.resets = append(script.resets, action.Conn())
 		return event.NewResetDone(action.Conn(), true)
 	default:
 		return nil
--- a/internal/stand/script/script.go
+++ b/internal/stand/script/script.go
@@ -44,6 +44,7 @@
 	executes  []event.Execute
 	replies   []*model.Reply
 	others    []event.Action
+	resets    []model.ConnID
 	lastSeq   model.RequestSeq
 }
 
