plug: tests of the request path and a benchmark of one statement

Reads of a deployment that spares the primary wait up to one probe interval for replicas that may be in service, so that a proxy that was paused does not send them all to the primary. kern.NewWith makes a kernel of given plug-ins.

Ruled out: reusing tickets and jobs; their references outlive the call.

--- a/internal/core/kern/context.go
+++ b/internal/core/kern/context.go
@@ -19,6 +19,7 @@
 	started  time.Time
 	services map[string]any
 	events   []event.Event
+	taken    int
 	actions  []event.Action
 	lastID   uint64
 }
@@ -77,15 +78,16 @@
 	context.actions = context.actions[:0]
 }
 
+// nextEvent takes the event that was published first. The list is reused once
+// all of its events are taken.
 func (context *Context) nextEvent() (event.Event, bool) {
-	if len(context.events) == 0 {
+	if context.taken == len(context.events) {
+		context.events = context.events[:0]
+		context.taken = 0
 		return nil, false
 	}
-	next := context.events[0]
-	context.events[0] = nil
-	context.events = context.events[1:]
-	if len(context.events) == 0 {
-		context.events = nil
-	}
+	next := context.events[context.taken]
+	context.events[context.taken] = nil
+	context.taken++
 	return next, true
 }
--- a/internal/core/kern/kern.go
+++ b/internal/core/kern/kern.go
@@ -23,9 +23,18 @@
 // New returns a Kernel with every registered plug-in. started is the wall-clock
 // time at which the kernel's clock stands at zero; seed feeds its random source.
 func New(self model.ProxyView, settings *tune.Settings, started time.Time, seed uint64) *Kernel {
-	kernel := &Kernel{context: newContext(state.New(self), settings, timer.New(), started, seed)}
+	factories := make([]Factory, 0, len(registrations))
 	for _, registration := range registrations {
-		kernel.plugins = append(kernel.plugins, registration.factory(kernel.context))
+		factories = append(factories, registration.factory)
+	}
+	return NewWith(self, settings, started, seed, factories...)
+}
+
+// NewWith returns a Kernel with the given plug-ins only, in their order.
+func NewWith(self model.ProxyView, settings *tune.Settings, started time.Time, seed uint64, factories ...Factory) *Kernel {
+	kernel := &Kernel{context: newContext(state.New(self), settings, timer.New(), started, seed)}
+	for _, factory := range factories {
+		kernel.plugins = append(kernel.plugins, factory(kernel.context))
 	}
 	return kernel
 }
--- /dev/null
+++ b/internal/plug/conns/conns_test.go
@@ -0,0 +1,275 @@
+package conns
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"almondway.dev/almondway/internal/core/codes"
+	"almondway.dev/almondway/internal/core/event"
+	"almondway.dev/almondway/internal/core/kern"
+	"almondway.dev/almondway/internal/core/model"
+	"almondway.dev/almondway/internal/core/route"
+	"almondway.dev/almondway/internal/core/tune"
+	"almondway.dev/almondway/internal/plug/limit"
+)
+
+const instance model.InstanceID = "katalog-1-b"
+
+// taker records what it was told.
+type taker struct {
+	conn   model.ConnID
+	code   codes.Code
+	done   int
+	failed int
+	lost   int
+}
+
+func (taker *taker) ConnGranted(conn model.ConnID) { taker.conn = conn }
+
+func (taker *taker) ConnDenied(code codes.Code, _ time.Duration) { taker.code = code }
+
+func (taker *taker) ExecuteDone(event.ExecuteDone) { taker.done++ }
+
+func (taker *taker) ExecuteFailed(event.ExecuteFailed) { taker.failed++ }
+
+func (taker *taker) ConnLost(model.ConnID) { taker.lost++ }
+
+// bench is a kernel with the pools of one instance.
+type bench struct {
+	kernel  *kern.Kernel
+	pools   *Pools
+	now     time.Duration
+	actions []event.Action
+}
+
+func newBench(proxies int) *bench {
+	bench := &bench{}
+	catch := func(context *kern.Context) kern.Plugin {
+		bench.pools = New(context).(*Pools)
+		return bench.pools
+	}
+	spec := tune.Default()
+	spec.SlotsPerInstance = 1000
+	bench.kernel = kern.NewWith(model.ProxyView{}, tune.New(spec), time.Time{}, 1, limit.New, catch)
+	state := bench.kernel.State()
+	state.SetGroups([]model.Group{model.NewGroup("katalog-1", []model.Instance{model.NewInstance(instance, "127.0.0.1:1", "")})})
+	state.SetProxies(make([]model.ProxyView, proxies))
+	return bench
+}
+
+func (bench *bench) acquire() *taker {
+	asked := &taker{}
+	bench.do(func() { bench.pools.Acquire(route.Ask{Instance: instance}, asked) })
+	return asked
+}
+
+// do runs a call of a plug-in within the kernel.
+func (bench *bench) do(call func()) {
+	bench.pools.context.Timers().After(0, call)
+	bench.tick(0)
+}
+
+func (bench *bench) release(conn model.ConnID, dirty bool) {
+	bench.do(func() { bench.pools.Release(conn, dirty) })
+}
+
+func (bench *bench) tick(delay time.Duration) {
+	bench.now += delay
+	bench.actions = append(bench.actions, bench.kernel.Tick(bench.now)...)
+}
+
+func (bench *bench) handle(received event.Event) {
+	bench.actions = append(bench.actions, bench.kernel.Handle(bench.now, received)...)
+}
+
+// opens takes the openings that were asked for.
+func (bench *bench) opens() []model.ConnID {
+	var opens []model.ConnID
+	var others []event.Action
+	for _, action := range bench.actions {
+		if open, ok := action.(event.OpenConn); ok {
+			opens = append(opens, open.Conn())
+			continue
+		}
+		others = append(others, action)
+	}
+	bench.actions = others
+	return opens
+}
+
+// open answers every opening until none is asked for.
+func (bench *bench) open() int {
+	count := 0
+	for opens := bench.opens(); len(opens) > 0; opens = bench.opens() {
+		for _, conn := range opens {
+			count++
+			bench.handle(event.NewConnOpened(conn))
+		}
+	}
+	return count
+}
+
+// closed reports whether the connection was closed.
+func (bench *bench) closed(conn model.ConnID) bool {
+	for _, action := range bench.actions {
+		if closing, ok := action.(event.CloseConn); ok && closing.Conn() == conn {
+			return true
+		}
+	}
+	return false
+}
+
+// exec returns the last execution.
+func (bench *bench) exec() model.ExecID {
+	var exec model.ExecID
+	for _, action := range bench.actions {
+		if execute, ok := action.(event.Execute); ok {
+			exec = execute.Exec()
+		}
+	}
+	return exec
+}
+
+func TestShare(t *testing.T) {
+	tests := []struct {
+		name    string
+		proxies int
+		conns   int
+	}{
+		{"alone", 1, 35},
+		{"six proxies", 6, 5},
+		{"eight proxies", 8, 4},
+		{"more proxies than connections", 100, 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			bench := newBench(test.proxies)
+			granted := 0
+			var takers []*taker
+			for range 50 {
+				takers = append(takers, bench.acquire())
+			}
+			is.True(len(bench.pools.conns) <= maxOpening) // no storm
+			bench.open()
+			for _, taker := range takers {
+				if taker.conn != 0 {
+					granted++
+				}
+			}
+			is.Equal(granted, test.conns)
+			is.Equal(takers[0].conn != 0, true) // the longest wait first
+		})
+	}
+}
+
+func TestReuse(t *testing.T) {
+	done := func(bench *bench, conn model.ConnID) {
+		bench.handle(event.NewExecuteDone(bench.exec(), conn, model.Mark{}, nil))
+		bench.release(conn, false)
+	}
+	tests := []struct {
+		name   string
+		end    func(bench *bench, conn model.ConnID)
+		closed bool
+		reused bool
+	}{
+		{"clean", done, false, true},
+		{"answer lost", func(bench *bench, conn model.ConnID) {
+			bench.handle(event.NewExecuteFailed(bench.exec(), conn, model.FailureLost, false, model.Mark{}, nil))
+		}, true, false},
+		{"answer abandoned", func(bench *bench, conn model.ConnID) {
+			bench.do(func() { bench.pools.Discard(conn) })
+		}, true, false},
+		{"after a transaction, not reset yet", func(bench *bench, conn model.ConnID) {
+			bench.handle(event.NewExecuteDone(bench.exec(), conn, model.Mark{}, nil))
+			bench.release(conn, true)
+		}, false, false},
+		{"after a transaction, reset", func(bench *bench, conn model.ConnID) {
+			bench.handle(event.NewExecuteDone(bench.exec(), conn, model.Mark{}, nil))
+			bench.release(conn, true)
+			bench.handle(event.NewResetDone(conn, true))
+		}, false, true},
+		{"after a transaction, reset failed", func(bench *bench, conn model.ConnID) {
+			bench.handle(event.NewExecuteDone(bench.exec(), conn, model.Mark{}, nil))
+			bench.release(conn, true)
+			bench.handle(event.NewResetDone(conn, false))
+		}, false, false},
+		{"closed by the instance", func(bench *bench, conn model.ConnID) {
+			done(bench, conn)
+			bench.handle(event.NewConnClosed(conn))
+		}, false, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			bench := newBench(35) // one connection
+			first := bench.acquire()
+			bench.open()
+			bench.do(func() { bench.pools.Execute(first.conn, model.NewWork(model.WorkSpec{})) })
+			test.end(bench, first.conn)
+			bench.tick(0)
+			is.Equal(bench.closed(first.conn), test.closed)
+			second := bench.acquire()
+			is.Equal(second.conn == first.conn, test.reused)
+			bench.handle(event.NewExecuteDone(bench.exec(), first.conn, model.Mark{}, nil)) // late
+			is.True(first.done+first.failed <= 1)
+			is.Equal(second.done, 0)
+		})
+	}
+}
+
+func TestOpenFails(t *testing.T) {
+	is := is.New(t)
+	bench := newBench(35)
+	asked := bench.acquire()
+	for _, conn := range bench.opens() {
+		bench.handle(event.NewConnFailed(conn, model.FailRefused))
+	}
+	is.Equal(asked.code, unreachable)
+	bench.acquire()
+	is.Equal(len(bench.opens()), 0) // held back
+	bench.tick(2 * firstBackoff)
+	is.Equal(len(bench.opens()), 1)
+}
+
+func TestOpenWhileTheInstanceIsFull(t *testing.T) {
+	is := is.New(t)
+	bench := newBench(35)
+	asked := bench.acquire()
+	for _, conn := range bench.opens() {
+		bench.handle(event.NewConnFailed(conn, model.FailFull))
+	}
+	is.Equal(asked.code, codes.OK) // still waits
+	bench.tick(2 * firstBackoff)
+	bench.open()
+	is.True(asked.conn != 0)
+}
+
+func TestIdleConnectionsAreClosed(t *testing.T) {
+	is := is.New(t)
+	bench := newBench(1)
+	var takers []*taker
+	for range 35 {
+		takers = append(takers, bench.acquire())
+	}
+	bench.open()
+	for _, taker := range takers {
+		bench.release(taker.conn, false)
+	}
+	bench.tick(6 * time.Minute)
+	is.Equal(len(bench.pools.conns), 35/warmDivisor)
+}
+
+func TestConnectionLostInATransaction(t *testing.T) {
+	is := is.New(t)
+	bench := newBench(35)
+	asked := bench.acquire()
+	bench.open()
+	bench.pools.Park(asked.conn)
+	bench.handle(event.NewConnClosed(asked.conn))
+	is.Equal(asked.lost, 1)
+	is.True(!bench.pools.Resume(asked.conn, asked))
+}
--- /dev/null
+++ b/internal/plug/reads/bench_test.go
@@ -0,0 +1,41 @@
+package reads
+
+import (
+	"testing"
+	"time"
+
+	"almondway.dev/almondway/internal/core/event"
+	"almondway.dev/almondway/internal/core/model"
+	"almondway.dev/almondway/internal/core/tune"
+	"almondway.dev/almondway/internal/stand/script"
+)
+
+// BenchmarkStatement measures the decision path of one read of stated age: from
+// the request to the execution and from the answer to the reply.
+func BenchmarkStatement(b *testing.B) {
+	played := script.New(deployment(model.LagWait), tune.Default())
+	played.Open(student, "student")
+	played.Advance(2 * time.Second) // opens the warm connections
+	kernel := played.Kernel()
+	request := model.NewRequest(model.RequestSpec{Seq: 1, Caller: student, Kind: "browse", Statement: script.Text("statement")})
+	var received event.Event = event.NewRequestReceived(request)
+	now := played.Now()
+	b.ReportAllocs()
+	for b.Loop() {
+		var execute event.Execute
+		for _, action := range kernel.Handle(now, received) {
+			if found, ok := action.(event.Execute); ok {
+				execute = found
+			}
+		}
+		replied := false
+		for _, action := range kernel.Handle(now, event.NewExecuteDone(execute.Exec(), execute.Conn(), script.Mark(1, 1), answer)) {
+			if _, ok := action.(event.AnswerCaller); ok {
+				replied = true
+			}
+		}
+		if !replied {
+			b.Fatal("no reply")
+		}
+	}
+}
--- a/internal/plug/reads/choose.go
+++ b/internal/plug/reads/choose.go
@@ -33,7 +33,7 @@
 		return "", ""
 	}
 	switch {
-	case replicas == 0:
+	case replicas == 0 && !reads.expects(read, view):
 		return primary.ID(), "no replica in service"
 	case read.describes() || read.job.Deployment().LagPolicy() == model.LagPrimary:
 		return primary.ID(), "replicas lag"
@@ -44,6 +44,21 @@
 	}
 }
 
+// expects reports whether a read that spares the primary waits a moment for the
+// report of a replica that may be in service.
+func (reads *Reads) expects(read *read, view *state.Group) bool {
+	waited := reads.context.Now() - read.job.Arrived()
+	if read.job.Deployment().LagPolicy() == model.LagPrimary || waited >= reads.context.Settings().ProbeInterval() {
+		return false
+	}
+	for _, member := range view.Members() {
+		if member != view.Primary() && member.Serves(view.Term()) && !member.Leaving() {
+			return true
+		}
+	}
+	return false
+}
+
 // replica returns the replica that serves a read best, or nil, and how many
 // replicas are in service.
 func (reads *Reads) replica(read *read, view *state.Group) (*state.Member, int) {
--- a/internal/plug/sessn/caller.go
+++ b/internal/plug/sessn/caller.go
@@ -6,7 +6,7 @@
 	"almondway.dev/almondway/internal/core/timer"
 )
 
-// caller is one caller's connection. inForce and inClass are those under which
+// caller is one caller's connection. expire ends its running request. inForce and inClass are those under which
 // its last statement ran.
 type caller struct {
 	id         model.CallerID
@@ -18,6 +18,7 @@
 	job        *route.Job
 	access     model.Access
 	timer      timer.ID
+	expire     func()
 	queue      []*model.Request
 	inTx       bool
 	failed     bool
--- a/internal/plug/sessn/sessn.go
+++ b/internal/plug/sessn/sessn.go
@@ -73,11 +73,13 @@
 		sessions.context.Emit(event.NewRefuseCaller(opened.Caller(), code, detail, retryLater))
 		return
 	}
-	sessions.callers[opened.Caller()] = &caller{
+	added := &caller{
 		id:         opened.Caller(),
 		deployment: opened.Deployment(),
 		class:      opened.Class(),
 	}
+	added.expire = func() { sessions.expire(added) }
+	sessions.callers[added.id] = added
 	sessions.context.Emit(event.NewAcceptCaller(opened.Caller()))
 }
 
--- a/internal/plug/sessn/start.go
+++ b/internal/plug/sessn/start.go
@@ -89,13 +89,14 @@
 	caller.job = job
 	caller.access = access
 	delay := job.Deadline() - sessions.context.Now()
-	caller.timer = sessions.context.Timers().After(delay, func() { sessions.expire(caller, job) })
+	caller.timer = sessions.context.Timers().After(delay, caller.expire)
 	sessions.runner(access).Start(job)
 }
 
-func (sessions *Sessions) expire(caller *caller, job *route.Job) {
-	if caller.job == job {
-		sessions.runner(caller.access).Expire(job)
+// expire ends the running request of a caller, whose deadline has passed.
+func (sessions *Sessions) expire(caller *caller) {
+	if caller.job != nil {
+		sessions.runner(caller.access).Expire(caller.job)
 	}
 }
 
--- a/internal/stand/script/script.go
+++ b/internal/stand/script/script.go
@@ -73,6 +73,9 @@
 	return script
 }
 
+// Kernel returns the kernel, for what the Script does not drive itself.
+func (script *Script) Kernel() *kern.Kernel { return script.kernel }
+
 // State returns the shared state of the kernel.
 func (script *Script) State() *state.State { return script.kernel.State() }
 
