plug: linter's findings in tests

Cause: three findings of the linter in the tests of the request path.

Change: no result that nobody uses, no parameter that is always the same.

Run: make lint; go test ./internal/plug/...

Conclusion: kept.

--- a/internal/plug/conns/conns_test.go
+++ b/internal/plug/conns/conns_test.go
@@ -100,15 +100,12 @@
 }
 
 // open answers every opening until none is asked for.
-func (bench *bench) open() int {
-	count := 0
+func (bench *bench) open() {
 	for opens := bench.opens(); len(opens) > 0; opens = bench.opens() {
 		for _, conn := range opens {
-			count++
 			bench.handle(event.NewConnOpened(conn))
 		}
 	}
-	return count
 }
 
 // closed reports whether the connection was closed.
--- a/internal/plug/sessn/sessn_test.go
+++ b/internal/plug/sessn/sessn_test.go
@@ -174,7 +174,7 @@
 func TestRendezvousMovesFewKeys(t *testing.T) {
 	is := is.New(t)
 	before := []model.GroupID{"katalog-1", "katalog-2", "katalog-3"}
-	after := append(before[:3:3], "katalog-4")
+	after := []model.GroupID{"katalog-1", "katalog-2", "katalog-3", "katalog-4"}
 	moved := 0
 	for number := range 1000 {
 		key := fmt.Sprintf("course-%d", number)
--- a/internal/plug/writes/tx_test.go
+++ b/internal/plug/writes/tx_test.go
@@ -83,7 +83,7 @@
 		}},
 		{"primary replaced before the commit", []step{promote, send(model.OpCommit, ""), lost(model.TxNone)}},
 		{"primary replaced during a statement", []step{
-			send(model.OpStatement, "edit"), unanswered(a, model.StepNext), promote, lost(model.TxFailed),
+			send(model.OpStatement, "edit"), unanswered(model.StepNext), promote, lost(model.TxFailed),
 		}},
 		{"commit lost, settled as done", []step{
 			send(model.OpCommit, ""), fail(a, model.StepCommit, model.FailureLost, none),
@@ -94,7 +94,7 @@
 			done(a, model.StepSettle, mark), tail(b, mark), lost(model.TxNone),
 		}},
 		{"primary replaced during the commit", []step{
-			send(model.OpCommit, ""), unanswered(a, model.StepCommit), promote,
+			send(model.OpCommit, ""), unanswered(model.StepCommit), promote,
 			done(b, model.StepSettle, second), tail(script.C, second), lost(model.TxNone),
 		}},
 		{"commit refused by a fenced primary", []step{
--- a/internal/plug/writes/writes_test.go
+++ b/internal/plug/writes/writes_test.go
@@ -64,9 +64,9 @@
 	}
 }
 
-// unanswered takes the running execution, whose answer never comes.
-func unanswered(instance model.InstanceID, work model.Step) step {
-	return func(script *script.Script) { expect(script, instance, work) }
+// unanswered takes the running execution on A, whose answer never comes.
+func unanswered(work model.Step) step {
+	return func(played *script.Script) { expect(played, script.A, work) }
 }
 
 func expect(script *script.Script, instance model.InstanceID, work model.Step) script.Execution {
@@ -157,9 +157,9 @@
 			fail(a, single, model.FailureLost, none), done(a, settles, first), tail(b, first), wait(50 * time.Millisecond),
 			done(a, single, script.Mark(1, 3)), tail(b, script.Mark(1, 3)),
 		}, model.OutcomeDone, codes.OK, false},
-		{"lost and no primary", "enrol", requestID, []step{unanswered(a, single), silence}, model.OutcomeUnknown, codes.OutcomeUnknown, false},
+		{"lost and no primary", "enrol", requestID, []step{unanswered(single), silence}, model.OutcomeUnknown, codes.OutcomeUnknown, false},
 		{"replaced while it ran, row survived", "enrol", requestID, []step{
-			unanswered(a, single), promote, fail(b, settles, model.FailureReplay, second), tail(script.C, second),
+			unanswered(single), promote, fail(b, settles, model.FailureReplay, second), tail(script.C, second),
 		}, model.OutcomeDone, codes.OK, true},
 		{"replaced before the acknowledgement, row survived", "enrol", requestID, []step{
 			done(a, single, first), promote, fail(b, settles, model.FailureReplay, second), tail(script.C, second),
