failov: promotions, races and switchovers in scripted traces

Change: tests with three scripted instances and six kernels: a primary killed, cut off, frozen, deserted by its replicas or restarted; 500 ms pauses and other evidence against a promotion; racing, dying and paused promoters; an order that arrives after the next promotion; two losses in a row; the old primary's return with a tail of its own; an instance that lost its log; switchovers. Found and mended: a deserted primary was promoted again because ties went to its data centre, so a promotion now does without the lost primary where a majority is fenced without it; a switchover chose its target by old reports, so the target is now the first replica that has caught up.

Ruled out: a reset of the silence after a pause of the proxy: the replicas' evidence already keeps it from promoting, with and without the reset.

Run: go test ./internal/plug/failov. Taken out by hand, each seen to fail: the majority of the fence, the highest tail, the check of a lost log, the evidence against, the need of a replica's word, the finish of a term that nobody leads, the count above all fences, orders to stragglers, the stagger, the catch-up of a switchover's target, a silence limit below 500 ms. Not seen to fail: yielding to a higher fence, which saves orders only; the instances refuse them anyway.

--- a/internal/plug/failov/attempt.go
+++ b/internal/plug/failov/attempt.go
@@ -18,6 +18,8 @@
 	yieldMax = 400 * time.Millisecond
 	// targetPatience is how long a switchover waits for the fence of its target.
 	targetPatience = 200 * time.Millisecond
+	// avoidPatience is how long a promotion does without the lost primary.
+	avoidPatience = 300 * time.Millisecond
 )
 
 // attempt is a promotion that this proxy drives. Its term belongs to it alone,
@@ -26,27 +28,31 @@
 	term      model.Term
 	startedAt time.Duration
 	target    model.InstanceID // the wanted primary of a switchover, or empty
+	avoid     model.InstanceID // the lost primary, which the others shall replace, or empty
 	fenced    map[model.InstanceID]model.Status
 	candidate model.InstanceID // the instance that was ordered to lead, or empty
 }
 
-// begin starts a promotion with a term above all that were seen.
-func (failover *Failover) begin(watch *watch, reason string) {
-	failover.beginWith(watch, reason, "")
+// replace starts a promotion after a loss.
+func (failover *Failover) replace(watch *watch, loss loss) {
+	attempt := &attempt{}
+	if primary := watch.group.Primary(); primary != nil && loss.replaces() {
+		attempt.avoid = primary.ID()
+	}
+	failover.begin(watch, attempt, loss.String())
 }
 
-func (failover *Failover) beginWith(watch *watch, reason string, target model.InstanceID) {
+// begin starts a promotion with a term above all that were seen.
+func (failover *Failover) begin(watch *watch, attempt *attempt, reason string) {
 	shared := failover.context.State()
 	if shared.Promoter() == 0 || shared.Draining() {
 		return
 	}
 	watch.count = watch.nextCount()
-	watch.attempt = &attempt{
-		term:      model.NewTerm(watch.count, shared.Promoter()),
-		startedAt: failover.context.Now(),
-		target:    target,
-		fenced:    make(map[model.InstanceID]model.Status),
-	}
+	attempt.term = model.NewTerm(watch.count, shared.Promoter())
+	attempt.startedAt = failover.context.Now()
+	attempt.fenced = make(map[model.InstanceID]model.Status)
+	watch.attempt = attempt
 	failover.log(watch, model.Decision{Name: "promotion_started", Term: watch.attempt.term, Reason: reason})
 	for _, member := range watch.group.Members() {
 		failover.fence(watch, watch.attempt, member, fenceRetry)
@@ -84,17 +90,19 @@
 }
 
 // choose orders the fenced instance with the highest tail to lead once a
-// majority is fenced. A switchover waits a little for its target.
+// majority is fenced. It waits a little for the fence of a switchover's target,
+// and for a majority without the lost primary.
 func (failover *Failover) choose(watch *watch, attempt *attempt) {
 	if watch.attempt != attempt || attempt.candidate != "" || len(attempt.fenced) < watch.group.Majority() {
 		return
 	}
-	if attempt.target != "" && len(attempt.fenced) < len(watch.group.Members()) {
-		left := attempt.startedAt + targetPatience - failover.context.Now()
-		if left > 0 {
-			failover.context.Timers().After(left, func() { failover.choose(watch, attempt) })
-			return
-		}
+	left := attempt.startedAt + attempt.patience(watch.group) - failover.context.Now()
+	if left > 0 {
+		failover.context.Timers().After(left, func() { failover.choose(watch, attempt) })
+		return
+	}
+	if attempt.majorityWithout(watch.group, attempt.avoid) {
+		delete(attempt.fenced, attempt.avoid)
 	}
 	best := bestCandidate(watch.group, attempt)
 	attempt.candidate = best.ID()
@@ -107,6 +115,28 @@
 	failover.promote(watch, attempt, best, promoteTries)
 }
 
+// patience returns how long after its start the attempt waits for more fences.
+func (attempt *attempt) patience(group *state.Group) time.Duration {
+	switch {
+	case attempt.target != "" && len(attempt.fenced) < len(group.Members()):
+		return targetPatience
+	case attempt.avoid != "" && !attempt.majorityWithout(group, attempt.avoid):
+		return avoidPatience
+	default:
+		return 0
+	}
+}
+
+// majorityWithout reports whether a majority is fenced without the instance. Any
+// fenced majority has every acknowledged write.
+func (attempt *attempt) majorityWithout(group *state.Group, avoid model.InstanceID) bool {
+	count := len(attempt.fenced)
+	if _, ok := attempt.fenced[avoid]; ok {
+		count--
+	}
+	return count >= group.Majority()
+}
+
 // bestCandidate returns the fenced instance with the highest tail. Among equals
 // come first the target, those that stay, the data centre of the last primary,
 // and the lower name.
--- a/internal/plug/failov/detect.go
+++ b/internal/plug/failov/detect.go
@@ -49,6 +49,11 @@
 	}
 }
 
+// replaces reports whether another instance shall take the primary's place.
+func (loss loss) replaces() bool {
+	return loss == lossGone || loss == lossSilent || loss == lossDeserted
+}
+
 const (
 	// goneFailures is how many probes in a row must be refused or reset.
 	goneFailures = 2
--- a/internal/plug/failov/failov.go
+++ b/internal/plug/failov/failov.go
@@ -17,9 +17,6 @@
 
 const (
 	checkInterval = 20 * time.Millisecond
-	// pauseLimit is the time without a check after which this process counts as
-	// paused: what it did not hear meanwhile says nothing about the instances.
-	pauseLimit = 200 * time.Millisecond
 	// driveLimit is how long a proxy that shuts down stays for a promotion.
 	driveLimit = 2 * time.Second
 )
@@ -32,10 +29,9 @@
 
 // Failover is the plug-in.
 type Failover struct {
-	context   *kern.Context
-	orders    *orders
-	watches   map[model.GroupID]*watch
-	checkedAt time.Duration
+	context *kern.Context
+	orders  *orders
+	watches map[model.GroupID]*watch
 }
 
 // New returns the plug-in of the kernel that context belongs to.
@@ -83,15 +79,8 @@
 
 // check looks at every group, because silence makes no event.
 func (failover *Failover) check() {
-	now := failover.context.Now()
-	paused := now-failover.checkedAt > pauseLimit
-	failover.checkedAt = now
 	for _, group := range failover.context.State().Groups() {
-		watch := failover.watch(group)
-		if paused {
-			watch.restartSilence(now)
-		}
-		failover.evaluate(watch)
+		failover.evaluate(failover.watch(group))
 	}
 }
 
@@ -143,7 +132,7 @@
 		watch.lostSince = now
 	}
 	if now >= failover.dueAt(watch, loss) {
-		failover.begin(watch, loss.String())
+		failover.replace(watch, loss)
 	}
 }
 
--- a/internal/plug/failov/move.go
+++ b/internal/plug/failov/move.go
@@ -13,23 +13,26 @@
 
 const (
 	// holdLimit is how long new writes are held back for a switchover.
-	holdLimit = 500 * time.Millisecond
+	holdLimit = 250 * time.Millisecond
 	// settleTime is how long writes that were sent before the hold may take to
 	// reach the primary.
 	settleTime = 30 * time.Millisecond
 	// moveLimit bounds a switchover with all its attempts.
 	moveLimit = 4 * time.Second
 	moveTries = 3
-	// moveRetry is the time between two switchovers away from a leaving primary.
-	moveRetry   = 2 * time.Second
-	moveStagger = 500 * time.Millisecond
+	// moveRetry is the time before the next switchover away from a leaving
+	// primary. It doubles with each one that fails, up to moveRetryLimit.
+	moveRetry      = 2 * time.Second
+	moveRetryLimit = 16 * time.Second
+	moveStagger    = 500 * time.Millisecond
 )
 
 // move is a switchover: new writes are held back until the target has the
 // primary's log, then a promotion makes it the primary.
 type move struct {
-	ask      model.AskID // the operator's call, or 0
-	target   model.InstanceID
+	ask      model.AskID      // the operator's call, or 0
+	target   model.InstanceID // the wanted primary, or empty for any replica that stays
+	chosen   model.InstanceID // the replica that had the primary's log, or empty
 	heldAt   time.Duration
 	deadline time.Duration
 	tries    int
@@ -61,18 +64,16 @@
 		failover.context.Emit(event.NewAnswerOperator(ask, event.NewMoved(group.Term(), target.ID())))
 		return
 	}
-	if command.Target() == "" {
-		target = failover.successor(watch)
-	}
-	if reason := failover.obstacle(watch, target); reason != "" {
+	if reason := failover.obstacle(watch, command.Target()); reason != "" {
 		failover.refuse(ask, codes.SwitchoverFailed, reason)
 		return
 	}
-	failover.startMove(watch, ask, target, "an operator asked for it")
+	failover.startMove(watch, ask, command.Target(), "an operator asked for it")
 }
 
-// obstacle returns why a switchover to target cannot start, or the empty text.
-func (failover *Failover) obstacle(watch *watch, target *state.Member) string {
+// obstacle returns why a switchover to target, or to any replica if target is
+// empty, cannot start. It returns the empty text if it can.
+func (failover *Failover) obstacle(watch *watch, target model.InstanceID) string {
 	shared := failover.context.State()
 	switch {
 	case watch.attempt != nil || watch.move != nil:
@@ -81,27 +82,26 @@
 		return "this proxy has no promoter number yet"
 	case shared.Draining():
 		return "this proxy is shutting down"
-	case target == nil:
+	case len(failover.successors(watch, target)) > 0:
+		return ""
+	case target == "":
 		return "no replica can take the lead"
-	case !failover.fresh(watch, target) || !follows(target, watch.group):
-		return fmt.Sprintf("instance %q does not follow the primary", target.ID())
 	default:
-		return ""
+		return fmt.Sprintf("instance %q does not follow the primary", target)
 	}
 }
 
-// successor returns the most advanced replica that stays, or nil.
-func (failover *Failover) successor(watch *watch) *state.Member {
-	var best *state.Member
+// successors returns the target if it can take the lead, or all replicas that
+// stay and can if target is empty.
+func (failover *Failover) successors(watch *watch, target model.InstanceID) []*state.Member {
+	var list []*state.Member
 	for _, member := range watch.group.Members() {
-		if member.Leaving() || !failover.fresh(watch, member) || !follows(member, watch.group) {
-			continue
-		}
-		if best == nil || !best.Status().Tail().Covers(member.Status().Tail()) {
-			best = member
+		wanted := member.ID() == target || (target == "" && !member.Leaving())
+		if wanted && failover.fresh(watch, member) && follows(member, watch.group) {
+			list = append(list, member)
 		}
 	}
-	return best
+	return list
 }
 
 // move starts a switchover if the primary leaves, and continues one that runs.
@@ -114,6 +114,7 @@
 	now := failover.context.Now()
 	if primary == nil || !primary.Leaving() {
 		watch.moveAfter = 0
+		watch.moveRetry = moveRetry
 		return
 	}
 	if watch.moveAfter == 0 {
@@ -121,18 +122,18 @@
 		place := rank.Of("promote/"+string(watch.group.ID()), shared.Self().ID(), shared.Proxies())
 		watch.moveAfter = now + time.Duration(place)*moveStagger
 	}
-	target := failover.successor(watch)
-	if now < watch.moveAfter || failover.obstacle(watch, target) != "" {
+	if now < watch.moveAfter || failover.obstacle(watch, "") != "" {
 		return
 	}
-	watch.moveAfter = now + moveRetry
-	failover.startMove(watch, 0, target, "the primary is leaving")
+	watch.moveAfter = now + watch.moveRetry
+	watch.moveRetry = min(2*watch.moveRetry, moveRetryLimit)
+	failover.startMove(watch, 0, "", "the primary is leaving")
 }
 
-func (failover *Failover) startMove(watch *watch, ask model.AskID, target *state.Member, reason string) {
+func (failover *Failover) startMove(watch *watch, ask model.AskID, target model.InstanceID, reason string) {
 	now := failover.context.Now()
-	watch.move = &move{ask: ask, target: target.ID(), deadline: now + moveLimit, tries: moveTries}
-	failover.log(watch, model.Decision{Name: "switchover_started", Term: watch.group.Term(), Instance: target.ID(), Reason: reason})
+	watch.move = &move{ask: ask, target: target, deadline: now + moveLimit, tries: moveTries}
+	failover.log(watch, model.Decision{Name: "switchover_started", Term: watch.group.Term(), Instance: target, Reason: reason})
 	failover.hold(watch)
 }
 
@@ -149,17 +150,22 @@
 func (failover *Failover) continueMove(watch *watch) {
 	now := failover.context.Now()
 	move := watch.move
-	target := watch.group.Member(move.target)
-	switch {
-	case now >= move.deadline || target == nil:
+	if now >= move.deadline {
 		failover.failMove(watch, "it took too long")
-	case now >= move.heldAt+holdLimit:
-		failover.retryMove(watch, "the target did not catch up")
-	case caughtUp(watch.group, target, move.heldAt+settleTime):
-		failover.beginWith(watch, "switchover", move.target)
-	default:
-		failover.demand(watch)
+		return
+	}
+	if now >= move.heldAt+holdLimit {
+		failover.failMove(watch, "no replica caught up with the primary")
+		return
 	}
+	for _, member := range failover.successors(watch, move.target) {
+		if caughtUp(watch.group, member, move.heldAt+settleTime) {
+			move.chosen = member.ID()
+			failover.begin(watch, &attempt{target: move.chosen}, "switchover")
+			return
+		}
+	}
+	failover.demand(watch)
 }
 
 // caughtUp reports whether the target had the primary's whole log at since or later.
@@ -175,7 +181,7 @@
 	if move == nil {
 		return
 	}
-	if changed.Primary() != move.target {
+	if changed.Primary() != move.chosen {
 		failover.retryMove(watch, "another instance had more entries")
 		return
 	}
--- /dev/null
+++ b/internal/plug/failov/rig_test.go
@@ -0,0 +1,273 @@
+package failov_test
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"almondway.dev/almondway/internal/core/event"
+	"almondway.dev/almondway/internal/core/kern"
+	"almondway.dev/almondway/internal/core/model"
+	"almondway.dev/almondway/internal/core/tune"
+	_ "almondway.dev/almondway/internal/plug/failov"
+	_ "almondway.dev/almondway/internal/plug/probe"
+)
+
+const (
+	step      = 2 * time.Millisecond
+	group     = model.GroupID("ledger-1")
+	firstTerm = model.Term(1 << 24)
+)
+
+// rig is a group of three instances and a few kernels. A message takes one step.
+type rig struct {
+	now       time.Duration
+	instances []*instance
+	proxies   []*proxy
+	led       map[model.Term][]model.InstanceID
+	apart     map[[2]string]bool
+	queue     []func()
+	timeouts  []timeout
+}
+
+// timeout is the failure of a call that is not answered.
+type timeout struct {
+	at   time.Duration
+	fail func()
+}
+
+type proxy struct {
+	rig     *rig
+	id      model.ProxyID
+	kernel  *kern.Kernel
+	paused  bool
+	waiting []event.Event
+	orders  []event.SendOrder
+	onOrder func(order event.SendOrder) // may kill or pause before the order is sent
+	dead    bool
+	results map[model.AskID]event.Result
+}
+
+func newRig(proxies int) *rig {
+	rig := &rig{led: make(map[model.Term][]model.InstanceID), apart: make(map[[2]string]bool)}
+	var members []model.Instance
+	for _, name := range []string{"a", "b", "c"} {
+		self := model.NewInstance(model.InstanceID(name), name+":1", model.DataCenter("lakeshore-"+name))
+		members = append(members, self)
+		added := &instance{rig: rig, self: self, fence: firstTerm, upstream: "a", log: []model.Term{firstTerm}}
+		rig.instances = append(rig.instances, added)
+	}
+	rig.instances[0].primary = true
+	var views []model.ProxyView
+	for number := range proxies {
+		id := model.ProxyID(fmt.Sprintf("proxy-%d", number+1))
+		views = append(views, model.NewProxyView(id, string(id), "lakeshore-a", 0, false, 0))
+	}
+	for number, view := range views {
+		kernel := kern.New(view, tune.New(tune.Default()), time.Time{}, uint64(number+1))
+		kernel.State().SetGroups([]model.Group{model.NewGroup(group, members)})
+		kernel.State().SetProxies(views)
+		kernel.State().SetPromoter(uint32(number + 1))
+		rig.proxies = append(rig.proxies, &proxy{rig: rig, id: view.ID(), kernel: kernel, results: make(map[model.AskID]event.Result)})
+	}
+	rig.run(500 * time.Millisecond)
+	return rig
+}
+
+func (rig *rig) instance(id model.InstanceID) *instance {
+	for _, found := range rig.instances {
+		if found.self.ID() == id {
+			return found
+		}
+	}
+	return nil
+}
+
+// cut separates two nodes, or joins them again.
+func (rig *rig) cut(left, right string, apart bool) {
+	rig.apart[[2]string{left, right}] = apart
+	rig.apart[[2]string{right, left}] = apart
+}
+
+// cutOff separates an instance from all instances and proxies.
+func (rig *rig) cutOff(id model.InstanceID, apart bool) {
+	for _, other := range rig.instances {
+		rig.cut(string(id), string(other.self.ID()), apart && other.self.ID() != id)
+	}
+	for _, proxy := range rig.proxies {
+		rig.cut(string(id), string(proxy.id), apart)
+	}
+}
+
+func (rig *rig) connected(left, right *instance) bool {
+	usable := !left.dead && !right.dead && !left.frozen && !right.frozen
+	return usable && !rig.apart[[2]string{string(left.self.ID()), string(right.self.ID())}]
+}
+
+func (rig *rig) run(duration time.Duration) {
+	rig.runUntil(duration, func() bool { return false })
+}
+
+// runUntil runs until done, or until the limit has passed.
+func (rig *rig) runUntil(limit time.Duration, done func() bool) {
+	began := rig.now
+	for rig.now < began+limit && !done() {
+		rig.now += step
+		queue := rig.queue
+		rig.queue = nil
+		for _, deliver := range queue {
+			deliver()
+		}
+		rig.expire()
+		for _, instance := range rig.instances {
+			instance.sync()
+		}
+		for _, proxy := range rig.proxies {
+			if !proxy.paused && !proxy.dead {
+				proxy.carryOut(proxy.kernel.Tick(rig.now))
+			}
+		}
+	}
+}
+
+// expire reports the calls whose limit has passed; the kernels ignore those that
+// were answered.
+func (rig *rig) expire() {
+	kept := rig.timeouts[:0]
+	for _, timeout := range rig.timeouts {
+		if timeout.at > rig.now {
+			kept = append(kept, timeout)
+			continue
+		}
+		timeout.fail()
+	}
+	rig.timeouts = kept
+}
+
+// leader returns the instance that leads the highest fence of a majority, or nil.
+func (rig *rig) leader() *instance {
+	for _, candidate := range rig.instances {
+		followers := 0
+		for _, other := range rig.instances {
+			if !other.dead && other.fence == candidate.fence {
+				followers++
+			}
+		}
+		if candidate.primary && !candidate.dead && followers >= 2 {
+			return candidate
+		}
+	}
+	return nil
+}
+
+// leads returns a condition for runUntil.
+func (rig *rig) leads(other ...model.InstanceID) func() bool {
+	return func() bool {
+		leader := rig.leader()
+		return leader != nil && slices.Contains(other, leader.self.ID())
+	}
+}
+
+func (proxy *proxy) wake() {
+	proxy.paused = false
+	for _, received := range proxy.waiting {
+		proxy.post(received)
+	}
+	proxy.waiting = nil
+}
+
+func (proxy *proxy) post(received event.Event) {
+	switch {
+	case proxy.dead:
+	case proxy.paused:
+		proxy.waiting = append(proxy.waiting, received)
+	default:
+		proxy.carryOut(proxy.kernel.Handle(proxy.rig.now, received))
+	}
+}
+
+func (proxy *proxy) later(received event.Event) {
+	proxy.rig.queue = append(proxy.rig.queue, func() { proxy.post(received) })
+}
+
+func (proxy *proxy) carryOut(actions []event.Action) {
+	for _, action := range slices.Clone(actions) {
+		proxy.dispatch(action)
+	}
+}
+
+func (proxy *proxy) dispatch(action event.Action) {
+	switch action := action.(type) {
+	case event.Probe:
+		proxy.call(action.Instance(), func(instance *instance) event.Event {
+			return event.NewStatusReported(action.Probe(), action.Instance(), instance.status())
+		}, func(reason model.FailReason) event.Event {
+			return event.NewStatusFailed(action.Probe(), action.Instance(), reason)
+		}, action.Timeout())
+	case event.SendOrder:
+		if proxy.onOrder != nil {
+			proxy.onOrder(action)
+		}
+		if proxy.dead {
+			return
+		}
+		proxy.orders = append(proxy.orders, action)
+		proxy.call(action.Instance(), func(instance *instance) event.Event {
+			accepted := instance.obey(action.Body())
+			return event.NewOrderDone(action.Order(), action.Instance(), accepted, instance.status())
+		}, func(reason model.FailReason) event.Event {
+			return event.NewOrderFailed(action.Order(), action.Instance(), reason)
+		}, action.Timeout())
+	case event.AnswerOperator:
+		proxy.results[action.Ask()] = action.Result()
+	}
+}
+
+// call runs something at an instance a step later and posts the answer another
+// step later, and a failure when the limit has passed.
+func (proxy *proxy) call(id model.InstanceID, run func(instance *instance) event.Event, fail func(reason model.FailReason) event.Event, limit time.Duration) {
+	target := proxy.rig.instance(id)
+	proxy.rig.timeouts = append(proxy.rig.timeouts, timeout{
+		at:   proxy.rig.now + limit,
+		fail: func() { proxy.post(fail(model.FailTimeout)) },
+	})
+	visit := func() { proxy.later(run(target)) }
+	proxy.rig.queue = append(proxy.rig.queue, func() {
+		switch {
+		case proxy.rig.apart[[2]string{string(proxy.id), string(id)}]:
+		case target.dead:
+			proxy.later(fail(model.FailRefused))
+		case target.frozen:
+			target.waiting = append(target.waiting, visit)
+		default:
+			visit()
+		}
+	})
+}
+
+// sent returns how many orders to promote and to fence the proxies sent.
+func (rig *rig) sent() (promotes, fences int) {
+	for _, proxy := range rig.proxies {
+		for _, order := range proxy.orders {
+			switch order.Body().(type) {
+			case event.Promote:
+				promotes++
+			case event.Fence:
+				fences++
+			}
+		}
+	}
+	return promotes, fences
+}
+
+// promoters returns how many of the living proxies fenced an instance.
+func (rig *rig) promoters() int {
+	count := 0
+	for _, proxy := range rig.proxies {
+		isFencing := func(order event.SendOrder) bool { return isFence(order.Body()) }
+		if !proxy.dead && slices.ContainsFunc(proxy.orders, isFencing) {
+			count++
+		}
+	}
+	return count
+}
--- a/internal/plug/failov/watch.go
+++ b/internal/plug/failov/watch.go
@@ -19,29 +19,26 @@
 	count      uint64                             // the highest promotion count that this proxy used
 	attempt    *attempt
 	move       *move
-	moveAfter  time.Duration // no switchover is started before
+	moveAfter  time.Duration // no switchover away from a leaving primary is started before
+	moveRetry  time.Duration // the time until the next one
 	followed   map[model.InstanceID]time.Duration
 }
 
 func newWatch(group *state.Group, now time.Duration) *watch {
 	return &watch{
-		group:    group,
-		heard:    make(map[model.InstanceID]time.Duration),
-		baseline: now,
-		followed: make(map[model.InstanceID]time.Duration),
+		group:     group,
+		moveRetry: moveRetry,
+		heard:     make(map[model.InstanceID]time.Duration),
+		baseline:  now,
+		followed:  make(map[model.InstanceID]time.Duration),
 	}
 }
 
-// startTerm begins to watch a new primary.
+// startTerm begins to watch a new primary, whose silence counts from now.
 func (watch *watch) startTerm(now time.Duration) {
-	watch.restartSilence(now)
-	watch.quietUntil = 0
-}
-
-// restartSilence counts the silence of every instance from now.
-func (watch *watch) restartSilence(now time.Duration) {
 	watch.baseline = now
 	watch.lostSince = 0
+	watch.quietUntil = 0
 }
 
 // noticeFence remembers when the highest fence was seen first. A fence above
