--- a/internal/plug/failov/failov_test.go
+++ b/internal/plug/failov/failov_test.go
@@ -24,7 +24,7 @@
 		},
 		{
 			name:  "cut off from all",
-			lose:  func(rig *rig) { rig.cutOff("a", true) },
+			lose:  func(rig *rig) { rig.isolate(true) },
 			limit: 750 * time.Millisecond,
 		},
 		{
@@ -123,7 +123,7 @@
 		{
 			name: "no replica can be asked",
 			harm: func(rig *rig) {
-				rig.cutOff("a", true)
+				rig.isolate(true)
 				rig.instance("b").kill()
 				rig.instance("c").kill()
 			},
@@ -196,11 +196,11 @@
 		{
 			name: "cut off with a tail of its own",
 			lose: func(rig *rig, old *instance) {
-				rig.cutOff("a", true)
+				rig.isolate(true)
 				old.write()
 				old.write()
 			},
-			back: func(rig *rig, _ *instance) { rig.cutOff("a", false) },
+			back: func(rig *rig, _ *instance) { rig.isolate(false) },
 		},
 		{
 			name: "frozen",
--- a/internal/plug/failov/rig_test.go
+++ b/internal/plug/failov/rig_test.go
@@ -89,13 +89,13 @@
 	rig.apart[[2]string{right, left}] = apart
 }
 
-// cutOff separates an instance from all instances and proxies.
-func (rig *rig) cutOff(id model.InstanceID, apart bool) {
-	for _, other := range rig.instances {
-		rig.cut(string(id), string(other.self.ID()), apart && other.self.ID() != id)
+// isolate separates the first primary from all instances and proxies, or ends that.
+func (rig *rig) isolate(apart bool) {
+	for _, other := range rig.instances[1:] {
+		rig.cut("a", string(other.self.ID()), apart)
 	}
 	for _, proxy := range rig.proxies {
-		rig.cut(string(id), string(proxy.id), apart)
+		rig.cut("a", string(proxy.id), apart)
 	}
 }
 
