failov, writes: hold new writes while a primary is moved

Cause: a switchover that writes do not wait for finds its successor behind again and again, and an automatic one gave up while its leaving primary took no writes anyway.

Change: writes wait while a group is held. A switchover away from a leaving primary holds until a replica has caught up; an operator's gives up after the hold limit.

Run: go test ./internal/plug/failov ./internal/plug/writes; without the check in writes its new test failed.

--- a/internal/plug/failov/move.go
+++ b/internal/plug/failov/move.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	// holdLimit is how long new writes are held back for a switchover.
+	// holdLimit is how long new writes are held back for a switchover at a time.
 	holdLimit = 250 * time.Millisecond
 	// settleTime is how long writes that were sent before the hold may take to
 	// reach the primary.
@@ -20,11 +20,11 @@
 	// moveLimit bounds a switchover with all its attempts.
 	moveLimit = 4 * time.Second
 	moveTries = 3
-	// moveRetry is the time before the next switchover away from a leaving
-	// primary. It doubles with each one that fails, up to moveRetryLimit.
-	moveRetry      = 2 * time.Second
-	moveRetryLimit = 16 * time.Second
-	moveStagger    = 500 * time.Millisecond
+	// moveRetry is the time before the next switchover away from a leaving primary.
+	moveRetry   = 200 * time.Millisecond
+	moveStagger = 500 * time.Millisecond
+	// refusedRetry is when an operator may ask again.
+	refusedRetry = 2 * time.Second
 )
 
 // move is a switchover: new writes are held back until the target has the
@@ -33,7 +33,8 @@
 	ask      model.AskID      // the operator's call, or 0
 	target   model.InstanceID // the wanted primary, or empty for any replica that stays
 	chosen   model.InstanceID // the replica that had the primary's log, or empty
-	heldAt   time.Duration
+	heldAt   time.Duration    // when the hold began
+	heldTo   time.Duration    // when the hold ends
 	deadline time.Duration
 	tries    int
 }
@@ -114,7 +115,6 @@
 	now := failover.context.Now()
 	if primary == nil || !primary.Leaving() {
 		watch.moveAfter = 0
-		watch.moveRetry = moveRetry
 		return
 	}
 	if watch.moveAfter == 0 {
@@ -125,8 +125,7 @@
 	if now < watch.moveAfter || failover.obstacle(watch, "") != "" {
 		return
 	}
-	watch.moveAfter = now + watch.moveRetry
-	watch.moveRetry = min(2*watch.moveRetry, moveRetryLimit)
+	watch.moveAfter = now + moveRetry
 	failover.startMove(watch, 0, "", "the primary is leaving")
 }
 
@@ -139,10 +138,14 @@
 
 // hold keeps new writes back, here and by a heartbeat at the other proxies.
 func (failover *Failover) hold(watch *watch) {
-	now := failover.context.Now()
-	watch.move.heldAt = now
+	watch.move.heldAt = failover.context.Now()
 	watch.move.tries--
-	watch.group.Hold(now+holdLimit, true)
+	failover.extendHold(watch)
+}
+
+func (failover *Failover) extendHold(watch *watch) {
+	watch.move.heldTo = failover.context.Now() + holdLimit
+	watch.group.Hold(watch.move.heldTo, true)
 	failover.beat()
 	failover.demand(watch)
 }
@@ -154,8 +157,8 @@
 		failover.failMove(watch, "it took too long")
 		return
 	}
-	if now >= move.heldAt+holdLimit {
-		failover.failMove(watch, "no replica caught up with the primary")
+	if now >= move.heldTo {
+		failover.overrun(watch)
 		return
 	}
 	for _, member := range failover.successors(watch, move.target) {
@@ -168,6 +171,16 @@
 	failover.demand(watch)
 }
 
+// overrun ends a switchover whose target did not catch up. A leaving primary
+// takes no new writes in any case, so there the hold goes on.
+func (failover *Failover) overrun(watch *watch) {
+	if watch.move.ask != 0 {
+		failover.failMove(watch, "no replica caught up with the primary")
+		return
+	}
+	failover.extendHold(watch)
+}
+
 // caughtUp reports whether the target had the primary's whole log at since or later.
 func caughtUp(group *state.Group, target *state.Member, since time.Duration) bool {
 	primary := group.Primary()
@@ -224,5 +237,5 @@
 }
 
 func (failover *Failover) refuse(ask model.AskID, code codes.Code, detail string) {
-	failover.context.Emit(event.NewAnswerOperator(ask, event.NewRefused(code, detail, moveRetry)))
+	failover.context.Emit(event.NewAnswerOperator(ask, event.NewRefused(code, detail, refusedRetry)))
 }
--- a/internal/plug/failov/move_test.go
+++ b/internal/plug/failov/move_test.go
@@ -121,6 +121,21 @@
 	is.Equal(len(rig.led), 1)
 }
 
+func TestLeavingPrimaryWaitsForLaggingReplicas(t *testing.T) {
+	is := is.New(t)
+	rig := newRig(3)
+	rig.instance("b").lags = true
+	rig.instance("c").lags = true
+	rig.instance("a").write()
+	rig.instance("a").leaving = true
+	rig.run(6 * time.Second)
+	is.Equal(rig.leader().self.ID(), model.InstanceID("a"))
+	rig.instance("c").lags = false
+	rig.runUntil(time.Second, rig.leads("c"))
+	is.True(rig.leads("c")())
+	is.Equal(len(rig.instance("c").log), 3)
+}
+
 func TestDrainingProxyStartsNoPromotion(t *testing.T) {
 	is := is.New(t)
 	rig := newRig(1)
--- a/internal/plug/failov/watch.go
+++ b/internal/plug/failov/watch.go
@@ -20,17 +20,15 @@
 	attempt    *attempt
 	move       *move
 	moveAfter  time.Duration // no switchover away from a leaving primary is started before
-	moveRetry  time.Duration // the time until the next one
 	followed   map[model.InstanceID]time.Duration
 }
 
 func newWatch(group *state.Group, now time.Duration) *watch {
 	return &watch{
-		group:     group,
-		moveRetry: moveRetry,
-		heard:     make(map[model.InstanceID]time.Duration),
-		baseline:  now,
-		followed:  make(map[model.InstanceID]time.Duration),
+		group:    group,
+		heard:    make(map[model.InstanceID]time.Duration),
+		baseline: now,
+		followed: make(map[model.InstanceID]time.Duration),
 	}
 }
 
--- a/internal/plug/writes/write.go
+++ b/internal/plug/writes/write.go
@@ -78,11 +78,12 @@
 	write.writes.probes.Demand(write.job.Group(), write.writes.context.Now(), write.job.Arrived())
 }
 
-// seek asks for a connection to the primary, or waits for a primary.
+// seek asks for a connection to the primary, or waits for a primary. It waits
+// too while the primary is being moved on purpose.
 func (write *write) seek() {
 	view := write.view()
 	primary := primary(view)
-	if primary == nil || view.Term() == write.fenced {
+	if primary == nil || view.Term() == write.fenced || view.Held(write.writes.context.Now()) {
 		write.state = writeSeeking
 		write.demand()
 		return
--- a/internal/plug/writes/writes_test.go
+++ b/internal/plug/writes/writes_test.go
@@ -59,3 +59,16 @@
 	is.Equal(reply.Outcome(), model.OutcomeDone)
 	is.Equal(reply.Token().Mark("katalog-1"), mark)
 }
+
+func TestWriteWaitsWhileThePrimaryIsMoved(t *testing.T) {
+	is := is.New(t)
+	script := start()
+	view := script.View()
+	view.Hold(time.Minute, true)
+	script.Send(model.RequestSpec{Caller: registrar, Kind: "edit"})
+	script.Advance(100 * time.Millisecond)
+	is.Equal(len(script.Executions()), 0)
+	view.Release()
+	script.Advance(100 * time.Millisecond)
+	is.Equal(script.Execution().Instance, model.InstanceID("katalog-1-a"))
+}
