--- a/internal/plug/writes/write.go
+++ b/internal/plug/writes/write.go
@@ -78,11 +78,13 @@
 	write.writes.probes.Demand(write.job.Group(), write.writes.context.Now(), write.job.Arrived())
 }
 
-// seek asks for a connection to the primary, or waits for a primary.
+// seek asks for a connection to the primary, or waits for a primary. It waits
+// too while the primary is being moved on purpose.
 func (write *write) seek() {
 	view := write.view()
 	primary := write.writes.primary(view)
-	if primary == nil || view.Term() == write.fenced {
+	held := view != nil && view.Held(write.writes.context.Now())
+	if primary == nil || held || view.Term() == write.fenced {
 		write.state = writeSeeking
 		write.demand()
 		return
--- a/internal/plug/writes/writes_test.go
+++ b/internal/plug/writes/writes_test.go
@@ -236,3 +236,16 @@
 	}
 	return false
 }
+
+func TestWriteWaitsWhileThePrimaryIsMoved(t *testing.T) {
+	is := is.New(t)
+	script := start()
+	view := script.View()
+	view.Hold(time.Minute, true)
+	script.Send(model.RequestSpec{Caller: registrar, Kind: "edit"})
+	script.Advance(100 * time.Millisecond)
+	is.Equal(len(script.Executions()), 0)
+	view.Release()
+	script.Advance(100 * time.Millisecond)
+	is.Equal(script.Execution().Instance, model.InstanceID("katalog-1-a"))
+}
