--- a/internal/proof/fuzz/node_test.go
+++ b/internal/proof/fuzz/node_test.go
@@ -23,6 +23,7 @@
 	id        model.ProxyID
 	address   string
 	started   time.Duration
+	draining  bool
 	drainedAt time.Duration
 	alive     bool
 	stopped   bool
@@ -57,7 +58,10 @@
 
 // drain asks the proxy to shut down.
 func (node *node) drain() {
-	node.drainedAt = node.world.now
+	if !node.draining {
+		node.draining = true
+		node.drainedAt = node.world.now
+	}
 	node.post(shutdownAsked())
 }
 
