--- a/internal/plug/deploy/change.go
+++ b/internal/plug/deploy/change.go
@@ -80,19 +80,32 @@
 }
 
 func (deploy *Deploy) begin(change *change) {
+	deploy.changes++
 	if change.changeID == "" || len(change.changeID) > maxChangeID {
-		deploy.refuse(change.ask, codes.InvalidDeployment, fmt.Sprintf("change_id: must have 1 to %d bytes", maxChangeID))
+		deploy.reject(change, codes.InvalidDeployment, fmt.Sprintf("change_id: must have 1 to %d bytes", maxChangeID))
 		return
 	}
 	hashed, err := digest(change.name, change.expected, change.deployment)
 	if err != nil {
-		deploy.refuse(change.ask, codes.Internal, err.Error())
+		deploy.reject(change, codes.Internal, err.Error())
 		return
 	}
 	change.digest = hashed
 	deploy.attempt(change)
 }
 
+// reject ends a change that was not made.
+func (deploy *Deploy) reject(change *change, code codes.Code, detail string) {
+	deploy.changes--
+	deploy.refuse(change.ask, code, detail)
+}
+
+// settle ends a change that is stored; its operator is answered once it is in force.
+func (deploy *Deploy) settle(change *change, revision uint64) {
+	deploy.changes--
+	deploy.spread.await(change.ask, revision)
+}
+
 // attempt reads the rows and writes the change. It runs again after a conflict
 // and after a lost answer, which the row of the change decides.
 func (deploy *Deploy) attempt(change *change) {
@@ -118,10 +131,10 @@
 
 func (deploy *Deploy) giveUp(change *change) {
 	if change.unanswered {
-		deploy.refuse(change.ask, codes.AcceptanceUnknown, "the store did not answer the change")
+		deploy.reject(change, codes.AcceptanceUnknown, "the store did not answer the change")
 		return
 	}
-	deploy.refuse(change.ask, codes.StoreUnavailable, "the store did not answer or others kept changing the catalog")
+	deploy.reject(change, codes.StoreUnavailable, "the store did not answer or others kept changing the catalog")
 }
 
 // decide refuses the change, finds that it was made already, or writes it. The
@@ -133,7 +146,7 @@
 	}
 	current, err := currentRevision(view.deployment)
 	if err != nil {
-		deploy.refuse(change.ask, codes.Internal, err.Error())
+		deploy.reject(change, codes.Internal, err.Error())
 		return
 	}
 	if current != change.expected {
@@ -141,7 +154,7 @@
 		return
 	}
 	if change.deployment == nil && current == 0 {
-		deploy.refuse(change.ask, codes.DeploymentNotFound, fmt.Sprintf("deployment %q does not exist", change.name))
+		deploy.reject(change, codes.DeploymentNotFound, fmt.Sprintf("deployment %q does not exist", change.name))
 		return
 	}
 	deploy.write(change, view)
@@ -151,16 +164,16 @@
 func (deploy *Deploy) recognize(change *change, row model.Row) {
 	record, err := decodeChange(row)
 	if err != nil {
-		deploy.refuse(change.ask, codes.Internal, err.Error())
+		deploy.reject(change, codes.Internal, err.Error())
 		return
 	}
 	if record.Digest != change.digest {
 		detail := fmt.Sprintf("change id %q made revision %d of deployment %q", record.ChangeID, record.Revision, record.Name)
-		deploy.refuse(change.ask, codes.ChangeIDReused, detail)
+		deploy.reject(change, codes.ChangeIDReused, detail)
 		return
 	}
 	deploy.loader.hurry()
-	deploy.spread.await(change.ask, record.Revision)
+	deploy.settle(change, record.Revision)
 }
 
 func (deploy *Deploy) conflict(change *change, view view, current uint64) {
@@ -173,14 +186,14 @@
 			detail += fmt.Sprintf("; revision %d was set by %q with change %q at %s", last.Revision, last.Operator, last.ChangeID, last.At.Format(time.RFC3339))
 		}
 	}
-	deploy.refuse(change.ask, codes.RevisionConflict, detail)
+	deploy.reject(change, codes.RevisionConflict, detail)
 }
 
 func (deploy *Deploy) write(change *change, view view) {
 	revision := view.head.Revision + 1
 	writes, err := deploy.rows(change, view, revision)
 	if err != nil {
-		deploy.refuse(change.ask, codes.Internal, err.Error())
+		deploy.reject(change, codes.Internal, err.Error())
 		return
 	}
 	deploy.client.Write(writes, func(outcome table.Outcome) {
@@ -203,7 +216,7 @@
 	} else {
 		deploy.loader.hurry()
 	}
-	deploy.spread.await(change.ask, revision)
+	deploy.settle(change, revision)
 }
 
 // applyTo returns the deployments after the change.
--- a/internal/plug/deploy/deploy.go
+++ b/internal/plug/deploy/deploy.go
@@ -11,6 +11,9 @@
 	"almondway.dev/almondway/internal/core/table"
 )
 
+// ServiceName is the name under which the plug-in offers itself.
+const ServiceName = "deploy"
+
 func init() {
 	kern.Register("deploy", kern.RankDeployments, func(context *kern.Context) kern.Plugin {
 		return New(context)
@@ -24,6 +27,7 @@
 	lease   *lease
 	loader  *loader
 	spread  *spread
+	changes int // the changes that are being made
 }
 
 // New returns the plug-in of the kernel that context belongs to. It starts with
@@ -39,10 +43,14 @@
 		loader:  newLoader(context, client, lease, spread),
 		spread:  spread,
 	}
+	context.Offer(ServiceName, deploy)
 	context.Timers().After(0, deploy.start)
 	return deploy
 }
 
+// InFlight returns how many operators' changes are not answered yet.
+func (deploy *Deploy) InFlight() int { return deploy.changes + len(deploy.spread.waits) }
+
 // Handle implements kern.Plugin.
 func (deploy *Deploy) Handle(received event.Event) {
 	deploy.client.Handle(received)
--- a/internal/plug/deploy/deploy_test.go
+++ b/internal/plug/deploy/deploy_test.go
@@ -52,7 +52,7 @@
 		{
 			name: "the answer of the store is lost after the change took effect",
 			attack: func(fleet *fleet) {
-				fleet.lose = 1
+				fleet.shelf.LoseAnswers(1)
 				fleet.proxies[0].ask(1, apply(1, 0, "c1", "ana"))
 			},
 			want:    []codes.Code{codes.OK},
@@ -61,7 +61,7 @@
 		{
 			name: "the write is lost before it took effect",
 			attack: func(fleet *fleet) {
-				fleet.dropped = 2
+				fleet.shelf.DropWrites(2)
 				fleet.proxies[0].ask(1, apply(1, 0, "c1", "ana"))
 			},
 			want:    []codes.Code{codes.OK},
@@ -90,10 +90,10 @@
 			name: "the store goes down right after the acceptance",
 			attack: func(fleet *fleet) {
 				fleet.proxies[0].ask(1, apply(1, 0, "c1", "ana"))
-				for fleet.rows["catalog|head"].Version() == 0 {
+				for fleet.shelf.Row("catalog", "head").Version() == 0 {
 					fleet.run(step)
 				}
-				fleet.down = true
+				fleet.shelf.SetDown(true)
 			},
 			want:    []codes.Code{codes.OK},
 			inForce: 1,
@@ -101,7 +101,7 @@
 		{
 			name: "the store is down",
 			attack: func(fleet *fleet) {
-				fleet.down = true
+				fleet.shelf.SetDown(true)
 				fleet.proxies[0].ask(1, apply(1, 0, "c1", "ana"))
 			},
 			want:    []codes.Code{codes.StoreUnavailable},
@@ -158,6 +158,7 @@
 					is.Equal(proxy.revision(), test.inForce)
 				}
 				is.Equal(proxy.kernel.State().Confirmed(), !proxy.cut)
+				is.Equal(proxy.inFlight(), 0)
 			}
 		})
 	}
@@ -167,6 +168,7 @@
 	is := is.New(t)
 	fleet := newFleet(2)
 	fleet.proxies[0].ask(1, apply(1, 0, "c1", "ana"))
+	is.Equal(fleet.proxies[0].inFlight(), 1)
 	fleet.run(time.Second)
 	fleet.proxies[1].ask(2, apply(2, 0, "c2", "ivo"))
 	fleet.run(time.Second)
@@ -195,7 +197,7 @@
 		{
 			name: "a proxy starts from nothing while the store is down",
 			attack: func(fleet *fleet) *proxy {
-				fleet.down = true
+				fleet.shelf.SetDown(true)
 				return fleet.start("proxy-1")
 			},
 			revision:  2,
@@ -204,7 +206,7 @@
 		{
 			name: "a proxy starts from nothing beside one that is cut off",
 			attack: func(fleet *fleet) *proxy {
-				fleet.down = true
+				fleet.shelf.SetDown(true)
 				fleet.run(6 * time.Second)
 				fleet.proxies[1].cut = true
 				fleet.proxies[2].cut = true
@@ -234,7 +236,7 @@
 				fleet.proxies[2].paused = true
 				fleet.proxies[0].ask(1, apply(3, 2, "c3", "ana"))
 				fleet.run(20 * time.Second)
-				fleet.down = true
+				fleet.shelf.SetDown(true)
 				fleet.proxies[2].wake()
 				return fleet.proxies[2]
 			},
@@ -275,10 +277,10 @@
 	is := is.New(t)
 	fleet := newFleet(6)
 	fleet.proxies[0].ask(1, apply(1, 0, "c1", "ana"))
-	for fleet.rows["catalog|head"].Version() == 0 {
+	for fleet.shelf.Row("catalog", "head").Version() == 0 {
 		fleet.run(step)
 	}
-	fleet.down = true
+	fleet.shelf.SetDown(true)
 	fleet.run(4 * step)
 	for _, proxy := range fleet.proxies {
 		is.Equal(proxy.revision(), uint64(1))
@@ -295,7 +297,7 @@
 	fleet.run(time.Second)
 	fleet.proxies[0].ask(1, apply(1, 0, "c1", "ana"))
 	fleet.run(time.Second)
-	fleet.down = true
+	fleet.shelf.SetDown(true)
 	fleet.noPush = true
 	behind.waiting = nil
 	behind.wake()
@@ -341,11 +343,5 @@
 	is.True(history.Changes()[0].Deleted())
 	is.Equal(history.Changes()[1].Deployment().Weight(), changes-1)
 	is.Equal(len(proxy.kernel.State().Deployments()), 0)
-	kept := 0
-	for key := range fleet.rows {
-		if strings.HasPrefix(key, "catalog|change/") {
-			kept++
-		}
-	}
-	is.Equal(kept, 50)
+	is.Equal(len(fleet.shelf.Rows("catalog", "change/")), 50)
 }
--- a/internal/plug/deploy/fleet_test.go
+++ b/internal/plug/deploy/fleet_test.go
@@ -3,29 +3,41 @@
 import (
 	"fmt"
 	"slices"
-	"strings"
 	"time"
 
 	"almondway.dev/almondway/internal/core/event"
 	"almondway.dev/almondway/internal/core/kern"
 	"almondway.dev/almondway/internal/core/model"
 	"almondway.dev/almondway/internal/core/tune"
-	_ "almondway.dev/almondway/internal/plug/deploy"
+	"almondway.dev/almondway/internal/plug/deploy"
 	_ "almondway.dev/almondway/internal/plug/member"
+	"almondway.dev/almondway/internal/stand/shelf"
 )
 
 const step = 5 * time.Millisecond
 
+// contexts holds the context of the kernel that was made last.
+var contexts = make(chan *kern.Context, 1)
+
+func init() {
+	kern.Register("spy", kern.RankDrain, func(context *kern.Context) kern.Plugin {
+		contexts <- context
+		return spy{}
+	})
+}
+
+// spy is a plug-in that does nothing.
+type spy struct{}
+
+func (spy) Handle(event.Event) {}
+
 var started = time.Date(2026, 12, 3, 8, 0, 0, 0, time.UTC)
 
 // fleet is a few kernels with a table service between them. A message takes one step.
 type fleet struct {
 	now     time.Duration
 	proxies []*proxy
-	rows    map[string]model.Row
-	down    bool
-	lose    int // the next writes whose answers are lost
-	dropped int // the next writes that fail without effect
+	shelf   *shelf.Shelf
 	noPush  bool
 	queue   []func()
 }
@@ -34,6 +46,7 @@
 	fleet   *fleet
 	id      model.ProxyID
 	kernel  *kern.Kernel
+	context *kern.Context
 	started time.Duration
 	paused  bool
 	cut     bool // from the store and the other proxies
@@ -45,7 +58,7 @@
 }
 
 func newFleet(proxies int) *fleet {
-	fleet := &fleet{rows: make(map[string]model.Row)}
+	fleet := &fleet{shelf: shelf.New()}
 	for range proxies {
 		fleet.start()
 	}
@@ -65,6 +78,7 @@
 		started: fleet.now,
 		results: make(map[model.AskID]event.Result),
 	}
+	added.context = <-contexts
 	fleet.proxies = append(fleet.proxies, added)
 	return added
 }
@@ -117,9 +131,9 @@
 func (proxy *proxy) dispatch(action event.Action) {
 	switch action := action.(type) {
 	case event.ReadStore:
-		proxy.read(action)
+		proxy.store(action.Query(), func() event.Event { return proxy.fleet.shelf.Read(action) })
 	case event.WriteStore:
-		proxy.write(action)
+		proxy.store(action.Query(), func() event.Event { return proxy.fleet.shelf.Write(action) })
 	case event.ListGroups:
 		instance := model.NewInstance("katalog-1-a", "127.0.0.1:7001", "trnje-hall")
 		proxy.post(event.NewGroupsListed([]model.Group{model.NewGroup("katalog-1", []model.Instance{instance})}))
@@ -141,50 +155,13 @@
 	}
 }
 
-func (proxy *proxy) read(action event.ReadStore) {
-	if proxy.fleet.down || proxy.cut {
-		proxy.post(event.NewStoreFailed(action.Query()))
+// store has the shelf carry out an action, unless the proxy is cut off.
+func (proxy *proxy) store(query model.QueryID, run func() event.Event) {
+	if proxy.cut {
+		proxy.post(event.NewStoreFailed(query))
 		return
 	}
-	prefix := action.Table() + "|" + action.Prefix()
-	var rows []model.Row
-	for key, row := range proxy.fleet.rows {
-		if strings.HasPrefix(key, prefix) {
-			rows = append(rows, row)
-		}
-	}
-	slices.SortFunc(rows, func(left, right model.Row) int { return strings.Compare(left.Key(), right.Key()) })
-	proxy.post(event.NewStoreRead(action.Query(), rows))
-}
-
-func (proxy *proxy) write(action event.WriteStore) {
-	fleet := proxy.fleet
-	catalog := action.Writes()[0].Table() == "catalog"
-	if fleet.down || proxy.cut || (catalog && fleet.dropped > 0) {
-		fleet.dropped = max(0, fleet.dropped-1)
-		proxy.post(event.NewStoreFailed(action.Query()))
-		return
-	}
-	for _, write := range action.Writes() {
-		if fleet.rows[write.Table()+"|"+write.Key()].Version() != write.Expected() {
-			proxy.post(event.NewStoreConflict(action.Query()))
-			return
-		}
-	}
-	for _, write := range action.Writes() {
-		key := write.Table() + "|" + write.Key()
-		if write.Value() == nil {
-			delete(fleet.rows, key)
-			continue
-		}
-		fleet.rows[key] = model.NewRow(write.Key(), write.Expected()+1, write.Value())
-	}
-	if catalog && fleet.lose > 0 {
-		fleet.lose--
-		proxy.post(event.NewStoreFailed(action.Query()))
-		return
-	}
-	proxy.post(event.NewStoreWritten(action.Query()))
+	proxy.post(run())
 }
 
 func (proxy *proxy) revision() uint64 {
@@ -192,6 +169,11 @@
 	return revision
 }
 
+// inFlight returns how many changes are not answered, as the plug-in tells others.
+func (proxy *proxy) inFlight() int {
+	return proxy.context.Service(deploy.ServiceName).(*deploy.Deploy).InFlight()
+}
+
 func catalogue(weight int) *model.Deployment {
 	return model.NewDeployment(model.DeploymentSpec{
 		Name:    "katalog-db",
--- a/internal/plug/drain/drain.go
+++ b/internal/plug/drain/drain.go
@@ -12,18 +12,20 @@
 
 const (
 	checkInterval = 20 * time.Millisecond
-	// settleTime is how long nothing has to be in flight before the proxy stops,
-	// so that the last answers are sent and the balancer and the other proxies
-	// have noticed.
-	settleTime = 200 * time.Millisecond
+	// settleChecks is how many checks in a row have to find nothing in flight
+	// before the proxy stops, so that the last answers are sent and the balancer
+	// and the other proxies have noticed. Checks are counted instead of time, so
+	// that a proxy that was paused reads what came in meanwhile before it stops.
+	settleChecks = 10
 
 	sessionsService = "sessions"
+	deployService   = "deploy"
 	failoverService = "failov"
 )
 
-// sessions is the service of the plug-in that has the callers' requests.
-type sessions interface {
-	// InFlight returns how many requests and transactions are not finished.
+// worker is the service of a plug-in that answers callers or operators.
+type worker interface {
+	// InFlight returns how many requests, transactions or changes are not finished.
 	InFlight() int
 }
 
@@ -44,7 +46,7 @@
 	context   *kern.Context
 	started   bool
 	startedAt time.Duration
-	idleSince time.Duration
+	idle      int // how many checks in a row found nothing in flight
 }
 
 // New returns the plug-in of the kernel that context belongs to.
@@ -63,24 +65,24 @@
 	}
 	drain.started = true
 	drain.startedAt = drain.context.Now()
-	drain.idleSince = drain.context.Now()
 	drain.context.State().SetDraining()
 	drain.context.Publish(event.NewDrainStarted())
 	drain.log("drain_started", "shutdown was asked for")
 	drain.context.Timers().After(checkInterval, drain.check)
 }
 
-// check stops the proxy once nothing has been in flight for the settle time, or
-// when the drain limit has passed.
+// check stops the proxy once nothing is in flight any more, or when the drain
+// limit has passed.
 func (drain *Drain) check() {
-	now := drain.context.Now()
+	drain.idle++
 	if drain.busy() {
-		drain.idleSince = now
+		drain.idle = 0
 	}
+	waited := drain.context.Now() - drain.startedAt
 	switch {
-	case now-drain.idleSince >= settleTime:
+	case drain.idle >= settleChecks:
 		drain.stop("nothing is in flight")
-	case now-drain.startedAt >= drain.context.Settings().DrainLimit():
+	case waited >= drain.context.Settings().DrainLimit():
 		drain.stop("the drain limit has passed")
 	default:
 		drain.context.Timers().After(checkInterval, drain.check)
@@ -88,8 +90,10 @@
 }
 
 func (drain *Drain) busy() bool {
-	if sessions, ok := drain.context.Service(sessionsService).(sessions); ok && sessions.InFlight() > 0 {
-		return true
+	for _, name := range []string{sessionsService, deployService} {
+		if worker, ok := drain.context.Service(name).(worker); ok && worker.InFlight() > 0 {
+			return true
+		}
 	}
 	failover, ok := drain.context.Service(failoverService).(failover)
 	return ok && failover.Driving()
--- a/internal/plug/member/registry.go
+++ b/internal/plug/member/registry.go
@@ -7,6 +7,7 @@
 	"almondway.dev/almondway/internal/core/event"
 	"almondway.dev/almondway/internal/core/kern"
 	"almondway.dev/almondway/internal/core/model"
+	"almondway.dev/almondway/internal/core/rank"
 	"almondway.dev/almondway/internal/core/table"
 )
 
@@ -23,6 +24,8 @@
 	// lies above the time for which regions lose each other, because a proxy
 	// without a row has no voice in the confirmation of a revision.
 	deadRowLimit = 15 * time.Minute
+	// removers is how many proxies remove a row, each one row at a time.
+	removers = 2
 )
 
 // proxyRecord is the value of a row of the table.
@@ -135,6 +138,7 @@
 	registry.adopt(rows)
 	seen := make(map[model.ProxyID]seenRow, len(rows))
 	listed := make([]model.ProxyView, 0, len(rows))
+	removed := false
 	for _, row := range rows {
 		id := model.ProxyID(row.Key())
 		if id == registry.self() {
@@ -145,9 +149,9 @@
 			continue
 		}
 		seen[id] = registry.observe(id, row.Version())
-		if registry.dead(id, seen[id]) {
+		if !removed && registry.removes(id, seen[id]) {
+			removed = true
 			registry.remove(id, row.Version())
-			continue
 		}
 		listed = append(listed, model.NewProxyView(id, record.Address, record.DataCenter, 0, false, 0))
 	}
@@ -176,8 +180,13 @@
 	return seenRow{version: version, since: registry.context.Now()}
 }
 
-func (registry *registry) dead(id model.ProxyID, row seenRow) bool {
-	return registry.context.Now()-row.since > deadRowLimit && !registry.peers.isLive(id)
+// removes reports whether a row belongs to a proxy that is long gone and this
+// proxy is one of those that remove it. A row that is still there has a voice.
+func (registry *registry) removes(id model.ProxyID, row seenRow) bool {
+	if registry.context.Now()-row.since <= deadRowLimit || registry.peers.isLive(id) {
+		return false
+	}
+	return rank.Of("remove/"+string(id), registry.self(), registry.context.State().Proxies()) < removers
 }
 
 func (registry *registry) remove(id model.ProxyID, version uint64) {
--- /dev/null
+++ b/internal/stand/shelf/shelf.go
@@ -0,0 +1,86 @@
+// Package shelf is a fake of the platform's table service for tests of plug-ins.
+// It answers the kernel's actions with events and runs no goroutine.
+package shelf
+
+import (
+	"slices"
+	"strings"
+
+	"almondway.dev/almondway/internal/core/event"
+	"almondway.dev/almondway/internal/core/model"
+)
+
+// Shelf holds the rows of all tables.
+type Shelf struct {
+	rows map[string]map[string]model.Row
+	down bool
+	lose int
+	drop int
+}
+
+// New returns a Shelf without rows.
+func New() *Shelf { return &Shelf{rows: make(map[string]map[string]model.Row)} }
+
+// SetDown begins or ends an outage.
+func (shelf *Shelf) SetDown(down bool) { shelf.down = down }
+
+// LoseAnswers loses the answers of the next transactions after they took effect.
+func (shelf *Shelf) LoseAnswers(count int) { shelf.lose = count }
+
+// DropWrites loses the next transactions before they take effect.
+func (shelf *Shelf) DropWrites(count int) { shelf.drop = count }
+
+// Row returns a row, or the zero Row.
+func (shelf *Shelf) Row(table, key string) model.Row { return shelf.rows[table][key] }
+
+// Rows returns the rows whose keys start with prefix, in ascending order.
+func (shelf *Shelf) Rows(table, prefix string) []model.Row {
+	var rows []model.Row
+	for key, row := range shelf.rows[table] {
+		if strings.HasPrefix(key, prefix) {
+			rows = append(rows, row)
+		}
+	}
+	slices.SortFunc(rows, func(left, right model.Row) int { return strings.Compare(left.Key(), right.Key()) })
+	return rows
+}
+
+// Read answers a ReadStore.
+func (shelf *Shelf) Read(action event.ReadStore) event.Event {
+	if shelf.down {
+		return event.NewStoreFailed(action.Query())
+	}
+	return event.NewStoreRead(action.Query(), shelf.Rows(action.Table(), action.Prefix()))
+}
+
+// Write carries out a WriteStore and answers it.
+func (shelf *Shelf) Write(action event.WriteStore) event.Event {
+	if shelf.down || shelf.drop > 0 {
+		shelf.drop = max(0, shelf.drop-1)
+		return event.NewStoreFailed(action.Query())
+	}
+	for _, write := range action.Writes() {
+		if shelf.Row(write.Table(), write.Key()).Version() != write.Expected() {
+			return event.NewStoreConflict(action.Query())
+		}
+	}
+	for _, write := range action.Writes() {
+		shelf.put(write)
+	}
+	if shelf.lose > 0 {
+		shelf.lose--
+		return event.NewStoreFailed(action.Query())
+	}
+	return event.NewStoreWritten(action.Query())
+}
+
+func (shelf *Shelf) put(write model.RowWrite) {
+	if write.Value() == nil {
+		delete(shelf.rows[write.Table()], write.Key())
+		return
+	}
+	if shelf.rows[write.Table()] == nil {
+		shelf.rows[write.Table()] = make(map[string]model.Row)
+	}
+	shelf.rows[write.Table()][write.Key()] = model.NewRow(write.Key(), write.Expected()+1, write.Value())
+}
