failov: fewer probes while a loss cannot be mended

Cause: a group without a majority was probed every millisecond for as long as it lasted, since each demand counted as a new doubt. The traces did not show it: their timeouts were lost when one fired.

Change: a doubt has a beginning, after which the probes become rarer; the traces keep their timeouts.

Run: go test ./internal/plug/failov ./internal/plug/drain.

--- a/internal/plug/drain/drain.go
+++ b/internal/plug/drain/drain.go
@@ -8,6 +8,7 @@
 	"almondway.dev/almondway/internal/core/event"
 	"almondway.dev/almondway/internal/core/kern"
 	"almondway.dev/almondway/internal/core/model"
+	"almondway.dev/almondway/internal/core/route"
 )
 
 const (
@@ -18,7 +19,6 @@
 	// that a proxy that was paused reads what came in meanwhile before it stops.
 	settleChecks = 10
 
-	sessionsService = "sessions"
 	deployService   = "deploy"
 	failoverService = "failov"
 )
@@ -90,7 +90,7 @@
 }
 
 func (drain *Drain) busy() bool {
-	for _, name := range []string{sessionsService, deployService} {
+	for _, name := range []string{route.SessionsService, deployService} {
 		if worker, ok := drain.context.Service(name).(worker); ok && worker.InFlight() > 0 {
 			return true
 		}
--- a/internal/plug/failov/attempt.go
+++ b/internal/plug/failov/attempt.go
@@ -233,7 +233,7 @@
 	}
 	jitter := time.Duration(failover.context.Random().Int64N(int64(yieldMax - yieldMin)))
 	watch.quietUntil = now + yieldMin + jitter
-	failover.demand(watch)
+	failover.demand(watch, failover.context.Now())
 }
 
 // restart ends an attempt that has no majority any more. The next check begins
@@ -242,5 +242,5 @@
 	failover.log(watch, model.Decision{Name: "promotion_stopped", Term: watch.attempt.term, Reason: reason})
 	watch.attempt = nil
 	watch.quietUntil = failover.context.Now() + restartPause
-	failover.demand(watch)
+	failover.demand(watch, failover.context.Now())
 }
--- a/internal/plug/failov/failov.go
+++ b/internal/plug/failov/failov.go
@@ -9,6 +9,7 @@
 	"almondway.dev/almondway/internal/core/event"
 	"almondway.dev/almondway/internal/core/kern"
 	"almondway.dev/almondway/internal/core/model"
+	"almondway.dev/almondway/internal/core/route"
 	"almondway.dev/almondway/internal/core/state"
 )
 
@@ -120,11 +121,15 @@
 	loss := failover.detect(watch)
 	if loss == lossNone {
 		watch.lostSince = 0
+		watch.doubtSince = 0
 		failover.move(watch)
 		failover.lead(watch)
 		return
 	}
-	failover.demand(watch)
+	if watch.doubtSince == 0 {
+		watch.doubtSince = now
+	}
+	failover.demand(watch, watch.doubtSince)
 	if loss == lossSuspected {
 		return
 	}
@@ -136,21 +141,14 @@
 	}
 }
 
-// demand asks for reports at once, so that suspicion is settled soon.
-func (failover *Failover) demand(watch *watch) {
-	if probes, ok := failover.context.Service("probes").(prober); ok {
-		now := failover.context.Now()
-		probes.Demand(watch.group.ID(), now, now)
+// demand asks for new reports at once, so that a doubt is settled soon. They
+// become rarer the longer the doubt lasts.
+func (failover *Failover) demand(watch *watch, began time.Duration) {
+	if probes, ok := failover.context.Service(route.ProbesService).(route.Probes); ok {
+		probes.Demand(watch.group.ID(), failover.context.Now(), began)
 	}
 }
 
-// prober is the service of the plug-in that probes the instances.
-type prober interface {
-	// Demand asks for reports whose probes are sent at since or later. began is
-	// when the wait for them began.
-	Demand(group model.GroupID, since, began time.Duration)
-}
-
 func (failover *Failover) watch(group *state.Group) *watch {
 	found, ok := failover.watches[group.ID()]
 	if !ok || found.group != group {
--- a/internal/plug/failov/move.go
+++ b/internal/plug/failov/move.go
@@ -147,7 +147,7 @@
 	watch.move.heldTo = failover.context.Now() + holdLimit
 	watch.group.Hold(watch.move.heldTo, true)
 	failover.beat()
-	failover.demand(watch)
+	failover.demand(watch, failover.context.Now())
 }
 
 func (failover *Failover) continueMove(watch *watch) {
@@ -168,7 +168,7 @@
 			return
 		}
 	}
-	failover.demand(watch)
+	failover.demand(watch, move.heldAt)
 }
 
 // overrun ends a switchover whose target did not catch up. A leaving primary
--- a/internal/plug/failov/rig_test.go
+++ b/internal/plug/failov/rig_test.go
@@ -133,15 +133,15 @@
 // expire reports the calls whose limit has passed; the kernels ignore those that
 // were answered.
 func (rig *rig) expire() {
-	kept := rig.timeouts[:0]
-	for _, timeout := range rig.timeouts {
+	waiting := rig.timeouts
+	rig.timeouts = nil
+	for _, timeout := range waiting {
 		if timeout.at > rig.now {
-			kept = append(kept, timeout)
+			rig.timeouts = append(rig.timeouts, timeout)
 			continue
 		}
 		timeout.fail()
 	}
-	rig.timeouts = kept
 }
 
 // leader returns the instance that leads the highest fence of a majority, or nil.
@@ -227,18 +227,17 @@
 // step later, and a failure when the limit has passed.
 func (proxy *proxy) call(id model.InstanceID, run func(instance *instance) event.Event, fail func(reason model.FailReason) event.Event, limit time.Duration) {
 	target := proxy.rig.instance(id)
-	proxy.rig.timeouts = append(proxy.rig.timeouts, timeout{
-		at:   proxy.rig.now + limit,
-		fail: func() { proxy.post(fail(model.FailTimeout)) },
-	})
+	expiry := timeout{at: proxy.rig.now + limit, fail: func() { proxy.post(fail(model.FailTimeout)) }}
 	visit := func() { proxy.later(run(target)) }
 	proxy.rig.queue = append(proxy.rig.queue, func() {
 		switch {
 		case proxy.rig.apart[[2]string{string(proxy.id), string(id)}]:
+			proxy.rig.timeouts = append(proxy.rig.timeouts, expiry)
 		case target.dead:
 			proxy.later(fail(model.FailRefused))
 		case target.frozen:
 			target.waiting = append(target.waiting, visit)
+			proxy.rig.timeouts = append(proxy.rig.timeouts, expiry)
 		default:
 			visit()
 		}
--- a/internal/plug/failov/watch.go
+++ b/internal/plug/failov/watch.go
@@ -13,6 +13,7 @@
 	heard      map[model.InstanceID]time.Duration // when the last report arrived
 	baseline   time.Duration                      // silence is counted from here at the earliest
 	lostSince  time.Duration                      // when the loss was noticed, or 0
+	doubtSince time.Duration                      // when the primary was suspected first, or 0
 	quietUntil time.Duration                      // another promoter has the word until then
 	fence      model.Term                         // the highest fence seen
 	fenceAt    time.Duration                      // when it was seen first
