--- /dev/null
+++ b/internal/edge/store/store_test.go
@@ -0,0 +1,134 @@
+package store_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"almondway.dev/almondway/internal/core/event"
+	"almondway.dev/almondway/internal/core/model"
+	"almondway.dev/almondway/internal/edge/store"
+	"almondway.dev/almondway/internal/proto/ctrlpb"
+	"almondway.dev/almondway/internal/stand/plat"
+	"almondway.dev/almondway/internal/stand/topol"
+)
+
+// inbox takes the adapter's events.
+type inbox chan event.Event
+
+func (inbox inbox) Post(received event.Event) { inbox <- received }
+
+type bench struct {
+	server   *httptest.Server
+	platform *plat.Platform
+	store    *store.Store
+	inbox    inbox
+}
+
+func newBench(t *testing.T, timeout time.Duration) *bench {
+	platform := plat.New(topol.Spec{Groups: []topol.GroupSpec{
+		{ID: "katalog-2", Instances: []topol.InstanceSpec{{ID: "katalog-2-a", Address: "127.0.0.1:7011", DataCenter: "trnje-hall"}}},
+		{ID: "katalog-1", Instances: []topol.InstanceSpec{{ID: "katalog-1-a", Address: "127.0.0.1:7001", DataCenter: "trnje-hall"}}},
+	}})
+	server := httptest.NewServer(platform.Handler())
+	t.Cleanup(server.Close)
+	events := make(inbox, 16)
+	return &bench{
+		server:   server,
+		platform: platform,
+		store:    store.New(server.URL, server.Client(), events, timeout),
+		inbox:    events,
+	}
+}
+
+func (bench *bench) fault(t *testing.T, faults *ctrlpb.SetPlatformFaultsRequest) {
+	t.Helper()
+	_, err := bench.platform.SetPlatformFaults(context.Background(), connect.NewRequest(faults))
+	is.New(t).NoErr(err)
+}
+
+func write(query model.QueryID, expected uint64, value []byte) event.WriteStore {
+	return event.NewWriteStore(query, []model.RowWrite{model.NewRowWrite("catalog", "head", expected, value)})
+}
+
+func TestStoreAnswers(t *testing.T) {
+	is := is.New(t)
+	bench := newBench(t, 5*time.Second)
+	bench.store.Write(write(1, 0, []byte("one")))
+	is.Equal(<-bench.inbox, event.NewStoreWritten(1))
+	bench.store.Write(write(2, 0, []byte("two")))
+	is.Equal(<-bench.inbox, event.NewStoreConflict(2))
+	bench.store.Write(write(3, 1, []byte{}))
+	is.Equal(<-bench.inbox, event.NewStoreWritten(3)) // an empty value is no deletion
+	bench.store.Read(event.NewReadStore(4, "catalog", "he"))
+	read, ok := (<-bench.inbox).(event.StoreRead)
+	is.True(ok)
+	is.Equal(read.Query(), model.QueryID(4))
+	is.Equal(read.Rows()[0].Key(), "head")
+	is.Equal(read.Rows()[0].Version(), uint64(2))
+	bench.store.Write(write(5, 2, nil))
+	is.Equal(<-bench.inbox, event.NewStoreWritten(5))
+	bench.store.Read(event.NewReadStore(6, "catalog", ""))
+	is.Equal(<-bench.inbox, event.NewStoreRead(6, []model.Row{}))
+}
+
+func TestStoreLists(t *testing.T) {
+	is := is.New(t)
+	bench := newBench(t, 5*time.Second)
+	bench.store.ListGroups(event.NewListGroups())
+	groups, ok := (<-bench.inbox).(event.GroupsListed)
+	is.True(ok)
+	is.Equal(groups.Groups()[0].ID(), model.GroupID("katalog-1")) // sorted
+	is.Equal(groups.Groups()[1].Instances(), []model.Instance{model.NewInstance("katalog-2-a", "127.0.0.1:7011", "trnje-hall")})
+	bench.store.ListHosts(event.NewListHosts())
+	_, ok = (<-bench.inbox).(event.HostsListed)
+	is.True(ok)
+}
+
+func TestStoreFailures(t *testing.T) {
+	tests := []struct {
+		name    string
+		faults  *ctrlpb.SetPlatformFaultsRequest
+		close   bool
+		timeout time.Duration
+		effect  bool // whether the write takes effect
+	}{
+		{name: "an outage", faults: &ctrlpb.SetPlatformFaultsRequest{Outage: true}, timeout: 5 * time.Second},
+		{name: "a lost answer", faults: &ctrlpb.SetPlatformFaultsRequest{LoseAnswers: 1}, timeout: 5 * time.Second, effect: true},
+		{name: "silence", faults: &ctrlpb.SetPlatformFaultsRequest{Silent: true}, timeout: 20 * time.Millisecond},
+		{
+			name:    "slowness",
+			faults:  &ctrlpb.SetPlatformFaultsRequest{Slowness: durationpb.New(time.Hour)},
+			timeout: 20 * time.Millisecond,
+		},
+		{name: "nobody listens", close: true, timeout: 5 * time.Second},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			bench := newBench(t, test.timeout)
+			if test.close {
+				bench.server.Close()
+			} else {
+				bench.fault(t, test.faults)
+			}
+			bench.store.Write(write(1, 0, []byte("one")))
+			is.Equal(<-bench.inbox, event.NewStoreFailed(1))
+			if test.close {
+				return
+			}
+			bench.fault(t, &ctrlpb.SetPlatformFaultsRequest{})
+			patient := store.New(bench.server.URL, http.DefaultClient, bench.inbox, 5*time.Second)
+			patient.Read(event.NewReadStore(2, "catalog", "head"))
+			read, ok := (<-bench.inbox).(event.StoreRead)
+			is.True(ok)
+			is.Equal(len(read.Rows()) == 1, test.effect)
+		})
+	}
+}
