--- a/internal/edge/back/messages.go
+++ b/internal/edge/back/messages.go
@@ -1,6 +1,8 @@
 package back
 
 import (
+	"strings"
+
 	"github.com/jackc/pgx/v5/pgconn"
 	"github.com/jackc/pgx/v5/pgproto3"
 
@@ -16,31 +18,43 @@
 )
 
 const (
-	sqlBegin         = "BEGIN"
-	sqlBeginReadOnly = "BEGIN READ ONLY"
-	sqlCommit        = "COMMIT"
-	sqlRollback      = "ROLLBACK"
-	sqlDiscard       = "DISCARD ALL"
+	sqlBegin    = "BEGIN"
+	sqlCommit   = "COMMIT"
+	sqlRollback = "ROLLBACK"
+	sqlDiscard  = "DISCARD ALL"
+
+	modeReadOnly  = "READ ONLY"
+	modeReadWrite = "READ WRITE"
 )
 
 // prefix returns the statements that go before the statement of a Work in the
-// same round trip.
-func prefix(work *model.Work) []string {
+// same round trip. Connections are read-only unless a transaction says otherwise.
+func prefix(work *model.Work, modes string) []string {
 	var statements []string
 	if work.Step() == model.StepFirst {
-		statements = append(statements, beginStatement(work.Write()))
+		statements = append(statements, beginStatement(work.Write(), modes))
+	} else if work.Write() && work.Step() != model.StepNext {
+		statements = append(statements, wire.ReadWriteSQL)
 	}
-	if work.Write() && work.Step() != model.StepNext {
+	if work.Write() && (work.Step() == model.StepFirst || work.Step() == model.StepSingle) {
 		statements = append(statements, wire.Begin(work.Guard(), work.LedgerID(), work.Digest()))
 	}
 	return statements
 }
 
-func beginStatement(write bool) string {
-	if write {
-		return sqlBegin
+func beginStatement(write bool, modes string) string {
+	begin := sqlBegin
+	if modes != "" {
+		begin += " " + modes
+	}
+	switch {
+	case strings.Contains(modes, modeReadOnly):
+		return begin
+	case write:
+		return begin + " " + modeReadWrite
+	default:
+		return begin + " " + modeReadOnly
 	}
-	return sqlBeginReadOnly
 }
 
 // workMessages returns the messages of a Work, which end with one ReadyForQuery,
@@ -52,9 +66,9 @@
 	case model.StepRollback:
 		return simpleMessages(sqlRollback), 0
 	case model.StepSettle:
-		return simpleMessages(wire.Settle(work.Guard(), work.LedgerID())), 0
+		return simpleMessages(joinSimple(prefix(work, ""), wire.Settle(work.Guard(), work.LedgerID()))), 0
 	case model.StepTrim:
-		return simpleMessages(wire.Trim(work.Guard(), work.LedgerID())), 0
+		return simpleMessages(joinSimple(prefix(work, ""), wire.Trim(work.Guard(), work.LedgerID()))), 0
 	}
 	statement, ok := work.Statement().(*wire.Statement)
 	if !ok {
@@ -63,7 +77,7 @@
 	if work.Step() == model.StepDescribe {
 		return describeMessages(statement), 0
 	}
-	before := prefix(work)
+	before := prefix(work, statement.BeginModes())
 	if statement.Simple() {
 		return simpleMessages(joinSimple(before, statement.SQL())), len(before)
 	}
--- a/internal/plug/failov/watch.go
+++ b/internal/plug/failov/watch.go
@@ -13,13 +13,14 @@
 	heard      map[model.InstanceID]time.Duration // when the last report arrived
 	baseline   time.Duration                      // silence is counted from here at the earliest
 	lostSince  time.Duration                      // when the loss was noticed, or 0
+	doubtSince time.Duration                      // when the primary was suspected first, or 0
 	quietUntil time.Duration                      // another promoter has the word until then
 	fence      model.Term                         // the highest fence seen
 	fenceAt    time.Duration                      // when it was seen first
 	count      uint64                             // the highest promotion count that this proxy used
 	attempt    *attempt
 	move       *move
-	moveAfter  time.Duration // no switchover is started before
+	moveAfter  time.Duration // no switchover away from a leaving primary is started before
 	followed   map[model.InstanceID]time.Duration
 }
 
@@ -32,16 +33,11 @@
 	}
 }
 
-// startTerm begins to watch a new primary.
+// startTerm begins to watch a new primary, whose silence counts from now.
 func (watch *watch) startTerm(now time.Duration) {
-	watch.restartSilence(now)
-	watch.quietUntil = 0
-}
-
-// restartSilence counts the silence of every instance from now.
-func (watch *watch) restartSilence(now time.Duration) {
 	watch.baseline = now
 	watch.lostSince = 0
+	watch.quietUntil = 0
 }
 
 // noticeFence remembers when the highest fence was seen first. A fence above
--- a/internal/plug/writes/write.go
+++ b/internal/plug/writes/write.go
@@ -78,11 +78,13 @@
 	write.writes.probes.Demand(write.job.Group(), write.writes.context.Now(), write.job.Arrived())
 }
 
-// seek asks for a connection to the primary, or waits for a primary.
+// seek asks for a connection to the primary, or waits for a primary. It waits
+// too while the primary is being moved on purpose.
 func (write *write) seek() {
 	view := write.view()
-	primary := primary(view)
-	if primary == nil || view.Term() == write.fenced {
+	primary := write.writes.primary(view)
+	held := view != nil && view.Held(write.writes.context.Now())
+	if primary == nil || held || view.Term() == write.fenced {
 		write.state = writeSeeking
 		write.demand()
 		return
@@ -184,6 +186,21 @@
 	}
 }
 
+// log writes a decision that the result alone does not show.
+func (write *write) log(name string, code codes.Code, reason string) {
+	write.writes.context.Emit(event.NewLogDecision(model.Decision{
+		Name:       name,
+		Caller:     write.job.Request().Caller(),
+		RequestID:  write.id,
+		Deployment: write.job.Deployment().Name(),
+		Group:      write.job.Group(),
+		Instance:   write.instance,
+		Term:       write.term,
+		Reason:     reason,
+		Code:       code,
+	}))
+}
+
 // finish gives the write its result.
 func (write *write) finish(result route.ResultSpec) {
 	result.Instance = write.instance
