writes: send a lost write again under its request id

Cause: a write whose answer was lost, or whose primary was replaced before the acknowledgement, was settled by a tombstone and ended as not run with the advice to use a new id. The ledger row already lets it run at most once, and the term's guard keeps the first sending out of a later term.

Change: a single statement is sent again under its id in the current term; only commits and statements that the database refuses on the second sending are settled. Settled requests carry a retry-after.

--- a/internal/plug/writes/confirm.go
+++ b/internal/plug/writes/confirm.go
@@ -15,7 +15,7 @@
 	write.state = writeConfirming
 	view := write.view()
 	if view == nil || mark.Term() != write.term {
-		write.settle()
+		write.resolve()
 		return
 	}
 	view.ObserveWrite(write.instance, mark)
@@ -23,14 +23,14 @@
 }
 
 // check passes the result on once it is acknowledged. When the term was replaced
-// before that, the entry may be lost, and the write is settled in the new term.
+// before that, the entry may be lost, and the new term has to tell.
 func (write *write) check(view *state.Group) {
 	switch {
 	case view.Acknowledged(write.mark):
 		write.conclude()
 	case view.Term() > write.mark.Term():
 		write.log("ack_refused", codes.PrimaryChanged, "the term was replaced before a majority had the mark")
-		write.settle()
+		write.resolve()
 	default:
 		write.demand()
 	}
@@ -50,6 +50,19 @@
 	write.finish(result)
 }
 
+// resolve finds out in the current term whether the write ran. A single
+// statement is sent again under its request id: the ledger row lets it run at
+// most once. A commit cannot be sent again and is settled.
+func (write *write) resolve() {
+	if write.job.Tx() != nil || write.settles {
+		write.settle()
+		return
+	}
+	write.doubt = true
+	write.fenced = 0
+	write.backOff()
+}
+
 // settle finds out in the current term whether the write ran, and makes sure
 // that it never will if it did not.
 func (write *write) settle() {
@@ -66,14 +79,19 @@
 	if write.job.Tx() != nil && write.job.OwnID() {
 		code = codes.TransactionLost
 	}
-	return route.ResultSpec{Outcome: model.OutcomeNotRun, Code: code, Reason: reason}
+	return route.ResultSpec{
+		Outcome:    model.OutcomeNotRun,
+		Code:       code,
+		RetryAfter: write.writes.admission.RetryAfter(write.instance),
+		Reason:     reason,
+	}
 }
 
 // ran returns the result of a write whose row is in the request ledger.
 func (write *write) ran() route.ResultSpec {
 	switch {
-	case write.settles && write.result.Answer != nil:
-		return route.ResultSpec{Answer: write.result.Answer, Reason: "settled as done"}
+	case write.doubt && write.result.Answer != nil:
+		return route.ResultSpec{Answer: write.result.Answer, Reason: "found in the ledger"}
 	case write.job.Tx() != nil && !write.commits():
 		return route.ResultSpec{
 			Outcome:  model.OutcomeDone,
--- a/internal/plug/writes/fail.go
+++ b/internal/plug/writes/fail.go
@@ -38,11 +38,17 @@
 	}
 }
 
-// refused passes an error of the database on. A settlement is tried again.
+// refused passes an error of the database on. A settlement is tried again. An
+// error of a statement that was sent before does not tell whether that one still
+// runs, so the request is settled.
 func (write *write) refused(failed event.ExecuteFailed) {
-	if write.settles {
+	switch {
+	case write.settles:
 		write.backOff()
 		return
+	case write.doubt:
+		write.settle()
+		return
 	}
 	write.finish(route.ResultSpec{Outcome: model.OutcomeNotRun, Code: codes.Statement, Answer: failed.Answer(), Reason: "primary"})
 }
@@ -58,7 +64,7 @@
 	case model.StepSettle:
 		write.backOff()
 	default:
-		write.settle()
+		write.resolve()
 	}
 }
 
@@ -86,9 +92,10 @@
 	write.finish(route.ResultSpec{Outcome: model.OutcomeNotRun, Code: codes.TransactionLost, Reason: reason})
 }
 
-// retry sends a write again that did not run.
+// retry sends a write again that did not run. One in doubt takes nothing of the
+// retry budget, since its outcome would stay unknown.
 func (write *write) retry() {
-	if !write.writes.admission.Retry(write.job.Group()) {
+	if !write.doubt && !write.writes.admission.Retry(write.job.Group()) {
 		write.finish(route.ResultSpec{
 			Outcome:    model.OutcomeNotRun,
 			Code:       codes.Overloaded,
