meas: load starts once the deployment is in force on all proxies

Cause: the load began while one of six proxies had not yet applied the new deployment, which the product allows for seconds after an acceptance. Ruled out: a proxy that loses its deployments (the refusals stop within the first second). The run now waits for all six.

--- a/internal/stand/demo/system.go
+++ b/internal/stand/demo/system.go
@@ -34,9 +34,9 @@
 }
 
 func (demo *demo) applyDeployments(ctx context.Context) (string, error) {
-	for place, name := range []string{gradski, morningBase} {
+	for _, name := range []string{gradski, morningBase} {
 		file := filepath.Join(demo.options.Examples, name+".yaml")
-		if _, err := demo.fleet.Almondway(ctx, demo.proxy(place), "deployment", "apply", file); err != nil {
+		if err := demo.fleet.Apply(ctx, file, name); err != nil {
 			return "", err
 		}
 	}
--- a/internal/stand/fleet/proxy.go
+++ b/internal/stand/fleet/proxy.go
@@ -90,3 +90,23 @@
 	text := strings.TrimSpace(string(output))
 	return text, errors.Wrapf(err, "almondway %s: %s", strings.Join(args, " "), text)
 }
+
+// Apply applies a deployment file through the first proxy and waits until the
+// deployment is in force on all.
+func (fleet *Fleet) Apply(ctx context.Context, file, deployment string) error {
+	if _, err := fleet.Almondway(ctx, fleet.proxies[0], "deployment", "apply", file); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, readyLimit)
+	defer cancel()
+	for _, proxy := range fleet.proxies {
+		err := procs.Until(ctx, func() error {
+			_, err := fleet.Almondway(ctx, proxy, "deployment", "get", deployment)
+			return err
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/internal/stand/meas/losses.go
+++ b/internal/stand/meas/losses.go
@@ -127,6 +127,9 @@
 	if err != nil {
 		return err
 	}
+	if leader == id {
+		return nil // nothing took its place
+	}
 	ctx, cancel := context.WithTimeout(ctx, rejoinLimit)
 	defer cancel()
 	err = procs.Until(ctx, func() error {
--- a/internal/stand/meas/run.go
+++ b/internal/stand/meas/run.go
@@ -133,7 +133,7 @@
 		}
 	}
 	file := filepath.Join(run.options.Examples, run.profile.file)
-	if _, err := run.fleet.Almondway(ctx, run.fleet.Proxies()[0], "deployment", "apply", file); err != nil {
+	if err := run.fleet.Apply(ctx, file, run.profile.deployment); err != nil {
 		return nil, err
 	}
 	run.proxied = load.NewProxied(run.profile.deployment, time.Duration(run.fleet.Topology().ClientDelay), run.options.Seed)
