bench: what a proxy adds, passes on, and takes for idle callers

The speeds to reach need figures from whole processes: the time that a proxy adds to a statement, the statements that one process passes on, and its memory with 2,400 idle callers. Both paths of the comparison take turns, so that both see the same machine.

--- a/Makefile
+++ b/Makefile
@@ -21,6 +21,10 @@
 measure: build
 	$(OUT)/standin measure --scenario "$(SCENARIO)" --deployment "$(DEPLOYMENT)" --policy "$(POLICY)"
 
+bench: build
+	go test -run '^$$' -bench . -benchmem $(PACKAGES) | grep -E '^(Benchmark|FAIL)' || true
+	$(OUT)/standin bench
+
 run: build
 	$(OUT)/almondway proxy
 
--- /dev/null
+++ b/internal/stand/bench/bench.go
@@ -0,0 +1,122 @@
+// Package bench measures the speed of a proxy process: what it adds to a
+// statement, how many statements a second it passes on, and what idle callers cost.
+package bench
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"almondway.dev/almondway/internal/stand/fleet"
+	"almondway.dev/almondway/internal/stand/load"
+	"almondway.dev/almondway/internal/stand/procs"
+	"almondway.dev/almondway/internal/stand/topol"
+)
+
+const (
+	deployment  = "gradski"
+	file        = "gradski-full.yaml"
+	slots       = 64
+	connections = 100
+)
+
+// Options are the choices of a run.
+type Options struct {
+	// Programs is the directory of the built programs.
+	Programs string
+	// Examples is the directory of the deployment files.
+	Examples string
+	// Output takes one JSON line for each figure.
+	Output io.Writer
+}
+
+// bench is a system with one proxy and without delays.
+type bench struct {
+	options Options
+	fleet   *fleet.Fleet
+	proxy   *fleet.Proxy
+	group   topol.GroupSpec
+}
+
+// Run takes all figures, one after the other.
+func Run(ctx context.Context, options Options) error {
+	for _, figure := range []func(*bench, context.Context) error{(*bench).overhead, (*bench).throughput, (*bench).idleCallers} {
+		if err := measure(ctx, options, figure); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// measure takes a figure from a fresh system.
+func measure(ctx context.Context, options Options, figure func(*bench, context.Context) error) error {
+	dir, err := os.MkdirTemp("", "almondway-bench-")
+	if err != nil {
+		return errors.Wrap(err, "make directory of the benchmark")
+	}
+	ports := procs.NewPorts()
+	spec := topol.Spec{Groups: topol.Zagreb().Spec(ports).Groups, Slots: slots, Connections: connections}
+	started, err := fleet.New(fleet.Spec{
+		Dir:      dir,
+		Programs: options.Programs,
+		Topology: spec,
+		Ports:    ports,
+		ProxyArgs: []string{
+			"--slots-per-instance", fmt.Sprint(slots), "--conns-per-instance", fmt.Sprint(connections),
+			"--log-sample", "0", "--log-level", "warn",
+		},
+	})
+	if err != nil {
+		return err
+	}
+	defer started.Stop()
+	bench := &bench{options: options, fleet: started, group: spec.Groups[0]}
+	if err := bench.start(ctx); err != nil {
+		return errors.Wrapf(err, "start the system, logs are in %s", dir)
+	}
+	if err := figure(bench, ctx); err != nil {
+		return errors.Wrapf(err, "logs are in %s", dir)
+	}
+	return errors.Wrap(os.RemoveAll(dir), "remove directory of the benchmark")
+}
+
+func (bench *bench) start(ctx context.Context) error {
+	if err := bench.fleet.StartBackend(ctx); err != nil {
+		return err
+	}
+	proxy, err := bench.fleet.StartProxy(topol.Zagreb().DataCenters()[0])
+	if err != nil {
+		return err
+	}
+	bench.proxy = proxy
+	if err := bench.fleet.AwaitProxy(ctx, proxy); err != nil {
+		return err
+	}
+	if err := bench.fleet.Apply(ctx, filepath.Join(bench.options.Examples, file), deployment); err != nil {
+		return err
+	}
+	conn, err := load.Connect(ctx, bench.group.Primary().Address, "bench", deployment, 0)
+	if err != nil {
+		return errors.Wrap(err, "connect to the primary")
+	}
+	defer func() { _ = conn.Close(ctx) }()
+	_, err = conn.Exec(ctx, "INSERT INTO kv (key, value) VALUES ('course-17', '0')").ReadAll()
+	return errors.Wrap(err, "write the key")
+}
+
+// statement returns the SQL of a request to the bench's group.
+func (bench *bench) statement(kind, sql string) string {
+	return fmt.Sprintf("/*kind='%s',group='%s'*/ %s", kind, bench.group.ID, sql)
+}
+
+func (bench *bench) print(figure any) error {
+	return errors.Wrap(json.NewEncoder(bench.options.Output).Encode(figure), "print figure")
+}
+
+func microseconds(duration time.Duration) float64 { return float64(duration.Nanoseconds()) / 1000 }
--- /dev/null
+++ b/internal/stand/bench/speed.go
@@ -0,0 +1,207 @@
+package bench
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/pkg/errors"
+
+	"almondway.dev/almondway/internal/stand/load"
+)
+
+const (
+	overheadStatements = 5000
+	warmStatements     = 500
+	throughputCallers  = 64
+	throughputTime     = 5 * time.Second
+	idleCallers        = 2400
+	longestLatency     = time.Minute
+	latencyDigits      = 3
+	readSQL            = "SELECT value FROM kv WHERE key = 'course-17'"
+	writeSQL           = "UPDATE kv SET value = value + 1 WHERE key = 'course-17'"
+)
+
+// overheadFigure compares a statement through the proxy with the direct path.
+type overheadFigure struct {
+	Figure     string  `json:"figure"`
+	Kind       string  `json:"kind"`
+	Statements int     `json:"statements"`
+	DirectP50  float64 `json:"direct_p50_us"`
+	DirectP99  float64 `json:"direct_p99_us"`
+	ProxyP50   float64 `json:"proxy_p50_us"`
+	ProxyP99   float64 `json:"proxy_p99_us"`
+	AddedP50   float64 `json:"added_p50_us"`
+}
+
+// overhead takes turns between both paths, so that both see the same machine.
+func (bench *bench) overhead(ctx context.Context) error {
+	cases := []struct {
+		kind, class, sql, address string
+	}{
+		{"browse", "student", readSQL, bench.replica()},
+		{"seat_count", "student", readSQL, bench.replica()},
+		{"mark_seen", "registrar", writeSQL, bench.group.Primary().Address},
+	}
+	for _, c := range cases {
+		direct, err := load.Connect(ctx, c.address, c.class, deployment, 0)
+		if err != nil {
+			return errors.Wrap(err, "connect to the instance")
+		}
+		proxied, err := load.Connect(ctx, bench.proxy.Address(), c.class, deployment, 0)
+		if err != nil {
+			return errors.Wrap(err, "connect to the proxy")
+		}
+		directTimes, proxyTimes := newHistogram(), newHistogram()
+		for number := range warmStatements + overheadStatements {
+			if number == warmStatements {
+				directTimes.Reset()
+				proxyTimes.Reset()
+			}
+			if err := timed(ctx, direct, c.sql, directTimes); err != nil {
+				return err
+			}
+			if err := timed(ctx, proxied, bench.statement(c.kind, c.sql), proxyTimes); err != nil {
+				return err
+			}
+		}
+		_ = direct.Close(ctx)
+		_ = proxied.Close(ctx)
+		err = bench.print(overheadFigure{
+			Figure:     "overhead",
+			Kind:       c.kind,
+			Statements: overheadStatements,
+			DirectP50:  percentile(directTimes, 50),
+			DirectP99:  percentile(directTimes, 99),
+			ProxyP50:   percentile(proxyTimes, 50),
+			ProxyP99:   percentile(proxyTimes, 99),
+			AddedP50:   percentile(proxyTimes, 50) - percentile(directTimes, 50),
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (bench *bench) replica() string {
+	for _, instance := range bench.group.Instances {
+		if !instance.Primary {
+			return instance.Address
+		}
+	}
+	return ""
+}
+
+func timed(ctx context.Context, conn *pgconn.PgConn, sql string, times *hdrhistogram.Histogram) error {
+	startedAt := time.Now()
+	if _, err := conn.Exec(ctx, sql).ReadAll(); err != nil {
+		return errors.Wrapf(err, "run %q", sql)
+	}
+	return times.RecordValue(time.Since(startedAt).Nanoseconds())
+}
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, longestLatency.Nanoseconds(), latencyDigits)
+}
+
+// percentile returns microseconds.
+func percentile(times *hdrhistogram.Histogram, at float64) float64 {
+	return microseconds(time.Duration(times.ValueAtPercentile(at)))
+}
+
+// throughputFigure is the number of statements that a proxy passes on.
+type throughputFigure struct {
+	Figure        string  `json:"figure"`
+	Callers       int     `json:"callers"`
+	Seconds       float64 `json:"seconds"`
+	PerSecond     float64 `json:"statements_per_second"`
+	ProxyCPU      float64 `json:"proxy_cpu_seconds"`
+	CPUPerRequest float64 `json:"proxy_cpu_us_per_statement"`
+}
+
+// throughput lets callers read as fast as they get answers.
+func (bench *bench) throughput(ctx context.Context) error {
+	before, err := usage(bench.proxy.Process().ID())
+	if err != nil {
+		return err
+	}
+	runCtx, cancel := context.WithTimeout(ctx, throughputTime)
+	defer cancel()
+	var running sync.WaitGroup
+	counts := make([]int, throughputCallers)
+	startedAt := time.Now()
+	for caller := range throughputCallers {
+		conn, err := load.Connect(ctx, bench.proxy.Address(), "student", deployment, 0)
+		if err != nil {
+			return errors.Wrap(err, "connect to the proxy")
+		}
+		running.Go(func() {
+			defer func() { _ = conn.Close(ctx) }()
+			for runCtx.Err() == nil {
+				if _, err := conn.Exec(ctx, bench.statement("browse", readSQL)).ReadAll(); err == nil {
+					counts[caller]++
+				}
+			}
+		})
+	}
+	running.Wait()
+	taken := time.Since(startedAt)
+	after, err := usage(bench.proxy.Process().ID())
+	if err != nil {
+		return err
+	}
+	total := 0
+	for _, count := range counts {
+		total += count
+	}
+	processor := after.processor - before.processor
+	return bench.print(throughputFigure{
+		Figure:        "throughput",
+		Callers:       throughputCallers,
+		Seconds:       taken.Seconds(),
+		PerSecond:     float64(total) / taken.Seconds(),
+		ProxyCPU:      processor.Seconds(),
+		CPUPerRequest: microseconds(processor) / float64(max(1, total)),
+	})
+}
+
+// idleFigure is the memory of a proxy with idle callers.
+type idleFigure struct {
+	Figure        string  `json:"figure"`
+	Callers       int     `json:"callers"`
+	MemoryBefore  float64 `json:"memory_before_mb"`
+	Memory        float64 `json:"memory_mb"`
+	KBPerCaller   float64 `json:"kb_per_caller"`
+	ConnectPerSec float64 `json:"connects_per_second"`
+}
+
+func (bench *bench) idleCallers(ctx context.Context) error {
+	before, err := usage(bench.proxy.Process().ID())
+	if err != nil {
+		return err
+	}
+	startedAt := time.Now()
+	for range idleCallers {
+		conn, err := load.Connect(ctx, bench.proxy.Address(), "student", deployment, 0)
+		if err != nil {
+			return errors.Wrap(err, "connect to the proxy")
+		}
+		defer func() { _ = conn.Close(ctx) }()
+	}
+	taken := time.Since(startedAt)
+	after, err := usage(bench.proxy.Process().ID())
+	if err != nil {
+		return err
+	}
+	return bench.print(idleFigure{
+		Figure:        "idle_callers",
+		Callers:       idleCallers,
+		MemoryBefore:  float64(before.memory) / bytesPerMB,
+		Memory:        float64(after.memory) / bytesPerMB,
+		KBPerCaller:   float64(after.memory-before.memory) / bytesPerKB / idleCallers,
+		ConnectPerSec: idleCallers / taken.Seconds(),
+	})
+}
--- a/internal/stand/cmds/cmds.go
+++ b/internal/stand/cmds/cmds.go
@@ -23,7 +23,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newTopology(), newPlatform(), newInstance(), newControl(), newDemo(), newMeasure())
+	root.AddCommand(newTopology(), newPlatform(), newInstance(), newControl(), newDemo(), newMeasure(), newBench())
 	root.SetArgs(args)
 	if err := root.ExecuteContext(ctx); err != nil {
 		_, _ = fmt.Fprintf(os.Stderr, "standin: %s\n", err)
--- a/internal/stand/cmds/measure.go
+++ b/internal/stand/cmds/measure.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/spf13/cobra"
 
+	"almondway.dev/almondway/internal/stand/bench"
 	"almondway.dev/almondway/internal/stand/fleet"
 	"almondway.dev/almondway/internal/stand/meas"
 )
@@ -40,3 +41,23 @@
 	flags.BoolVar(&options.KeepLogs, "keep-logs", false, "keep the output of the processes")
 	return command
 }
+
+func newBench() *cobra.Command {
+	var options bench.Options
+	command := &cobra.Command{
+		Use:   "bench",
+		Short: "Measure the speed of one proxy process",
+		Args:  cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			programs, err := fleet.ProgramDir()
+			if err != nil {
+				return err
+			}
+			options.Programs = programs
+			options.Output = command.OutOrStdout()
+			return bench.Run(command.Context(), options)
+		},
+	}
+	command.Flags().StringVar(&options.Examples, "examples", "examples", "directory of the deployment files")
+	return command
+}
--- a/internal/stand/load/monitor.go
+++ b/internal/stand/load/monitor.go
@@ -62,7 +62,7 @@
 func command(ctx context.Context, address, sql string) error {
 	ctx, cancel := context.WithTimeout(ctx, naiveTimeout)
 	defer cancel()
-	conn, err := connect(ctx, address, wire.ControlUser, "platform", 0)
+	conn, err := Connect(ctx, address, wire.ControlUser, "platform", 0)
 	if err != nil {
 		return err
 	}
--- a/internal/stand/load/naive.go
+++ b/internal/stand/load/naive.go
@@ -99,7 +99,7 @@
 	}
 	defer func() { pool <- conn }()
 	if conn == nil {
-		opened, err := connect(ctx, instance.Address, session.class, session.naive.database, 0)
+		opened, err := Connect(ctx, instance.Address, session.class, session.naive.database, 0)
 		if err != nil {
 			return classify(err, false)
 		}
--- a/internal/stand/load/proxied.go
+++ b/internal/stand/load/proxied.go
@@ -143,15 +143,15 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, connectLimit)
 	defer cancel()
-	conn, err := connect(ctx, address, session.class, session.proxied.database, session.proxied.delay)
+	conn, err := Connect(ctx, address, session.class, session.proxied.database, session.proxied.delay)
 	if err == nil {
 		session.conns[address] = conn
 	}
 	return conn, err
 }
 
-// connect opens a connection whose messages take delay each way.
-func connect(ctx context.Context, address, user, database string, delay time.Duration) (*pgconn.PgConn, error) {
+// Connect opens a connection whose messages take delay each way.
+func Connect(ctx context.Context, address, user, database string, delay time.Duration) (*pgconn.PgConn, error) {
 	target := url.URL{Scheme: "postgres", User: url.User(user), Host: address, Path: "/" + database, RawQuery: "sslmode=disable"}
 	config, err := pgconn.ParseConfig(target.String())
 	if err != nil {
--- a/internal/stand/procs/procs.go
+++ b/internal/stand/procs/procs.go
@@ -29,6 +29,9 @@
 // Name returns the name under which the process was started.
 func (proc *Proc) Name() string { return proc.name }
 
+// ID returns the number of the process.
+func (proc *Proc) ID() int { return proc.command.Process.Pid }
+
 // Done returns a channel that is closed when the process has ended.
 func (proc *Proc) Done() <-chan struct{} { return proc.done }
 
