--- a/Makefile
+++ b/Makefile
@@ -25,6 +25,9 @@
 	go test -run '^$$' -bench . -benchmem $(PACKAGES) | grep -E '^(Benchmark|FAIL)' || true
 	$(OUT)/standin bench
 
+slopes: build
+	$(OUT)/standin slopes --only "$(ONLY)"
+
 run: build
 	$(OUT)/almondway proxy
 
--- a/internal/stand/bench/speed.go
+++ b/internal/stand/bench/speed.go
@@ -124,7 +124,7 @@
 
 // throughput lets callers read as fast as they get answers.
 func (bench *bench) throughput(ctx context.Context) error {
-	before, err := usage(bench.proxy.Process().ID())
+	before, err := usage(bench.proxy.Process().PID())
 	if err != nil {
 		return err
 	}
@@ -149,7 +149,7 @@
 	}
 	running.Wait()
 	taken := time.Since(startedAt)
-	after, err := usage(bench.proxy.Process().ID())
+	after, err := usage(bench.proxy.Process().PID())
 	if err != nil {
 		return err
 	}
@@ -179,7 +179,7 @@
 }
 
 func (bench *bench) idleCallers(ctx context.Context) error {
-	before, err := usage(bench.proxy.Process().ID())
+	before, err := usage(bench.proxy.Process().PID())
 	if err != nil {
 		return err
 	}
@@ -192,7 +192,7 @@
 		defer func() { _ = conn.Close(ctx) }()
 	}
 	taken := time.Since(startedAt)
-	after, err := usage(bench.proxy.Process().ID())
+	after, err := usage(bench.proxy.Process().PID())
 	if err != nil {
 		return err
 	}
