proof: benchmarks of a whole proxy

Direct and proxied reads, fresh reads, writes, throughput of 64 callers and the memory of 2400 idle callers, with the stand-ins in the same process.

--- /dev/null
+++ b/internal/proof/whole/bench_test.go
@@ -0,0 +1,145 @@
+package whole
+
+import (
+	"context"
+	"net"
+	"runtime"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/matryer/is"
+)
+
+const (
+	benchSQL    = "SELECT value FROM kv WHERE key = $1"
+	idleCallers = 2400
+)
+
+func benchConn(b *testing.B, url string) *pgconn.PgConn {
+	b.Helper()
+	is := is.New(b)
+	conn, err := pgconn.Connect(context.Background(), url)
+	is.NoErr(err)
+	b.Cleanup(func() { _ = conn.Close(context.Background()) })
+	return conn
+}
+
+func readOnce(conn *pgconn.PgConn, sql string) error {
+	return conn.ExecParams(context.Background(), sql, [][]byte{[]byte("course-17")}, nil, nil, nil).Read().Err
+}
+
+// reportMedian reports the median time of a statement.
+func reportMedian(b *testing.B, times []time.Duration) {
+	b.Helper()
+	slices.Sort(times)
+	b.ReportMetric(float64(times[len(times)/2])/float64(time.Microsecond), "p50-µs")
+}
+
+func benchLatency(b *testing.B, url string, sql string) {
+	b.Helper()
+	is := is.New(b)
+	conn := benchConn(b, url)
+	is.NoErr(readOnce(conn, sql))
+	times := make([]time.Duration, 0, b.N)
+	for b.Loop() {
+		start := time.Now()
+		is.NoErr(readOnce(conn, sql))
+		times = append(times, time.Since(start))
+	}
+	reportMedian(b, times)
+}
+
+func BenchmarkDirectRead(b *testing.B) {
+	benchLatency(b, newSystem(b).directURL(), benchSQL)
+}
+
+func BenchmarkStaleRead(b *testing.B) {
+	benchLatency(b, newSystem(b).url("student"), benchSQL)
+}
+
+func BenchmarkFreshRead(b *testing.B) {
+	benchLatency(b, newSystem(b).url("student"), benchSQL+" /*kind='seat_count'*/")
+}
+
+func BenchmarkWrite(b *testing.B) {
+	benchLatency(b, newSystem(b).url("student"), "INSERT INTO kv(key, value) VALUES ($1, '1') ON CONFLICT (key) DO UPDATE SET value = excluded.value /*kind='edit'*/")
+}
+
+// BenchmarkThroughput reports the stale reads that 64 callers get done.
+func BenchmarkThroughput(b *testing.B) {
+	const callers = 64
+	is := is.New(b)
+	system := newSystem(b)
+	conns := make([]*pgconn.PgConn, callers)
+	for index := range conns {
+		conns[index] = benchConn(b, system.url("student"))
+	}
+	b.ResetTimer()
+	var group sync.WaitGroup
+	for _, conn := range conns {
+		group.Go(func() {
+			for range b.N / callers {
+				if err := readOnce(conn, benchSQL); err != nil {
+					is.NoErr(err)
+				}
+			}
+		})
+	}
+	group.Wait()
+	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "statements/s")
+}
+
+// BenchmarkIdleCallers reports the memory of callers that wait; their own side
+// holds a bare socket only.
+func BenchmarkIdleCallers(b *testing.B) {
+	is := is.New(b)
+	system := newSystem(b)
+	for b.Loop() {
+		before := memory()
+		var conns []net.Conn
+		for range idleCallers {
+			conns = append(conns, idleCaller(b, system))
+		}
+		b.ReportMetric(float64(memory()-before)/idleCallers, "bytes/caller")
+		b.ReportMetric(float64(memory())/(1<<20), "MB")
+		for _, conn := range conns {
+			is.NoErr(conn.Close())
+		}
+	}
+}
+
+func idleCaller(b *testing.B, system *system) net.Conn {
+	b.Helper()
+	is := is.New(b)
+	conn, err := net.Dial("tcp", system.listen)
+	is.NoErr(err)
+	start := pgproto3.StartupMessage{
+		ProtocolVersion: pgproto3.ProtocolVersion30,
+		Parameters:      map[string]string{"user": "student", "database": "katalog"},
+	}
+	encoded, err := start.Encode(nil)
+	is.NoErr(err)
+	_, err = conn.Write(encoded)
+	is.NoErr(err)
+	answer := make([]byte, 4096)
+	for {
+		count, err := conn.Read(answer)
+		is.NoErr(err)
+		if count >= 6 && answer[count-6] == 'Z' {
+			return conn
+		}
+	}
+}
+
+// memory returns the bytes of heap and stacks in use.
+func memory() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapInuse + stats.StackInuse
+}
--- a/internal/proof/whole/system_test.go
+++ b/internal/proof/whole/system_test.go
@@ -109,7 +109,7 @@
 	go func() { ended <- proxy.Run(make(chan os.Signal)) }()
 	t.Cleanup(func() {
 		proxy.Stop()
-		<-ended
+		is.NoErr(<-ended)
 		log.Close()
 	})
 }
