--- a/Makefile
+++ b/Makefile
@@ -18,6 +18,12 @@
 demo: build
 	$(OUT)/standin demo
 
+measure: build
+	$(OUT)/standin measure --scenario "$(SCENARIO)" --deployment "$(DEPLOYMENT)" --policy "$(POLICY)"
+
+slopes: build
+	$(OUT)/standin slopes --only "$(ONLY)"
+
 run: build
 	$(OUT)/almondway proxy
 
--- a/internal/app/serve/edges.go
+++ b/internal/app/serve/edges.go
@@ -10,7 +10,7 @@
 
 	"almondway.dev/almondway/internal/app/config"
 	"almondway.dev/almondway/internal/app/daemon"
-	"almondway.dev/almondway/internal/core/port"
+	"almondway.dev/almondway/internal/app/metric"
 	"almondway.dev/almondway/internal/edge/admin"
 	"almondway.dev/almondway/internal/edge/back"
 	"almondway.dev/almondway/internal/edge/front"
@@ -25,7 +25,7 @@
 	// maxIdlePlatformConns is the number of idle connections kept to the platform.
 	maxIdlePlatformConns = 16
 	// closeLimit is the time that calls of operators may take to end.
-	closeLimit = time.Second
+	closeLimit = 200 * time.Millisecond
 )
 
 // edges are the adapters of a process and what they listen on.
@@ -100,14 +100,14 @@
 }
 
 // ports returns the adapters as the kernel's loop needs them.
-func (edges *edges) ports(proxy *Proxy, journal port.Journal) daemon.Ports {
+func (edges *edges) ports(proxy *Proxy) daemon.Ports {
 	return daemon.Ports{
 		Callers:   edges.callers,
-		Backend:   edges.backend,
-		Platform:  edges.store,
-		Peers:     edges.peers,
+		Backend:   metric.NewBackend(proxy.registry, edges.backend),
+		Platform:  metric.NewPlatform(proxy.registry, edges.store),
+		Peers:     metric.NewPeers(proxy.registry, edges.peers),
 		Operators: edges.admin,
-		Journal:   journal,
+		Journal:   proxy.journal,
 		Process:   proxy,
 	}
 }
@@ -138,7 +138,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), closeLimit)
 	defer cancel()
 	edges.adminServer.close(ctx)
-	edges.peerServer.close(ctx)
+	_ = edges.peerServer.server.Close() // messages of peers may be lost
 }
 
 func settingMessages(settings *config.Config) []*admpb.Setting {
--- a/internal/plug/failov/failov.go
+++ b/internal/plug/failov/failov.go
@@ -9,6 +9,7 @@
 	"almondway.dev/almondway/internal/core/event"
 	"almondway.dev/almondway/internal/core/kern"
 	"almondway.dev/almondway/internal/core/model"
+	"almondway.dev/almondway/internal/core/route"
 	"almondway.dev/almondway/internal/core/state"
 )
 
@@ -17,9 +18,6 @@
 
 const (
 	checkInterval = 20 * time.Millisecond
-	// pauseLimit is the time without a check after which this process counts as
-	// paused: what it did not hear meanwhile says nothing about the instances.
-	pauseLimit = 200 * time.Millisecond
 	// driveLimit is how long a proxy that shuts down stays for a promotion.
 	driveLimit = 2 * time.Second
 )
@@ -32,10 +30,9 @@
 
 // Failover is the plug-in.
 type Failover struct {
-	context   *kern.Context
-	orders    *orders
-	watches   map[model.GroupID]*watch
-	checkedAt time.Duration
+	context *kern.Context
+	orders  *orders
+	watches map[model.GroupID]*watch
 }
 
 // New returns the plug-in of the kernel that context belongs to.
@@ -83,15 +80,8 @@
 
 // check looks at every group, because silence makes no event.
 func (failover *Failover) check() {
-	now := failover.context.Now()
-	paused := now-failover.checkedAt > pauseLimit
-	failover.checkedAt = now
 	for _, group := range failover.context.State().Groups() {
-		watch := failover.watch(group)
-		if paused {
-			watch.restartSilence(now)
-		}
-		failover.evaluate(watch)
+		failover.evaluate(failover.watch(group))
 	}
 }
 
@@ -131,11 +121,15 @@
 	loss := failover.detect(watch)
 	if loss == lossNone {
 		watch.lostSince = 0
+		watch.doubtSince = 0
 		failover.move(watch)
 		failover.lead(watch)
 		return
 	}
-	failover.demand(watch)
+	if watch.doubtSince == 0 {
+		watch.doubtSince = now
+	}
+	failover.demand(watch, watch.doubtSince)
 	if loss == lossSuspected {
 		return
 	}
@@ -143,25 +137,18 @@
 		watch.lostSince = now
 	}
 	if now >= failover.dueAt(watch, loss) {
-		failover.begin(watch, loss.String())
+		failover.replace(watch, loss)
 	}
 }
 
-// demand asks for reports at once, so that suspicion is settled soon.
-func (failover *Failover) demand(watch *watch) {
-	if probes, ok := failover.context.Service("probes").(prober); ok {
-		now := failover.context.Now()
-		probes.Demand(watch.group.ID(), now, now)
+// demand asks for new reports at once, so that a doubt is settled soon. They
+// become rarer the longer the doubt lasts.
+func (failover *Failover) demand(watch *watch, began time.Duration) {
+	if probes, ok := failover.context.Service(route.ProbesService).(route.Probes); ok {
+		probes.Demand(watch.group.ID(), failover.context.Now(), began)
 	}
 }
 
-// prober is the service of the plug-in that probes the instances.
-type prober interface {
-	// Demand asks for reports whose probes are sent at since or later. began is
-	// when the wait for them began.
-	Demand(group model.GroupID, since, began time.Duration)
-}
-
 func (failover *Failover) watch(group *state.Group) *watch {
 	found, ok := failover.watches[group.ID()]
 	if !ok || found.group != group {
--- a/internal/plug/sessn/start.go
+++ b/internal/plug/sessn/start.go
@@ -76,15 +76,23 @@
 	}
 	caller.inForce = job.Deployment()
 	caller.inClass = job.Class()
-	access := job.Kind().Access()
+	if job.Tx() != nil {
+		caller.tx = job.Tx()
+	}
+	sessions.run(caller, job, accessOf(job))
+}
+
+// accessOf returns which runner takes a Job. A description outside a
+// transaction runs nothing, whatever its kind is, so any instance may answer it.
+func accessOf(job *route.Job) model.Access {
 	switch {
 	case job.Tx() != nil:
-		caller.tx = job.Tx()
-		access = caller.tx.Access()
-	case request.Op() == model.OpDescribe:
-		access = model.AccessRead // nothing runs, whatever the kind may write
+		return job.Tx().Access()
+	case job.Request().Op() == model.OpDescribe:
+		return model.AccessRead
+	default:
+		return job.Kind().Access()
 	}
-	sessions.run(caller, job, access)
 }
 
 // run hands a Job to its runner and sets its deadline.
@@ -92,13 +100,14 @@
 	caller.job = job
 	caller.access = access
 	delay := job.Deadline() - sessions.context.Now()
-	caller.timer = sessions.context.Timers().After(delay, func() { sessions.expire(caller, job) })
+	caller.timer = sessions.context.Timers().After(delay, caller.expire)
 	sessions.runner(access).Start(job)
 }
 
-func (sessions *Sessions) expire(caller *caller, job *route.Job) {
-	if caller.job == job {
-		sessions.runner(caller.access).Expire(job)
+// expire ends the running request of a caller, whose deadline has passed.
+func (sessions *Sessions) expire(caller *caller) {
+	if caller.job != nil {
+		sessions.runner(caller.access).Expire(caller.job)
 	}
 }
 
