front, insta: cheaper token comparison; one write for a batch of answers

Profile of 100,000 stale reads through a whole proxy in one process: the session token was turned into text twice for each reply (0.48 of 3.2 s of the callers' side), and the stand-in wrote after each message of the extended protocol (2.8 of 18.8 s in all). Tokens now compare their marks; the stand-in writes when its caller waits, as a database does.

Run on a busy machine (load 43 on 12 cores): direct read p50 44 µs, through the proxy 103 µs; 14,500 statements/s before and after, bound by the processor time that was left.

--- a/internal/core/model/token.go
+++ b/internal/core/model/token.go
@@ -74,6 +74,9 @@
 	return token
 }
 
+// Equal reports whether both Tokens have seen the same.
+func (token Token) Equal(other Token) bool { return maps.Equal(token.marks, other.marks) }
+
 // String returns the Token in the form "v1,group=term/position,...", sorted by
 // group, or the empty text for the zero Token.
 func (token Token) String() string {
--- a/internal/edge/front/session.go
+++ b/internal/edge/front/session.go
@@ -105,7 +105,7 @@
 		session.tags = session.tags.Without(query.TagRequestID)
 	}
 	merged := session.token.Merge(token)
-	changed := merged.String() != session.token.String()
+	changed := !merged.Equal(session.token)
 	session.token = merged
 	return changed
 }
--- a/internal/proof/whole/bench_test.go
+++ b/internal/proof/whole/bench_test.go
@@ -143,3 +143,8 @@
 	runtime.ReadMemStats(&stats)
 	return stats.HeapInuse + stats.StackInuse
 }
+
+// directURL returns the connection string of the primary itself.
+func (system *system) directURL() string {
+	return "postgres://almondway@" + system.topology.Groups[0].Primary().Address + "/katalog?sslmode=disable"
+}
--- a/internal/stand/insta/session.go
+++ b/internal/stand/insta/session.go
@@ -41,12 +41,22 @@
 			return
 		}
 		session.handle(message)
-		if session.backend.Flush() != nil {
+		if endsBatch(message) && session.backend.Flush() != nil {
 			return
 		}
 	}
 }
 
+// endsBatch reports whether the caller waits for the answers up to message.
+func endsBatch(message pgproto3.FrontendMessage) bool {
+	switch message.(type) {
+	case *pgproto3.Query, *pgproto3.Sync, *pgproto3.Flush:
+		return true
+	default:
+		return false
+	}
+}
+
 func (session *session) handle(message pgproto3.FrontendMessage) {
 	if query, ok := message.(*pgproto3.Query); ok {
 		session.simple(query.String)
