front: parameters of the start-up are checked, statement_timeout sets the timeout

search_path and other settings of the database were dropped in silence when they came with the start-up message. They are refused now as SET refuses them; what drivers send by themselves is taken. statement_timeout means what the timeout tag means and sets it. Tests of TLS and of the reported token.

--- a/internal/edge/front/local.go
+++ b/internal/edge/front/local.go
@@ -78,11 +78,10 @@
 	if strings.HasPrefix(given.name, settingPrefix) {
 		return caller.session.set(given.name, given.value, local)
 	}
-	if reason := checkAccepted(given); reason != nil {
+	if reason := caller.session.setAccepted(given, local); reason != nil {
 		return reason
 	}
 	if given.name == settingApplication {
-		caller.session.application = given.value
 		caller.send(&pgproto3.ParameterStatus{Name: settingApplication, Value: given.value})
 	}
 	return nil
@@ -97,7 +96,7 @@
 	if strings.HasPrefix(name, settingPrefix) {
 		return caller.session.set(name, "", false)
 	}
-	return checkAccepted(setting{name: name})
+	return caller.session.setAccepted(setting{name: name}, false)
 }
 
 // runShow shows a tag of the session or a parameter that was reported.
--- a/internal/edge/front/protocol_test.go
+++ b/internal/edge/front/protocol_test.go
@@ -254,6 +254,8 @@
 		{"unknown deployment", map[string]string{"user": "student", "database": "unknown"}, "FATAL:3D000:AW101"},
 		{"no user", map[string]string{"database": "katalog"}, "FATAL:08P01:AW106"},
 		{"malformed token", map[string]string{"user": "student", "almondway.token": "seven"}, "FATAL:22023:AW104"},
+		{"setting of the database", map[string]string{"user": "student", "search_path": "public"}, "FATAL:0A000:AW116"},
+		{"replication", map[string]string{"user": "student", "replication": "database"}, "FATAL:0A000:AW116"},
 		{"malformed options", map[string]string{"user": "student", "options": "-x"}, "FATAL:22023:AW114"},
 	}
 	for _, test := range tests {
@@ -277,7 +279,16 @@
 		is.Equal(answer, []byte{'N'})
 	}
 	raw.startUp(map[string]string{"user": "student"})
-	raw.until(t) // the caller may go on without TLS
+	is.Equal(raw.until(t), "I") // the caller may go on without TLS
+}
+
+func TestStartUpParameters(t *testing.T) {
+	raw := dialRaw(t, newKernel(t, Spec{}, echo))
+	raw.startUp(map[string]string{
+		"user": "student", "application_name": "tablet", "client_encoding": "UTF8", "TimeZone": "Europe/Zagreb",
+		"DateStyle": "ISO, MDY", "extra_float_digits": "2", "statement_timeout": "500", "_pq_.command": "x",
+	})
+	is.New(t).Equal(raw.until(t), "I")
 }
 
 func TestTooManyCallers(t *testing.T) {
--- a/internal/edge/front/session.go
+++ b/internal/edge/front/session.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -16,8 +17,13 @@
 	parameterUser     = "user"
 	parameterDatabase = "database"
 	parameterOptions  = "options"
+	extensionPrefix   = "_pq_."
 )
 
+// startOnly lists the parameters of a start-up message that are no settings,
+// and the time zone.
+var startOnly = []string{parameterUser, parameterDatabase, parameterOptions, "timezone"}
+
 // session holds what a caller has set for its connection.
 type session struct {
 	deployment  string
@@ -46,19 +52,44 @@
 		settings = append(settings, setting{name: strings.ToLower(name), value: value})
 	}
 	for _, given := range settings {
-		if given.name == settingApplication {
-			started.application = given.value
-		}
-		if !strings.HasPrefix(given.name, settingPrefix) {
-			continue
-		}
-		if reason := started.set(given.name, given.value, false); reason != nil {
+		if reason := started.startWith(given); reason != nil {
 			return session{}, reason
 		}
 	}
 	return started, nil
 }
 
+// startWith takes a parameter of the start-up message. A time zone is passed
+// over: the caller is told which one is in force.
+func (session *session) startWith(given setting) *fault {
+	switch {
+	case slices.Contains(startOnly, given.name), strings.HasPrefix(given.name, extensionPrefix):
+		return nil
+	case strings.HasPrefix(given.name, settingPrefix):
+		return session.set(given.name, given.value, false)
+	default:
+		return session.setAccepted(given, false)
+	}
+}
+
+// setAccepted sets a setting of the database that the proxy answers for.
+func (session *session) setAccepted(given setting, local bool) *fault {
+	if reason := checkAccepted(given); reason != nil {
+		return reason
+	}
+	switch given.name {
+	case settingApplication:
+		session.application = given.value
+	case settingTimeout:
+		timeout, reason := databaseTimeout(given.value)
+		if reason != nil {
+			return reason
+		}
+		return session.set(settingPrefix+query.TagTimeout.String(), timeout, local)
+	}
+	return nil
+}
+
 // set sets the tag of the given setting name, for the transaction alone if local is set.
 func (session *session) set(name string, value string, local bool) *fault {
 	tag, ok := query.LookupTag(strings.TrimPrefix(name, settingPrefix))
--- a/internal/edge/front/session_test.go
+++ b/internal/edge/front/session_test.go
@@ -1,9 +1,11 @@
 package front
 
 import (
+	"context"
 	"testing"
 	"time"
 
+	"github.com/jackc/pgx/v5/pgconn"
 	"github.com/matryer/is"
 
 	"almondway.dev/almondway/internal/core/model"
@@ -25,6 +27,9 @@
 		{"leading comment", nil, "/* kind = 'seat_count', key = 'a%20b' */ SELECT 1", "seat_count", "a b", "", 0, 0},
 		{"settings", []string{"SET almondway.kind = 'browse'", "SET almondway.timeout TO '2s'"}, "SELECT 1", "browse", "", "", 2 * time.Second, 0},
 		{"comment before setting", []string{"SET almondway.kind = 'browse'"}, "SELECT 1 /*kind='seat_count'*/", "seat_count", "", "", 0, 0},
+		{"statement_timeout", []string{"SET statement_timeout = 1500"}, "SELECT 1", "", "", "", 1500 * time.Millisecond, 0},
+		{"statement_timeout with unit", []string{"SET statement_timeout TO '2min'"}, "SELECT 1", "", "", "", 2 * time.Minute, 0},
+		{"no statement_timeout", []string{"SET statement_timeout = 9", "SET statement_timeout = 0"}, "SELECT 1", "", "", "", 0, 0},
 		{"reset", []string{"SET almondway.kind = 'browse'", "RESET almondway.kind"}, "SELECT 1", "", "", "", 0, 0},
 		{"request id is used up", []string{"SET almondway.request_id = '" + id + "'", "UPDATE x"}, "SELECT 1", "", "", "", 0, 0},
 		{"request id of a setting", []string{"SET almondway.request_id = '" + id + "'"}, "UPDATE x", "", "", id, 0, 0},
@@ -77,6 +82,7 @@
 		{"malformed tag", "SELECT 1 /*kind='seat_count',key*/", "22023"},
 		{"malformed timeout", "SELECT 1 /*timeout='12'*/", "22023"},
 		{"malformed token setting", "SET almondway.token = 'seven'", "22023"},
+		{"malformed statement_timeout", "SET statement_timeout = 'soon'", "22023"},
 		{"unknown setting", "SET almondway.speed = 'high'", "22023"},
 		{"setting of the database", "SET search_path = 'public'", "0A000"},
 		{"transaction control among others", "BEGIN; UPDATE x; COMMIT", "0A000"},
@@ -98,3 +104,22 @@
 		}
 	}
 }
+
+func TestTokenIsReported(t *testing.T) {
+	is := is.New(t)
+	position := model.Position(0)
+	kernel := newKernel(t, Spec{}, func(*model.Request) model.ReplySpec {
+		position++
+		mark := model.NewMark(model.NewTerm(1, 0), position)
+		return model.ReplySpec{Token: model.Token{}.With("katalog-1", mark)}
+	})
+	conn, err := pgconn.Connect(context.Background(), kernel.url(""))
+	is.NoErr(err)
+	defer func() { _ = conn.Close(context.Background()) }()
+	for _, token := range []string{"v1,katalog-1=16777216/1", "v1,katalog-1=16777216/2"} {
+		_, err = conn.Exec(context.Background(), "UPDATE x").ReadAll()
+		is.NoErr(err)
+		is.Equal(conn.ParameterStatus("almondway.token"), token)
+	}
+	is.Equal(kernel.last().Token().Mark("katalog-1").Position(), model.Position(1)) // what was reported goes with the next request
+}
--- a/internal/edge/front/setting.go
+++ b/internal/edge/front/setting.go
@@ -1,7 +1,9 @@
 package front
 
 import (
+	"strconv"
 	"strings"
+	"time"
 
 	"almondway.dev/almondway/internal/core/codes"
 	"almondway.dev/almondway/internal/edge/query"
@@ -10,6 +12,7 @@
 const (
 	settingApplication = "application_name"
 	settingEncoding    = "client_encoding"
+	settingTimeout     = "statement_timeout"
 )
 
 // setting is a setting and the value that a caller gives it.
@@ -25,6 +28,7 @@
 	settingApplication:            nil,
 	"extra_float_digits":          nil,
 	"client_min_messages":         nil,
+	settingTimeout:                nil,
 	settingEncoding:               {"utf8", "utf-8", "unicode"},
 	"datestyle":                   {"iso", "iso, mdy", "iso,mdy"},
 	"intervalstyle":               {"postgres"},
@@ -130,6 +134,30 @@
 	return text
 }
 
+// databaseTimeout returns the form of a timeout tag for a value of
+// statement_timeout, which is in milliseconds unless it has a unit; 0 is none.
+func databaseTimeout(value string) (string, *fault) {
+	value = strings.ReplaceAll(value, " ", "")
+	if _, err := strconv.ParseUint(value, 10, 32); err == nil {
+		value += "ms"
+	}
+	if minutes, ok := strings.CutSuffix(value, "min"); ok {
+		value = minutes + "m"
+	}
+	if value == "" {
+		return "", nil
+	}
+	timeout, err := time.ParseDuration(value)
+	switch {
+	case err != nil || timeout < 0:
+		return "", faultf(codes.MalformedTag, "%s %q is not a time", settingTimeout, value)
+	case timeout == 0:
+		return "", nil
+	default:
+		return timeout.String(), nil
+	}
+}
+
 // checkAccepted returns why a setting of the database cannot be set.
 func checkAccepted(given setting) *fault {
 	values, ok := accepted[given.name]
