config: addresses of proxies to greet at start

Cause: a proxy that starts from nothing while the store is down knows no other proxy that could give it the catalog.

Change: the setting peer-seeds, a list of addresses, checked at start.

--- a/internal/app/config/check.go
+++ b/internal/app/config/check.go
@@ -87,6 +87,9 @@
 	if peer, ok := checker.address("peer-address", spec.PeerAddress); ok && peer.Addr().IsUnspecified() {
 		checker.fault("peer-address", "%s is no address at which other proxies reach this one", peer)
 	}
+	for _, seed := range spec.Kernel.PeerSeeds {
+		checker.address("peer-seeds", seed)
+	}
 	admin, ok := checker.address("admin-listen", spec.AdminListen)
 	if ok && !admin.Addr().IsLoopback() && spec.OperatorTokensFile == "" {
 		checker.fault("operator-tokens-file", "needed because admin-listen %s is not a loopback address", admin)
--- a/internal/app/config/config_test.go
+++ b/internal/app/config/config_test.go
@@ -39,6 +39,8 @@
 		{name: "address with a host name", args: []string{"--listen", "localhost:6432"}, flags: []string{"listen"}},
 		{name: "peer address that is not reachable", args: []string{"--peer-listen", "0.0.0.0:6433"}, flags: []string{"peer-address"}},
 		{name: "peer address given", args: []string{"--peer-listen", "0.0.0.0:6433", "--peer-address", "10.0.0.1:6433"}},
+		{name: "peer seeds", args: []string{"--peer-seeds", "10.0.0.1:6433,10.0.0.2:6433"}},
+		{name: "peer seed without a port", args: []string{"--peer-seeds", "10.0.0.1:6433,10.0.0.2"}, flags: []string{"peer-seeds"}},
 		{name: "administration without tokens", args: []string{"--admin-listen", "10.0.0.1:6434"}, flags: []string{"operator-tokens-file"}},
 		{name: "administration with tokens", args: []string{"--admin-listen", "10.0.0.1:6434", "--operator-tokens-file", "tokens"}},
 		{name: "certificate without key", args: []string{"--tls-cert", "a.pem", "--admin-tls-key", "b.pem"}, flags: []string{"tls-cert", "admin-tls-cert"}},
--- a/internal/app/config/setting.go
+++ b/internal/app/config/setting.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -29,6 +30,22 @@
 	}
 }
 
+func listSetting(flag, kind, usage string, field func(spec *Spec) *[]string) setting {
+	return setting{
+		flag:  flag,
+		kind:  kind,
+		usage: usage,
+		get:   func(spec *Spec) string { return strings.Join(*field(spec), ",") },
+		set: func(spec *Spec, text string) error {
+			*field(spec) = nil
+			if text != "" {
+				*field(spec) = strings.Split(text, ",")
+			}
+			return nil
+		},
+	}
+}
+
 func intSetting(flag, usage string, least int, field func(spec *Spec) *int) setting {
 	return setting{
 		flag:  flag,
--- a/internal/app/config/table.go
+++ b/internal/app/config/table.go
@@ -42,6 +42,7 @@
 		durationSetting("default-timeout", "time after which a request gets its final answer, where neither kind nor request says", func(spec *Spec) *time.Duration { return &spec.Kernel.DefaultTimeout }),
 		durationSetting("heartbeat-interval", "time between messages to the other proxies", func(spec *Spec) *time.Duration { return &spec.Kernel.HeartbeatInterval }),
 		durationSetting("peer-limit", "silence after which another proxy counts as gone", func(spec *Spec) *time.Duration { return &spec.Kernel.PeerLimit }),
+		listSetting("peer-seeds", "ip:port,…", "addresses of other proxies, for a start while the platform's store is down; not needed otherwise", func(spec *Spec) *[]string { return &spec.Kernel.PeerSeeds }),
 		durationSetting("store-poll-interval", "least time between two polls of the platform's store", func(spec *Spec) *time.Duration { return &spec.Kernel.StorePollInterval }),
 		durationSetting("store-timeout", "time after which a query to the platform's store counts as failed", func(spec *Spec) *time.Duration { return &spec.Kernel.StoreTimeout }),
 		durationSetting("confirm-limit", "time that a revision counts as current without being confirmed; the same on all proxies", func(spec *Spec) *time.Duration { return &spec.Kernel.ConfirmLimit }),
