failov, state, member: primaries named by replicas, bounded switchovers, known majorities

Cause: a reading of the promotion's rules found: a proxy that starts while the primary pauses took the highest fence for one that nobody leads; a switchover whose primary is lost went on with the next one, and could go to an instance that is leaving; a proxy that starts while the store is down counted itself and the first proxy that it heard as all proxies.

Change: a replica that copied entries of its term names the primary of it; a group without a known primary waits a second; a switchover ends when something else replaces the primary; the registered proxies are unknown until the table was read or another proxy named them.

Run: go test ./internal/core/state ./internal/plug/...; taken out by hand and seen to fail: the term of the tail, the count without the instance, the date of a loss.

--- a/internal/core/state/group.go
+++ b/internal/core/state/group.go
@@ -52,8 +52,9 @@
 func (group *Group) Majority() int { return len(group.members)/2 + 1 }
 
 // Observe records a report. sentAt is when its probe was sent. It reports
-// whether the report made a higher term known. A report older than the last one
-// of the same instance is ignored.
+// whether the report made the primary of a higher term known: an instance that
+// leads it, or the one from which a replica copied entries of it. A report older
+// than the last one of the same instance is ignored.
 func (group *Group) Observe(instance model.InstanceID, status model.Status, sentAt time.Duration) bool {
 	member := group.Member(instance)
 	if member == nil || (member.heard && sentAt < member.sentAt) {
@@ -68,10 +69,14 @@
 		member.prove(status.Tail())
 	}
 	group.rounds.add(group.round())
-	if status.Role() != model.RolePrimary || !status.InTerm(status.Fence()) {
+	leader := instance
+	if status.Role() == model.RoleReplica {
+		leader = status.Upstream()
+	}
+	if !status.InTerm(status.Fence()) {
 		return false
 	}
-	return group.Lead(status.Fence(), instance)
+	return group.Lead(status.Fence(), leader)
 }
 
 // ObserveFailure records that a probe of an instance failed.
--- a/internal/core/state/state.go
+++ b/internal/core/state/state.go
@@ -135,7 +135,8 @@
 
 // Registered returns the proxies that may serve under some revision, heard or
 // not, this one included and draining ones left out, in ascending order. A
-// majority of them confirms a revision. Callers must not change it.
+// majority of them confirms a revision. It is empty until all of them are known.
+// Callers must not change it.
 func (state *State) Registered() []model.ProxyID { return state.registered }
 
 // SetRegistered records the proxies that may serve, in ascending order of their names.
--- a/internal/plug/deploy/change.go
+++ b/internal/plug/deploy/change.go
@@ -42,6 +42,10 @@
 }
 
 func (deploy *Deploy) apply(ask model.AskID, command event.ApplyDeployment) {
+	if len(deploy.context.State().Groups()) == 0 {
+		deploy.refuse(ask, codes.StoreUnavailable, "the platform has not listed its groups yet")
+		return
+	}
 	if faults := deploy.validate(command.Deployment()); len(faults) > 0 {
 		deploy.refuse(ask, codes.InvalidDeployment, strings.Join(faults, "; "))
 		return
--- a/internal/plug/deploy/spread.go
+++ b/internal/plug/deploy/spread.go
@@ -76,8 +76,8 @@
 	count, registered := spread.lease.inForce(waiting.revision)
 	waited := spread.context.Now() - waiting.since
 	settings := spread.context.Settings()
-	everywhere := count >= registered
-	majority := count > registered/2
+	everywhere := registered > 0 && count >= registered
+	majority := registered > 0 && count > registered/2
 	switch {
 	case everywhere || (majority && waited >= settings.HeartbeatInterval()):
 		spread.answer(waiting.ask, event.NewApplied(waiting.revision, count, registered))
--- a/internal/plug/failov/detect.go
+++ b/internal/plug/failov/detect.go
@@ -74,10 +74,10 @@
 	now := failover.context.Now()
 	primary := watch.group.Primary()
 	switch {
-	case watch.fence > watch.group.Term():
-		return lossFenced
 	case primary == nil:
 		return failover.detectUnknown(watch)
+	case watch.fence > watch.group.Term():
+		return lossFenced
 	case failover.resigned(watch, primary):
 		return lossResigned
 	}
--- a/internal/plug/failov/failov.go
+++ b/internal/plug/failov/failov.go
@@ -118,6 +118,7 @@
 	if watch.attempt != nil {
 		return
 	}
+	failover.boundMove(watch)
 	loss := failover.detect(watch)
 	if loss == lossNone {
 		watch.lostSince = 0
--- a/internal/plug/failov/failov_test.go
+++ b/internal/plug/failov/failov_test.go
@@ -148,6 +148,15 @@
 				}
 			},
 		},
+		{
+			name: "the primary pauses while a proxy starts",
+			harm: func(rig *rig) {
+				rig.instance("a").frozen = true
+				rig.start()
+				rig.run(500 * time.Millisecond)
+				rig.instance("a").thaw()
+			},
+		},
 		{
 			name: "the replicas are killed",
 			harm: func(rig *rig) {
--- a/internal/plug/failov/move.go
+++ b/internal/plug/failov/move.go
@@ -88,17 +88,17 @@
 	case target == "":
 		return "no replica can take the lead"
 	default:
-		return fmt.Sprintf("instance %q does not follow the primary", target)
+		return fmt.Sprintf("instance %q is leaving or does not follow the primary", target)
 	}
 }
 
-// successors returns the target if it can take the lead, or all replicas that
-// stay and can if target is empty.
+// successors returns the replicas that stay and can take the lead: the target
+// alone, or all if target is empty.
 func (failover *Failover) successors(watch *watch, target model.InstanceID) []*state.Member {
 	var list []*state.Member
 	for _, member := range watch.group.Members() {
-		wanted := member.ID() == target || (target == "" && !member.Leaving())
-		if wanted && failover.fresh(watch, member) && follows(member, watch.group) {
+		wanted := target == "" || member.ID() == target
+		if wanted && !member.Leaving() && failover.fresh(watch, member) && follows(member, watch.group) {
 			list = append(list, member)
 		}
 	}
@@ -139,6 +139,7 @@
 // hold keeps new writes back, here and by a heartbeat at the other proxies.
 func (failover *Failover) hold(watch *watch) {
 	watch.move.heldAt = failover.context.Now()
+	watch.move.chosen = ""
 	watch.move.tries--
 	failover.extendHold(watch)
 }
@@ -150,13 +151,16 @@
 	failover.demand(watch, failover.context.Now())
 }
 
+// boundMove ends a switchover that has taken too long, whatever the group does.
+func (failover *Failover) boundMove(watch *watch) {
+	if watch.move != nil && failover.context.Now() >= watch.move.deadline {
+		failover.failMove(watch, "it took too long")
+	}
+}
+
 func (failover *Failover) continueMove(watch *watch) {
 	now := failover.context.Now()
 	move := watch.move
-	if now >= move.deadline {
-		failover.failMove(watch, "it took too long")
-		return
-	}
 	if now >= move.heldTo {
 		failover.overrun(watch)
 		return
@@ -194,7 +198,12 @@
 	if move == nil {
 		return
 	}
-	if changed.Primary() != move.chosen {
+	switch {
+	case changed.Primary() == move.chosen || changed.Primary() == move.target:
+	case move.chosen == "":
+		failover.failMove(watch, "the primary was replaced meanwhile")
+		return
+	default:
 		failover.retryMove(watch, "another instance had more entries")
 		return
 	}
--- a/internal/plug/failov/move_test.go
+++ b/internal/plug/failov/move_test.go
@@ -53,6 +53,14 @@
 			code:   codes.SwitchoverFailed,
 			leader: "a",
 		},
+		{
+			name:   "to a replica that is leaving",
+			group:  group,
+			target: "b",
+			before: func(rig *rig) { rig.instance("b").leaving = true; rig.run(100 * time.Millisecond) },
+			code:   codes.SwitchoverFailed,
+			leader: "a",
+		},
 		{name: "to an unknown instance", group: group, target: "z", code: codes.SwitchoverFailed, leader: "a"},
 		{name: "of an unknown group", group: "none", code: codes.UnknownGroup, leader: "a"},
 		{
@@ -89,6 +97,25 @@
 	}
 }
 
+func TestPrimaryLostDuringASwitchover(t *testing.T) {
+	is := is.New(t)
+	rig := newRig(3)
+	rig.instance("b").lags = true
+	rig.instance("a").write()
+	rig.run(100 * time.Millisecond)
+	asker := rig.proxies[0]
+	asker.post(event.NewOperatorAsked(1, event.NewSwitchover(group, "b")))
+	rig.run(20 * time.Millisecond)
+	rig.instance("a").kill()
+	rig.run(6 * time.Second)
+	refused, ok := asker.results[1].(event.Refused)
+	is.True(ok)
+	is.Equal(refused.Code(), codes.SwitchoverFailed)
+	is.Equal(rig.leader().self.ID(), model.InstanceID("c"))
+	is.Equal(len(rig.led), 1)
+	is.True(!asker.kernel.State().Group(group).Held(rig.now))
+}
+
 // The primary takes writes until the proxy holds them back; none is lost.
 func TestSwitchoverLosesNoWrite(t *testing.T) {
 	is := is.New(t)
--- a/internal/plug/failov/rig_test.go
+++ b/internal/plug/failov/rig_test.go
@@ -22,6 +22,7 @@
 // rig is a group of three instances and a few kernels. A message takes one step.
 type rig struct {
 	now       time.Duration
+	members   []model.Instance
 	instances []*instance
 	proxies   []*proxy
 	led       map[model.Term][]model.InstanceID
@@ -50,30 +51,38 @@
 
 func newRig(proxies int) *rig {
 	rig := &rig{led: make(map[model.Term][]model.InstanceID), apart: make(map[[2]string]bool)}
-	var members []model.Instance
 	for _, name := range []string{"a", "b", "c"} {
 		self := model.NewInstance(model.InstanceID(name), name+":1", model.DataCenter("lakeshore-"+name))
-		members = append(members, self)
+		rig.members = append(rig.members, self)
 		added := &instance{rig: rig, self: self, fence: firstTerm, upstream: "a", log: []model.Term{firstTerm}}
 		rig.instances = append(rig.instances, added)
 	}
 	rig.instances[0].primary = true
-	var views []model.ProxyView
-	for number := range proxies {
-		id := model.ProxyID(fmt.Sprintf("proxy-%d", number+1))
-		views = append(views, model.NewProxyView(id, string(id), "lakeshore-a", 0, false, 0))
-	}
-	for number, view := range views {
-		kernel := kern.New(view, tune.New(tune.Default()), time.Time{}, uint64(number+1))
-		kernel.State().SetGroups([]model.Group{model.NewGroup(group, members)})
-		kernel.State().SetProxies(views)
-		kernel.State().SetPromoter(uint32(number + 1))
-		rig.proxies = append(rig.proxies, &proxy{rig: rig, id: view.ID(), kernel: kernel, results: make(map[model.AskID]event.Result)})
+	for range proxies {
+		rig.start()
 	}
 	rig.run(500 * time.Millisecond)
 	return rig
 }
 
+// start adds a proxy, which all others know.
+func (rig *rig) start() {
+	number := len(rig.proxies) + 1
+	id := model.ProxyID(fmt.Sprintf("proxy-%d", number))
+	self := model.NewProxyView(id, string(id), "lakeshore-a", 0, false, 0)
+	kernel := kern.New(self, tune.New(tune.Default()), time.Time{}, uint64(number))
+	kernel.State().SetGroups([]model.Group{model.NewGroup(group, rig.members)})
+	kernel.State().SetPromoter(uint32(number))
+	rig.proxies = append(rig.proxies, &proxy{rig: rig, id: id, kernel: kernel, results: make(map[model.AskID]event.Result)})
+	var views []model.ProxyView
+	for _, proxy := range rig.proxies {
+		views = append(views, proxy.kernel.State().Self())
+	}
+	for _, proxy := range rig.proxies {
+		proxy.kernel.State().SetProxies(views)
+	}
+}
+
 func (rig *rig) instance(id model.InstanceID) *instance {
 	for _, found := range rig.instances {
 		if found.self.ID() == id {
--- a/internal/plug/member/member_test.go
+++ b/internal/plug/member/member_test.go
@@ -102,6 +102,16 @@
 	}
 }
 
+func TestNoMajorityOfProxiesThatAreNotAllKnown(t *testing.T) {
+	is := is.New(t)
+	desk := newDesk()
+	desk.shelf.SetDown(true)
+	desk.start()
+	desk.hear("proxy-2", false)
+	is.Equal(len(desk.kernel.State().Proxies()), 2)
+	is.Equal(len(desk.kernel.State().Registered()), 0)
+}
+
 func TestRowIsKept(t *testing.T) {
 	is := is.New(t)
 	desk := newDesk()
--- a/internal/plug/member/peers.go
+++ b/internal/plug/member/peers.go
@@ -27,6 +27,7 @@
 	context *kern.Context
 	leaving *leaving
 	byID    map[model.ProxyID]*peer
+	whole   bool // the table was read or another proxy named those that it knows
 }
 
 func newPeers(context *kern.Context, leaving *leaving) *peers {
@@ -69,6 +70,7 @@
 
 // list takes the proxies that have a row in the table.
 func (peers *peers) list(rows []model.ProxyView) {
+	peers.whole = true
 	for _, peer := range peers.byID {
 		peer.listed = false
 	}
@@ -121,6 +123,7 @@
 		peers.context.Emit(event.NewSendPeer(met.address, peers.heartbeat()))
 	}
 	if len(known) > 0 {
+		peers.whole = true
 		peers.update()
 	}
 }
@@ -181,7 +184,9 @@
 	slices.SortFunc(live, compareViews)
 	slices.Sort(registered)
 	state.SetProxies(live)
-	state.SetRegistered(registered)
+	if peers.whole {
+		state.SetRegistered(registered)
+	}
 }
 
 // forget drops the proxies that neither the table nor a heartbeat shows.
