state: one read index for reads and for instances that lost their logs

Change: the recovery uses the read index, which leaves such reports out.

Run: go test ./internal/core/state ./internal/plug/failov.

--- a/internal/core/state/recover.go
+++ b/internal/core/state/recover.go
@@ -49,44 +49,18 @@
 	return !member.recovery.lost && tail.Covers(member.recovery.top)
 }
 
-// recover takes a report into account. The reports of a majority without the
-// instance, sent after the loss, cover everything that it may have lost.
+// recover takes a report into account. The read index after the loss covers
+// everything that the instance may have lost, since the reports of instances
+// that lost their logs do not count in it.
 func (group *Group) recover(member *Member) {
 	tail := member.status.Tail()
 	member.recovery.note(tail, member.sentAt)
 	if !member.recovery.lost || !member.recovery.dated {
 		return
 	}
-	if index, ok := group.indexWithout(member, member.recovery.lostFrom); ok {
+	if index, ok := group.ReadIndex(member.recovery.lostFrom); ok {
 		member.recovery.settle(tail, index)
 	}
 }
 
 // indexWithout is ReadIndex without the reports of one member.
-func (group *Group) indexWithout(left *Member, since time.Duration) (model.Mark, bool) {
-	reported, below := 0, 0
-	var index model.Mark
-	for _, member := range group.members {
-		if member == left || !member.reportedSince(since) {
-			continue
-		}
-		reported++
-		tail := member.status.Tail()
-		rank := group.rank(tail, left, since)
-		if rank >= group.Majority() && (below == 0 || rank < below) {
-			index, below = tail, rank
-		}
-	}
-	return index, reported >= group.Majority()
-}
-
-// rank returns how many reports since a time have a tail that mark covers.
-func (group *Group) rank(mark model.Mark, left *Member, since time.Duration) int {
-	count := 0
-	for _, member := range group.members {
-		if member != left && member.reportedSince(since) && mark.Covers(member.status.Tail()) {
-			count++
-		}
-	}
-	return count
-}
