state: build again after the read index was joined

Change: the read index stands in its own function.

Run: go test ./internal/core/... ./internal/plug/... ./internal/proof/fuzz ./internal/proof/check.

--- a/internal/core/state/group.go
+++ b/internal/core/state/group.go
@@ -140,7 +140,31 @@
 // majority has an instance that holds the write. It reports false until a
 // majority has reported. An instance that lost its log does not count.
 func (group *Group) ReadIndex(since time.Duration) (model.Mark, bool) {
-	return group.indexWithout(nil, since)
+	reported, below := 0, 0
+	var index model.Mark
+	for _, member := range group.members {
+		if !member.reportedSince(since) {
+			continue
+		}
+		reported++
+		tail := member.status.Tail()
+		rank := group.rank(tail, since)
+		if rank >= group.Majority() && (below == 0 || rank < below) {
+			index, below = tail, rank
+		}
+	}
+	return index, reported >= group.Majority()
+}
+
+// rank returns how many reports since a time have a tail that mark covers.
+func (group *Group) rank(mark model.Mark, since time.Duration) int {
+	count := 0
+	for _, member := range group.members {
+		if member.reportedSince(since) && mark.Covers(member.status.Tail()) {
+			count++
+		}
+	}
+	return count
 }
 
 // Within reports whether data at mark is at most bound old at the time now.
