--- a/internal/core/codes/table.go
+++ b/internal/core/codes/table.go
@@ -64,7 +64,7 @@
 	{StoreUnavailable, "store_unavailable", sqlStateNotReady, "The platform's store did not answer. Nothing was changed.", "Come back after the given time."},
 	{ChangeIDReused, "change_id_reused", sqlStateDuplicate, "The change id belongs to another change.", "Use a new id for each change."},
 	{SwitchoverFailed, "switchover_failed", sqlStateRetry, "The primary was not moved.", "See the detail and try again."},
-	{AcceptanceUnknown, "acceptance_unknown", sqlStateUnknown, "The answer of the store was lost; the change may be accepted.", "Send the change again with the same change id."},
+	{AcceptanceUnknown, "acceptance_unknown", sqlStateUnknown, "The answer of the store was lost, or too few proxies confirmed the change in time; it may be in force.", "Send the change again with the same change id."},
 	{Internal, "internal", sqlStateInternal, "The proxy met a fault of its own.", "Report it with the log."},
 	{SettingInvalid, "setting_invalid", sqlStateInternal, "A setting has a bad value.", "Correct the setting."},
 	{BackendProtocolFailed, "backend_protocol_failed", sqlStateInternal, "An instance broke the protocol.", "Check the instance."},
