proof: kill at every moment of a write, tail of an older term

Two mutations were not noticed: a lost answer told as not run, and a settlement told before a majority has its tombstone. Two attacks are new, and the exhaustive search gains the variant that settles on the primary's answer. The naive version now fences before it promotes, so that its promotions succeed.

--- a/internal/proof/check/search_test.go
+++ b/internal/proof/check/search_test.go
@@ -13,21 +13,24 @@
 	maxStates = 4_000_000
 )
 
-// rule is what a variant of the product decides.
+// rule is what a variant of the product decides: whether a term starts with an
+// entry, when a write is done, when a tombstone is, and what a read shows.
 type rule struct {
 	name       string
 	firstEntry bool
 	final      func(history *history, at model.Mark) bool
+	settled    func(history *history, at model.Mark) bool
 	shows      func(history *history, server int) bool
 	broken     string
 }
 
 var rules = []rule{
-	{"product", true, acknowledged, stable, ""},
-	{"acknowledges on the primary's answer", true, onAnswer, stable, "an acknowledged write is lost"},
-	{"counts reports of any term", true, anyTerm, stable, "an acknowledged write is lost"},
-	{"writes no first entry of a term", false, anyTerm, stable, "an acknowledged write is lost"},
-	{"shows what any instance has", true, acknowledged, always, "a write that a read showed is taken away"},
+	{"product", true, acknowledged, acknowledged, stable, ""},
+	{"acknowledges on the primary's answer", true, onAnswer, acknowledged, stable, "an acknowledged write is lost"},
+	{"counts reports of any term", true, anyTerm, acknowledged, stable, "an acknowledged write is lost"},
+	{"writes no first entry of a term", false, anyTerm, acknowledged, stable, "an acknowledged write is lost"},
+	{"reports not run on the primary's answer", true, acknowledged, onAnswer, stable, "a write that was reported as not run is in the log"},
+	{"shows what any instance has", true, acknowledged, acknowledged, always, "a write that a read showed is taken away"},
 }
 
 func TestRules(t *testing.T) {
@@ -163,7 +166,7 @@
 			told.done = true
 			next = append(next, told)
 		}
-		if at := replica.find(kindTombstone); at >= 0 && !current.notRun && rule.final(&current, markAt(replica, at)) {
+		if at := replica.find(kindTombstone); at >= 0 && !current.notRun && rule.settled(&current, markAt(replica, at)) {
 			told := current
 			told.notRun = true
 			next = append(next, told)
--- a/internal/proof/fuzz/naive_test.go
+++ b/internal/proof/fuzz/naive_test.go
@@ -39,6 +39,7 @@
 	turn     int
 	weight   int
 	revision uint64
+	fence    model.OrderID
 	asks     map[model.QueryID]naiveAsk
 }
 
@@ -118,6 +119,11 @@
 		naive.match(received.Conn(), nil, model.Mark{}, false)
 	case event.StatusReported:
 		naive.learn(received.Instance(), received.Status())
+	case event.OrderDone:
+		if received.Order() == naive.fence && received.Accepted() {
+			order := event.NewPromote(received.Status().Fence())
+			naive.emit(event.NewSendOrder(model.OrderID(naive.next()), received.Instance(), "", order, naivePoll))
+		}
 	case event.OperatorAsked:
 		naive.accept(received)
 	case event.StoreWritten:
@@ -167,9 +173,8 @@
 			continue
 		}
 		term := model.NewTerm(naive.term[group.ID()].Count()+1, 0)
-		for _, order := range []event.Order{event.NewFence(term), event.NewPromote(term)} {
-			naive.emit(event.NewSendOrder(model.OrderID(naive.next()), instance.ID(), instance.Address(), order, naivePoll))
-		}
+		naive.fence = model.OrderID(naive.next())
+		naive.emit(event.NewSendOrder(naive.fence, instance.ID(), instance.Address(), event.NewFence(term), naivePoll))
 		naive.primary[group.ID()] = instance.ID()
 		naive.term[group.ID()] = term
 		naive.followAll(group, term, instance)
--- a/internal/proof/fuzz/promises_test.go
+++ b/internal/proof/fuzz/promises_test.go
@@ -32,6 +32,8 @@
 	{"P4 late answer after a timeout", "P4", attackLateAnswer},
 	{"P5 statement delayed beyond the timeout", "P5", attackLateStatement},
 	{"P5 answer lost with the primary", "P5", attackLostAnswer},
+	{"P5 primary killed at every moment of a write", "P5", attackKilledMidWrite},
+	{"P5 tail of an older term after two promotions", "P5", attackOlderTail},
 	{"P6 retry through another proxy", "P6", attackRetry},
 	{"P7 stale host list", "P7", attackLeaving},
 	{"P8 shutdown with requests and a transaction in flight", "P8", attackShutdown},
@@ -235,6 +237,53 @@
 	}
 }
 
+func attackKilledMidWrite(world *world) {
+	registrar := world.connect(world.nodes[0], "registrar")
+	registrar.write()
+	for half := range 14 {
+		primary := world.primaryOf(world.groups[0].ID())
+		if primary == nil {
+			return
+		}
+		sent := registrar.send("edit_listing", world.newWrite(scenarioKey), model.OpStatement, world.newRequestID())
+		world.run(time.Duration((half+7)%14) * time.Millisecond / 2)
+		primary.kill()
+		world.runUntil(10*time.Second, sent.answered)
+		world.run(3 * time.Second)
+		world.oracle.check()
+		primary.boot()
+		world.run(3 * time.Second)
+	}
+}
+
+// attackOlderTail commits on A alone, lets B lead a term of which C copies
+// nothing, and then loses B, so that A is the most advanced of what is left.
+func attackOlderTail(world *world) {
+	registrar := world.connect(world.nodes[0], "registrar")
+	registrar.write()
+	a, b, c := world.instances[0], world.instances[1], world.instances[2]
+	registrar.call("", nil, model.OpBegin, "")
+	registrar.call("edit_listing", world.newWrite(scenarioKey), model.OpStatement, world.newRequestID())
+	a.cutGroup, c.cutGroup = true, true
+	world.nodes[0].deafTo[a.id] = true
+	commit := registrar.send("", nil, model.OpCommit, "")
+	world.run(10 * time.Millisecond)
+	for _, node := range world.nodes {
+		node.cutFrom[a.id] = true
+	}
+	world.runUntil(10*time.Second, commit.answered)
+	world.run(time.Second)
+	b.kill()
+	a.cutGroup, c.cutGroup = false, false
+	for _, node := range world.nodes {
+		clear(node.cutFrom)
+		clear(node.deafTo)
+	}
+	world.run(5 * time.Second)
+	world.oracle.check()
+	registrar.write()
+}
+
 func attackDirtyRead(world *world) {
 	hotel := world.connect(world.nodes[0], "hotel")
 	kitchen := world.connect(world.nodes[1], "kitchen")
