--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 PACKAGES := ./cmd/... ./internal/...
 RAPID_FLAGS := -rapid.seed=20261203 -rapid.nofailfile
 
-.PHONY: build test lint format generate generated-check demo measure bench slopes fuzz e2e run tools clean
+.PHONY: build test lint format generate generated-check demo measure measure-baseline bench slopes fuzz e2e run tools clean
 
 build:
 	go build -o $(OUT)/almondway ./cmd/almondway
@@ -21,6 +21,14 @@
 measure: build
 	$(OUT)/standin measure --scenario "$(SCENARIO)" --deployment "$(DEPLOYMENT)" --policy "$(POLICY)"
 
+# Measures the commit BASELINE with the same load, to compare with measure.
+measure-baseline: build
+	git worktree add --force --detach $(CURDIR)/.run/baseline $(BASELINE)
+	$(MAKE) -C $(CURDIR)/.run/baseline build OUT=$(CURDIR)/.run/baseline/bin
+	$(OUT)/standin measure --programs $(CURDIR)/.run/baseline/bin --label "$(BASELINE)" --policy almondway \
+		--scenario "$(SCENARIO)" --deployment "$(DEPLOYMENT)"; \
+	git worktree remove --force $(CURDIR)/.run/baseline
+
 bench: build
 	go test -run '^$$' -bench . -benchmem $(PACKAGES) | grep -E '^(Benchmark|FAIL)' || true
 	$(OUT)/standin bench
--- a/internal/stand/bench/bench.go
+++ b/internal/stand/bench/bench.go
@@ -32,6 +32,8 @@
 	Programs string
 	// Examples is the directory of the deployment files.
 	Examples string
+	// ProxyArgs are further arguments of the proxy.
+	ProxyArgs []string
 	// Output takes one JSON line for each figure.
 	Output io.Writer
 }
@@ -67,10 +69,10 @@
 		Programs: options.Programs,
 		Topology: spec,
 		Ports:    ports,
-		ProxyArgs: []string{
+		ProxyArgs: append([]string{
 			"--slots-per-instance", fmt.Sprint(slots), "--conns-per-instance", fmt.Sprint(connections),
 			"--log-sample", "0", "--log-level", "warn",
-		},
+		}, options.ProxyArgs...),
 	})
 	if err != nil {
 		return err
--- a/internal/stand/cmds/measure.go
+++ b/internal/stand/cmds/measure.go
@@ -37,6 +37,8 @@
 	flags.StringVar(&options.Scenario, "scenario", "", "scenario to run; all if empty")
 	flags.StringVar(&options.Deployment, "deployment", "", "deployment to run; all if empty")
 	flags.StringVar(&options.Policy, "policy", "", "policy to run, almondway or naive; all if empty")
+	flags.StringVar(&options.Label, "label", "", "name of the measured policy in the report, in place of almondway")
+	flags.StringArrayVar(&options.ProxyArgs, "proxy-arg", nil, "further argument of each proxy; may be repeated")
 	flags.Uint64Var(&options.Seed, "seed", defaultSeed, "seed of the load and of the faults")
 	flags.BoolVar(&options.KeepLogs, "keep-logs", false, "keep the output of the processes")
 	return command
@@ -59,5 +61,6 @@
 		},
 	}
 	command.Flags().StringVar(&options.Examples, "examples", "examples", "directory of the deployment files")
+	command.Flags().StringArrayVar(&options.ProxyArgs, "proxy-arg", nil, "further argument of the proxy; may be repeated")
 	return command
 }
--- a/internal/stand/meas/meas.go
+++ b/internal/stand/meas/meas.go
@@ -26,7 +26,11 @@
 	Deployment string
 	// Policy selects one policy; empty selects all.
 	Policy string
-	Seed   uint64
+	// Label stands in the report in place of PolicyAlmondway, or is empty.
+	Label string
+	// ProxyArgs are further arguments of each proxy.
+	ProxyArgs []string
+	Seed      uint64
 	// KeepLogs keeps the output of the processes.
 	KeepLogs bool
 	// Output takes one JSON line for each deployment, scenario and policy.
--- a/internal/stand/meas/run.go
+++ b/internal/stand/meas/run.go
@@ -89,11 +89,11 @@
 
 func (run *run) proxyArgs() []string {
 	spec := run.profile.topology(procs.NewPorts())
-	return []string{
+	return append([]string{
 		"--slots-per-instance", strconv.Itoa(spec.Slots),
 		"--conns-per-instance", strconv.Itoa(spec.Connections),
 		"--log-sample", "0",
-	}
+	}, run.options.ProxyArgs...)
 }
 
 func (run *run) measure(ctx context.Context) (report, error) {
@@ -246,7 +246,7 @@
 	made := report{
 		Deployment:          run.profile.deployment,
 		Scenario:            run.scenario.name,
-		Policy:              run.policy,
+		Policy:              run.label(),
 		Seconds:             taken.Seconds(),
 		UnfinishedFailovers: run.unfinished,
 		FailedRejoins:       run.unjoined,
@@ -279,6 +279,13 @@
 	return made, nil
 }
 
+func (run *run) label() string {
+	if run.policy == PolicyAlmondway && run.options.Label != "" {
+		return run.options.Label
+	}
+	return run.policy
+}
+
 // wanted returns how many promotions the losses and departures called for.
 func (run *run) wanted() int { return len(run.gaps) + run.unfinished + run.scenario.switchovers }
 
