--- /dev/null
+++ b/internal/proof/whole/answers_test.go
@@ -0,0 +1,108 @@
+package whole
+
+import (
+	"context"
+	"math/rand/v2"
+	"strconv"
+	"sync"
+	"testing"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+)
+
+const (
+	crossCallers = 16
+	crossRounds  = 40
+
+	stateCanceled   = "57014"
+	stateOverloaded = "53000"
+)
+
+// TestAnswersAreNotCrossed lets callers ask for numbers of their own while
+// other statements are abandoned by their timeout or their connection, so that
+// late answers are under way on the shared backend connections.
+func TestAnswersAreNotCrossed(t *testing.T) {
+	system := newSystem(t)
+	faults := make(chan error, crossCallers)
+	var group sync.WaitGroup
+	for caller := range crossCallers {
+		group.Go(func() {
+			random := rand.New(rand.NewPCG(20261203, uint64(caller)))
+			if err := askOwnNumbers(system.context(t), system.url("student"), caller, random); err != nil {
+				faults <- err
+			}
+		})
+	}
+	group.Wait()
+	close(faults)
+	for err := range faults {
+		t.Error(err)
+	}
+}
+
+func askOwnNumbers(ctx context.Context, url string, caller int, random *rand.Rand) error {
+	conn, err := pgconn.Connect(ctx, url)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = conn.Close(ctx) }()
+	answered := 0
+	for round := range crossRounds {
+		switch random.IntN(4) {
+		case 0: // given up by the proxy
+			err := conn.Exec(ctx, "SELECT pg_sleep(1) /*timeout='5ms'*/").Close()
+			if state := sqlState(err); state != stateCanceled && state != stateOverloaded {
+				return errors.Errorf("statement that takes too long gave %v", err)
+			}
+		case 1: // given up by the caller
+			_ = conn.Exec(ctx, "SELECT pg_sleep(0.01)")
+			_ = conn.Conn().Close()
+			if conn, err = pgconn.Connect(ctx, url); err != nil {
+				return err
+			}
+		default:
+			own := strconv.Itoa(caller*crossRounds + round)
+			result := conn.ExecParams(ctx, "SELECT $1", [][]byte{[]byte(own)}, nil, nil, nil).Read()
+			if sqlState(result.Err) == stateOverloaded {
+				continue
+			}
+			if result.Err != nil {
+				return result.Err
+			}
+			answered++
+			if len(result.Rows) != 1 || string(result.Rows[0][0]) != own {
+				return errors.Errorf("caller %d asked for %s and got %q", caller, own, result.Rows)
+			}
+		}
+	}
+	if answered == 0 {
+		return errors.Errorf("caller %d got no answer at all", caller)
+	}
+	return nil
+}
+
+func TestBatch(t *testing.T) {
+	is := is.New(t)
+	system := newSystem(t)
+	ctx := system.context(t)
+	conn, err := pgx.Connect(ctx, system.url("registrar"))
+	is.NoErr(err)
+	defer func() { _ = conn.Close(ctx) }()
+	batch := &pgx.Batch{}
+	for seats := range 3 {
+		batch.Queue(writeSQL, "course-17", strconv.Itoa(seats))
+		batch.Queue(readSQL, "course-17")
+	}
+	results := conn.SendBatch(ctx, batch)
+	for seats := range 3 {
+		_, err := results.Exec()
+		is.NoErr(err)
+		var value string
+		is.NoErr(results.QueryRow().Scan(&value))
+		is.Equal(value, strconv.Itoa(seats))
+	}
+	is.NoErr(results.Close())
+}
