--- a/internal/edge/back/back.go
+++ b/internal/edge/back/back.go
@@ -25,6 +25,10 @@
 	defaultCheckInterval  = 100 * time.Millisecond
 	defaultMaxAnswer      = 16 << 20
 	applicationName       = "almondway"
+
+	// messageFactor times the limit of an answer is the limit of one message of
+	// an instance; a longer one breaks the connection.
+	messageFactor = 4
 )
 
 // Spec lists the settings of a Backend. A zero field takes its default.
@@ -212,6 +216,7 @@
 	config.Password = ""
 	config.Fallbacks = nil
 	config.ValidateConnect = nil
+	config.MaxProtocolMessageBodyLen = messageFactor * spec.MaxAnswer
 	config.RuntimeParams = map[string]string{"application_name": applicationName}
 	return config, nil
 }
--- /dev/null
+++ b/internal/edge/back/lane_test.go
@@ -0,0 +1,82 @@
+package back
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"almondway.dev/almondway/internal/core/event"
+	"almondway.dev/almondway/internal/core/model"
+	"almondway.dev/almondway/internal/edge/wire"
+)
+
+func TestOpenFailures(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	gone := listener.Addr().String()
+	is.NoErr(listener.Close())
+	tests := []struct {
+		name   string
+		opened reply
+		gone   bool
+		reason model.FailReason
+	}{
+		{"gone", reply{}, true, model.FailRefused},
+		{"full", reply{state: wire.StateTooManyConnections, fatal: true}, false, model.FailFull},
+		{"leaving", reply{state: wire.StateShutdown, fatal: true}, false, model.FailLeaving},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			posted := make(events, 4)
+			backend, err := New(Spec{}, posted)
+			is.NoErr(err)
+			instance := newInstance(t, answerRow)
+			instance.opened = test.opened
+			address := instance.address()
+			if test.gone {
+				address = gone
+			}
+			backend.Open(event.NewOpenConn(4, "katalog-1-a", address))
+			is.Equal(posted.next(t), event.NewConnFailed(4, test.reason))
+			backend.Probe(event.NewProbe(6, "katalog-1-a", address, testWait))
+			is.Equal(posted.next(t), event.NewStatusFailed(6, "katalog-1-a", test.reason))
+		})
+	}
+}
+
+func TestProbesAndOrders(t *testing.T) {
+	is := is.New(t)
+	row := [][]byte{[]byte("t"), []byte("33554433"), []byte("replica"), []byte("16777216"), []byte("12"), []byte("katalog-1-b"), []byte("1500"), []byte("t")}
+	probed, release := make(chan struct{}), make(chan struct{})
+	fixture := newFixture(t, Spec{}, func(sql string) reply {
+		if sql == wire.StatusSQL {
+			close(probed)
+			<-release
+		}
+		return reply{rows: [][][]byte{row}, tag: "SELECT 1"}
+	})
+	address := fixture.instance.address()
+	status := model.NewStatus(model.NewTerm(2, 1), model.RoleReplica, model.NewMark(model.NewTerm(1, 0), 12), "katalog-1-b", 1500*time.Microsecond, true)
+	fixture.backend.Probe(event.NewProbe(1, "katalog-1-a", address, testWait))
+	<-probed
+	orders := []struct {
+		order event.Order
+		sql   string
+	}{
+		{event.NewFence(model.NewTerm(2, 1)), "SELECT * FROM platform_fence('33554433')"},
+		{event.NewPromote(model.NewTerm(2, 1)), "SELECT * FROM platform_promote('33554433')"},
+		{event.NewFollow(model.NewTerm(2, 1), "katalog-1-b", "127.0.0.1:9"), "SELECT * FROM platform_follow('33554433', 'katalog-1-b', '127.0.0.1:9')"},
+	}
+	for index, test := range orders {
+		fixture.backend.Order(event.NewSendOrder(model.OrderID(index), "katalog-1-a", address, test.order, testWait))
+		is.Equal(fixture.events.next(t), event.NewOrderDone(model.OrderID(index), "katalog-1-a", true, status))
+		statements, _ := fixture.instance.seen()
+		is.Equal(statements[len(statements)-1], test.sql)
+	}
+	close(release)
+	is.Equal(fixture.events.next(t), event.NewStatusReported(1, "katalog-1-a", status))
+}
