front: a malformed message keeps the connection

A message whose frame is whole and whose body is not was answered with a fatal error. It is now refused as the database refuses it, and the connection goes on; only bytes that cannot be told apart into messages end it. A failed sequence of the extended protocol has one error, also when a further message is too large.

--- a/internal/edge/front/caller.go
+++ b/internal/edge/front/caller.go
@@ -133,14 +133,22 @@
 	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &netError) {
 		return err
 	}
-	caller.fatal(newFault(codes.BadProtocol, err.Error()))
-	return err
+	reason := newFault(codes.BadProtocol, err.Error())
+	var framing *framingError
+	if errors.As(err, &framing) {
+		caller.fatal(reason)
+		return err
+	}
+	return caller.reject(caller.framer.messageType, reason)
 }
 
 // reject answers a message of the given type with an error.
 func (caller *caller) reject(messageType byte, reason *fault) error {
 	switch messageType {
 	case 'Q', 'F':
+		if caller.skipping {
+			return nil
+		}
 		caller.sendFault(reason)
 		caller.ready()
 		return caller.flush()
@@ -148,6 +156,9 @@
 		caller.fatal(reason)
 		return reason
 	default:
+		if caller.skipping {
+			return nil
+		}
 		caller.failExtended(reason)
 		return nil
 	}
--- a/internal/edge/front/framer.go
+++ b/internal/edge/front/framer.go
@@ -28,6 +28,14 @@
 	return fmt.Sprintf("message of %d bytes exceeds the limit of %d bytes", oversizeError.size, oversizeError.limit)
 }
 
+// framingError reports bytes that cannot be told apart into messages.
+type framingError struct {
+	detail string
+}
+
+// Error implements error.
+func (framingError *framingError) Error() string { return framingError.detail }
+
 // framer reads from a caller. Once messages is set it hands out the bytes of at
 // most one message per Read and drops messages that are larger than limit, so
 // that the connection outlives them.
@@ -36,6 +44,8 @@
 	limit     int
 	messages  bool
 	remaining int
+	// messageType is the type of the message that was handed out last.
+	messageType byte
 }
 
 func newFramer(source io.Reader, limit int) *framer {
@@ -89,10 +99,10 @@
 	messageType := header[0]
 	length := int(int32(binary.BigEndian.Uint32(header[1:])))
 	if strings.IndexByte(messageTypes, messageType) < 0 {
-		return fmt.Errorf("unknown message type %q", messageType)
+		return &framingError{detail: fmt.Sprintf("unknown message type %q", messageType)}
 	}
 	if length < lengthBytes {
-		return fmt.Errorf("message length %d is below %d", length, lengthBytes)
+		return &framingError{detail: fmt.Sprintf("message length %d is below %d", length, lengthBytes)}
 	}
 	if length-lengthBytes > framer.limit {
 		if _, err := framer.buffer.Discard(length + 1); err != nil {
@@ -100,6 +110,6 @@
 		}
 		return &oversizeError{messageType: messageType, size: length - lengthBytes, limit: framer.limit}
 	}
-	framer.remaining = length + 1
+	framer.remaining, framer.messageType = length+1, messageType
 	return nil
 }
