limit: the bound on an instance follows the load

Cause: each proxy ran at most its static share of an instance's slots (1 of 5 for six proxies). A slot is free while a statement is on its way, and a busy proxy could not use what the others left. Surges queued in the proxies while slots were idle.

Change: the bound grows by one a round while requests wait, and shrinks by a quarter and one when a slot is held more than twice as long as with little load. It stays between the share of the slots and the share of the connections.

Ruled out: the share of the connections as a fixed bound; under overload it moves the queue into the instance, where the order is not fair.

--- a/internal/plug/limit/gate.go
+++ b/internal/plug/limit/gate.go
@@ -12,29 +12,65 @@
 	firstHeld     = 5 * time.Millisecond
 	minRetryAfter = 50 * time.Millisecond
 	maxRetryAfter = 5 * time.Second
-	// smoothing is the share of a new sample in the mean time a slot is held, as a divisor.
-	smoothing = 8
+	// heldSmoothing and baseSmoothing are the shares of a new sample in a mean, as divisors.
+	heldSmoothing = 8
+	baseSmoothing = 32
+	// congestion is the multiple of the base at which an instance counts as congested.
+	congestion = 2
+	// decrease is the share of the limit that congestion takes away, as a divisor.
+	decrease = 4
 )
 
-// gate bounds the statements that run at once on one instance.
+// gate bounds the statements that run at once on one instance. The bound grows
+// by one a round while requests wait, and shrinks when a slot is held much longer
+// than with little load. It stays between this proxy's shares of the slots and
+// of the connections of the instance: a slot is free while a statement is on its
+// way, and most proxies use less than their share.
 type gate struct {
+	limit   int
 	running int
 	waiting *queue
-	held    time.Duration
+	held    time.Duration // mean time that a slot is held
+	base    time.Duration // the same with little load
+	samples int
+	pressed bool
 }
 
-// learn takes a new sample into the mean time that a slot is held.
-func (gate *gate) learn(held time.Duration) { gate.held += (held - gate.held) / smoothing }
+// learn takes a new sample of the time that a slot is held.
+func (gate *gate) learn(held time.Duration, floor, ceiling int) {
+	gate.held += (held - gate.held) / heldSmoothing
+	if gate.running <= floor {
+		gate.base += (held - gate.base) / baseSmoothing
+	}
+	gate.pressed = gate.pressed || gate.waiting.size > 0
+	gate.samples++
+	if gate.samples >= gate.limit {
+		gate.adjust()
+	}
+	gate.limit = min(max(gate.limit, floor), ceiling)
+}
+
+// adjust ends a round.
+func (gate *gate) adjust() {
+	switch {
+	case gate.held > congestion*gate.base:
+		gate.limit -= 1 + gate.limit/decrease
+	case gate.pressed:
+		gate.limit++
+	}
+	gate.samples = 0
+	gate.pressed = false
+}
 
 // delay returns how long the last in the queue is expected to wait.
-func (gate *gate) delay(share int) time.Duration {
-	return gate.held * time.Duration(gate.waiting.size+1) / time.Duration(share)
+func (gate *gate) delay() time.Duration {
+	return gate.held * time.Duration(gate.waiting.size+1) / time.Duration(gate.limit)
 }
 
 func (limits *Limits) gate(instance model.InstanceID) *gate {
 	found, ok := limits.gates[instance]
 	if !ok {
-		found = &gate{waiting: newQueue(hop{}), held: firstHeld}
+		found = &gate{limit: limits.floor(), waiting: newQueue(hop{}), held: firstHeld, base: firstHeld}
 		limits.gates[instance] = found
 	}
 	return found
@@ -50,7 +86,7 @@
 	if limit == 0 {
 		limit = limits.context.Settings().MaxWaiting()
 	}
-	late := limits.context.Now()+gate.delay(limits.share()) > ask.Job.Deadline()
+	late := limits.context.Now()+gate.delay() > ask.Job.Deadline()
 	if limits.waiting[deployment.Name()] >= limit || late {
 		return codes.Overloaded, limits.RetryAfter(ask.Instance)
 	}
@@ -60,7 +96,22 @@
 // RetryAfter implements route.Admission. The time is that in which the queue of
 // the instance is served, with jitter, so that callers do not come back together.
 func (limits *Limits) RetryAfter(instance model.InstanceID) time.Duration {
-	delay := limits.gate(instance).delay(limits.share())
+	delay := limits.gate(instance).delay()
 	delay = min(max(delay, minRetryAfter), maxRetryAfter)
 	return delay/2 + time.Duration(limits.context.Random().Int64N(int64(delay)))
 }
+
+// floor returns this proxy's share of the slots of an instance. Where they do
+// not divide, each proxy has the part more.
+func (limits *Limits) floor() int {
+	proxies := limits.proxies()
+	slots := limits.context.Settings().SlotsPerInstance()
+	return max(1, (slots+proxies-1)/proxies)
+}
+
+// ceiling returns this proxy's share of the connections of an instance.
+func (limits *Limits) ceiling() int {
+	return max(limits.floor(), limits.context.Settings().ConnsPerInstance()/limits.proxies())
+}
+
+func (limits *Limits) proxies() int { return max(1, len(limits.context.State().Proxies())) }
--- a/internal/plug/limit/limit.go
+++ b/internal/plug/limit/limit.go
@@ -61,7 +61,7 @@
 func (limits *Limits) enterGate(entrant route.Entrant, class *class) {
 	ask := entrant.Ask()
 	gate := limits.gate(ask.Instance)
-	if gate.waiting.size > 0 || gate.running >= limits.share() {
+	if gate.waiting.size > 0 || gate.running >= gate.limit {
 		if code, retryAfter := limits.refusal(ask, gate); code != codes.OK {
 			entrant.SlotDenied(code, retryAfter)
 			return
@@ -100,10 +100,10 @@
 // Leave implements route.Admission.
 func (limits *Limits) Leave(ask route.Ask, held time.Duration, busy bool) {
 	gate := limits.gate(ask.Instance)
-	gate.running--
 	if !busy {
-		gate.learn(held)
+		gate.learn(held, limits.floor(), limits.ceiling())
 	}
+	gate.running--
 	limits.serve(gate)
 	limits.leaveClass(limits.class(ask))
 }
@@ -116,7 +116,7 @@
 
 // serve grants the free slots of an instance to those whose turn it is.
 func (limits *Limits) serve(gate *gate) {
-	for gate.waiting.size > 0 && gate.running < limits.share() {
+	for gate.waiting.size > 0 && gate.running < gate.limit {
 		next := gate.waiting.pop()
 		limits.unwait(next.Ask())
 		gate.running++
@@ -151,14 +151,6 @@
 	}
 }
 
-// share returns this proxy's share of the slots of an instance. Where they do
-// not divide, each proxy has the part more.
-func (limits *Limits) share() int {
-	proxies := max(1, len(limits.context.State().Proxies()))
-	slots := limits.context.Settings().SlotsPerInstance()
-	return max(1, (slots+proxies-1)/proxies)
-}
-
 // path leads to the flow of a request: its deployment by weight, its class of
 // caller, and its key or else its caller.
 func path(ask route.Ask) []hop {
--- a/internal/plug/limit/limit_test.go
+++ b/internal/plug/limit/limit_test.go
@@ -57,10 +57,12 @@
 	})}}
 }
 
-// newLimits returns the plug-in of a kernel with one slot for each instance.
-func newLimits() *Limits {
+// newLimits returns the plug-in of a kernel with one slot for each instance and
+// the given number of connections.
+func newLimits(conns int) *Limits {
 	spec := tune.Default()
 	spec.SlotsPerInstance = 1
+	spec.ConnsPerInstance = conns
 	var limits *Limits
 	catch := func(context *kern.Context) kern.Plugin {
 		limits = New(context).(*Limits)
@@ -90,7 +92,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			is := is.New(t)
-			limits := newLimits()
+			limits := newLimits(1)
 			running := flow{}.entrant()
 			limits.Enter(running)
 			is.True(running.granted)
@@ -131,7 +133,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			is := is.New(t)
-			limits := newLimits()
+			limits := newLimits(1)
 			for range test.waiting + 1 {
 				limits.Enter(flow{}.entrant())
 			}
@@ -144,9 +146,41 @@
 	}
 }
 
+func TestLimitFollowsTheLoad(t *testing.T) {
+	const quick = 5 * time.Millisecond
+	tests := []struct {
+		name    string
+		waiting int
+		held    []time.Duration
+		limit   int
+	}{
+		{"no demand", 0, []time.Duration{quick, quick, quick, quick}, 1},
+		{"demand", 8, []time.Duration{quick, quick, quick, quick, quick, quick}, 4},
+		{"demand up to the share of the connections", 40, []time.Duration{quick, quick, quick, quick, quick, quick, quick, quick, quick, quick, quick, quick}, 4},
+		{"congestion", 40, []time.Duration{quick, quick, quick, quick, quick, quick, 20 * quick, 20 * quick, 20 * quick, 20 * quick, 20 * quick, 20 * quick, 20 * quick}, 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			limits := newLimits(4)
+			for range test.waiting + 1 {
+				limits.Enter(flow{}.entrant())
+			}
+			ask := flow{}.entrant().ask
+			for _, held := range test.held {
+				if limits.gate(instance).running == 0 {
+					limits.Enter(flow{}.entrant())
+				}
+				limits.Leave(ask, held, false)
+			}
+			is.Equal(limits.gate(instance).limit, test.limit)
+		})
+	}
+}
+
 func TestWithdraw(t *testing.T) {
 	is := is.New(t)
-	limits := newLimits()
+	limits := newLimits(1)
 	first, second, third := flow{}.entrant(), flow{}.entrant(), flow{}.entrant()
 	for _, entrant := range []*entrant{first, second, third} {
 		limits.Enter(entrant)
@@ -160,7 +194,7 @@
 
 func TestClassConcurrency(t *testing.T) {
 	is := is.New(t)
-	limits := newLimits()
+	limits := newLimits(1)
 	student := flow{class: "student", concurrent: 1}
 	first, second, third := student.entrant(), student.entrant(), student.entrant()
 	second.ask.Instance = "katalog-1-c" // another instance, the same class
@@ -180,7 +214,7 @@
 
 func TestRetryBudget(t *testing.T) {
 	is := is.New(t)
-	limits := newLimits()
+	limits := newLimits(1)
 	granted := 0
 	for limits.Retry("katalog-1") {
 		granted++
