member: rows of an earlier process at the same address

Cause: a proxy that was killed and started again on its host left a row with a voice for 15 minutes; with one or two proxies no change could be confirmed.

Change: a proxy removes rows with its own address, since nobody else listens there. The views of the proxies are made again only when something changed.

--- a/internal/plug/member/peers.go
+++ b/internal/plug/member/peers.go
@@ -93,12 +93,15 @@
 	}
 	known := peers.peer(heartbeat.Proxy())
 	first := !known.heard
+	changed := !peers.live(known) || known.revision != heartbeat.Revision() || known.draining != heartbeat.Draining()
 	known.address = heartbeat.Address()
 	known.revision = heartbeat.Revision()
 	known.draining = heartbeat.Draining()
 	known.heard = true
 	known.heardAt = peers.context.Now()
-	peers.update()
+	if changed {
+		peers.update()
+	}
 	peers.meet(heartbeat.Known())
 	if first {
 		peers.context.Emit(event.NewSendPeer(known.address, peers.heartbeat().WithKnown(peers.views())))
--- a/internal/plug/member/registry.go
+++ b/internal/plug/member/registry.go
@@ -149,7 +149,7 @@
 			continue
 		}
 		seen[id] = registry.observe(id, row.Version())
-		if !removed && registry.removes(id, seen[id]) {
+		if !removed && (registry.replaces(record) || registry.removes(id, seen[id])) {
 			removed = true
 			registry.remove(id, row.Version())
 		}
@@ -180,6 +180,12 @@
 	return seenRow{version: version, since: registry.context.Now()}
 }
 
+// replaces reports whether a row belongs to an earlier process at this proxy's
+// own address, which is gone since this one listens there.
+func (registry *registry) replaces(record proxyRecord) bool {
+	return record.Address == registry.context.State().Self().Address()
+}
+
 // removes reports whether a row belongs to a proxy that is long gone and this
 // proxy is one of those that remove it. A row that is still there has a voice.
 func (registry *registry) removes(id model.ProxyID, row seenRow) bool {
