--- a/internal/proof/fuzz/oracle_test.go
+++ b/internal/proof/fuzz/oracle_test.go
@@ -121,8 +121,15 @@
 // executed checks that a connection carries the statements of one caller's transaction.
 func (oracle *oracle) executed(target *instance, key connKey, work *model.Work) {
 	opened := target.open[key]
+	if opened == nil {
+		return
+	}
+	if work.Step() == model.StepFirst || work.Step() == model.StepSingle {
+		oracle.fail("P3", "new work came on a connection of %s on which a transaction is open", target.id)
+		return
+	}
 	asked, _ := work.Statement().(*statement)
-	if opened == nil || asked == nil || len(opened.writes) == 0 || work.Step() != model.StepNext {
+	if asked == nil || len(opened.writes) == 0 || work.Step() != model.StepNext {
 		return
 	}
 	if opened.writes[0].owner != asked.owner {
