front: SHOW of a setting that the proxy does not know goes to an instance

Some drivers ask for settings such as the isolation level when they connect and got AW116. The proxy answers for its own tags and what it reported, and passes the rest on as a read. SET LOCAL statement_timeout is the transaction's timeout.

Run: go test ./internal/edge/front, lint.

--- a/internal/edge/front/extended.go
+++ b/internal/edge/front/extended.go
@@ -117,7 +117,7 @@
 	if statement.description != nil {
 		return nil
 	}
-	if statement.form != query.FormPlain {
+	if statement.form != query.FormPlain && !caller.goesToInstance(statement) {
 		statement.description = wire.NewDescription(nil, localFields(statement))
 		return nil
 	}
@@ -140,12 +140,17 @@
 	return nil
 }
 
+// goesToInstance reports whether a statement of the session's own forms is run
+// by an instance nevertheless.
+func (caller *caller) goesToInstance(statement *prepared) bool {
+	return statement.form == query.FormShow && !caller.answersLocally(statement.form, statement.sql)
+}
+
 func localFields(statement *prepared) []pgproto3.FieldDescription {
 	if statement.form != query.FormShow {
 		return nil
 	}
-	_, name := query.Keyword(statement.sql)
-	return textResult(unquote(name), "").Fields()
+	return textResult(showName(statement.sql), "").Fields()
 }
 
 func (caller *caller) sendFields(fields []pgproto3.FieldDescription) {
--- a/internal/edge/front/local.go
+++ b/internal/edge/front/local.go
@@ -19,16 +19,21 @@
 	wordPrepare = "PREPARE"
 )
 
-// answersLocally reports whether the proxy answers a statement by itself.
-// Inside a transaction, SET LOCAL of a setting of the database and SET
-// TRANSACTION go to the connection that the transaction owns.
+// answersLocally reports whether the proxy answers a statement by itself. SHOW
+// of a setting that it does not know goes to an instance. So do, inside a
+// transaction, SET LOCAL of a setting of the database and SET TRANSACTION, to
+// the connection that the transaction owns.
 func (caller *caller) answersLocally(form query.Form, sql string) bool {
-	if form != query.FormSet || caller.txState != model.TxOpen {
+	switch {
+	case form == query.FormShow:
+		_, known := caller.shown(showName(sql))
+		return known
+	case form != query.FormSet || caller.txState != model.TxOpen:
 		return form.IsLocal()
 	}
 	_, text := query.Keyword(sql)
 	word, rest := query.Keyword(text)
-	return word != "TRANSACTION" && (word != "LOCAL" || isTagSetting(query.SkipBlank(rest)))
+	return word != "TRANSACTION" && (word != "LOCAL" || isOwnSetting(query.SkipBlank(rest)))
 }
 
 // checkPassed returns why a SET may not go to the connection of the open
@@ -41,8 +46,10 @@
 	return nil
 }
 
-func isTagSetting(text string) bool {
-	return len(text) >= len(settingPrefix) && strings.EqualFold(text[:len(settingPrefix)], settingPrefix)
+// isOwnSetting reports whether text starts with a setting that the proxy keeps.
+func isOwnSetting(text string) bool {
+	lower := strings.ToLower(text)
+	return strings.HasPrefix(lower, settingPrefix) || strings.HasPrefix(lower, settingTimeout)
 }
 
 // runLocal answers a statement about the session itself.
@@ -61,7 +68,7 @@
 	case query.FormReset:
 		return tagResult("RESET"), caller.runReset(text)
 	case query.FormShow:
-		return caller.runShow(text)
+		return caller.runShow(sql)
 	case query.FormDiscard:
 		return tagResult("DISCARD ALL"), caller.runDiscard(text)
 	default:
@@ -100,17 +107,38 @@
 }
 
 // runShow shows a tag of the session or a parameter that was reported.
-func (caller *caller) runShow(text string) (wire.Result, *fault) {
-	name := strings.ToLower(unquote(text))
-	if tag, ok := query.LookupTag(strings.TrimPrefix(name, settingPrefix)); ok && strings.HasPrefix(name, settingPrefix) {
-		return textResult(name, caller.session.get(tag)), nil
+func (caller *caller) runShow(sql string) (wire.Result, *fault) {
+	name := showName(sql)
+	value, known := caller.shown(name)
+	if !known {
+		return wire.Result{}, faultf(codes.MalformedTag, "setting %q is not known", name)
+	}
+	return textResult(name, value), nil
+}
+
+// showName returns the setting that a SHOW names, in lower case.
+func showName(sql string) string {
+	_, rest, err := query.ParseTags(sql)
+	if err != nil {
+		return ""
+	}
+	_, text := query.Keyword(rest)
+	return strings.ToLower(unquote(text))
+}
+
+// shown returns the value of a tag or of a parameter that was reported.
+func (caller *caller) shown(name string) (value string, known bool) {
+	if name, own := strings.CutPrefix(name, settingPrefix); own {
+		if tag, ok := query.LookupTag(name); ok {
+			return caller.session.get(tag), true
+		}
 	}
 	for _, parameter := range caller.session.reported(caller.server.spec.ServerVersion) {
 		if strings.EqualFold(parameter.Name, name) {
-			return textResult(name, parameter.Value), nil
+			return parameter.Value, true
 		}
 	}
-	return wire.Result{}, faultf(codes.Unsupported, "setting %q is not known to the proxy", name)
+	return "", false
 }
 
 func (caller *caller) runDiscard(text string) *fault {
