--- a/internal/edge/front/registry.go
+++ b/internal/edge/front/registry.go
@@ -68,10 +68,20 @@
 	}
 }
 
+// watchCallers looks at the callers outside of the lock, which the kernel's
+// loop needs for each answer.
 func (server *Server) watchCallers() {
+	for _, caller := range server.list() {
+		caller.box.watch(caller.conn)
+	}
+}
+
+func (server *Server) list() []*caller {
 	server.mutex.RLock()
 	defer server.mutex.RUnlock()
+	callers := make([]*caller, 0, len(server.callers))
 	for _, caller := range server.callers {
-		caller.box.watch(caller.conn)
+		callers = append(callers, caller)
 	}
+	return callers
 }
