conns, reads, writes: back-offs end when the instance is back

Reads that ran on an instance that fell silent waited until their deadline. Writes that had backed off from a lost primary let up to 300 ms of the next term pass.

Change: a report whose probe was sent after the failure ends the back-off of a pool, once for each report; an instance with no connection that cannot be reached denies at once. A read leaves an instance that stays silent. A back-off of a write ends with its term. A request id that belongs to another statement is unknown, not "not run", for a write that was sent before. Refused callers are logged.

Ruled out: ending the back-off for instances that were full; a report says nothing about their connections.

--- a/internal/core/route/serves.go
+++ b/internal/core/route/serves.go
@@ -17,7 +17,13 @@
 // Serves reports whether an instance may be given work of term: it holds the
 // term, answered its last probe, and was heard lately.
 func Serves(context *kern.Context, member *state.Member, term model.Term) bool {
+	return member.Serves(term) && !Silent(context, member)
+}
+
+// Silent reports whether the last probe of an instance failed or its last report
+// is old.
+func Silent(context *kern.Context, member *state.Member) bool {
 	settings := context.Settings()
 	limit := max(settings.SilenceLimit()/silenceDivisor, silentProbes*settings.ProbeInterval())
-	return member.Serves(term) && context.Now()-member.SentAt() <= limit
+	return member.Failures() > 0 || context.Now()-member.SentAt() > limit
 }
--- a/internal/plug/conns/conns.go
+++ b/internal/plug/conns/conns.go
@@ -51,6 +51,8 @@
 		pools.executeDone(received)
 	case event.ExecuteFailed:
 		pools.executeFailed(received)
+	case event.GroupObserved:
+		pools.observed(received.Group())
 	}
 }
 
--- a/internal/plug/conns/conns_test.go
+++ b/internal/plug/conns/conns_test.go
@@ -226,12 +226,39 @@
 		bench.handle(event.NewConnFailed(conn, model.FailRefused))
 	}
 	is.Equal(asked.code, unreachable)
-	bench.acquire()
-	is.Equal(len(bench.opens()), 0) // held back
+	is.Equal(bench.acquire().code, unreachable) // at once
+	is.Equal(len(bench.opens()), 0)             // held back
 	bench.tick(2 * firstBackoff)
 	is.Equal(len(bench.opens()), 1)
 }
 
+func TestInstanceIsBack(t *testing.T) {
+	tests := []struct {
+		name   string
+		reason model.FailReason
+		opens  int
+	}{
+		{"refused before", model.FailRefused, 1},
+		{"full before", model.FailFull, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			bench := newBench(35)
+			bench.acquire()
+			for _, conn := range bench.opens() {
+				bench.handle(event.NewConnFailed(conn, test.reason))
+			}
+			status := model.NewStatus(1, model.RoleReplica, model.NewMark(1, 1), "", 0, false)
+			bench.kernel.State().Group("katalog-1").Observe(instance, status, time.Millisecond)
+			bench.handle(event.NewGroupObserved("katalog-1"))
+			is.Equal(len(bench.opens()), test.opens)
+			bench.handle(event.NewGroupObserved("katalog-1"))
+			is.Equal(len(bench.opens()), 0) // one try for each report
+		})
+	}
+}
+
 func TestOpenWhileTheInstanceIsFull(t *testing.T) {
 	is := is.New(t)
 	bench := newBench(35)
--- a/internal/plug/conns/pool.go
+++ b/internal/plug/conns/pool.go
@@ -54,6 +54,8 @@
 	total    int
 	opening  int
 	failures int
+	failedAt time.Duration
+	reason   model.FailReason
 	blocked  time.Duration
 	retry    timer.ID
 }
@@ -85,6 +87,9 @@
 	}
 	pool.waiting = append(pool.waiting, ticket)
 	pool.fill()
+	if pool.total == 0 && pool.reason != model.FailFull {
+		pool.sendAway()
+	}
 }
 
 func (pool *pool) grant(ticket *ticket) {
@@ -150,6 +155,8 @@
 	failed.state = connClosed
 	pool.total--
 	pool.opening--
+	pool.failedAt = pool.pools.context.Now()
+	pool.reason = reason
 	pool.backOff()
 	if reason == model.FailLeaving {
 		pool.pools.context.Publish(event.NewLeavingChanged(pool.instance.ID(), true))
@@ -169,6 +176,16 @@
 	pool.retry = context.Timers().After(backoff, pool.fill)
 }
 
+// reached ends the back-off of an instance that could not be reached, because it
+// answered a probe that was sent at sentAt.
+func (pool *pool) reached(sentAt time.Duration) {
+	if pool.failures == 0 || sentAt <= pool.failedAt || pool.reason == model.FailFull {
+		return
+	}
+	pool.blocked = 0
+	pool.fill()
+}
+
 // sendAway denies every request that waits for a connection.
 func (pool *pool) sendAway() {
 	waiting := pool.waiting
--- a/internal/plug/conns/upkeep.go
+++ b/internal/plug/conns/upkeep.go
@@ -1,6 +1,9 @@
 package conns
 
-import "almondway.dev/almondway/internal/core/event"
+import (
+	"almondway.dev/almondway/internal/core/event"
+	"almondway.dev/almondway/internal/core/model"
+)
 
 // maintain keeps the warm reserve of every listed instance and closes
 // connections that are beyond this proxy's share or were idle for long.
@@ -17,6 +20,20 @@
 	}
 }
 
+// observed tries again to connect to instances of a group that are back.
+func (pools *Pools) observed(group model.GroupID) {
+	view := pools.context.State().Group(group)
+	if view == nil {
+		return
+	}
+	for _, member := range view.Members() {
+		pool, ok := pools.pools[member.ID()]
+		if ok && member.Heard() && member.Failures() == 0 && !member.Leaving() {
+			pool.reached(member.SentAt())
+		}
+	}
+}
+
 func (pool *pool) shrink() {
 	context := pool.pools.context
 	oldest := context.Now() - context.Settings().ConnIdle()
--- a/internal/plug/reads/prove.go
+++ b/internal/plug/reads/prove.go
@@ -18,12 +18,43 @@
 	case readLagging:
 		read.judge.Observe(view)
 		read.catchUp(view)
-	case readAcquiring, readExecuting:
+	case readAcquiring:
+		read.judge.Observe(view)
+	case readExecuting:
 		read.judge.Observe(view)
+		read.watch(view)
 	case readEnded:
 	}
 }
 
+// watch runs the read elsewhere when its instance stays silent for a probe
+// interval; right after a pause of this proxy every instance seems silent. A
+// further statement of a transaction cannot move and waits.
+func (read *read) watch(view *state.Group) {
+	context := read.reads.context
+	member := view.Member(read.instance)
+	if read.reason == openTransaction || (member != nil && !route.Silent(context, member)) {
+		read.silentSince = 0
+		return
+	}
+	if read.silentSince == 0 {
+		read.silentSince = context.Now()
+	}
+	if context.Now()-read.silentSince >= context.Settings().ProbeInterval() {
+		read.abandon()
+		read.retry()
+	}
+}
+
+// abandon closes the connection on which the read runs.
+func (read *read) abandon() {
+	read.reads.conns.Discard(read.conn)
+	read.conn = 0
+	if tx := read.job.Tx(); tx != nil {
+		tx.Close()
+	}
+}
+
 // prove passes the answer on, waits for more reports, or repeats the read.
 func (read *read) prove(view *state.Group) {
 	switch read.judge.Verdict(view, read.mark, read.reads.context.Now()) {
@@ -45,7 +76,7 @@
 	switch {
 	case tx == nil:
 		read.seek()
-	case read.reason == "open transaction":
+	case read.reason == openTransaction:
 		read.state = readLagging
 		read.catchUp(view)
 	default:
@@ -89,15 +120,11 @@
 // stop ends the read without a result. A connection whose answer is still to
 // come is closed.
 func (read *read) stop() {
-	tx := read.job.Tx()
 	switch read.state {
 	case readAcquiring:
 		read.reads.conns.Withdraw(read.ticket)
 	case readExecuting:
-		read.reads.conns.Discard(read.conn)
-		if tx != nil {
-			tx.Close()
-		}
+		read.abandon()
 	case readSeeking, readProving, readLagging, readEnded:
 	}
 	read.end()
--- a/internal/plug/reads/read.go
+++ b/internal/plug/reads/read.go
@@ -32,6 +32,8 @@
 	// seekDelay is the time after which a read looks for an instance again when
 	// the one it chose cannot be connected to.
 	seekDelay = 2 * time.Millisecond
+	// openTransaction is the reason for the instance of a further statement of a transaction.
+	openTransaction = "open transaction"
 )
 
 // read is a running read. It implements route.Taker and route.Item.
@@ -49,6 +51,8 @@
 	mark     model.Mark
 	answer   model.Payload
 	reason   string
+	// silentSince is when the instance was first seen silent during the execution.
+	silentSince time.Duration
 }
 
 // Group implements route.Item.
@@ -97,7 +101,7 @@
 	}
 	read.conn = tx.Conn()
 	read.instance = tx.Instance()
-	read.reason = "open transaction"
+	read.reason = openTransaction
 	read.execute(model.StepNext)
 }
 
@@ -118,6 +122,7 @@
 		step = model.StepDescribe
 	}
 	read.state = readExecuting
+	read.silentSince = 0
 	read.reads.conns.Execute(read.conn, model.NewWork(model.WorkSpec{
 		Step:      step,
 		Statement: read.job.Request().Statement(),
@@ -199,7 +204,7 @@
 // statement of a transaction cannot move.
 func (read *read) retry() {
 	tx := read.job.Tx()
-	if tx != nil && read.reason == "open transaction" {
+	if tx != nil && read.reason == openTransaction {
 		read.finish(route.ResultSpec{Outcome: model.OutcomeNotRun, Code: codes.TransactionLost, Reason: "connection lost"})
 		return
 	}
--- a/internal/plug/reads/reads_test.go
+++ b/internal/plug/reads/reads_test.go
@@ -187,6 +187,11 @@
 		{"answer lost", model.LagWait, []step{
 			ask("seat_count", none), fail(model.FailureLost, b, c), serve(b, c),
 		}, codes.OK, script.Mark(1, 1)},
+		{"replica falls silent", model.LagWait, []step{
+			ask("seat_count", none),
+			func(script *script.Script) { silent(expect(script, b, c).Instance)(script) },
+			wait(400 * time.Millisecond), serve(b, c),
+		}, codes.OK, script.Mark(1, 1)},
 		{"refused by a leaving replica", model.LagWait, []step{
 			ask("seat_count", none), fail(model.FailureLeaving, b, c), serve(b, c),
 		}, codes.OK, script.Mark(1, 1)},
--- a/internal/plug/sessn/sessn.go
+++ b/internal/plug/sessn/sessn.go
@@ -70,6 +70,13 @@
 
 func (sessions *Sessions) opened(opened event.CallerOpened) {
 	if code, detail := sessions.admits(opened); code != codes.OK {
+		sessions.context.Emit(event.NewLogDecision(model.Decision{
+			Name:       "refuse_caller",
+			Caller:     opened.Caller(),
+			Deployment: opened.Deployment(),
+			Reason:     detail,
+			Code:       code,
+		}))
 		sessions.context.Emit(event.NewRefuseCaller(opened.Caller(), code, detail, retryLater))
 		return
 	}
--- a/internal/plug/writes/fail.go
+++ b/internal/plug/writes/fail.go
@@ -28,7 +28,7 @@
 	case model.FailureTombstone:
 		write.confirm(failed.Mark(), write.notRun("the ledger has a tombstone"))
 	case model.FailureMismatch:
-		write.finish(route.ResultSpec{Outcome: model.OutcomeNotRun, Code: codes.RequestIDReused, Reason: "digest differs"})
+		write.mismatched()
 	case model.FailureLost:
 		write.lost()
 	case model.FailureStatement:
@@ -38,6 +38,16 @@
 	}
 }
 
+// mismatched ends a write whose request id belongs to another statement. If the
+// write was sent before, that does not tell what became of it.
+func (write *write) mismatched() {
+	result := route.ResultSpec{Outcome: model.OutcomeNotRun, Code: codes.RequestIDReused, Reason: "digest differs"}
+	if write.doubt {
+		result.Outcome = model.OutcomeUnknown
+	}
+	write.finish(result)
+}
+
 // refused passes an error of the database on. A settlement is tried again. An
 // error of a statement that was sent before does not tell whether that one still
 // runs, so the request is settled.
--- a/internal/plug/writes/write.go
+++ b/internal/plug/writes/write.go
@@ -89,7 +89,7 @@
 		write.demand()
 		return
 	}
-	if write.writes.context.Now() < write.notUntil {
+	if write.writes.context.Now() < write.notUntil && view.Term() <= write.term {
 		write.state = writeSeeking
 		return
 	}
--- a/internal/plug/writes/writes_test.go
+++ b/internal/plug/writes/writes_test.go
@@ -134,6 +134,9 @@
 		}, model.OutcomeUnknown, codes.OutcomeUnknown, false},
 		{"tombstone", "enrol", requestID, []step{fail(a, single, model.FailureTombstone, first), tail(b, first)}, model.OutcomeNotRun, codes.RequestIDSettled, false},
 		{"id of another statement", "enrol", requestID, []step{fail(a, single, model.FailureMismatch, none)}, model.OutcomeNotRun, codes.RequestIDReused, false},
+		{"lost and id of another statement", "enrol", requestID, []step{
+			fail(a, single, model.FailureLost, none), wait(50 * time.Millisecond), fail(a, single, model.FailureMismatch, none),
+		}, model.OutcomeUnknown, codes.RequestIDReused, false},
 		{"no request id", "enrol", "", nil, model.OutcomeNotRun, codes.RequestIDMissing, false},
 		{"request id that is no UUID", "enrol", "17", nil, model.OutcomeNotRun, codes.MalformedRequestID, false},
 		{"request id beyond retention", "enrol", ident.Floor(time.Date(2026, 12, 2, 20, 0, 0, 0, time.UTC)), nil, model.OutcomeNotRun, codes.RequestIDExpired, false},
