proof: two changes from one revision, make fuzz

A mutation that accepts a conflicting change was not noticed, since each change got a revision of its own; the oracle now checks that of several changes made from one revision one is accepted. make fuzz runs random histories for a given time and prints its seeds.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,6 @@
 OUT := $(CURDIR)/bin
 TOOLS := $(BIN)/golangci-lint $(BIN)/gofumpt $(BIN)/buf $(BIN)/protoc-gen-go $(BIN)/protoc-gen-connect-go
 PACKAGES := ./cmd/... ./internal/...
-RAPID_FLAGS := -rapid.seed=20261203 -rapid.nofailfile
 
 .PHONY: build test lint format generate generated-check demo measure measure-baseline bench slopes fuzz e2e run tools clean
 
@@ -80,3 +79,6 @@
 
 clean:
 	rm -rf $(BIN) $(OUT)
+
+fuzz:
+	scripts/fuzz
--- a/internal/proof/fuzz/deployment_test.go
+++ b/internal/proof/fuzz/deployment_test.go
@@ -67,7 +67,7 @@
 func (world *world) applyTo(name string, node *node, weight int, expected uint64, changeID string) {
 	world.oracle.lastAsk++
 	ask := world.oracle.lastAsk
-	world.oracle.asked[ask] = askRecord{node: node, weight: weight, changeID: changeID}
+	world.oracle.asked[ask] = askRecord{node: node, weight: weight, changeID: changeID, name: name, expected: expected}
 	node.post(event.NewOperatorAsked(ask, event.NewApplyDeployment(world.newDeployment(name, weight), expected, changeID, "operator")))
 }
 
--- a/internal/proof/fuzz/oracle_test.go
+++ b/internal/proof/fuzz/oracle_test.go
@@ -27,6 +27,8 @@
 	node     *node
 	weight   int
 	changeID string
+	name     string
+	expected uint64
 	result   event.Result
 	at       time.Duration
 }
@@ -92,9 +94,23 @@
 		oracle.fail("P9", "revision %d was accepted for %s and for %s through %s", applied.Revision(), earlier, record.changeID, node.id)
 	}
 	oracle.changes[applied.Revision()] = record.changeID
+	oracle.checkRace(record)
 	oracle.accepted = max(oracle.accepted, applied.Revision())
 }
 
+// checkRace checks that of several changes made from the same revision one is accepted.
+func (oracle *oracle) checkRace(accepted askRecord) {
+	for _, ask := range oracle.operators {
+		other := oracle.asked[ask]
+		if _, ok := other.result.(event.Applied); !ok || other.changeID == accepted.changeID {
+			continue
+		}
+		if other.name == accepted.name && other.expected == accepted.expected {
+			oracle.fail("P9", "%s and %s were both accepted from revision %d", other.changeID, accepted.changeID, accepted.expected)
+		}
+	}
+}
+
 // stopped checks that a proxy that was asked to stop has answered everything.
 func (oracle *oracle) stopped(node *node) {
 	if oracle.world.now-node.drainedAt >= tune.Default().DrainLimit {
