meas: surge with a noisy caller and enough sessions

The surge was limited by the 96 sessions of the load client: latencies above 30 ms held back arrivals, and the queue of the client, not of the system, set the p50 of reads. Sessions now follow the rate. Much of the surge is one faculty's or hotel's and so one group's.

--- a/internal/stand/load/driver.go
+++ b/internal/stand/load/driver.go
@@ -13,6 +13,8 @@
 const (
 	requestLimit = 10 * time.Second
 	queueLength  = 1 << 16
+	// callersPerRate keeps enough sessions for latencies up to an eighth of a second.
+	callersPerRate = 1.0 / 8
 )
 
 // Spec lists the parts of a new Driver.
@@ -22,7 +24,7 @@
 	Groups []string
 	// KeysPerGroup is the number of keys that are written in each group.
 	KeysPerGroup int
-	// Callers is the number of sessions of each kind.
+	// Callers is the least number of sessions of each kind.
 	Callers int
 	Seed    uint64
 	Record  *Record
@@ -49,7 +51,7 @@
 	for place, kind := range driver.spec.Kinds {
 		queue := make(chan due, queueLength)
 		running.Go(func() { driver.arrive(ctx, kind, uint64(place), queue) })
-		for range driver.spec.Callers {
+		for range max(driver.spec.Callers, int(kind.Rate*callersPerRate)) {
 			running.Go(func() { driver.serve(kind, queue) })
 		}
 	}
@@ -71,6 +73,9 @@
 
 func (driver *Driver) request(kind Kind, random *rand.Rand) Request {
 	group := driver.spec.Groups[random.IntN(len(driver.spec.Groups))]
+	if random.Float64() < kind.Noisy {
+		group = driver.spec.Groups[0]
+	}
 	key := KeyName(group, random.IntN(driver.spec.KeysPerGroup))
 	request := Request{Kind: kind, Group: group, Key: key}
 	if kind.Write {
--- a/internal/stand/load/request.go
+++ b/internal/stand/load/request.go
@@ -36,6 +36,8 @@
 	Class string
 	// Rate is the number of requests a second.
 	Rate float64
+	// Noisy is the share of the requests that all go to the first group.
+	Noisy float64
 	// Write is set for a kind that counts up a key.
 	Write bool
 	// Check and Staleness tell what a read must show.
--- a/internal/stand/meas/profile.go
+++ b/internal/stand/meas/profile.go
@@ -11,10 +11,10 @@
 )
 
 const (
-	surgeFactor   = 10
-	keysPerGroup  = 40
-	zagrebSlot    = 4 * time.Millisecond
-	lakeshoreSlot = 3 * time.Millisecond
+	surgeFactor  = 10
+	noisyShare   = 0.3
+	keysPerGroup = 40
+	slotTime     = 3 * time.Millisecond
 )
 
 // profile is the workload of a user.
@@ -22,7 +22,6 @@
 	deployment string
 	file       string
 	site       topol.Site
-	slotTime   time.Duration
 	kinds      []load.Kind
 	browsing   string // the kind that surges
 	callers    int    // sessions of each kind
@@ -33,7 +32,6 @@
 		deployment: "gradski",
 		file:       "gradski-full.yaml",
 		site:       topol.Zagreb(),
-		slotTime:   zagrebSlot,
 		browsing:   "browse",
 		callers:    96,
 		kinds: []load.Kind{
@@ -50,7 +48,6 @@
 		deployment: "morning-table",
 		file:       "morning-table-full.yaml",
 		site:       topol.Lakeshore(),
-		slotTime:   lakeshoreSlot,
 		browsing:   "history",
 		callers:    128,
 		kinds: []load.Kind{
@@ -66,16 +63,18 @@
 // topology returns the sizes of the user's site on free ports.
 func (profile profile) topology(ports topol.Ports) topol.Spec {
 	spec := profile.site.Spec(ports)
-	spec.StatementTime = topol.Duration(profile.slotTime)
+	spec.StatementTime = topol.Duration(slotTime)
 	return spec
 }
 
-// surging returns the kinds with ten times the browsing.
+// surging returns the kinds with ten times the browsing, much of it of one noisy
+// faculty or hotel, whose data one group has.
 func (profile profile) surging() []load.Kind {
 	kinds := append([]load.Kind(nil), profile.kinds...)
 	for place := range kinds {
 		if kinds[place].Name == profile.browsing {
 			kinds[place].Rate *= surgeFactor
+			kinds[place].Noisy = noisyShare
 		}
 	}
 	return kinds
