--- a/internal/edge/back/messages.go
+++ b/internal/edge/back/messages.go
@@ -27,6 +27,15 @@
 	modeReadWrite = "READ WRITE"
 )
 
+// The messages that are the same for every statement. They are never changed.
+var (
+	bindNothing       = &pgproto3.Bind{}
+	executeAll        = &pgproto3.Execute{}
+	describePortal    = &pgproto3.Describe{ObjectType: 'P'}
+	describeStatement = &pgproto3.Describe{ObjectType: 'S'}
+	syncBatch         = &pgproto3.Sync{}
+)
+
 // prefix returns the statements that go before the statement of a Work in the
 // same round trip. Connections are read-only unless a transaction says otherwise.
 func prefix(work *model.Work, modes string) []string {
@@ -99,7 +108,7 @@
 func extendedMessages(before []string, statement *wire.Statement) []pgproto3.FrontendMessage {
 	messages := make([]pgproto3.FrontendMessage, 0, 3*len(before)+5)
 	for _, sql := range before {
-		messages = append(messages, &pgproto3.Parse{Query: sql}, &pgproto3.Bind{}, &pgproto3.Execute{})
+		messages = append(messages, &pgproto3.Parse{Query: sql}, bindNothing, executeAll)
 	}
 	return append(messages,
 		&pgproto3.Parse{Query: statement.SQL(), ParameterOIDs: statement.ParamTypes()},
@@ -108,17 +117,17 @@
 			Parameters:           statement.Params(),
 			ResultFormatCodes:    statement.ResultFormats(),
 		},
-		&pgproto3.Describe{ObjectType: 'P'},
-		&pgproto3.Execute{},
-		&pgproto3.Sync{},
+		describePortal,
+		executeAll,
+		syncBatch,
 	)
 }
 
 func describeMessages(statement *wire.Statement) []pgproto3.FrontendMessage {
 	return []pgproto3.FrontendMessage{
 		&pgproto3.Parse{Query: statement.SQL(), ParameterOIDs: statement.ParamTypes()},
-		&pgproto3.Describe{ObjectType: 'S'},
-		&pgproto3.Sync{},
+		describeStatement,
+		syncBatch,
 	}
 }
 
--- a/internal/edge/front/extended.go
+++ b/internal/edge/front/extended.go
@@ -1,6 +1,8 @@
 package front
 
 import (
+	"strings"
+
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"almondway.dev/almondway/internal/core/codes"
@@ -27,7 +29,7 @@
 		caller.failExtended(unsupported(statement.keyword))
 		return
 	}
-	if len(query.Split(message.Query)) > 1 {
+	if strings.Contains(message.Query, ";") && len(query.Split(message.Query)) > 1 {
 		caller.failExtended(newFault(codes.Unsupported, "a prepared statement holds one statement only"))
 		return
 	}
