front: extended protocol against an oracle; BEGIN in a failed transaction

Random sequences of the extended protocol are compared, word by word, with a model of a page: skipping after errors, portals and their rows, transactions. BEGIN within a failed transaction was answered with a warning; it is refused, as every statement but the end of the transaction.

--- a/internal/edge/front/kernel_test.go
+++ b/internal/edge/front/kernel_test.go
@@ -116,6 +116,10 @@
 	case model.OpCommit, model.OpRollback:
 		state = model.TxNone
 	default:
+		if state == model.TxFailed {
+			spec = model.ReplySpec{Code: codes.TransactionState, Outcome: model.OutcomeNotRun}
+			break
+		}
 		spec = kernel.respond(request)
 		if spec.Code != codes.OK && state == model.TxOpen {
 			state = model.TxFailed
--- a/internal/edge/front/statement.go
+++ b/internal/edge/front/statement.go
@@ -64,6 +64,8 @@
 func (caller *caller) control(form query.Form, sql string) (tag string, reason *fault) {
 	inside := caller.txState != model.TxNone
 	switch {
+	case form == query.FormBegin && caller.txState == model.TxFailed:
+		return "", newFault(codes.TransactionState, "the transaction has failed; roll it back first")
 	case form == query.FormBegin && inside:
 		caller.notice(severityWarning, "25001", "there is already a transaction in progress")
 		return "BEGIN", nil
