front: callers that start with TLS; a failed start-up leaves no caller behind

A driver with sslnegotiation=direct was told that TLS is off where it is on. A caller whose connection broke at the end of its start-up stayed registered. Why the proxy ended a connection is logged at the debug level.

--- a/internal/edge/front/send.go
+++ b/internal/edge/front/send.go
@@ -5,6 +5,7 @@
 
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
 
 	"almondway.dev/almondway/internal/core/model"
 	"almondway.dev/almondway/internal/edge/wire"
@@ -33,6 +34,12 @@
 
 // fatal sends the error that ends the connection.
 func (caller *caller) fatal(reason *fault) {
+	caller.server.logger.WithFields(logrus.Fields{
+		"caller":  caller.id,
+		"address": caller.conn.RemoteAddr().String(),
+		"code":    reason.code.String(),
+		"detail":  reason.detail,
+	}).Debug("caller's connection ended by the proxy")
 	caller.send(reason.response(severityFatal))
 	_ = caller.flush()
 }
--- a/internal/edge/front/startup.go
+++ b/internal/edge/front/startup.go
@@ -2,7 +2,6 @@
 
 import (
 	"crypto/subtle"
-	"crypto/tls"
 	"io"
 	"net"
 	"time"
@@ -16,9 +15,8 @@
 )
 
 const (
-	tlsHandshakeByte = 0x16
-	answerNo         = 'N'
-	answerTLS        = 'S'
+	answerNo  = 'N'
+	answerTLS = 'S'
 )
 
 // start negotiates up to the start-up message. It returns false if the
@@ -29,8 +27,7 @@
 		return false
 	}
 	first, err := caller.framer.firstByte()
-	if err == nil && first == tlsHandshakeByte {
-		caller.fatal(newFault(codes.TLSNotOffered, "the caller sent a TLS handshake without asking for TLS first"))
+	if err == nil && first == tlsHandshakeByte && !caller.takeDirectTLS() {
 		return false
 	}
 	refusedTLS := false
@@ -74,26 +71,6 @@
 	}
 }
 
-// negotiateTLS answers a request for TLS and takes the handshake where it is on.
-func (caller *caller) negotiateTLS() error {
-	if caller.server.tls == nil {
-		_, err := caller.conn.Write([]byte{answerNo})
-		return errors.Wrap(err, "refuse TLS")
-	}
-	if caller.framer.buffer.Buffered() > 0 {
-		return errors.New("caller sent data before the TLS handshake")
-	}
-	if _, err := caller.conn.Write([]byte{answerTLS}); err != nil {
-		return errors.Wrap(err, "accept TLS")
-	}
-	secured := tls.Server(caller.conn, caller.server.tls)
-	if err := secured.Handshake(); err != nil {
-		return errors.Wrap(err, "take TLS handshake")
-	}
-	caller.use(secured)
-	return nil
-}
-
 // startSession takes the start-up message and registers the caller.
 func (caller *caller) startSession(message *pgproto3.StartupMessage) bool {
 	started, reason := newSession(message.Parameters)
@@ -103,14 +80,17 @@
 	}
 	caller.session = started
 	caller.secret = newSecret()
+	if message.ProtocolVersion != pgproto3.ProtocolVersion30 {
+		caller.send(&pgproto3.NegotiateProtocolVersion{})
+	}
+	if caller.conn.SetDeadline(time.Time{}) != nil {
+		return false
+	}
 	if !caller.server.register(caller) {
 		caller.fatal(newFault(codes.TooManyCallers, "").after(retryTooMany))
 		return false
 	}
-	if message.ProtocolVersion != pgproto3.ProtocolVersion30 {
-		caller.send(&pgproto3.NegotiateProtocolVersion{})
-	}
-	return caller.conn.SetDeadline(time.Time{}) == nil
+	return true
 }
 
 // retryTooMany is when a caller may come back that was one too many.
--- a/internal/edge/front/tls_test.go
+++ b/internal/edge/front/tls_test.go
@@ -53,6 +53,16 @@
 	}
 }
 
+func TestDirectTLS(t *testing.T) {
+	is := is.New(t)
+	certFile, keyFile := writeCertificate(t)
+	kernel := newKernel(t, Spec{CertFile: certFile, KeyFile: keyFile}, echo)
+	url := "postgres://registrar@" + kernel.server.Address() + "/katalog?sslmode=verify-full&sslnegotiation=direct&sslrootcert=" + certFile
+	rows, err := openPgx(t, url).query("SELECT $1", "course-17")
+	is.NoErr(err)
+	is.Equal(rows[0][1], "course-17")
+}
+
 func TestCertificateWithoutKey(t *testing.T) {
 	is := is.New(t)
 	_, err := New(Spec{CertFile: "cert.pem"}, nil, nil)
--- a/internal/edge/peek/peek.go
+++ b/internal/edge/peek/peek.go
@@ -19,10 +19,10 @@
 	data   bool
 }
 
-// New returns a Peeker for conn, or for the connection below it if conn is a
-// TLS connection. A connection of another kind never counts as gone.
+// New returns a Peeker for conn, or for the connection below it if conn has a
+// NetConn method, as a TLS connection does. A connection of another kind never counts as gone.
 func New(conn net.Conn) *Peeker {
-	if layered, ok := conn.(interface{ NetConn() net.Conn }); ok {
+	for layered, ok := conn.(interface{ NetConn() net.Conn }); ok; layered, ok = conn.(interface{ NetConn() net.Conn }) {
 		conn = layered.NetConn()
 	}
 	peeker := &Peeker{}
