front: bound on what all callers leave with the proxy

Each caller could leave 8 MB of prepared statements and the rows of any number of suspended portals, which 4000 callers would make gigabytes. Rows that wait in a portal count, and all callers together are bounded to 64 MB; what is given back is counted back.

--- a/internal/edge/front/caller.go
+++ b/internal/edge/front/caller.go
@@ -67,6 +67,7 @@
 	if caller.open() {
 		caller.serve()
 	}
+	caller.addHeld(-caller.held)
 	caller.server.inbox.Post(event.NewCallerClosed(caller.id))
 }
 
--- a/internal/edge/front/extended.go
+++ b/internal/edge/front/extended.go
@@ -186,6 +186,13 @@
 		caller.sendFields(portal.result.Fields())
 	}
 	rows, last := portal.next(int(message.MaxRows))
+	if !last {
+		if reason := caller.chargeRows(portal); reason != nil {
+			caller.closePortal(message.Portal)
+			caller.failExtended(reason)
+			return
+		}
+	}
 	if caller.sendRows(rows) != nil {
 		return
 	}
@@ -230,6 +237,9 @@
 	if results := caller.results(reply, portal.statement.keyword); len(results) > 0 {
 		portal.result = results[0]
 	}
+	if answer := reply.Answer(); answer != nil {
+		portal.rowBytes = answer.Size()
+	}
 	return nil
 }
 
--- a/internal/edge/front/held.go
+++ b/internal/edge/front/held.go
@@ -9,6 +9,8 @@
 const (
 	maxHeldObjects = 1000
 	maxHeldBytes   = 8 << 20
+	// maxHeldByAll bounds the bytes of all callers together.
+	maxHeldByAll = 64 << 20
 )
 
 // hold returns why the caller may not leave an object of size bytes beside
@@ -20,21 +22,30 @@
 	if caller.held+size > maxHeldBytes {
 		return faultf(codes.Overloaded, "prepared statements and parameters of the caller take more than %d bytes; close some", maxHeldBytes)
 	}
+	if caller.server.held.Load()+int64(size) > maxHeldByAll {
+		return faultf(codes.Overloaded, "prepared statements and parameters of all callers take %d bytes", maxHeldByAll).after(retryTooMany)
+	}
 	return nil
 }
 
+// addHeld counts bytes that the caller leaves with the proxy, or takes back.
+func (caller *caller) addHeld(size int) {
+	caller.held += size
+	caller.server.held.Add(int64(size))
+}
+
 // keepPrepared keeps a prepared statement under a name that is free.
 func (caller *caller) keepPrepared(name string, statement *prepared) {
 	if caller.prepared == nil {
 		caller.prepared = make(map[string]*prepared)
 	}
 	caller.prepared[name] = statement
-	caller.held += len(statement.sql)
+	caller.addHeld(len(statement.sql))
 }
 
 func (caller *caller) closePrepared(name string) {
 	if statement, ok := caller.prepared[name]; ok {
-		caller.held -= len(statement.sql)
+		caller.addHeld(-len(statement.sql))
 		delete(caller.prepared, name)
 	}
 }
@@ -51,16 +62,32 @@
 		caller.portals = make(map[string]*portal)
 	}
 	caller.portals[name] = bound
-	caller.held += bound.size()
+	bound.held = bound.size()
+	caller.addHeld(bound.held)
 }
 
 func (caller *caller) closePortal(name string) {
 	if bound, ok := caller.portals[name]; ok {
-		caller.held -= bound.size()
+		caller.addHeld(-bound.held)
 		delete(caller.portals, name)
 	}
 }
 
+// chargeRows charges the caller for the rows of a portal that it has not
+// fetched yet. It returns why they cannot be held.
+func (caller *caller) chargeRows(bound *portal) *fault {
+	if bound.rowBytes == 0 {
+		return nil
+	}
+	if reason := caller.hold(bound.rowBytes, 0); reason != nil {
+		return faultf(codes.AnswerTooLarge, "the statement ran and its rows cannot be held; %s", reason.detail)
+	}
+	caller.addHeld(bound.rowBytes)
+	bound.held += bound.rowBytes
+	bound.rowBytes = 0
+	return nil
+}
+
 // dropPortals drops what does not outlive the end of a transaction.
 func (caller *caller) dropPortals() {
 	caller.described = nil
--- a/internal/edge/front/prepared.go
+++ b/internal/edge/front/prepared.go
@@ -30,6 +30,9 @@
 	executed bool
 	result   wire.Result
 	sent     int
+	// rowBytes is the size of the answer, held counts what the caller is charged.
+	rowBytes int
+	held     int
 }
 
 func newPrepared(message *pgproto3.Parse) *prepared {
--- a/internal/edge/front/server.go
+++ b/internal/edge/front/server.go
@@ -31,6 +31,7 @@
 	starting   int
 	lastCaller model.CallerID
 	lastSeq    atomic.Uint64
+	held       atomic.Int64
 	ended      chan struct{}
 }
 
