failov: random histories of faults and switchovers

Cause: the traces hold single faults and chosen pairs; two faults at once and switchovers in between were not tried.

Change: random histories of writes, kills, cuts, freezes, lags, pauses of proxies, leaving instances and switchovers, checked against what a majority held in its term, one primary for each term, and rest after all faults ended. Two traces more: a candidate that is frozen and thaws, and an instance that reports the loss of its log to a proxy that started later.

--- /dev/null
+++ b/internal/plug/failov/fuzz_test.go
@@ -0,0 +1,208 @@
+package failov_test
+
+import (
+	"flag"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"almondway.dev/almondway/internal/core/event"
+	"almondway.dev/almondway/internal/core/model"
+)
+
+// TestMain fixes the seed of the random histories unless the command line gives one.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	given := make(map[string]bool)
+	flag.Visit(func(option *flag.Flag) { given[option.Name] = true })
+	for name, value := range map[string]string{"rapid.seed": "20261203", "rapid.checks": "250", "rapid.nofailfile": "true"} {
+		if !given[name] {
+			if err := flag.Set(name, value); err != nil {
+				panic(err)
+			}
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// history makes random faults and knows which entries were acknowledged: those
+// that a majority held while it was fenced with their term.
+type history struct {
+	rig          *rig
+	acknowledged map[model.Mark]bool
+	calls        model.AskID
+}
+
+func (history *history) instance(t *rapid.T) *instance {
+	return history.rig.instances[rapid.IntRange(0, 2).Draw(t, "instance")]
+}
+
+func (history *history) proxy(t *rapid.T) *proxy {
+	return history.rig.proxies[rapid.IntRange(0, len(history.rig.proxies)-1).Draw(t, "proxy")]
+}
+
+func (history *history) write(*rapid.T) {
+	for _, instance := range history.rig.instances {
+		instance.write()
+	}
+}
+
+func (history *history) wait(t *rapid.T) {
+	history.run(time.Duration(rapid.SampledFrom([]int{2, 10, 50, 200, 700}).Draw(t, "ms")) * time.Millisecond)
+}
+
+func (history *history) run(duration time.Duration) {
+	history.rig.runUntil(duration, func() bool {
+		history.observe()
+		return false
+	})
+}
+
+// observe notes the entries that are acknowledged now.
+func (history *history) observe() {
+	for _, primary := range history.rig.instances {
+		if !primary.primary {
+			continue
+		}
+		for index, term := range primary.log {
+			holders := 0
+			for _, other := range history.rig.instances {
+				if other.fence == term && len(other.log) > index && other.log[index] == term {
+					holders++
+				}
+			}
+			if holders >= 2 {
+				history.acknowledged[model.NewMark(term, model.Position(index+1))] = true
+			}
+		}
+	}
+}
+
+func (history *history) fault(t *rapid.T) {
+	instance := history.instance(t)
+	switch rapid.SampledFrom([]string{"kill", "restart", "freeze", "thaw", "lag", "catch up", "leave", "stay"}).Draw(t, "fault") {
+	case "kill":
+		instance.kill()
+	case "restart":
+		if instance.dead {
+			instance.restart(false)
+		}
+	case "freeze":
+		instance.frozen = !instance.dead
+	case "thaw":
+		instance.thaw()
+	case "lag":
+		instance.lags = true
+	case "catch up":
+		instance.lags = false
+	case "leave":
+		instance.leaving = true
+	case "stay":
+		instance.leaving = false
+	}
+}
+
+func (history *history) cut(t *rapid.T) {
+	names := []string{"a", "b", "c"}
+	for _, proxy := range history.rig.proxies {
+		names = append(names, string(proxy.id))
+	}
+	left := rapid.SampledFrom(names[:3]).Draw(t, "left")
+	right := rapid.SampledFrom(names).Draw(t, "right")
+	if left != right {
+		history.rig.cut(left, right, rapid.Bool().Draw(t, "apart"))
+	}
+}
+
+func (history *history) pause(t *rapid.T) {
+	proxy := history.proxy(t)
+	if proxy.paused {
+		proxy.wake()
+		return
+	}
+	proxy.paused = true
+}
+
+func (history *history) move(t *rapid.T) {
+	history.calls++
+	target := rapid.SampledFrom([]model.InstanceID{"", "a", "b", "c"}).Draw(t, "target")
+	history.proxy(t).post(event.NewOperatorAsked(history.calls, event.NewSwitchover(group, target)))
+}
+
+// check compares every primary whose term a majority accepts with what was acknowledged.
+func (history *history) check(t *rapid.T) {
+	for term, leaders := range history.rig.led {
+		if len(leaders) > 1 {
+			t.Fatalf("term %d was led by %v", term, leaders)
+		}
+	}
+	leader := history.rig.leader()
+	if leader == nil || leader.log[len(leader.log)-1] != leader.fence {
+		return
+	}
+	for mark := range history.acknowledged {
+		index := int(mark.Position()) - 1
+		if mark.Term() <= leader.fence && (len(leader.log) <= index || leader.log[index] != mark.Term()) {
+			t.Fatalf("acknowledged entry %s is not in the log of the primary of term %d", mark, leader.fence)
+		}
+	}
+}
+
+// heal ends all faults; the group has to find a primary that everybody follows.
+func (history *history) heal(t *rapid.T) {
+	clear(history.rig.apart)
+	for _, instance := range history.rig.instances {
+		if instance.dead {
+			instance.restart(false)
+		}
+		instance.thaw()
+		instance.lags = false
+		instance.leaving = false
+	}
+	for _, proxy := range history.rig.proxies {
+		if proxy.paused {
+			proxy.wake()
+		}
+	}
+	history.run(8 * time.Second)
+	history.check(t)
+	leader := history.rig.leader()
+	if leader == nil {
+		t.Fatalf("the group has no primary after all faults ended")
+	}
+	for _, instance := range history.rig.instances {
+		if !slices.Equal(instance.log, leader.log) {
+			t.Fatalf("instance %s does not follow %s", instance.self.ID(), leader.self.ID())
+		}
+	}
+	for ask := range history.calls {
+		answers := 0
+		for _, proxy := range history.rig.proxies {
+			if proxy.results[ask+1] != nil {
+				answers++
+			}
+		}
+		if answers != 1 {
+			t.Fatalf("call %d has %d answers", ask+1, answers)
+		}
+	}
+}
+
+func TestRandomHistories(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		history := &history{rig: newRig(3), acknowledged: make(map[model.Mark]bool)}
+		t.Repeat(map[string]func(*rapid.T){
+			"":      history.check,
+			"write": history.write,
+			"wait":  history.wait,
+			"pause": history.pause,
+			"cut":   history.cut,
+			"move":  history.move,
+			"fault": history.fault,
+		})
+		history.heal(t)
+	})
+}
--- a/internal/plug/failov/race_test.go
+++ b/internal/plug/failov/race_test.go
@@ -89,6 +89,18 @@
 			},
 			after: func(rig *rig) { rig.instance("a").restart(false) },
 		},
+		{
+			name: "the candidate is frozen before it leads, and thaws",
+			harm: func(rig *rig) {
+				rig.atFirst(isPromote, func(_ *proxy, order event.SendOrder) {
+					rig.instance(order.Instance()).frozen = true
+				})
+			},
+			after: func(rig *rig) {
+				rig.instance("b").thaw()
+				rig.instance("c").thaw()
+			},
+		},
 		{
 			name: "the promoter is paused when it has fenced a majority, and wakes up",
 			harm: func(rig *rig) {
@@ -151,6 +163,20 @@
 	}
 }
 
+// A proxy alone meets a candidate that is frozen for longer than all its orders.
+func TestOneCandidateForATerm(t *testing.T) {
+	rig := newRig(1)
+	rig.atFirst(isPromote, func(_ *proxy, order event.SendOrder) {
+		rig.instance(order.Instance()).frozen = true
+	})
+	rig.instance("a").kill()
+	rig.run(4 * time.Second)
+	rig.instance("b").thaw()
+	rig.instance("c").thaw()
+	rig.run(3 * time.Second)
+	checkAtRest(t, rig)
+}
+
 // checkAtRest checks that the group has one primary, that each term had one at
 // most, and that nothing more happens.
 func checkAtRest(t *testing.T, rig *rig) {
@@ -179,9 +205,11 @@
 	tests := []struct {
 		name    string
 		refuses bool // whether the instance itself refuses orders until it has caught up
+		late    bool // whether the proxies started after the loss
 	}{
-		{name: "noticed by the proxies", refuses: false},
+		{name: "noticed by the proxies"},
 		{name: "reported by the instance", refuses: true},
+		{name: "reported by the instance to a proxy that started later", refuses: true, late: true},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -198,6 +226,10 @@
 			rig.instance("c").restart(true)
 			rig.instance("c").joining = test.refuses
 			rig.instance("c").lags = true
+			rig.instance("c").log = rig.instance("a").log[:1]
+			if test.late {
+				rig.replaceProxies()
+			}
 			rig.run(300 * time.Millisecond)
 			rig.instance("a").kill()
 			rig.run(3 * time.Second)
--- a/internal/plug/failov/rig_test.go
+++ b/internal/plug/failov/rig_test.go
@@ -83,6 +83,14 @@
 	}
 }
 
+// replaceProxies kills all proxies and starts one.
+func (rig *rig) replaceProxies() {
+	for _, proxy := range rig.proxies {
+		proxy.dead = true
+	}
+	rig.start()
+}
+
 func (rig *rig) instance(id model.InstanceID) *instance {
 	for _, found := range rig.instances {
 		if found.self.ID() == id {
