docs: capacity at the target size, from measured slopes

Cause: nobody could say what carries the target size and by how much today's mechanisms miss it. A test checks that every dimension of the slopes stands on the page.

--- a/internal/proof/pages/pages_test.go
+++ b/internal/proof/pages/pages_test.go
@@ -18,6 +18,7 @@
 	"almondway.dev/almondway/internal/app/config"
 	"almondway.dev/almondway/internal/core/codes"
 	"almondway.dev/almondway/internal/core/count"
+	"almondway.dev/almondway/internal/stand/slope"
 )
 
 const (
@@ -149,6 +150,7 @@
 	makeTarget = regexp.MustCompile("`make ([a-z-]+)[^`]*`")
 	link       = regexp.MustCompile(`\]\(([^)#:]+)\)`)
 	source     = regexp.MustCompile("`((?:internal|proto|examples|cmd|docs)/[a-zA-Z0-9_./-]+)`")
+	onlyName   = regexp.MustCompile("ONLY=([a-z_]+)")
 	metricName = regexp.MustCompile("almondway_[a-z_]+")
 	flagName   = regexp.MustCompile("`--([a-z-]+)")
 )
@@ -181,6 +183,20 @@
 	}
 }
 
+// Every dimension of the slopes stands on the page of capacity, and no other.
+func TestSlopesExist(t *testing.T) {
+	is := is.New(t)
+	page := read(t, root+"/docs/CAPACITY.md")
+	known := make(map[string]bool)
+	for _, name := range slope.Names() {
+		known[name] = true
+		is.True(strings.Contains(page, "`make slopes ONLY="+name+"`"))
+	}
+	for _, match := range onlyName.FindAllStringSubmatch(page, -1) {
+		is.True(known[match[1]])
+	}
+}
+
 // Every flag of the operators' page is a setting or a flag of a command.
 func TestFlagsExist(t *testing.T) {
 	is := is.New(t)
--- a/internal/stand/slope/slope.go
+++ b/internal/stand/slope/slope.go
@@ -68,6 +68,15 @@
 	dir     string
 }
 
+// Names returns the names of the dimensions.
+func Names() []string {
+	var names []string
+	for _, dimension := range dimensions() {
+		names = append(names, dimension.name)
+	}
+	return names
+}
+
 // Run measures and prints all rows.
 func Run(ctx context.Context, options Options) error {
 	dir, err := workDir()
