--- a/internal/app/cli/cli_test.go
+++ b/internal/app/cli/cli_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/pem"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -34,6 +35,7 @@
 	changes []model.Change
 	asked   []event.ApplyDeployment
 	drains  int
+	handler http.Handler
 }
 
 func (kernel *kernel) Post(received event.Event) {
@@ -102,6 +104,7 @@
 	kernel.answer = served.Answer
 	mux := http.NewServeMux()
 	mux.Handle(served.Handler())
+	kernel.handler = mux
 	server := httptest.NewServer(mux)
 	t.Cleanup(server.Close)
 	return server.URL
@@ -231,6 +234,28 @@
 	is.New(t).Equal(kernel.drains, 1)
 }
 
+func TestWatch(t *testing.T) {
+	is := is.New(t)
+	kernel := &kernel{}
+	url := serve(t, kernel, openTokens(t))
+	kernel.shared.SetDeployments(3, []*model.Deployment{model.NewDeployment(model.DeploymentSpec{Name: "gradski", Revision: 2})})
+	watched := run("deployment", "watch", "--admin", url, "--timeout", "300ms")
+	is.Equal(watched, result{output: "revision 3: gradski@2\n"})
+}
+
+func TestTLS(t *testing.T) {
+	is := is.New(t)
+	kernel := &kernel{}
+	serve(t, kernel, openTokens(t))
+	server := httptest.NewTLSServer(kernel.handler)
+	t.Cleanup(server.Close)
+	path := filepath.Join(t.TempDir(), "ca.pem")
+	is.NoErr(os.WriteFile(path, pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: server.Certificate().Raw}), 0o600))
+	is.Equal(run("status", "--admin", server.URL, "--ca-file", path).code, cli.ExitOK)
+	is.Equal(run("status", "--admin", server.URL).code, cli.ExitUnavailable) // the certificate is not trusted
+	is.Equal(run("status", "--admin", server.URL, "--ca-file", example).code, cli.ExitUsage)
+}
+
 func TestSchemaKeepsDeployment(t *testing.T) {
 	is := is.New(t)
 	kernel := &kernel{applies: []event.Result{event.NewApplied(1, 1, 1)}}
