meas: longest pause in the report, enough sessions for lagging replicas

A busy machine may wake a stopped process late, so the report now gives the longest pause that was made.

--- a/internal/stand/meas/losses.go
+++ b/internal/stand/meas/losses.go
@@ -154,7 +154,8 @@
 	return nil
 }
 
-// pauses stops primaries for a time that must not cause a promotion.
+// pauses stops primaries for a time that must not cause a promotion, and notes
+// the longest time, since a busy machine may wake them late.
 func (run *run) pauses(ctx context.Context) error {
 	for range pausesPerRun {
 		for _, group := range run.groups() {
@@ -163,10 +164,20 @@
 				return err
 			}
 			proc := run.fleet.Instance(id)
+			stoppedAt := time.Now()
 			proc.Signal(syscall.SIGSTOP)
-			time.AfterFunc(pauseTime, func() { proc.Signal(syscall.SIGCONT) })
+			time.AfterFunc(pauseTime, func() {
+				proc.Signal(syscall.SIGCONT)
+				run.notePause(time.Since(stoppedAt))
+			})
 		}
 		sleep(ctx, pauseInterval)
 	}
 	return nil
 }
+
+func (run *run) notePause(taken time.Duration) {
+	run.mu.Lock()
+	defer run.mu.Unlock()
+	run.longestPause = max(run.longestPause, taken)
+}
--- a/internal/stand/meas/profile.go
+++ b/internal/stand/meas/profile.go
@@ -49,7 +49,7 @@
 		file:       "morning-table-full.yaml",
 		site:       topol.Lakeshore(),
 		browsing:   "history",
-		callers:    128,
+		callers:    300,
 		kinds: []load.Kind{
 			{Name: "head_count", Class: "hotel", Rate: 120, Write: true},
 			{Name: "reconcile", Class: "hotel", Rate: 60, Write: true},
--- a/internal/stand/meas/report.go
+++ b/internal/stand/meas/report.go
@@ -39,6 +39,7 @@
 	Unknown                int                `json:"unknown"`
 	CutRequests            int                `json:"cut_requests"`
 	WorkAfterLeaving       int                `json:"work_after_leaving"`
+	LongestPause           float64            `json:"longest_pause_ms"`
 	Codes                  map[string]int     `json:"codes"`
 	ReadP50                float64            `json:"read_p50_ms"`
 	ReadP99                float64            `json:"read_p99_ms"`
--- a/internal/stand/meas/run.go
+++ b/internal/stand/meas/run.go
@@ -39,7 +39,9 @@
 	unfinished int
 	unjoined   int
 	lateWork   int
-	ended      totals // of instances that were killed
+	// longestPause is that of a primary that was stopped and woken again.
+	longestPause time.Duration
+	ended        totals // of instances that were killed
 }
 
 // totals are sums over instances.
@@ -251,6 +253,7 @@
 		UnfinishedFailovers: run.unfinished,
 		FailedRejoins:       run.unjoined,
 		WorkAfterLeaving:    run.lateWork,
+		LongestPause:        milliseconds(run.longestPause),
 		Seed:                run.options.Seed,
 	}
 	made.addResult(run.result)
