--- a/internal/edge/front/session_test.go
+++ b/internal/edge/front/session_test.go
@@ -58,6 +58,25 @@
 	}
 }
 
+func TestDigest(t *testing.T) {
+	is := is.New(t)
+	kernel := newKernel(t, Spec{}, echo)
+	client := openPgx(t, kernel.url(""))
+	digests := func(texts ...string) map[uint64]bool {
+		found := make(map[uint64]bool)
+		for _, text := range texts {
+			_, err := client.exec(text)
+			is.NoErr(err)
+			found[kernel.last().Digest()] = true
+		}
+		return found
+	}
+	is.Equal(len(digests("UPDATE x", "UPDATE x; ", "UPDATE x /*kind='a'*/", "/*kind='b',request_id='1'*/ UPDATE x", "UPDATE x /*traceparent='2'*/;")), 1)
+	is.Equal(len(digests("UPDATE x", "UPDATE y", "UPDATE x /* plain */")), 3)
+	is.True(digest("a", [][]byte{nil}) != digest("a", [][]byte{{}}))
+	is.True(digest("a", [][]byte{{1}, {2}}) != digest("a", [][]byte{{1, 2}}))
+}
+
 func TestTagsOfStartUp(t *testing.T) {
 	for _, driver := range clients {
 		t.Run(driver.name, func(t *testing.T) {
--- a/internal/edge/front/statement.go
+++ b/internal/edge/front/statement.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -41,10 +42,11 @@
 	return request, caller.session.describe(tags, &request)
 }
 
-// digest returns the hash of a statement without its tags and of its parameters.
+// digest returns the hash of a statement without its tags, the blanks and
+// semicolons around it, and of its parameters.
 func digest(sql string, params [][]byte) uint64 {
 	hash := xxhash.New()
-	_, _ = hash.WriteString(sql)
+	_, _ = hash.WriteString(strings.Trim(sql, " \t\r\n;"))
 	var length [4]byte
 	for _, param := range params {
 		size := uint32(len(param))
