deploy: random histories of changes and faults

Cause: the traces hold one attack each.

Change: random changes, reused change ids, outages, lost and dropped writes, cuts, pauses and starts of proxies, checked for accepted revisions that a serving proxy lacks after the confirmation time, reverts, lost calls and doubled changes. The first findings were faults of the fleet: a woken kernel was looked at before its clock moved.

--- a/internal/plug/deploy/fleet_test.go
+++ b/internal/plug/deploy/fleet_test.go
@@ -110,6 +110,7 @@
 
 func (proxy *proxy) wake() {
 	proxy.paused = false
+	proxy.carryOut(proxy.kernel.Tick(proxy.fleet.now - proxy.started))
 	for _, received := range proxy.waiting {
 		proxy.carryOut(proxy.kernel.Handle(proxy.fleet.now-proxy.started, received))
 	}
--- /dev/null
+++ b/internal/plug/deploy/fuzz_test.go
@@ -0,0 +1,182 @@
+package deploy_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"almondway.dev/almondway/internal/core/event"
+	"almondway.dev/almondway/internal/core/model"
+	"almondway.dev/almondway/internal/core/tune"
+)
+
+// TestMain fixes the seed of the random histories unless the command line gives one.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	given := make(map[string]bool)
+	flag.Visit(func(option *flag.Flag) { given[option.Name] = true })
+	for name, value := range map[string]string{"rapid.seed": "20261203", "rapid.checks": "100", "rapid.nofailfile": "true"} {
+		if !given[name] {
+			if err := flag.Set(name, value); err != nil {
+				panic(err)
+			}
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// history makes random changes and faults and knows what was reported as accepted.
+type history struct {
+	fleet    *fleet
+	calls    model.AskID
+	accepted map[uint64]time.Duration // when a revision was reported as accepted
+	answered map[model.AskID]bool
+	down     bool
+}
+
+func (history *history) proxy(t *rapid.T) *proxy {
+	return history.fleet.proxies[rapid.IntRange(0, len(history.fleet.proxies)-1).Draw(t, "proxy")]
+}
+
+// change asks for a change, sometimes under the id of an earlier one.
+func (history *history) change(t *rapid.T) {
+	proxy := history.proxy(t)
+	if proxy.paused {
+		t.Skip("the proxy is paused")
+	}
+	history.calls++
+	id := rapid.IntRange(max(1, int(history.calls)-2), int(history.calls)).Draw(t, "change")
+	expected := uint64(0)
+	if deployment, ok := proxy.kernel.State().Deployment("katalog-db"); ok {
+		expected = deployment.Revision()
+	}
+	proxy.ask(history.calls, apply(id, expected, fmt.Sprintf("c%d", id), "ana"))
+}
+
+func (history *history) wait(t *rapid.T) {
+	history.run(time.Duration(rapid.SampledFrom([]int{5, 20, 200, 1000, 6000}).Draw(t, "ms")) * time.Millisecond)
+}
+
+func (history *history) platform(t *rapid.T) {
+	switch rapid.SampledFrom([]string{"down", "up", "lose", "drop"}).Draw(t, "fault") {
+	case "down":
+		history.down = true
+	case "up":
+		history.down = false
+	case "lose":
+		history.fleet.shelf.LoseAnswers(1)
+	case "drop":
+		history.fleet.shelf.DropWrites(1)
+	}
+	history.fleet.shelf.SetDown(history.down)
+}
+
+func (history *history) fault(t *rapid.T) {
+	proxy := history.proxy(t)
+	switch rapid.SampledFrom([]string{"cut", "join", "pause", "wake"}).Draw(t, "fault") {
+	case "cut":
+		proxy.cut = true
+	case "join":
+		proxy.cut = false
+	case "pause":
+		proxy.paused = true
+	case "wake":
+		proxy.wake()
+	}
+}
+
+func (history *history) start(t *rapid.T) {
+	if len(history.fleet.proxies) >= 5 {
+		t.Skip("enough proxies")
+	}
+	history.fleet.start("proxy-1", "proxy-2")
+}
+
+// run goes on step by step, so that each answer has its time.
+func (history *history) run(duration time.Duration) {
+	for end := history.fleet.now + duration; history.fleet.now < end; {
+		history.fleet.run(step)
+		history.note()
+	}
+}
+
+func (history *history) note() {
+	for _, proxy := range history.fleet.proxies {
+		for ask, result := range proxy.results {
+			if history.answered[ask] {
+				continue
+			}
+			history.answered[ask] = true
+			if applied, ok := result.(event.Applied); ok {
+				if _, known := history.accepted[applied.Revision()]; !known {
+					history.accepted[applied.Revision()] = history.fleet.now
+				}
+			}
+		}
+	}
+}
+
+// check compares every proxy that serves with the accepted revisions: each is in
+// force within the confirmation time.
+func (history *history) check(t *rapid.T) {
+	limit := tune.Default().ConfirmLimit + 2*step
+	for _, proxy := range history.fleet.proxies {
+		if proxy.reverted {
+			t.Fatalf("%s applied a lower revision", proxy.id)
+		}
+		if proxy.paused || !proxy.kernel.State().Confirmed() {
+			continue
+		}
+		for revision, at := range history.accepted {
+			if history.fleet.now-at > limit && proxy.revision() < revision {
+				t.Fatalf("%s serves revision %d; %d was accepted %s ago", proxy.id, proxy.revision(), revision, history.fleet.now-at)
+			}
+		}
+	}
+}
+
+// heal ends all faults; every proxy has to serve the last revision and every
+// call to be answered.
+func (history *history) heal(t *rapid.T) {
+	history.fleet.shelf.SetDown(false)
+	for _, proxy := range history.fleet.proxies {
+		proxy.cut = false
+		proxy.wake()
+	}
+	history.run(20 * time.Second)
+	history.check(t)
+	highest := uint64(0)
+	for _, proxy := range history.fleet.proxies {
+		highest = max(highest, proxy.revision())
+	}
+	for _, proxy := range history.fleet.proxies {
+		if proxy.revision() != highest || !proxy.kernel.State().Confirmed() {
+			t.Fatalf("%s has revision %d of %d", proxy.id, proxy.revision(), highest)
+		}
+	}
+	if len(history.answered) != int(history.calls) {
+		t.Fatalf("%d of %d calls were answered", len(history.answered), history.calls)
+	}
+	if rows := len(history.fleet.shelf.Rows("catalog", "history/")); rows != int(highest) {
+		t.Fatalf("%d changes made revision %d", rows, highest)
+	}
+}
+
+func TestRandomHistories(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		history := &history{fleet: newFleet(3), accepted: make(map[uint64]time.Duration), answered: make(map[model.AskID]bool)}
+		t.Repeat(map[string]func(*rapid.T){
+			"":         history.check,
+			"change":   history.change,
+			"wait":     history.wait,
+			"platform": history.platform,
+			"fault":    history.fault,
+			"start":    history.start,
+		})
+		history.heal(t)
+	})
+}
