--- a/internal/edge/front/extended.go
+++ b/internal/edge/front/extended.go
@@ -1,6 +1,8 @@
 package front
 
 import (
+	"strings"
+
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"almondway.dev/almondway/internal/core/codes"
@@ -27,7 +29,7 @@
 		caller.failExtended(unsupported(statement.keyword))
 		return
 	}
-	if len(query.Split(message.Query)) > 1 {
+	if strings.Contains(message.Query, ";") && len(query.Split(message.Query)) > 1 {
 		caller.failExtended(newFault(codes.Unsupported, "a prepared statement holds one statement only"))
 		return
 	}
@@ -117,7 +119,7 @@
 	if statement.description != nil {
 		return nil
 	}
-	if statement.form != query.FormPlain {
+	if statement.form != query.FormPlain && !caller.goesToInstance(statement) {
 		statement.description = wire.NewDescription(nil, localFields(statement))
 		return nil
 	}
@@ -140,12 +142,17 @@
 	return nil
 }
 
+// goesToInstance reports whether a statement of the session's own forms is run
+// by an instance nevertheless.
+func (caller *caller) goesToInstance(statement *prepared) bool {
+	return statement.form == query.FormShow && !caller.answersLocally(statement.form, statement.sql)
+}
+
 func localFields(statement *prepared) []pgproto3.FieldDescription {
 	if statement.form != query.FormShow {
 		return nil
 	}
-	_, name := query.Keyword(statement.sql)
-	return textResult(unquote(name), "").Fields()
+	return textResult(showName(statement.sql), "").Fields()
 }
 
 func (caller *caller) sendFields(fields []pgproto3.FieldDescription) {
@@ -179,6 +186,13 @@
 		caller.sendFields(portal.result.Fields())
 	}
 	rows, last := portal.next(int(message.MaxRows))
+	if !last {
+		if reason := caller.chargeRows(portal); reason != nil {
+			caller.closePortal(message.Portal)
+			caller.failExtended(reason)
+			return
+		}
+	}
 	if caller.sendRows(rows) != nil {
 		return
 	}
@@ -223,6 +237,9 @@
 	if results := caller.results(reply, portal.statement.keyword); len(results) > 0 {
 		portal.result = results[0]
 	}
+	if answer := reply.Answer(); answer != nil {
+		portal.rowBytes = answer.Size()
+	}
 	return nil
 }
 
--- a/internal/plug/writes/fail.go
+++ b/internal/plug/writes/fail.go
@@ -28,7 +28,7 @@
 	case model.FailureTombstone:
 		write.confirm(failed.Mark(), write.notRun("the ledger has a tombstone"))
 	case model.FailureMismatch:
-		write.finish(route.ResultSpec{Outcome: model.OutcomeNotRun, Code: codes.RequestIDReused, Reason: "digest differs"})
+		write.mismatched()
 	case model.FailureLost:
 		write.lost()
 	case model.FailureStatement:
@@ -38,11 +38,27 @@
 	}
 }
 
-// refused passes an error of the database on. A settlement is tried again.
+// mismatched ends a write whose request id belongs to another statement. If the
+// write was sent before, that does not tell what became of it.
+func (write *write) mismatched() {
+	result := route.ResultSpec{Outcome: model.OutcomeNotRun, Code: codes.RequestIDReused, Reason: "digest differs"}
+	if write.doubt {
+		result.Outcome = model.OutcomeUnknown
+	}
+	write.finish(result)
+}
+
+// refused passes an error of the database on. A settlement is tried again. An
+// error of a statement that was sent before does not tell whether that one still
+// runs, so the request is settled.
 func (write *write) refused(failed event.ExecuteFailed) {
-	if write.settles {
+	switch {
+	case write.settles:
 		write.backOff()
 		return
+	case write.doubt:
+		write.settle()
+		return
 	}
 	write.finish(route.ResultSpec{Outcome: model.OutcomeNotRun, Code: codes.Statement, Answer: failed.Answer(), Reason: "primary"})
 }
@@ -58,7 +74,7 @@
 	case model.StepSettle:
 		write.backOff()
 	default:
-		write.settle()
+		write.resolve()
 	}
 }
 
@@ -86,9 +102,10 @@
 	write.finish(route.ResultSpec{Outcome: model.OutcomeNotRun, Code: codes.TransactionLost, Reason: reason})
 }
 
-// retry sends a write again that did not run.
+// retry sends a write again that did not run. One in doubt takes nothing of the
+// retry budget, since its outcome would stay unknown.
 func (write *write) retry() {
-	if !write.writes.admission.Retry(write.job.Group()) {
+	if !write.doubt && !write.writes.admission.Retry(write.job.Group()) {
 		write.finish(route.ResultSpec{
 			Outcome:    model.OutcomeNotRun,
 			Code:       codes.Overloaded,
--- a/internal/stand/cmds/measure.go
+++ b/internal/stand/cmds/measure.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/spf13/cobra"
 
+	"almondway.dev/almondway/internal/stand/bench"
 	"almondway.dev/almondway/internal/stand/fleet"
 	"almondway.dev/almondway/internal/stand/meas"
 )
@@ -36,7 +37,30 @@
 	flags.StringVar(&options.Scenario, "scenario", "", "scenario to run; all if empty")
 	flags.StringVar(&options.Deployment, "deployment", "", "deployment to run; all if empty")
 	flags.StringVar(&options.Policy, "policy", "", "policy to run, almondway or naive; all if empty")
+	flags.StringVar(&options.Label, "label", "", "name of the measured policy in the report, in place of almondway")
+	flags.StringArrayVar(&options.ProxyArgs, "proxy-arg", nil, "further argument of each proxy; may be repeated")
 	flags.Uint64Var(&options.Seed, "seed", defaultSeed, "seed of the load and of the faults")
 	flags.BoolVar(&options.KeepLogs, "keep-logs", false, "keep the output of the processes")
 	return command
 }
+
+func newBench() *cobra.Command {
+	var options bench.Options
+	command := &cobra.Command{
+		Use:   "bench",
+		Short: "Measure the speed of one proxy process",
+		Args:  cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			programs, err := fleet.ProgramDir()
+			if err != nil {
+				return err
+			}
+			options.Programs = programs
+			options.Output = command.OutOrStdout()
+			return bench.Run(command.Context(), options)
+		},
+	}
+	command.Flags().StringVar(&options.Examples, "examples", "examples", "directory of the deployment files")
+	command.Flags().StringArrayVar(&options.ProxyArgs, "proxy-arg", nil, "further argument of the proxy; may be repeated")
+	return command
+}
