sessn: log lines with the session; descriptions apart from reads

Cause: lines had no session, and a driver's descriptions counted as reads by replicas, which raised the share of reads that replicas serve. Change: routing lines carry the session; a description is logged as route_describe.

--- a/internal/plug/sessn/finish.go
+++ b/internal/plug/sessn/finish.go
@@ -47,6 +47,7 @@
 		Caller:     caller.id,
 		Seq:        request.Seq(),
 		RequestID:  request.RequestID(),
+		Session:    request.Session(),
 		Deployment: caller.deployment,
 		Kind:       request.Kind(),
 		Reason:     refused.detail,
@@ -86,15 +87,12 @@
 }
 
 func (sessions *Sessions) log(caller *caller, job *route.Job, result route.ResultSpec) {
-	name := "route_read"
-	if caller.access == model.AccessWrite {
-		name = "route_write"
-	}
 	sessions.context.Emit(event.NewLogDecision(model.Decision{
-		Name:       name,
+		Name:       decisionName(caller, job),
 		Caller:     caller.id,
 		Seq:        job.Seq(),
 		RequestID:  job.RequestID(),
+		Session:    job.Request().Session(),
 		Deployment: caller.deployment,
 		Kind:       job.Kind().Name(),
 		Group:      job.Group(),
@@ -105,3 +103,14 @@
 		Code:       result.Code,
 	}))
 }
+
+func decisionName(caller *caller, job *route.Job) string {
+	switch {
+	case job.Request().Op() == model.OpDescribe:
+		return "route_describe"
+	case caller.access == model.AccessWrite:
+		return "route_write"
+	default:
+		return "route_read"
+	}
+}
