--- a/internal/app/cli/client.go
+++ b/internal/app/cli/client.go
@@ -75,13 +75,19 @@
 	return admpb.NewAdminServiceClient(client, strings.TrimSuffix(clientFlags.admin, "/"), connect.WithInterceptors(bearer{token: token})), nil
 }
 
-// context returns the context of the calls of one command.
-func (clientFlags *clientFlags) context(command *cobra.Command) (context.Context, context.CancelFunc) {
+// call calls a proxy. Errors of the calls that do makes get their exit codes.
+func (clientFlags *clientFlags) call(command *cobra.Command, do func(ctx context.Context, client admpb.AdminServiceClient) error) error {
+	client, err := clientFlags.client()
+	if err != nil {
+		return err
+	}
 	parent := command.Context()
 	if parent == nil {
 		parent = context.Background()
 	}
-	return context.WithTimeout(parent, clientFlags.timeout)
+	ctx, cancel := context.WithTimeout(parent, clientFlags.timeout)
+	defer cancel()
+	return callError(do(ctx, client))
 }
 
 func httpClient(caFile string) (*http.Client, error) {
--- /dev/null
+++ b/internal/app/cli/delete.go
@@ -0,0 +1,61 @@
+package cli
+
+import (
+	"context"
+
+	"connectrpc.com/connect"
+	"github.com/spf13/cobra"
+
+	"almondway.dev/almondway/internal/proto/admpb"
+)
+
+func newDelete() *cobra.Command {
+	command := &cobra.Command{
+		Use:   "delete NAME",
+		Short: "Delete a deployment",
+		Args:  cobra.ExactArgs(1),
+	}
+	flags := addClientFlags(command)
+	changeFlags := addChangeFlags(command)
+	command.RunE = func(command *cobra.Command, args []string) error {
+		return flags.call(command, func(ctx context.Context, client admpb.AdminServiceClient) error {
+			editor := editor{command: command, flags: flags, change: changeFlags, client: client}
+			return editor.remove(ctx, args[0])
+		})
+	}
+	return command
+}
+
+func (editor editor) remove(ctx context.Context, name string) error {
+	var expected uint64
+	if editor.change.expected == 0 {
+		current, err := fetch(ctx, editor.client, name)
+		if err != nil {
+			return err
+		}
+		expected = current.Revision()
+	}
+	change, err := editor.newChange(name, expected)
+	if err != nil {
+		return err
+	}
+	accepted := &admpb.ApplyDeploymentResponse{}
+	err = change.send(ctx, func(ctx context.Context) error {
+		response, err := editor.client.DeleteDeployment(ctx, connect.NewRequest(&admpb.DeleteDeploymentRequest{
+			Name:             name,
+			ExpectedRevision: change.expected,
+			ChangeId:         change.id,
+			Operator:         change.operator,
+		}))
+		if err == nil {
+			accepted.Revision = response.Msg.GetRevision()
+			accepted.InForce = response.Msg.GetInForce()
+			accepted.Proxies = response.Msg.GetProxies()
+		}
+		return err
+	})
+	if err != nil {
+		return err
+	}
+	return editor.printAccepted(name, accepted)
+}
--- a/internal/app/cli/deploy.go
+++ b/internal/app/cli/deploy.go
@@ -29,27 +29,23 @@
 	}
 	flags := addClientFlags(command)
 	command.RunE = func(command *cobra.Command, args []string) error {
-		client, err := flags.client()
-		if err != nil {
-			return err
-		}
-		ctx, cancel := flags.context(command)
-		defer cancel()
-		deployment, err := fetch(ctx, client, args[0])
-		if err != nil {
-			return callError(err)
-		}
-		if flags.output == outputJSON {
-			return printDeployment(command.OutOrStdout(), deployment)
-		}
-		table := newTable("FIELD", "VALUE")
-		table.add("name", deployment.Name())
-		table.add("revision", fmt.Sprint(deployment.Revision()))
-		fields := flatten(deployment)
-		for _, field := range fields.order {
-			table.add(field, fields.values[field])
-		}
-		return table.print(command.OutOrStdout())
+		return flags.call(command, func(ctx context.Context, client admpb.AdminServiceClient) error {
+			deployment, err := fetch(ctx, client, args[0])
+			if err != nil {
+				return err
+			}
+			if flags.output == outputJSON {
+				return printDeployment(command.OutOrStdout(), deployment)
+			}
+			table := newTable("FIELD", "VALUE")
+			table.add("name", deployment.Name())
+			table.add("revision", fmt.Sprint(deployment.Revision()))
+			fields := flatten(deployment)
+			for _, field := range fields.order {
+				table.add(field, fields.values[field])
+			}
+			return table.print(command.OutOrStdout())
+		})
 	}
 	return command
 }
@@ -62,29 +58,25 @@
 	}
 	flags := addClientFlags(command)
 	command.RunE = func(command *cobra.Command, _ []string) error {
-		client, err := flags.client()
-		if err != nil {
-			return err
-		}
-		ctx, cancel := flags.context(command)
-		defer cancel()
-		response, err := client.ListDeployments(ctx, connect.NewRequest(&admpb.ListDeploymentsRequest{}))
-		if err != nil {
-			return callError(err)
-		}
-		var deployments []*model.Deployment
-		for _, message := range response.Msg.GetDeployments() {
-			deployments = append(deployments, schema.ToDeployment(message))
-		}
-		if flags.output == outputJSON {
-			return printDeployments(command.OutOrStdout(), deployments)
-		}
-		table := newTable("NAME", "REVISION", "GROUPS", "KINDS", "CALLERS", "LAG_POLICY")
-		for _, deployment := range deployments {
-			table.add(deployment.Name(), fmt.Sprint(deployment.Revision()), groupList(deployment),
-				fmt.Sprint(len(deployment.Kinds())), fmt.Sprint(len(deployment.Classes())), orDefault(string(deployment.LagPolicy())))
-		}
-		return table.print(command.OutOrStdout())
+		return flags.call(command, func(ctx context.Context, client admpb.AdminServiceClient) error {
+			response, err := client.ListDeployments(ctx, connect.NewRequest(&admpb.ListDeploymentsRequest{}))
+			if err != nil {
+				return err
+			}
+			var deployments []*model.Deployment
+			for _, message := range response.Msg.GetDeployments() {
+				deployments = append(deployments, schema.ToDeployment(message))
+			}
+			if flags.output == outputJSON {
+				return printDeployments(command.OutOrStdout(), deployments)
+			}
+			table := newTable("NAME", "REVISION", "GROUPS", "KINDS", "CALLERS", "LAG_POLICY")
+			for _, deployment := range deployments {
+				table.add(deployment.Name(), fmt.Sprint(deployment.Revision()), groupList(deployment),
+					fmt.Sprint(len(deployment.Kinds())), fmt.Sprint(len(deployment.Classes())), orDefault(string(deployment.LagPolicy())))
+			}
+			return table.print(command.OutOrStdout())
+		})
 	}
 	return command
 }
@@ -97,26 +89,22 @@
 	}
 	flags := addClientFlags(command)
 	command.RunE = func(command *cobra.Command, _ []string) error {
-		client, err := flags.client()
-		if err != nil {
-			return err
-		}
-		ctx, cancel := flags.context(command)
-		defer cancel()
-		stream, err := client.WatchDeployments(ctx, connect.NewRequest(&admpb.WatchDeploymentsRequest{}))
-		if err != nil {
-			return callError(err)
-		}
-		defer func() { _ = stream.Close() }()
-		for stream.Receive() {
-			if err := printRevision(command, flags, stream.Msg()); err != nil {
+		return flags.call(command, func(ctx context.Context, client admpb.AdminServiceClient) error {
+			stream, err := client.WatchDeployments(ctx, connect.NewRequest(&admpb.WatchDeploymentsRequest{}))
+			if err != nil {
 				return err
 			}
-		}
-		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-			return nil
-		}
-		return callError(stream.Err())
+			defer func() { _ = stream.Close() }()
+			for stream.Receive() {
+				if err := printRevision(command, flags, stream.Msg()); err != nil {
+					return err
+				}
+			}
+			if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+				return nil
+			}
+			return stream.Err()
+		})
 	}
 	return command
 }
@@ -141,20 +129,16 @@
 	}
 	flags := addClientFlags(command)
 	command.RunE = func(command *cobra.Command, args []string) error {
-		client, err := flags.client()
-		if err != nil {
-			return err
-		}
-		ctx, cancel := flags.context(command)
-		defer cancel()
-		response, err := client.ListChanges(ctx, connect.NewRequest(&admpb.ListChangesRequest{Name: args[0]}))
-		if err != nil {
-			return callError(err)
-		}
-		if flags.output == outputJSON {
-			return printMessage(command.OutOrStdout(), response.Msg)
-		}
-		return historyTable(response.Msg.GetChanges()).print(command.OutOrStdout())
+		return flags.call(command, func(ctx context.Context, client admpb.AdminServiceClient) error {
+			response, err := client.ListChanges(ctx, connect.NewRequest(&admpb.ListChangesRequest{Name: args[0]}))
+			if err != nil {
+				return err
+			}
+			if flags.output == outputJSON {
+				return printMessage(command.OutOrStdout(), response.Msg)
+			}
+			return historyTable(response.Msg.GetChanges()).print(command.OutOrStdout())
+		})
 	}
 	return command
 }
@@ -199,26 +183,22 @@
 		if err != nil {
 			return usageError(err)
 		}
-		client, err := flags.client()
-		if err != nil {
+		return flags.call(command, func(ctx context.Context, client admpb.AdminServiceClient) error {
+			current, err := fetchOrNil(ctx, client, wanted.Name())
+			if err != nil {
+				return err
+			}
+			differences := compare(current, wanted)
+			if flags.output == outputJSON {
+				err = printValue(command.OutOrStdout(), differences)
+			} else {
+				err = printDifferences(command, differences)
+			}
+			if err == nil && len(differences) > 0 {
+				return exitError{code: ExitDiffers, cause: errors.Errorf("%d fields differ", len(differences))}
+			}
 			return err
-		}
-		ctx, cancel := flags.context(command)
-		defer cancel()
-		current, err := fetchOrNil(ctx, client, wanted.Name())
-		if err != nil {
-			return callError(err)
-		}
-		differences := compare(current, wanted)
-		if flags.output == outputJSON {
-			err = printValue(command.OutOrStdout(), differences)
-		} else {
-			err = printDifferences(command, differences)
-		}
-		if err == nil && len(differences) > 0 {
-			return exitError{code: ExitDiffers, cause: errors.Errorf("%d fields differ", len(differences))}
-		}
-		return err
+		})
 	}
 	return command
 }
--- a/internal/app/cli/exit.go
+++ b/internal/app/cli/exit.go
@@ -48,14 +48,16 @@
 
 func failure(cause error) error { return exitError{code: ExitFailed, cause: cause} }
 
-// callError returns the error of a call of the administration API with its exit code.
+// callError gives the error of a call of the administration API its exit code.
+// An error that has one keeps it.
 func callError(err error) error {
-	if err == nil {
-		return nil
+	var exit exitError
+	if err == nil || errors.As(err, &exit) {
+		return err
 	}
 	failed := new(connect.Error)
 	if !errors.As(err, &failed) {
-		return exitError{code: ExitUnavailable, cause: err}
+		return failure(err)
 	}
 	return exitError{code: exitCode(failed), cause: errors.New(failed.Message())}
 }
--- a/internal/app/cli/fleet.go
+++ b/internal/app/cli/fleet.go
@@ -1,6 +1,7 @@
 package cli
 
 import (
+	"context"
 	"fmt"
 	"strings"
 	"time"
@@ -79,17 +80,15 @@
 }
 
 func fetchGroups(command *cobra.Command, flags *clientFlags) (*admpb.ListGroupsResponse, error) {
-	client, err := flags.client()
-	if err != nil {
-		return nil, err
-	}
-	ctx, cancel := flags.context(command)
-	defer cancel()
-	response, err := client.ListGroups(ctx, connect.NewRequest(&admpb.ListGroupsRequest{}))
-	if err != nil {
-		return nil, callError(err)
-	}
-	return response.Msg, nil
+	var groups *admpb.ListGroupsResponse
+	err := flags.call(command, func(ctx context.Context, client admpb.AdminServiceClient) error {
+		response, err := client.ListGroups(ctx, connect.NewRequest(&admpb.ListGroupsRequest{}))
+		if err == nil {
+			groups = response.Msg
+		}
+		return err
+	})
+	return groups, err
 }
 
 func newSwitchover() *cobra.Command {
@@ -101,21 +100,17 @@
 	flags := addClientFlags(command)
 	target := command.Flags().String("target", "", "instance that becomes the primary; the most advanced replica if empty")
 	command.RunE = func(command *cobra.Command, args []string) error {
-		client, err := flags.client()
-		if err != nil {
+		return flags.call(command, func(ctx context.Context, client admpb.AdminServiceClient) error {
+			response, err := client.Switchover(ctx, connect.NewRequest(&admpb.SwitchoverRequest{Group: args[0], Target: *target}))
+			if err != nil {
+				return err
+			}
+			if flags.output == outputJSON {
+				return printMessage(command.OutOrStdout(), response.Msg)
+			}
+			_, err = fmt.Fprintf(command.OutOrStdout(), "%s: primary is %s in term %d\n", args[0], response.Msg.GetPrimary(), response.Msg.GetTerm())
 			return err
-		}
-		ctx, cancel := flags.context(command)
-		defer cancel()
-		response, err := client.Switchover(ctx, connect.NewRequest(&admpb.SwitchoverRequest{Group: args[0], Target: *target}))
-		if err != nil {
-			return callError(err)
-		}
-		if flags.output == outputJSON {
-			return printMessage(command.OutOrStdout(), response.Msg)
-		}
-		_, err = fmt.Fprintf(command.OutOrStdout(), "%s: primary is %s in term %d\n", args[0], response.Msg.GetPrimary(), response.Msg.GetTerm())
-		return err
+		})
 	}
 	return command
 }
@@ -124,25 +119,21 @@
 	command := &cobra.Command{Use: "proxies", Short: "List the proxies and the revision that each has in force", Args: cobra.NoArgs}
 	flags := addClientFlags(command)
 	command.RunE = func(command *cobra.Command, _ []string) error {
-		client, err := flags.client()
-		if err != nil {
-			return err
-		}
-		ctx, cancel := flags.context(command)
-		defer cancel()
-		response, err := client.ListProxies(ctx, connect.NewRequest(&admpb.ListProxiesRequest{}))
-		if err != nil {
-			return callError(err)
-		}
-		if flags.output == outputJSON {
-			return printMessage(command.OutOrStdout(), response.Msg)
-		}
-		table := newTable("PROXY", "DATA_CENTER", "ADDRESS", "REVISION", "DRAINING", "HEARD")
-		for _, proxy := range response.Msg.GetProxies() {
-			heard := proxy.GetAge().AsDuration().Round(time.Millisecond).String() + " ago"
-			table.add(proxy.GetId(), proxy.GetDataCenter(), proxy.GetAddress(), fmt.Sprint(proxy.GetRevision()), yesNo(proxy.GetDraining()), heard)
-		}
-		return table.print(command.OutOrStdout())
+		return flags.call(command, func(ctx context.Context, client admpb.AdminServiceClient) error {
+			response, err := client.ListProxies(ctx, connect.NewRequest(&admpb.ListProxiesRequest{}))
+			if err != nil {
+				return err
+			}
+			if flags.output == outputJSON {
+				return printMessage(command.OutOrStdout(), response.Msg)
+			}
+			table := newTable("PROXY", "DATA_CENTER", "ADDRESS", "REVISION", "DRAINING", "HEARD")
+			for _, proxy := range response.Msg.GetProxies() {
+				heard := proxy.GetAge().AsDuration().Round(time.Millisecond).String() + " ago"
+				table.add(proxy.GetId(), proxy.GetDataCenter(), proxy.GetAddress(), fmt.Sprint(proxy.GetRevision()), yesNo(proxy.GetDraining()), heard)
+			}
+			return table.print(command.OutOrStdout())
+		})
 	}
 	return command
 }
@@ -160,17 +151,13 @@
 	}
 	flags := addClientFlags(command)
 	command.RunE = func(command *cobra.Command, args []string) error {
-		client, err := flags.client()
-		if err != nil {
+		return flags.call(command, func(ctx context.Context, client admpb.AdminServiceClient) error {
+			if _, err := client.DrainProxy(ctx, connect.NewRequest(&admpb.DrainProxyRequest{Proxy: args[0]})); err != nil {
+				return err
+			}
+			_, err := fmt.Fprintf(command.OutOrStdout(), "%s: draining\n", args[0])
 			return err
-		}
-		ctx, cancel := flags.context(command)
-		defer cancel()
-		if _, err := client.DrainProxy(ctx, connect.NewRequest(&admpb.DrainProxyRequest{Proxy: args[0]})); err != nil {
-			return callError(err)
-		}
-		_, err = fmt.Fprintf(command.OutOrStdout(), "%s: draining\n", args[0])
-		return err
+		})
 	}
 	return command
 }
@@ -184,22 +171,18 @@
 	flags := addClientFlags(command)
 	resume := command.Flags().Bool("resume", false, "let the instance take work again")
 	command.RunE = func(command *cobra.Command, args []string) error {
-		client, err := flags.client()
-		if err != nil {
+		return flags.call(command, func(ctx context.Context, client admpb.AdminServiceClient) error {
+			request := &admpb.DrainInstanceRequest{Instance: args[0], Resume: *resume}
+			if _, err := client.DrainInstance(ctx, connect.NewRequest(request)); err != nil {
+				return err
+			}
+			state := "draining"
+			if *resume {
+				state = "takes work"
+			}
+			_, err := fmt.Fprintf(command.OutOrStdout(), "%s: %s\n", args[0], state)
 			return err
-		}
-		ctx, cancel := flags.context(command)
-		defer cancel()
-		request := &admpb.DrainInstanceRequest{Instance: args[0], Resume: *resume}
-		if _, err := client.DrainInstance(ctx, connect.NewRequest(request)); err != nil {
-			return callError(err)
-		}
-		state := "draining"
-		if *resume {
-			state = "takes work"
-		}
-		_, err = fmt.Fprintf(command.OutOrStdout(), "%s: %s\n", args[0], state)
-		return err
+		})
 	}
 	return command
 }
--- a/internal/app/cli/status.go
+++ b/internal/app/cli/status.go
@@ -1,6 +1,7 @@
 package cli
 
 import (
+	"context"
 	"fmt"
 	"time"
 
@@ -15,20 +16,16 @@
 	command := &cobra.Command{Use: "status", Short: "Show the state of a proxy", Args: cobra.NoArgs}
 	flags := addClientFlags(command)
 	command.RunE = func(command *cobra.Command, _ []string) error {
-		client, err := flags.client()
-		if err != nil {
-			return err
-		}
-		ctx, cancel := flags.context(command)
-		defer cancel()
-		response, err := client.GetStatus(ctx, connect.NewRequest(&admpb.GetStatusRequest{}))
-		if err != nil {
-			return callError(err)
-		}
-		if flags.output == outputJSON {
-			return printMessage(command.OutOrStdout(), response.Msg)
-		}
-		return statusTable(response.Msg).print(command.OutOrStdout())
+		return flags.call(command, func(ctx context.Context, client admpb.AdminServiceClient) error {
+			response, err := client.GetStatus(ctx, connect.NewRequest(&admpb.GetStatusRequest{}))
+			if err != nil {
+				return err
+			}
+			if flags.output == outputJSON {
+				return printMessage(command.OutOrStdout(), response.Msg)
+			}
+			return statusTable(response.Msg).print(command.OutOrStdout())
+		})
 	}
 	return command
 }
@@ -60,24 +57,20 @@
 	command := &cobra.Command{Use: "settings", Short: "Show the settings that a proxy has in effect", Args: cobra.NoArgs}
 	flags := addClientFlags(command)
 	command.RunE = func(command *cobra.Command, _ []string) error {
-		client, err := flags.client()
-		if err != nil {
-			return err
-		}
-		ctx, cancel := flags.context(command)
-		defer cancel()
-		response, err := client.GetSettings(ctx, connect.NewRequest(&admpb.GetSettingsRequest{}))
-		if err != nil {
-			return callError(err)
-		}
-		if flags.output == outputJSON {
-			return printMessage(command.OutOrStdout(), response.Msg)
-		}
-		table := newTable("FLAG", "VARIABLE", "VALUE")
-		for _, setting := range response.Msg.GetSettings() {
-			table.add("--"+setting.GetFlag(), setting.GetEnv(), setting.GetValue())
-		}
-		return table.print(command.OutOrStdout())
+		return flags.call(command, func(ctx context.Context, client admpb.AdminServiceClient) error {
+			response, err := client.GetSettings(ctx, connect.NewRequest(&admpb.GetSettingsRequest{}))
+			if err != nil {
+				return err
+			}
+			if flags.output == outputJSON {
+				return printMessage(command.OutOrStdout(), response.Msg)
+			}
+			table := newTable("FLAG", "VARIABLE", "VALUE")
+			for _, setting := range response.Msg.GetSettings() {
+				table.add("--"+setting.GetFlag(), setting.GetEnv(), setting.GetValue())
+			}
+			return table.print(command.OutOrStdout())
+		})
 	}
 	return command
 }
@@ -100,18 +93,14 @@
 		if request.Level == "" && request.Sample == nil {
 			return usageError(errors.New("neither --level nor --sample is given"))
 		}
-		client, err := flags.client()
-		if err != nil {
+		return flags.call(command, func(ctx context.Context, client admpb.AdminServiceClient) error {
+			response, err := client.SetLogging(ctx, connect.NewRequest(request))
+			if err != nil {
+				return err
+			}
+			_, err = fmt.Fprintf(command.OutOrStdout(), "level %s, sample %d\n", response.Msg.GetLevel(), response.Msg.GetSample())
 			return err
-		}
-		ctx, cancel := flags.context(command)
-		defer cancel()
-		response, err := client.SetLogging(ctx, connect.NewRequest(request))
-		if err != nil {
-			return callError(err)
-		}
-		_, err = fmt.Fprintf(command.OutOrStdout(), "level %s, sample %d\n", response.Msg.GetLevel(), response.Msg.GetSample())
-		return err
+		})
 	}
 	return command
 }
