--- a/internal/edge/front/extended.go
+++ b/internal/edge/front/extended.go
@@ -1,6 +1,8 @@
 package front
 
 import (
+	"strings"
+
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"almondway.dev/almondway/internal/core/codes"
@@ -27,7 +29,7 @@
 		caller.failExtended(unsupported(statement.keyword))
 		return
 	}
-	if len(query.Split(message.Query)) > 1 {
+	if strings.Contains(message.Query, ";") && len(query.Split(message.Query)) > 1 {
 		caller.failExtended(newFault(codes.Unsupported, "a prepared statement holds one statement only"))
 		return
 	}
@@ -184,6 +186,13 @@
 		caller.sendFields(portal.result.Fields())
 	}
 	rows, last := portal.next(int(message.MaxRows))
+	if !last {
+		if reason := caller.chargeRows(portal); reason != nil {
+			caller.closePortal(message.Portal)
+			caller.failExtended(reason)
+			return
+		}
+	}
 	if caller.sendRows(rows) != nil {
 		return
 	}
@@ -228,6 +237,9 @@
 	if results := caller.results(reply, portal.statement.keyword); len(results) > 0 {
 		portal.result = results[0]
 	}
+	if answer := reply.Answer(); answer != nil {
+		portal.rowBytes = answer.Size()
+	}
 	return nil
 }
 
