state: an instance that lost its log proves nothing

Cause: a replica that took part in a promotion and was then replaced by an empty one, within reach of the cut-off old primary only, copied that primary's log and was counted for its term; the old proxy acknowledged three writes on it that the new primary never had. The fence had gone with the log. Ruled out: the failover's own count, which leaves such instances out already.

Change: marks of an instance count only while it holds what it reported before, and an empty log is a lost one from the first report on. The attack is a case of TestPromises, and the random histories replace one instance.

--- a/internal/core/state/group.go
+++ b/internal/core/state/group.go
@@ -65,7 +65,7 @@
 	member.heard = true
 	member.failures = 0
 	group.recover(member)
-	if status.InTerm(status.Fence()) {
+	if status.InTerm(status.Fence()) && !member.Recovering() {
 		member.prove(status.Tail())
 	}
 	group.rounds.add(group.round())
--- a/internal/core/state/recover.go
+++ b/internal/core/state/recover.go
@@ -16,13 +16,14 @@
 }
 
 // note takes a report and tells whether the instance lost its log. A report that
-// shows the loss may have crossed it, so the loss is dated by the next one.
+// shows the loss may have crossed it, so the loss is dated by the next one. An
+// empty log is a lost one, since each log starts with the first entry of a term.
 func (recovery *recovery) note(tail model.Mark, sentAt time.Duration) {
 	switch {
 	case recovery.lost && !recovery.dated:
 		recovery.dated = true
 		recovery.lostFrom = sentAt
-	case !recovery.lost && !tail.Covers(recovery.top):
+	case !recovery.lost && (tail.IsZero() || !tail.Covers(recovery.top)):
 		recovery.lost = true
 		recovery.dated = false
 	case !recovery.lost:
--- a/internal/proof/fuzz/fuzz_test.go
+++ b/internal/proof/fuzz/fuzz_test.go
@@ -72,6 +72,7 @@
 	world   *world
 	retries []*request
 	changes int
+	wiped   bool
 }
 
 func (machine *machine) check(t *rapid.T) {
@@ -225,11 +226,17 @@
 
 func (machine *machine) faultInstance(t *rapid.T) {
 	target := machine.drawInstance(t)
-	switch rapid.SampledFrom([]string{"kill", "freeze", "lag", "recover"}).Draw(t, "fault") {
+	switch rapid.SampledFrom([]string{"kill", "freeze", "lag", "recover", "wipe"}).Draw(t, "fault") {
 	case "kill":
 		target.kill()
 	case "freeze":
 		target.frozen = true
+	case "wipe":
+		if machine.wiped {
+			t.Skip("one instance was replaced already")
+		}
+		machine.wiped = true
+		target.wipe()
 	case "lag":
 		target.lag = time.Duration(rapid.IntRange(0, 2000).Draw(t, "lag ms")) * time.Millisecond
 	case "recover":
--- a/internal/proof/fuzz/instance_test.go
+++ b/internal/proof/fuzz/instance_test.go
@@ -175,6 +175,16 @@
 	instance.primary = false
 }
 
+// wipe replaces the instance by an empty one of the same name.
+func (instance *instance) wipe() {
+	instance.kill()
+	instance.alive = true
+	instance.primary = false
+	instance.fence = 0
+	instance.log = nil
+	instance.upstream = ""
+}
+
 func (instance *instance) thaw() {
 	instance.frozen = false
 	waiting := instance.waiting
--- a/internal/proof/fuzz/promises_test.go
+++ b/internal/proof/fuzz/promises_test.go
@@ -40,6 +40,7 @@
 	{"P9 two operators race", "P9", attackOperators},
 	{"P10 primary killed after an acknowledgement", "P10", attackKilledPrimary},
 	{"P10 only a lagging replica within reach", "P10", attackLaggingCandidate},
+	{"P2 replica replaced by an empty one beside a cut-off primary", "P2", attackEmptyReplica},
 	{"P11 replica cut off and idle", "P11", attackStaleReplica},
 }
 
@@ -425,6 +426,29 @@
 	}
 }
 
+// attackEmptyReplica replaces a replica that took part in a promotion by an
+// empty one, within reach of the old primary and its proxy only.
+func attackEmptyReplica(world *world) {
+	registrar := world.connect(world.nodes[0], "registrar")
+	other := world.connect(world.nodes[1], "registrar")
+	registrar.write()
+	a, b, c := world.instances[0], world.instances[1], world.instances[2]
+	a.cutGroup = true
+	world.nodes[0].cutPeers = true
+	world.nodes[0].cutFrom[b.id], world.nodes[0].cutFrom[c.id] = true, true
+	world.nodes[1].cutFrom[a.id], world.nodes[2].cutFrom[a.id] = true, true
+	world.run(3 * time.Second)
+	other.write()
+	c.wipe()
+	a.cutGroup, b.cutGroup = false, true
+	delete(world.nodes[0].cutFrom, c.id)
+	world.nodes[1].cutFrom[c.id], world.nodes[2].cutFrom[c.id] = true, true
+	for range 3 {
+		world.run(time.Second)
+		registrar.write()
+	}
+}
+
 func attackStaleReplica(world *world) {
 	registrar := world.connect(world.nodes[0], "registrar")
 	student := world.connect(world.nodes[1], "student")
