procs: one reader of a process's usage

bench and slope each read the usage of a process their own way: ticks of 10 ms in one, nanoseconds of the scheduler in the other. The finer one moved to procs and serves both.

Ran: go test ./internal/stand/procs ./internal/stand/slope; make lint.

--- a/internal/stand/bench/speed.go
+++ b/internal/stand/bench/speed.go
@@ -20,6 +20,8 @@
 	idleCallers        = 2400
 	longestLatency     = time.Minute
 	latencyDigits      = 3
+	bytesPerKB         = 1 << 10
+	bytesPerMB         = 1 << 20
 	readSQL            = "SELECT value FROM kv WHERE key = 'course-17'"
 	writeSQL           = "UPDATE kv SET value = value + 1 WHERE key = 'course-17'"
 )
@@ -124,7 +126,7 @@
 
 // throughput lets callers read as fast as they get answers.
 func (bench *bench) throughput(ctx context.Context) error {
-	before, err := usage(bench.proxy.Process().PID())
+	before, err := bench.proxy.Process().Usage()
 	if err != nil {
 		return err
 	}
@@ -149,7 +151,7 @@
 	}
 	running.Wait()
 	taken := time.Since(startedAt)
-	after, err := usage(bench.proxy.Process().PID())
+	after, err := bench.proxy.Process().Usage()
 	if err != nil {
 		return err
 	}
@@ -157,7 +159,7 @@
 	for _, count := range counts {
 		total += count
 	}
-	processor := after.processor - before.processor
+	processor := after.CPU() - before.CPU()
 	return bench.print(throughputFigure{
 		Figure:        "throughput",
 		Callers:       throughputCallers,
@@ -179,7 +181,7 @@
 }
 
 func (bench *bench) idleCallers(ctx context.Context) error {
-	before, err := usage(bench.proxy.Process().PID())
+	before, err := bench.proxy.Process().Usage()
 	if err != nil {
 		return err
 	}
@@ -192,16 +194,16 @@
 		defer func() { _ = conn.Close(ctx) }()
 	}
 	taken := time.Since(startedAt)
-	after, err := usage(bench.proxy.Process().PID())
+	after, err := bench.proxy.Process().Usage()
 	if err != nil {
 		return err
 	}
 	return bench.print(idleFigure{
 		Figure:        "idle_callers",
 		Callers:       idleCallers,
-		MemoryBefore:  float64(before.memory) / bytesPerMB,
-		Memory:        float64(after.memory) / bytesPerMB,
-		KBPerCaller:   float64(after.memory-before.memory) / bytesPerKB / idleCallers,
+		MemoryBefore:  before.Resident() / bytesPerMB,
+		Memory:        after.Resident() / bytesPerMB,
+		KBPerCaller:   (after.Resident() - before.Resident()) / bytesPerKB / idleCallers,
 		ConnectPerSec: idleCallers / taken.Seconds(),
 	})
 }
--- a/internal/stand/procs/procs_test.go
+++ b/internal/stand/procs/procs_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"os"
 	"testing"
 
 	"github.com/matryer/is"
@@ -53,3 +54,14 @@
 	cancel()
 	is.Equal(procs.Until(ctx, func() error { return failure }), failure)
 }
+
+func TestReadUsage(t *testing.T) {
+	is := is.New(t)
+	read, err := procs.ReadUsage(os.Getpid())
+	is.NoErr(err)
+	is.True(read.CPU() > 0)
+	is.True(read.Resident() > 0)
+	is.True(read.Transferred() > 0)
+	_, err = procs.ReadUsage(-1)
+	is.True(err != nil)
+}
--- a/internal/stand/slope/usage.go
+++ b/internal/stand/procs/usage.go
@@ -1,4 +1,4 @@
-package slope
+package procs
 
 import (
 	"fmt"
@@ -11,8 +11,8 @@
 	"github.com/pkg/errors"
 )
 
-// usage is what a process has used so far.
-type usage struct {
+// Usage is what a process has used so far.
+type Usage struct {
 	at       time.Time
 	cpu      time.Duration
 	received float64 // bytes
@@ -20,23 +20,38 @@
 	resident float64 // bytes
 }
 
-// readUsage reads the usage of a process from the kernel of the machine.
-func readUsage(pid int) (usage, error) {
+// At returns when the figures were read.
+func (usage Usage) At() time.Time { return usage.at }
+
+// CPU returns the processor time of all threads.
+func (usage Usage) CPU() time.Duration { return usage.cpu }
+
+// Transferred returns the bytes that the process received and sent.
+func (usage Usage) Transferred() float64 { return usage.received + usage.sent }
+
+// Resident returns the bytes of memory that the process holds.
+func (usage Usage) Resident() float64 { return usage.resident }
+
+// Usage returns what the process has used so far. It needs the proc file system of Linux.
+func (proc *Proc) Usage() (Usage, error) { return ReadUsage(proc.PID()) }
+
+// ReadUsage returns what the process of the given number has used so far.
+func ReadUsage(pid int) (Usage, error) {
 	dir := filepath.Join("/proc", strconv.Itoa(pid))
 	cpu, err := readCPU(dir)
 	if err != nil {
-		return usage{}, err
+		return Usage{}, err
 	}
 	io, err := readFields(filepath.Join(dir, "io"))
 	if err != nil {
-		return usage{}, err
+		return Usage{}, err
 	}
 	status, err := readFields(filepath.Join(dir, "status"))
 	if err != nil {
-		return usage{}, err
+		return Usage{}, err
 	}
 	const kilobyte = 1024
-	return usage{
+	return Usage{
 		at:       time.Now(),
 		cpu:      cpu,
 		received: io["rchar"],
--- a/internal/stand/slope/fit_test.go
+++ b/internal/stand/slope/fit_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"os"
 	"testing"
 
 	"github.com/matryer/is"
@@ -33,14 +32,3 @@
 		})
 	}
 }
-
-func TestReadUsage(t *testing.T) {
-	is := is.New(t)
-	read, err := readUsage(os.Getpid())
-	is.NoErr(err)
-	is.True(read.cpu > 0)
-	is.True(read.resident > 0)
-	is.True(read.received > 0)
-	_, err = readUsage(-1)
-	is.True(err != nil)
-}
--- a/internal/stand/slope/observe.go
+++ b/internal/stand/slope/observe.go
@@ -1,10 +1,6 @@
 package slope
 
-import (
-	"time"
-
-	"almondway.dev/almondway/internal/stand/procs"
-)
+import "time"
 
 // observation is what a proxy used in a window, per second but for resident.
 type observation struct {
@@ -22,15 +18,15 @@
 	if err != nil {
 		return observation{}, err
 	}
-	before, err := usageOf(first.proc)
+	before, err := first.proc.Usage()
 	if err != nil {
 		return observation{}, err
 	}
 	if work != nil {
-		work(before.at.Add(window))
+		work(before.At().Add(window))
 	}
-	time.Sleep(time.Until(before.at.Add(window)))
-	after, err := usageOf(first.proc)
+	time.Sleep(time.Until(before.At().Add(window)))
+	after, err := first.proc.Usage()
 	if err != nil {
 		return observation{}, err
 	}
@@ -38,11 +34,11 @@
 	if err != nil {
 		return observation{}, err
 	}
-	seconds := after.at.Sub(before.at).Seconds()
+	seconds := after.At().Sub(before.At()).Seconds()
 	seen := observation{
-		cpu:      (after.cpu - before.cpu).Seconds() / seconds,
-		bytes:    (after.received + after.sent - before.received - before.sent) / seconds,
-		resident: after.resident,
+		cpu:      (after.CPU() - before.CPU()).Seconds() / seconds,
+		bytes:    (after.Transferred() - before.Transferred()) / seconds,
+		resident: after.Resident(),
 		counters: make(map[string]float64),
 	}
 	for _, name := range names {
@@ -51,8 +47,6 @@
 	return seen, nil
 }
 
-func usageOf(proc *procs.Proc) (usage, error) { return readUsage(proc.PID()) }
-
 func (proxy *proxy) counters(names []string) (map[string]float64, error) {
 	values := make(map[string]float64, len(names))
 	for _, name := range names {
