back: a cancel that comes before its execution starts is kept

It was dropped, and the statement ran to its end. The execution now fails before anything is sent.

Run: go test -race ./internal/edge/back, lint.

--- a/internal/edge/back/back_test.go
+++ b/internal/edge/back/back_test.go
@@ -184,6 +184,20 @@
 	is.Equal(failed.Usable(), true)
 }
 
+func TestCancelBeforeStart(t *testing.T) {
+	is := is.New(t)
+	fixture := newFixture(t, Spec{}, answerRow)
+	fixture.backend.find(1).cancel(3)
+	read := model.WorkSpec{Statement: simple("SELECT 1")}
+	failed := fixture.execute(t, 3, read).(event.ExecuteFailed)
+	is.Equal(failed.Answer().(*wire.Failure).Response().Code, "57014")
+	is.Equal(failed.Usable(), true)
+	_, ok := fixture.execute(t, 4, read).(event.ExecuteDone)
+	is.True(ok)
+	statements, _ := fixture.instance.seen()
+	is.Equal(len(statements), 1)
+}
+
 func TestAnswerTooLarge(t *testing.T) {
 	is := is.New(t)
 	fixture := newFixture(t, Spec{MaxAnswer: 10}, func(string) reply {
--- a/internal/edge/back/conn.go
+++ b/internal/edge/back/conn.go
@@ -55,6 +55,8 @@
 	// way, so that it cannot reach the next execution.
 	cancelMutex sync.Mutex
 	running     model.ExecID
+	// canceled is an execution that was canceled before it started.
+	canceled model.ExecID
 }
 
 func newConn(backend *Backend, action event.OpenConn) *conn {
@@ -186,9 +188,13 @@
 
 // execute runs a Work and posts its answer. It returns false if the connection is spoiled.
 func (conn *conn) execute(execute event.Execute) bool {
-	conn.setRunning(execute.Exec())
-	result := conn.runWork(execute.Work())
-	conn.setRunning(0)
+	var result outcome
+	if conn.begin(execute.Exec()) {
+		result = conn.runWork(execute.Work())
+	} else {
+		result = statementFailure(stateCanceled, "the statement was canceled before it ran", true)
+	}
+	conn.finish()
 	if result.done {
 		conn.backend.inbox.Post(event.NewExecuteDone(execute.Exec(), conn.id, result.mark, result.answer))
 	} else {
@@ -209,10 +215,21 @@
 	return errors.Wrap(conn.hijacked.Frontend.Flush(), "send execution")
 }
 
-func (conn *conn) setRunning(exec model.ExecID) {
+// begin returns false if the execution was canceled already.
+func (conn *conn) begin(exec model.ExecID) bool {
 	conn.cancelMutex.Lock()
 	defer conn.cancelMutex.Unlock()
+	if conn.canceled == exec {
+		return false
+	}
 	conn.running = exec
+	return true
+}
+
+func (conn *conn) finish() {
+	conn.cancelMutex.Lock()
+	defer conn.cancelMutex.Unlock()
+	conn.running = 0
 }
 
 // leave refuses further commands and answers those that wait.
@@ -241,11 +258,13 @@
 	}
 }
 
-// cancel asks the instance to cancel the execution if it still runs.
+// cancel asks the instance to cancel the execution if it runs, and keeps it from
+// running if it has not started.
 func (conn *conn) cancel(exec model.ExecID) {
 	conn.cancelMutex.Lock()
 	defer conn.cancelMutex.Unlock()
 	if conn.running != exec {
+		conn.canceled = exec
 		return
 	}
 	_ = sendCancel(conn.hijacked, conn.backend.spec.CancelTimeout)
--- a/internal/edge/back/work.go
+++ b/internal/edge/back/work.go
@@ -12,6 +12,7 @@
 
 const (
 	stateTxFailed          = "25P02"
+	stateCanceled          = "57014"
 	stateNotSupported      = "0A000"
 	stateCompletionUnknown = "40003"
 	classConnection        = "08"
