member: proxies are named again to one that lacks them

Cause: the message that introduces the other proxies to one that starts without the store was sent once; if it got lost, the newcomer could not confirm its revision before the store came back.

Change: two proxies name the others to one that is not confirmed. Heartbeats have a file of their own.

Run: go test ./internal/plug/member ./internal/plug/deploy ./internal/proof/fuzz.

--- a/internal/plug/member/member_test.go
+++ b/internal/plug/member/member_test.go
@@ -216,6 +216,9 @@
 	first, ok := desk.sent[0].Message().(event.Heartbeat)
 	is.True(ok)
 	is.Equal(ids(first.Known()), []model.ProxyID{"proxy-1", "proxy-2"})
+	unconfirmed := event.NewHeartbeat("proxy-2", "proxy-2:8000", 0, false, false, nil, nil)
+	desk.handle(event.NewPeerReceived("proxy-2", unconfirmed)) // the answer may have got lost
+	is.Equal(len(desk.heartbeats()["proxy-2:8000"].Known()), 2)
 	term := model.NewTerm(2, 7)
 	terms := []model.TermView{model.NewTermView("katalog-1", term, "katalog-1-b")}
 	desk.handle(event.NewPeerReceived("proxy-2", event.NewHeartbeat("proxy-2", "proxy-2:8000", 0, true, false, nil, terms)))
--- a/internal/plug/member/peers.go
+++ b/internal/plug/member/peers.go
@@ -5,7 +5,6 @@
 	"strings"
 	"time"
 
-	"almondway.dev/almondway/internal/core/event"
 	"almondway.dev/almondway/internal/core/kern"
 	"almondway.dev/almondway/internal/core/model"
 )
@@ -40,19 +39,6 @@
 	peers.context.Timers().Every(peers.context.Settings().HeartbeatInterval(), peers.tick)
 }
 
-// greet sends a heartbeat to the addresses from the settings as long as no other
-// proxy is known. It helps a proxy that starts while the table cannot be read.
-func (peers *peers) greet() {
-	if len(peers.byID) > 0 {
-		return
-	}
-	for _, address := range peers.context.Settings().PeerSeeds() {
-		if address != peers.context.State().Self().Address() {
-			peers.context.Emit(event.NewSendPeer(address, peers.heartbeat()))
-		}
-	}
-}
-
 func (peers *peers) tick() {
 	peers.greet()
 	peers.forget()
@@ -60,14 +46,6 @@
 	peers.beat()
 }
 
-// beat sends a heartbeat to every other proxy that is known.
-func (peers *peers) beat() {
-	heartbeat := peers.heartbeat()
-	for _, peer := range peers.sorted() {
-		peers.context.Emit(event.NewSendPeer(peer.address, heartbeat))
-	}
-}
-
 // list takes the proxies that have a row in the table.
 func (peers *peers) list(rows []model.ProxyView) {
 	peers.whole = true
@@ -86,78 +64,6 @@
 	peers.update()
 }
 
-// hear takes a heartbeat of another proxy.
-func (peers *peers) hear(heartbeat event.Heartbeat) {
-	if heartbeat.Proxy() == peers.context.State().Self().ID() || heartbeat.Proxy() == "" {
-		return
-	}
-	known := peers.peer(heartbeat.Proxy())
-	first := !known.heard
-	changed := !peers.live(known) || known.revision != heartbeat.Revision() || known.draining != heartbeat.Draining()
-	known.address = heartbeat.Address()
-	known.revision = heartbeat.Revision()
-	known.draining = heartbeat.Draining()
-	known.heard = true
-	known.heardAt = peers.context.Now()
-	if changed {
-		peers.update()
-	}
-	peers.meet(heartbeat.Known())
-	if first {
-		peers.context.Emit(event.NewSendPeer(known.address, peers.heartbeat().WithKnown(peers.views())))
-	}
-	peers.leaving.announce(heartbeat.Proxy(), heartbeat.Leaving())
-	for _, term := range heartbeat.Terms() {
-		peers.lead(term)
-	}
-}
-
-// meet takes proxies that another proxy knows. They have a voice until the table
-// shows that they are gone.
-func (peers *peers) meet(known []model.ProxyView) {
-	for _, proxy := range known {
-		if proxy.ID() == peers.context.State().Self().ID() || peers.byID[proxy.ID()] != nil {
-			continue
-		}
-		met := peers.peer(proxy.ID())
-		met.address = proxy.Address()
-		met.dataCenter = proxy.DataCenter()
-		met.listed = true
-		peers.context.Emit(event.NewSendPeer(met.address, peers.heartbeat()))
-	}
-	if len(known) > 0 {
-		peers.whole = true
-		peers.update()
-	}
-}
-
-// lead takes what another proxy knows of the leadership of a group.
-func (peers *peers) lead(view model.TermView) {
-	group := peers.context.State().Group(view.Group())
-	if group == nil || !group.Lead(view.Term(), view.Primary()) {
-		return
-	}
-	peers.context.Publish(event.NewTermChanged(view.Group(), view.Term(), view.Primary()))
-}
-
-func (peers *peers) heartbeat() event.Heartbeat {
-	state := peers.context.State()
-	revision, _ := state.Revision()
-	var terms []model.TermView
-	var holding []model.GroupID
-	for _, group := range state.Groups() {
-		if group.HoldsOwn(peers.context.Now()) {
-			holding = append(holding, group.ID())
-		}
-		if primary := group.Primary(); primary != nil {
-			terms = append(terms, model.NewTermView(group.ID(), group.Term(), primary.ID()))
-		}
-	}
-	self := state.Self()
-	heartbeat := event.NewHeartbeat(self.ID(), self.Address(), revision, state.Confirmed(), state.Draining(), peers.leaving.firstHand(), terms)
-	return heartbeat.WithHolding(holding)
-}
-
 // isLive reports whether the proxy was heard within the limit.
 func (peers *peers) isLive(id model.ProxyID) bool {
 	known, ok := peers.byID[id]
