logs: an output that stalls does not stall the kernel

Change: placement and routing lines have a queue each; a line that finds its queue full is dropped and counted. The benchmark of a line measures the writer alone, with every field of a routing line. Ruled out: one queue, since routing lines crowd placement lines out.

--- a/internal/app/logs/journal_test.go
+++ b/internal/app/logs/journal_test.go
@@ -89,19 +89,33 @@
 	is.Equal(log.Sample(), 1)
 }
 
+// An output that takes nothing holds up neither the kernel nor, once it takes
+// lines again, the placement lines behind many routing lines.
 func TestFullQueue(t *testing.T) {
 	is := is.New(t)
-	blocked, release := io.Pipe()
-	log, err := logs.New(release, "info", 1)
+	reader, blocked := io.Pipe()
+	log, err := logs.New(blocked, "info", 1)
 	is.NoErr(err)
 	const requests = 20000
 	for seq := range model.RequestSeq(requests) {
 		log.Decide(model.Decision{Name: "route", Seq: seq + 1})
 	}
-	go func() { _, _ = io.Copy(io.Discard, blocked) }()
-	is.True(log.Dropped() > 0) // nothing was read while the lines came
-	is.True(log.Dropped() < requests)
+	dropped := log.Dropped()
+	is.True(dropped > 0 && dropped < requests)
+	log.Decide(model.Decision{Name: "promoted"})
+	is.Equal(log.Dropped(), dropped)
+	for range requests {
+		log.Decide(model.Decision{Name: "promoted"}) // returns though nothing is read
+	}
+	is.True(log.Dropped() > dropped)
+	read := make(chan []byte)
+	go func() {
+		content, _ := io.ReadAll(reader)
+		read <- content
+	}()
 	log.Close()
+	is.NoErr(blocked.Close())
+	is.True(strings.Contains(string(<-read), "promoted"))
 }
 
 var routed = model.Decision{Name: "route", Caller: 3, Seq: 7, RequestID: "0197d9a0-0000-7000-8000-000000000001", Deployment: "gradski", Kind: "browse", Group: "katalog-1", Instance: "katalog-1-b", Reason: "replica"}
@@ -119,30 +133,3 @@
 	b.ReportMetric(float64(log.Dropped())/float64(b.N), "dropped/op")
 	log.Close()
 }
-
-// volume counts the bytes that are written.
-type volume struct{ bytes int }
-
-func (volume *volume) Write(line []byte) (int, error) {
-	volume.bytes += len(line)
-	return len(line), nil
-}
-
-// BenchmarkLine measures what a line costs in all, the queue and the writer included.
-func BenchmarkLine(b *testing.B) {
-	var written volume
-	log, err := logs.New(&written, "info", 1)
-	if err != nil {
-		b.Fatal(err)
-	}
-	placed := routed
-	placed.Seq = 0 // waits for the queue
-	lines := 0
-	b.ReportAllocs()
-	for b.Loop() {
-		log.Decide(placed)
-		lines++
-	}
-	log.Close()
-	b.ReportMetric(float64(written.bytes)/float64(lines), "bytes/line")
-}
--- /dev/null
+++ b/internal/app/logs/line_test.go
@@ -0,0 +1,40 @@
+package logs
+
+import (
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"almondway.dev/almondway/internal/core/model"
+)
+
+// volume counts the bytes that are written.
+type volume struct{ bytes int }
+
+func (volume *volume) Write(line []byte) (int, error) {
+	volume.bytes += len(line)
+	return len(line), nil
+}
+
+// BenchmarkLine measures what the writer spends on a line, and its bytes.
+func BenchmarkLine(b *testing.B) {
+	var written volume
+	log, err := New(&written, "info", 1)
+	if err != nil {
+		b.Fatal(err)
+	}
+	queued := &record{level: logrus.InfoLevel, at: time.Now(), decision: model.Decision{
+		Name: "route_read", Caller: 3, Seq: 7, RequestID: "0197d9a0-0000-7000-8000-000000000001", Session: "desk-3",
+		Deployment: "gradski", Kind: "browse", Group: "katalog-1", Instance: "katalog-1-b",
+		Term: model.NewTerm(1, 7), Revision: 12, Reason: "replica",
+	}}
+	lines := 0
+	b.ReportAllocs()
+	for b.Loop() {
+		log.emit(queued)
+		lines++
+	}
+	b.ReportMetric(float64(written.bytes)/float64(lines), "bytes/line")
+	log.Close()
+}
--- a/internal/app/logs/logs.go
+++ b/internal/app/logs/logs.go
@@ -19,9 +19,11 @@
 	logger  *logrus.Logger
 	sample  atomic.Int64
 	dropped atomic.Int64
-	queue   chan record
-	written chan struct{}
-	closing sync.Once
+
+	placements chan record
+	routings   chan record
+	written    chan struct{}
+	closing    sync.Once
 }
 
 // New returns a Log that writes to output. level is the least level written;
@@ -31,9 +33,10 @@
 	logger.SetOutput(output)
 	logger.SetFormatter(newFormatter())
 	log := &Log{
-		logger:  logger,
-		queue:   make(chan record, queueSize),
-		written: make(chan struct{}),
+		logger:     logger,
+		placements: make(chan record, queueSize),
+		routings:   make(chan record, queueSize),
+		written:    make(chan struct{}),
 	}
 	if err := log.SetLevel(level); err != nil {
 		return nil, err
@@ -45,9 +48,12 @@
 	return log, nil
 }
 
-// Close waits until the lines in the queue are written. Decide must not be called after it.
+// Close waits until the lines in the queues are written. Decide must not be called after it.
 func (log *Log) Close() {
-	log.closing.Do(func() { close(log.queue) })
+	log.closing.Do(func() {
+		close(log.placements)
+		close(log.routings)
+	})
 	<-log.written
 }
 
