config, admin: no secret in the platform's URL, bounds on requests

Cause: a password in the platform's URL would have been shown by settings and in errors; requests of operators had no bound on their size, and idle connections none on their time. Change: such a URL is refused without being quoted; requests are bounded at 4 MB, idle connections at 2 minutes; the server answers before the client's own time is over. Run: tests of internal/app/config, serve, internal/edge/admin.

--- a/internal/app/config/check.go
+++ b/internal/app/config/check.go
@@ -75,9 +75,17 @@
 	if !namePattern.MatchString(spec.DataCenter) {
 		checker.fault("data-center", "%q does not match %s", spec.DataCenter, namePattern)
 	}
-	platform, err := url.Parse(spec.Platform)
-	if err != nil || platform.Host == "" || (platform.Scheme != "http" && platform.Scheme != "https") {
-		checker.fault("platform", "%q is not an http or https URL", spec.Platform)
+	checker.platform(spec.Platform)
+}
+
+// platform checks the URL, which is shown to operators and so must hold no secret.
+func (checker *checker) platform(text string) {
+	platform, err := url.Parse(text)
+	switch {
+	case strings.Contains(text, "@"):
+		checker.fault("platform", "the URL must hold neither a user nor a password")
+	case err != nil || platform.Host == "" || (platform.Scheme != "http" && platform.Scheme != "https"):
+		checker.fault("platform", "%q is not an http or https URL", text)
 	}
 }
 
--- a/internal/app/serve/http.go
+++ b/internal/app/serve/http.go
@@ -12,7 +12,10 @@
 	"almondway.dev/almondway/internal/edge/certs"
 )
 
-const headerTimeout = 5 * time.Second
+const (
+	headerTimeout = 5 * time.Second
+	idleTimeout   = 2 * time.Minute
+)
 
 // server is an HTTP server on one address.
 type server struct {
@@ -31,6 +34,7 @@
 	return &server{address: address, server: &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
 		TLSConfig:         encryption,
 		Protocols:         protocols,
 	}}
--- a/internal/edge/admin/admin.go
+++ b/internal/edge/admin/admin.go
@@ -22,12 +22,14 @@
 
 const (
 	// askTimeout is the time after which the kernel's answer is no longer waited for.
-	askTimeout = 15 * time.Second
+	askTimeout = 10 * time.Second
 	// watchInterval is the time between two looks at the revision in force.
 	watchInterval = 200 * time.Millisecond
 	retryAfter    = time.Second
 	// compressMinBytes is the size from which an answer is compressed.
 	compressMinBytes = 4096
+	// maxRequestBytes is the size of the largest request that is read.
+	maxRequestBytes = 4 << 20
 )
 
 // Inspector looks at the shared state of the kernel.
@@ -80,7 +82,8 @@
 func (admin *Admin) Handler() (string, http.Handler) {
 	return admpb.NewAdminServiceHandler(admin,
 		connect.WithInterceptors(guard{tokens: admin.spec.Tokens}),
-		connect.WithCompressMinBytes(compressMinBytes))
+		connect.WithCompressMinBytes(compressMinBytes),
+		connect.WithReadMaxBytes(maxRequestBytes))
 }
 
 // Answer implements port.Operators. An answer that nobody waits for is dropped.
