reads: await the reports of all instances before a read index counts as missed

Cause: with replicas 2 s behind, a read index taken from the first two reports could be that of the primary and one replica, which no replica covers; under the prompt policy the read then went to the primary, whose newest entries are not on a majority for 2 s, and waited for them. The report of the other replica, a moment later, gives an index that a replica covers at once.

Change: for 20 ms after the arrival of a read, an answer counts as too old and the primary is chosen only once no answering instance has still to report.

--- a/internal/core/route/judge.go
+++ b/internal/core/route/judge.go
@@ -20,6 +20,11 @@
 	VerdictStale
 )
 
+// reportPatience is how long after the arrival of a read the report of a further
+// instance is awaited, since the index of the first majority may be that of the
+// primary, which no other majority needs.
+const reportPatience = 20 * time.Millisecond
+
 // Judge decides whether the answer of a read meets its requirement. It keeps the
 // lowest read index that was seen since the read arrived.
 type Judge struct {
@@ -51,7 +56,7 @@
 		return VerdictStale
 	}
 	if !judge.recent(group, mark, now) {
-		if judge.known {
+		if judge.known && !judge.Awaits(group, now) {
 			return VerdictStale
 		}
 		return VerdictOpen
@@ -62,6 +67,13 @@
 	return VerdictProved
 }
 
+// Awaits reports whether the report of a further instance may soon lower the
+// read index.
+func (judge *Judge) Awaits(group *state.Group, now time.Duration) bool {
+	arrived := judge.job.Arrived()
+	return now-arrived < reportPatience && group.Awaits(arrived)
+}
+
 // Suffices reports whether data at mark would meet the requirement as far as it is known.
 func (judge *Judge) Suffices(group *state.Group, mark model.Mark, now time.Duration) bool {
 	return judge.recent(group, mark, now)
--- a/internal/core/state/group.go
+++ b/internal/core/state/group.go
@@ -167,6 +167,17 @@
 	return count
 }
 
+// Awaits reports whether an instance that answers probes has not reported since
+// the given time, so that its report may lower the read index.
+func (group *Group) Awaits(since time.Duration) bool {
+	for _, member := range group.members {
+		if member.heard && member.failures == 0 && member.sentAt < since {
+			return true
+		}
+	}
+	return false
+}
+
 // Within reports whether data at mark is at most bound old at the time now.
 func (group *Group) Within(mark model.Mark, bound, now time.Duration) bool {
 	return group.rounds.covered(mark, now-bound)
--- a/internal/plug/reads/choose.go
+++ b/internal/plug/reads/choose.go
@@ -33,6 +33,8 @@
 		return "", ""
 	}
 	switch {
+	case replicas > 0 && read.judge.Awaits(view, reads.context.Now()):
+		return "", ""
 	case replicas == 0 && !reads.expects(read, view):
 		return primary.ID(), "no replica in service"
 	case read.describes() || read.job.Deployment().LagPolicy() == model.LagPrimary:
