insta: an empty log has no mark to report

Cause: the empty instance reported the mark 0/0 on its control connections, and the proxies have refused such a mark as a fault of the protocol since they check it; every probe broke its connection. Ruled out: the order to follow (never given, since no probe was answered) and the learning of the fence (the instance had it).

Change: no mark is sent while the log is empty, and the dialect says so. The refusal of 0/0 stays, so that no read counts as served by an empty log.

Ran: make demo, failed before (twice) and ok after; go test ./internal/stand/insta ./internal/edge/...; make lint.

--- a/internal/edge/wire/dialect.go
+++ b/internal/edge/wire/dialect.go
@@ -9,6 +9,7 @@
 	ControlUser = "almondway_control"
 	// MarkParameter is the parameter status "term/position" that an instance
 	// sends before it is ready again: the end of its log when the statement ran.
+	// An instance whose log is empty sends none.
 	MarkParameter = "platform.mark"
 
 	// StatusSQL asks for the status row.
--- a/internal/stand/insta/insta_test.go
+++ b/internal/stand/insta/insta_test.go
@@ -366,6 +366,7 @@
 	status := bench.order(2, wire.FenceSQL, nextTerm)
 	is.Equal(status[wire.StatusAccepted], "f") // it may have forgotten a fence
 	is.Equal(status[wire.StatusTailPosition], "0")
+	is.Equal(bench.connect(2, "student").ParameterStatus(wire.MarkParameter), "")
 	empty.Start()
 	leader := bench.spec.Groups[0].Instances[0]
 	for bench.order(2, wire.FollowSQL, firstTerm, leader.ID, leader.Address)[wire.StatusAccepted] != "t" {
--- a/internal/stand/insta/session.go
+++ b/internal/stand/insta/session.go
@@ -120,7 +120,9 @@
 		session.mark = session.instance.journal.tail()
 		session.instance.mu.Unlock()
 	}
-	session.backend.Send(&pgproto3.ParameterStatus{Name: wire.MarkParameter, Value: session.mark.String()})
+	if !session.mark.IsZero() { // an empty log has no mark
+		session.backend.Send(&pgproto3.ParameterStatus{Name: wire.MarkParameter, Value: session.mark.String()})
+	}
 	session.mark = model.Mark{}
 	status := byte('I')
 	if session.tx != nil && session.tx.explicit {
