back: an instance that has lost its log can be asked for its status

An instance that replaces a killed one reports the mark 0/0 until it has copied a log. Since the reader took that for a broken protocol, also on control connections, so the proxies never learned that the instance was back and none ordered it to follow: it stayed empty. A mark of zero now means that an answer has no mark, which spoils an execution and leaves a status report alone.

Ruled out: the lanes of control connections (their goroutines waited for work), load on the machine, the order to follow.

--- a/internal/edge/back/lane_test.go
+++ b/internal/edge/back/lane_test.go
@@ -80,3 +80,24 @@
 	close(release)
 	is.Equal(fixture.events.next(t), event.NewStatusReported(1, "katalog-1-a", status))
 }
+
+// TestInstanceWithoutLog checks that an instance that has lost its log can be
+// asked for its status, and that it gives no answer to a statement.
+func TestInstanceWithoutLog(t *testing.T) {
+	is := is.New(t)
+	posted := make(events, 4)
+	backend, err := New(Spec{}, posted)
+	is.NoErr(err)
+	defer backend.Shutdown()
+	row := [][]byte{[]byte("t"), []byte("7"), []byte("replica"), []byte("0"), []byte("0"), nil, []byte("0"), []byte("f")}
+	instance := newInstance(t, func(string) reply { return reply{rows: [][][]byte{row}, tag: "SELECT 1"} })
+	instance.mark = "0/0"
+	backend.Probe(event.NewProbe(6, "katalog-1-a", instance.address(), testWait))
+	status := model.NewStatus(7, model.RoleReplica, model.Mark{}, "", 0, false)
+	is.Equal(posted.next(t), event.NewStatusReported(6, "katalog-1-a", status))
+	backend.Open(event.NewOpenConn(1, "katalog-1-a", instance.address()))
+	is.Equal(posted.next(t), event.NewConnOpened(1))
+	backend.Execute(event.NewExecute(2, 1, model.NewWork(model.WorkSpec{Statement: simple("SELECT 1")})))
+	failed := posted.next(t).(event.ExecuteFailed)
+	is.Equal(failed.Class(), model.FailureLost)
+}
--- a/internal/edge/back/reader.go
+++ b/internal/edge/back/reader.go
@@ -121,10 +121,8 @@
 	if err != nil {
 		return err
 	}
-	if mark.IsZero() {
-		return errors.New("instance reported a mark before the first entry of its log")
-	}
-	reader.mark, reader.marked = mark, true
+	// An instance that has lost its log reports the start of it, which marks no answer.
+	reader.mark, reader.marked = mark, !mark.IsZero()
 	return nil
 }
 
