back: probes of an instance with an empty log are answered

Cause: since "a mark before the first log entry is no mark" the adapter took the mark 0/0 for a broken protocol, also on control connections.

Change: the mark 0/0 counts as none. An execution without a mark is lost, as before; a probe or an order needs none.

--- a/internal/edge/back/lane_test.go
+++ b/internal/edge/back/lane_test.go
@@ -80,3 +80,32 @@
 	close(release)
 	is.Equal(fixture.events.next(t), event.NewStatusReported(1, "katalog-1-a", status))
 }
+
+// An instance that was replaced by an empty one reports the start of the log.
+func TestProbeOfAnEmptyInstance(t *testing.T) {
+	is := is.New(t)
+	row := [][]byte{[]byte("t"), []byte("0"), []byte("replica"), []byte("0"), []byte("0"), nil, []byte("0"), []byte("f")}
+	instance := newInstance(t, func(string) reply { return reply{rows: [][][]byte{row}, tag: "SELECT 1"} })
+	instance.mark = "0/0"
+	posted := make(events, 4)
+	backend, err := New(Spec{}, posted)
+	is.NoErr(err)
+	backend.Probe(event.NewProbe(1, "katalog-1-a", instance.address(), testWait))
+	empty := model.NewStatus(0, model.RoleReplica, model.Mark{}, "", 0, false)
+	is.Equal(posted.next(t), event.NewStatusReported(1, "katalog-1-a", empty))
+}
+
+// A statement of which the instance does not say where the log stood is lost.
+func TestExecuteOnAnEmptyInstance(t *testing.T) {
+	is := is.New(t)
+	instance := newInstance(t, answerRow)
+	instance.mark = "0/0"
+	posted := make(events, 4)
+	backend, err := New(Spec{}, posted)
+	is.NoErr(err)
+	backend.Open(event.NewOpenConn(4, "katalog-1-a", instance.address()))
+	is.Equal(posted.next(t), event.NewConnOpened(4))
+	work := model.NewWork(model.WorkSpec{Statement: wire.NewStatement(wire.StatementSpec{SQL: "SELECT 1", Simple: true}), Timeout: testWait})
+	backend.Execute(event.NewExecute(5, 4, work))
+	is.Equal(posted.next(t), event.NewExecuteFailed(5, 4, model.FailureLost, false, model.Mark{}, nil))
+}
--- a/internal/edge/back/reader.go
+++ b/internal/edge/back/reader.go
@@ -121,10 +121,7 @@
 	if err != nil {
 		return err
 	}
-	if mark.IsZero() {
-		return errors.New("instance reported a mark before the first entry of its log")
-	}
-	reader.mark, reader.marked = mark, true
+	reader.mark, reader.marked = mark, !mark.IsZero()
 	return nil
 }
 
