--- a/internal/proof/whole/driver_test.go
+++ b/internal/proof/whole/driver_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/jackc/pgx/v5"
 	"github.com/jackc/pgx/v5/pgconn"
+	_ "github.com/jackc/pgx/v5/stdlib" // registers the driver "pgx"
 	"github.com/lib/pq"
 	"github.com/matryer/is"
 	"github.com/pkg/errors"
@@ -73,10 +74,17 @@
 	is.NoErr(ctx.Err())
 }
 
-func TestPq(t *testing.T) {
+func TestDatabaseSQL(t *testing.T) {
+	for _, driver := range []string{"postgres", "pgx"} {
+		t.Run(driver, func(t *testing.T) { useDatabaseSQL(t, driver) })
+	}
+}
+
+// useDatabaseSQL works through the pool of database/sql with lib/pq or pgx.
+func useDatabaseSQL(t *testing.T, driver string) {
 	is := is.New(t)
 	system := newSystem(t)
-	database, err := sql.Open("postgres", system.url("registrar"))
+	database, err := sql.Open(driver, system.url("registrar"))
 	is.NoErr(err)
 	defer func() { _ = database.Close() }()
 	database.SetMaxOpenConns(4)
