--- /dev/null
+++ b/internal/proof/apart/system_test.go
@@ -0,0 +1,177 @@
+package apart
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/matryer/is"
+
+	"almondway.dev/almondway/internal/stand/fleet"
+	"almondway.dev/almondway/internal/stand/procs"
+	"almondway.dev/almondway/internal/stand/topol"
+)
+
+const (
+	testLimit = 60 * time.Second
+	retryWait = 20 * time.Millisecond
+	group     = "katalog-1"
+	// deploymentFile has a weight to change.
+	deploymentFile = `
+name: gradski
+groups: [katalog-1]
+weight: %d
+default_kind: seat_count
+kinds:
+  - {name: seat_count, access: read, timeout: 5s}
+  - {name: enrol, access: write, timeout: 5s}
+callers:
+  - {name: registrar, read_your_writes: true}
+`
+)
+
+var programs string
+
+func TestMain(m *testing.M) { os.Exit(runTests(m)) }
+
+// runTests builds the programs that the tests start.
+func runTests(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "almondway-programs-")
+	if err != nil {
+		panic(err)
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	build := exec.Command("go", "build", "-o", dir, "./cmd/almondway", "./cmd/standin")
+	build.Dir = "../../.."
+	if output, err := build.CombinedOutput(); err != nil {
+		panic(fmt.Sprintf("build: %s: %s", err, output))
+	}
+	programs = dir
+	return m.Run()
+}
+
+// system is one group of three instances with proxies.
+type system struct {
+	*fleet.Fleet
+	t   *testing.T
+	is  *is.I
+	ctx context.Context
+}
+
+func newSystem(t *testing.T, proxies int) *system {
+	t.Helper()
+	is := is.New(t)
+	ctx, cancel := context.WithTimeout(t.Context(), testLimit)
+	t.Cleanup(cancel)
+	ports := procs.NewPorts()
+	topology := topol.Zagreb().Spec(ports)
+	topology.Groups = topology.Groups[:1]
+	started, err := fleet.New(fleet.Spec{Dir: t.TempDir(), Programs: programs, Topology: topology, Ports: ports})
+	is.NoErr(err)
+	t.Cleanup(started.Stop)
+	system := &system{Fleet: started, t: t, is: is, ctx: ctx}
+	is.NoErr(started.StartBackend(ctx))
+	for place := range proxies {
+		_, err := started.StartProxy(topol.Zagreb().DataCenters()[place%3])
+		is.NoErr(err)
+	}
+	for _, proxy := range started.Proxies() {
+		is.NoErr(started.AwaitProxy(ctx, proxy))
+	}
+	is.NoErr(started.Apply(ctx, system.file(1), "gradski"))
+	return system
+}
+
+// file writes a deployment file with a weight.
+func (system *system) file(weight int) string {
+	path := filepath.Join(system.t.TempDir(), fmt.Sprintf("gradski-%d.yaml", weight))
+	system.is.NoErr(os.WriteFile(path, []byte(fmt.Sprintf(deploymentFile, weight)), 0o600))
+	return path
+}
+
+func (system *system) connect(proxy *fleet.Proxy) *pgconn.PgConn {
+	system.t.Helper()
+	conn, err := system.dial(proxy)
+	system.is.NoErr(err)
+	system.t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		_ = conn.Close(ctx)
+	})
+	return conn
+}
+
+func (system *system) dial(proxy *fleet.Proxy) (*pgconn.PgConn, error) {
+	return pgconn.Connect(system.ctx, "postgres://registrar@"+proxy.Address()+"/gradski?sslmode=disable")
+}
+
+func newID() string { return uuid.Must(uuid.NewV7()).String() }
+
+func enrol(id, sql string) string {
+	return fmt.Sprintf("/*kind='enrol',group='%s',request_id='%s'*/ %s", group, id, sql)
+}
+
+func setTo(key, value string) string {
+	return fmt.Sprintf("INSERT INTO kv(key,value) VALUES ('%s','%s') ON CONFLICT (key) DO UPDATE SET value=EXCLUDED.value", key, value)
+}
+
+func addSeat() string {
+	return "UPDATE kv SET value = value + 1 WHERE key = 'seats'"
+}
+
+// exec runs statements on a connection of its own.
+func (system *system) exec(proxy *fleet.Proxy, sql string) error {
+	conn, err := system.dial(proxy)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = conn.Close(system.ctx) }()
+	_, err = conn.Exec(system.ctx, sql).ReadAll()
+	return err
+}
+
+// persist repeats a request under its id until it is done.
+func (system *system) persist(proxy *fleet.Proxy, sql string) {
+	system.t.Helper()
+	for {
+		err := system.exec(proxy, sql)
+		if err == nil {
+			return
+		}
+		select {
+		case <-system.ctx.Done():
+			system.is.NoErr(err)
+		case <-time.After(retryWait):
+		}
+	}
+}
+
+// value reads a key with a fresh read, or returns the empty text for none.
+func (system *system) value(proxy *fleet.Proxy, key string) string {
+	system.t.Helper()
+	for {
+		conn, err := system.dial(proxy)
+		if err == nil {
+			var results []*pgconn.Result
+			results, err = conn.Exec(system.ctx, fmt.Sprintf("/*kind='seat_count',group='%s'*/ SELECT value FROM kv WHERE key = '%s'", group, key)).ReadAll()
+			_ = conn.Close(system.ctx)
+			if err == nil && len(results[0].Rows) == 0 {
+				return ""
+			}
+			if err == nil {
+				return string(results[0].Rows[0][0])
+			}
+		}
+		select {
+		case <-system.ctx.Done():
+			system.is.NoErr(err)
+		case <-time.After(retryWait):
+		}
+	}
+}
