--- a/Makefile
+++ b/Makefile
@@ -66,7 +66,7 @@
 lint: $(BIN)/golangci-lint $(BIN)/gofumpt
 	@unformatted=$$($(BIN)/gofumpt -l cmd internal); \
 	if [ -n "$$unformatted" ]; then echo "not formatted: $$unformatted"; exit 1; fi
-	$(BIN)/golangci-lint run $(PACKAGES)
+	$(BIN)/golangci-lint run --allow-parallel-runners $(PACKAGES)
 
 generate: $(BIN)/buf $(BIN)/protoc-gen-go $(BIN)/protoc-gen-connect-go
 	PATH=$(BIN):$$PATH $(BIN)/buf lint
