--- a/internal/stand/meas/run.go
+++ b/internal/stand/meas/run.go
@@ -2,14 +2,12 @@
 
 import (
 	"context"
-	"fmt"
 	"os"
 	"path/filepath"
 	"strconv"
 	"sync"
 	"time"
 
-	"github.com/jackc/pgx/v5/pgconn"
 	"github.com/pkg/errors"
 
 	"almondway.dev/almondway/internal/stand/fleet"
@@ -20,7 +18,6 @@
 const (
 	proxyCount = 6
 	warmUp     = time.Second
-	auditLimit = 10 * time.Second
 )
 
 // run is one scenario of one deployment with one policy.
@@ -189,61 +186,6 @@
 	return groups
 }
 
-// seed writes the keys straight to the first primaries.
-func (run *run) seed(ctx context.Context) error {
-	for _, group := range run.fleet.Topology().Groups {
-		conn, err := direct(ctx, group.Primary().Address)
-		if err != nil {
-			return err
-		}
-		sql := "BEGIN"
-		for number := range keysPerGroup {
-			sql += fmt.Sprintf("; INSERT INTO kv (key, value) VALUES ('%s', '0')", load.KeyName(group.ID, number))
-		}
-		_, err = conn.Exec(ctx, sql+"; COMMIT").ReadAll()
-		_ = conn.Close(ctx)
-		if err != nil {
-			return errors.Wrapf(err, "write the keys of group %s", group.ID)
-		}
-	}
-	return nil
-}
-
-// final reads the values of all keys straight from the primaries.
-func (run *run) final(ctx context.Context) (map[string]int, error) {
-	ctx, cancel := context.WithTimeout(ctx, auditLimit)
-	defer cancel()
-	values := make(map[string]int)
-	for _, group := range run.groups() {
-		primary, err := run.fleet.Primary(ctx, group)
-		if err != nil {
-			return nil, err
-		}
-		conn, err := direct(ctx, primary.Address)
-		if err != nil {
-			return nil, err
-		}
-		results, err := conn.Exec(ctx, "SELECT key, value FROM kv WHERE key LIKE '%'").ReadAll()
-		_ = conn.Close(ctx)
-		if err != nil {
-			return nil, errors.Wrapf(err, "read the keys of group %s", group)
-		}
-		for _, row := range results[0].Rows {
-			value, err := strconv.Atoi(string(row[1]))
-			if err != nil {
-				return nil, errors.Wrapf(err, "parse the value of key %s", row[0])
-			}
-			values[string(row[0])] = value
-		}
-	}
-	return values, nil
-}
-
-func direct(ctx context.Context, address string) (*pgconn.PgConn, error) {
-	conn, err := pgconn.Connect(ctx, "postgres://measure@"+address+"/kv?sslmode=disable")
-	return conn, errors.Wrapf(err, "connect to %s", address)
-}
-
 func (run *run) report(ctx context.Context, taken time.Duration) (report, error) {
 	made := report{
 		Deployment:          run.profile.deployment,
