--- a/internal/core/event/internal.go
+++ b/internal/core/event/internal.go
@@ -1,9 +1,6 @@
 package event
 
 import (
-	"time"
-
-	"almondway.dev/almondway/internal/core/codes"
 	"almondway.dev/almondway/internal/core/model"
 )
 
@@ -86,49 +83,3 @@
 func NewDrainStarted() DrainStarted { return DrainStarted{} }
 
 func (DrainStarted) isEvent() {}
-
-// ConnGranted tells the plug-in that asked for a connection that it may use one. It answers conns.Acquire.
-type ConnGranted struct {
-	ticket   uint64
-	conn     model.ConnID
-	instance model.InstanceID
-}
-
-// NewConnGranted returns a ConnGranted.
-func NewConnGranted(ticket uint64, conn model.ConnID, instance model.InstanceID) ConnGranted {
-	return ConnGranted{ticket: ticket, conn: conn, instance: instance}
-}
-
-// Ticket returns the number that Acquire returned.
-func (connGranted ConnGranted) Ticket() uint64 { return connGranted.ticket }
-
-// Conn returns the connection.
-func (connGranted ConnGranted) Conn() model.ConnID { return connGranted.conn }
-
-// Instance returns the instance of the connection.
-func (connGranted ConnGranted) Instance() model.InstanceID { return connGranted.instance }
-
-func (ConnGranted) isEvent() {}
-
-// ConnDenied tells the plug-in that asked for a connection that it gets none. It answers conns.Acquire.
-type ConnDenied struct {
-	ticket     uint64
-	code       codes.Code
-	retryAfter time.Duration
-}
-
-// NewConnDenied returns a ConnDenied.
-func NewConnDenied(ticket uint64, code codes.Code, retryAfter time.Duration) ConnDenied {
-	return ConnDenied{ticket: ticket, code: code, retryAfter: retryAfter}
-}
-
-// Ticket returns the number that Acquire returned.
-func (connDenied ConnDenied) Ticket() uint64 { return connDenied.ticket }
-
-// Code returns why.
-func (connDenied ConnDenied) Code() codes.Code { return connDenied.code }
-
-// RetryAfter returns when to come back.
-func (connDenied ConnDenied) RetryAfter() time.Duration { return connDenied.retryAfter }
-
-func (ConnDenied) isEvent() {}
--- a/internal/plug/conns/conns_test.go
+++ b/internal/plug/conns/conns_test.go
@@ -297,3 +297,18 @@
 	is.Equal(asked.lost, 1)
 	is.True(!bench.pools.Resume(asked.conn, asked))
 }
+
+func TestInstanceIsListedNoMore(t *testing.T) {
+	is := is.New(t)
+	bench := newBench(1)
+	asked := bench.acquire()
+	bench.open()
+	bench.kernel.State().SetGroups(nil)
+	bench.tick(2 * time.Second)
+	is.Equal(len(bench.pools.conns), 1) // the one in use
+	bench.release(asked.conn, false)
+	bench.tick(2 * time.Second)
+	is.Equal(len(bench.pools.conns), 0)
+	is.Equal(len(bench.pools.pools), 0)
+	is.Equal(bench.acquire().code, unreachable)
+}
--- a/internal/plug/conns/upkeep.go
+++ b/internal/plug/conns/upkeep.go
@@ -1,10 +1,18 @@
 package conns
 
 import (
+	"maps"
+	"math"
+	"slices"
+	"time"
+
 	"almondway.dev/almondway/internal/core/event"
 	"almondway.dev/almondway/internal/core/model"
 )
 
+// forever holds the openings of an instance that is listed no more back.
+const forever = time.Duration(math.MaxInt64)
+
 // maintain keeps the warm reserve of every listed instance and closes
 // connections that are beyond this proxy's share or were idle for long.
 func (pools *Pools) maintain() {
@@ -12,12 +20,36 @@
 		for _, member := range group.Members() {
 			pool := pools.pool(member.ID())
 			pool.instance = member.Instance()
+			if pool.blocked == forever {
+				pool.blocked = 0
+			}
 			pool.shrink()
 			if !member.Leaving() && member.Heard() && member.Failures() == 0 {
 				pool.fill()
 			}
 		}
 	}
+	pools.forget()
+}
+
+// forget closes the idle connections to instances that are listed no more.
+func (pools *Pools) forget() {
+	for _, id := range slices.Sorted(maps.Keys(pools.pools)) {
+		if pools.context.State().GroupOf(id) != nil {
+			continue
+		}
+		pool := pools.pools[id]
+		pool.blocked = forever
+		for len(pool.idle) > 0 {
+			idle := pool.idle[0]
+			pools.context.Emit(event.NewCloseConn(idle.id))
+			pools.drop(idle)
+		}
+		if pool.total == 0 {
+			pools.context.Timers().Cancel(pool.retry)
+			delete(pools.pools, id)
+		}
+	}
 }
 
 // observed tries again to connect to instances of a group that are back.
