--- a/internal/edge/back/reader.go
+++ b/internal/edge/back/reader.go
@@ -121,6 +121,7 @@
 	if err != nil {
 		return err
 	}
+	// An instance that has lost its log reports the start of it, which marks no answer.
 	reader.mark, reader.marked = mark, !mark.IsZero()
 	return nil
 }
