reads: no read index for waiting reads that accept staleness

Cause: every report computed a read index for each read of the group that waited for a connection or an answer; in a surge of browsing that is work for hundreds of reads three times a millisecond, which seldom need it.

Change: only fresh reads keep the index while they wait; the others take it when their answer is judged.

Run: go test ./internal/plug/reads ./internal/proof/fuzz ./internal/proof/whole; make lint. What it saves was not measured.

--- a/internal/plug/reads/prove.go
+++ b/internal/plug/reads/prove.go
@@ -19,14 +19,22 @@
 		read.judge.Observe(view)
 		read.catchUp(view)
 	case readAcquiring:
-		read.judge.Observe(view)
+		read.keepIndex(view)
 	case readExecuting:
-		read.judge.Observe(view)
+		read.keepIndex(view)
 		read.watch(view)
 	case readEnded:
 	}
 }
 
+// keepIndex keeps the lowest read index since the arrival while the read waits for
+// its answer. One that accepts staleness seldom needs it.
+func (read *read) keepIndex(view *state.Group) {
+	if read.job.Fresh() {
+		read.judge.Observe(view)
+	}
+}
+
 // watch runs the read elsewhere when its instance stays silent for a probe
 // interval; right after a pause of this proxy every instance seems silent. A
 // further statement of a transaction cannot move and waits.
