failov: replicas corroborate with the whole silence limit

Change: a replica counts as deaf from the silence limit of 560 ms on.

Ruled out: a longer silence limit, which widens every gap.

Run: go test ./internal/plug/failov; the new trace fails with the old threshold.

--- a/internal/plug/failov/detect.go
+++ b/internal/plug/failov/detect.go
@@ -88,7 +88,7 @@
 	switch {
 	case gone && failover.corroborated(watch, primary, deafProbes*interval):
 		return lossGone
-	case silence >= limit && failover.corroborated(watch, primary, limit-interval):
+	case silence >= limit && failover.corroborated(watch, primary, limit):
 		return lossSilent
 	case failover.deserted(watch, primary, limit):
 		return lossDeserted
--- a/internal/plug/failov/failov_test.go
+++ b/internal/plug/failov/failov_test.go
@@ -111,6 +111,21 @@
 				}
 			},
 		},
+		{
+			name: "a pause of 530 ms, while the proxies hear nothing for longer",
+			harm: func(rig *rig) {
+				for _, proxy := range rig.proxies {
+					rig.cut("a", string(proxy.id), true)
+				}
+				rig.run(50 * time.Millisecond)
+				rig.instance("a").frozen = true
+				rig.run(530 * time.Millisecond)
+				rig.instance("a").thaw()
+				for _, proxy := range rig.proxies {
+					rig.cut("a", string(proxy.id), false)
+				}
+			},
+		},
 		{
 			name: "the proxies do not hear the primary, a replica does",
 			harm: func(rig *rig) {
