probe: an answer that never comes counts as a failure

A probe whose answer an adapter lost for good ended the probing of its instance, since one probe is outstanding at a time. After twice the probe timeout it now counts as failed. The answer to an order proves nothing either of an instance that lost its log.

--- a/internal/core/state/group.go
+++ b/internal/core/state/group.go
@@ -90,7 +90,7 @@
 // ObserveWrite records that the primary of a term answered a write that it
 // committed at mark in that term.
 func (group *Group) ObserveWrite(instance model.InstanceID, mark model.Mark) {
-	if member := group.Member(instance); member != nil {
+	if member := group.Member(instance); member != nil && !member.Recovering() {
 		member.prove(mark)
 	}
 }
--- a/internal/plug/probe/probe.go
+++ b/internal/plug/probe/probe.go
@@ -99,6 +99,9 @@
 	for _, view := range prober.context.State().Groups() {
 		for _, member := range view.Members() {
 			target := prober.target(view, member)
+			if target.probe != 0 && now-target.sentAt >= prober.lostAfter() {
+				prober.failed(event.NewStatusFailed(target.probe, member.ID(), model.FailTimeout))
+			}
 			if target.probe == 0 && (!target.sent || now-target.sentAt >= interval) {
 				prober.send(target)
 			}
@@ -107,6 +110,9 @@
 	prober.forget()
 }
 
+// lostAfter returns when a probe counts as failed although no answer says so.
+func (prober *Prober) lostAfter() time.Duration { return 2 * prober.context.Settings().ProbeTimeout() }
+
 func (prober *Prober) forget() {
 	for id, target := range prober.targets {
 		if prober.context.State().GroupOf(id) == nil {
--- a/internal/plug/probe/probe_test.go
+++ b/internal/plug/probe/probe_test.go
@@ -113,6 +113,17 @@
 	is.Equal(bench.view().Member(instance).Failures(), 0)
 }
 
+func TestAnswerThatNeverComes(t *testing.T) {
+	is := is.New(t)
+	bench := newBench()
+	bench.tick(50 * time.Millisecond)
+	bench.tick(tune.Default().ProbeTimeout)
+	is.Equal(len(bench.probes), 1)
+	bench.tick(tune.Default().ProbeTimeout)
+	is.Equal(bench.view().Member(instance).Failures(), 1)
+	is.Equal(len(bench.probes), 2) // probing goes on
+}
+
 func TestSpacing(t *testing.T) {
 	is := is.New(t)
 	bench := newBench()
