--- a/internal/plug/deploy/fuzz_test.go
+++ b/internal/plug/deploy/fuzz_test.go
@@ -1,9 +1,7 @@
 package deploy_test
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"testing"
 	"time"
 
@@ -12,22 +10,12 @@
 	"almondway.dev/almondway/internal/core/event"
 	"almondway.dev/almondway/internal/core/model"
 	"almondway.dev/almondway/internal/core/tune"
+	"almondway.dev/almondway/internal/proof/seeds"
 )
 
-// TestMain fixes the seed of the random histories unless the command line gives one.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	given := make(map[string]bool)
-	flag.Visit(func(option *flag.Flag) { given[option.Name] = true })
-	for name, value := range map[string]string{"rapid.seed": "20261203", "rapid.checks": "100", "rapid.nofailfile": "true"} {
-		if !given[name] {
-			if err := flag.Set(name, value); err != nil {
-				panic(err)
-			}
-		}
-	}
-	os.Exit(m.Run())
-}
+const randomHistories = 100
+
+func TestMain(m *testing.M) { seeds.Main(m, randomHistories, 0) }
 
 // history makes random changes and faults and knows what was reported as accepted.
 type history struct {
--- a/internal/plug/failov/fuzz_test.go
+++ b/internal/plug/failov/fuzz_test.go
@@ -1,8 +1,6 @@
 package failov_test
 
 import (
-	"flag"
-	"os"
 	"slices"
 	"testing"
 	"time"
@@ -11,22 +9,12 @@
 
 	"almondway.dev/almondway/internal/core/event"
 	"almondway.dev/almondway/internal/core/model"
+	"almondway.dev/almondway/internal/proof/seeds"
 )
 
-// TestMain fixes the seed of the random histories unless the command line gives one.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	given := make(map[string]bool)
-	flag.Visit(func(option *flag.Flag) { given[option.Name] = true })
-	for name, value := range map[string]string{"rapid.seed": "20261203", "rapid.checks": "250", "rapid.nofailfile": "true"} {
-		if !given[name] {
-			if err := flag.Set(name, value); err != nil {
-				panic(err)
-			}
-		}
-	}
-	os.Exit(m.Run())
-}
+const randomHistories = 250
+
+func TestMain(m *testing.M) { seeds.Main(m, randomHistories, 0) }
 
 // history makes random faults and knows which entries were acknowledged: those
 // that a majority held while it was fenced with their term.
--- a/internal/proof/fuzz/fuzz_test.go
+++ b/internal/proof/fuzz/fuzz_test.go
@@ -1,42 +1,25 @@
 package fuzz
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
 
 	"almondway.dev/almondway/internal/core/model"
+	"almondway.dev/almondway/internal/proof/seeds"
 )
 
 const (
-	fixedSeed   = "20261203"
-	fixedChecks = "25"
-	fixedSteps  = "60"
+	fixedChecks = 25
+	fixedSteps  = 60
 	maxCallers  = 6
 	maxNodes    = 6
 	maxStep     = 20 * time.Millisecond
 )
 
-// TestMain fixes the seed and the number of histories unless the command line gives them.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	given := make(map[string]bool)
-	flag.Visit(func(option *flag.Flag) { given[option.Name] = true })
-	for name, value := range map[string]string{"rapid.seed": fixedSeed, "rapid.checks": fixedChecks, "rapid.steps": fixedSteps, "rapid.nofailfile": "true"} {
-		if given[name] {
-			continue
-		}
-		if err := flag.Set(name, value); err != nil {
-			fmt.Fprintln(os.Stderr, err)
-			os.Exit(1)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { seeds.Main(m, fixedChecks, fixedSteps) }
 
 // TestFuzz drives random callers, operators and faults and checks the oracle after every step.
 func TestFuzz(t *testing.T) {
--- /dev/null
+++ b/internal/proof/seeds/seeds.go
@@ -0,0 +1,42 @@
+// Package seeds fixes the seed of the random tests, so that each run of the
+// tests has the same verdict.
+package seeds
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"strconv"
+	"testing"
+)
+
+const (
+	seed          = 20261203
+	defaultChecks = 100
+	defaultSteps  = 30
+)
+
+// Main runs the tests of a package that uses rapid. checks is the number of
+// cases and steps the mean number of actions in each; 0 selects the defaults.
+// Flags of the command line go before all of these.
+func Main(m *testing.M, checks, steps int) {
+	if checks == 0 {
+		checks = defaultChecks
+	}
+	if steps == 0 {
+		steps = defaultSteps
+	}
+	set("rapid.seed", strconv.Itoa(seed))
+	set("rapid.checks", strconv.Itoa(checks))
+	set("rapid.steps", strconv.Itoa(steps))
+	set("rapid.nofailfile", "true")
+	flag.Parse()
+	os.Exit(m.Run())
+}
+
+func set(name, value string) {
+	if err := flag.Set(name, value); err != nil {
+		fmt.Fprintf(os.Stderr, "set flag %s: %v\n", name, err)
+		os.Exit(1)
+	}
+}
