tune: probes 100 µs apart at the least

Cause: a fresh read waits for a probe that is sent after its arrival, and a write for the report of a replica; with 1 ms between probes a caller that sends one statement after the other on a fast network waited out most of that time.

One probe of an instance is outstanding at a time, so with the users' delays of 0.5 and 1 ms one way the spacing is never reached and nothing changes.

--- a/internal/core/tune/tune.go
+++ b/internal/core/tune/tune.go
@@ -29,7 +29,7 @@
 
 const (
 	defaultProbeInterval     = 50 * time.Millisecond
-	defaultProbeSpacing      = time.Millisecond
+	defaultProbeSpacing      = 100 * time.Microsecond
 	defaultProbeTimeout      = 800 * time.Millisecond
 	defaultSilenceLimit      = 560 * time.Millisecond
 	defaultPromotionStagger  = 60 * time.Millisecond
