state: an instance that caught up counts although the others are gone

Cause: an instance that came back empty counted again only once it covered the newest read index of the others, taken anew at each report. When the new primary was lost right after the instance had caught up, a proxy had either no report of that primary since the loss, and never got one, or an index that still rose; the instance then never counted, and no majority could be fenced.

Change: the lowest read index since the loss is kept, since any one taken after it covers what was acknowledged before it; a log that falls once more starts again. The probe asks all instances at once when it sees such an instance.

Ruled out: the instance's own refusal of fences, which had ended by then.

--- a/internal/core/state/group.go
+++ b/internal/core/state/group.go
@@ -64,7 +64,8 @@
 	member.sentAt = sentAt
 	member.heard = true
 	member.failures = 0
-	group.recover(member)
+	member.recovery.note(status.Tail(), sentAt)
+	group.recover()
 	if status.InTerm(status.Fence()) && !member.Recovering() {
 		member.prove(status.Tail())
 	}
--- a/internal/plug/probe/probe.go
+++ b/internal/plug/probe/probe.go
@@ -184,6 +184,9 @@
 	if view.Observe(report.Instance(), report.Status(), target.sentAt) {
 		prober.context.Publish(event.NewTermChanged(view.ID(), view.Term(), view.Primary().ID()))
 	}
+	if began, lacks := view.Member(report.Instance()).LacksIndex(); lacks {
+		prober.Demand(view.ID(), prober.context.Now(), began)
+	}
 	prober.context.Publish(event.NewGroupObserved(view.ID()))
 	prober.pursue(target)
 }
