--- a/cmd/almondway/main.go
+++ b/cmd/almondway/main.go
@@ -4,9 +4,9 @@
 import (
 	"os"
 
-	"almondway.dev/almondway/internal/app/cli"
+	"almondway.dev/almondway/internal/app/cmds"
 )
 
 func main() {
-	os.Exit(cli.Run(os.Args[1:], os.Stdout, os.Stderr))
+	os.Exit(cmds.Run(os.Args[1:], os.Stdout, os.Stderr))
 }
--- a/internal/app/cli/cli_test.go
+++ b/internal/app/cmds/cmds_test.go
@@ -1,4 +1,4 @@
-package cli_test
+package cmds_test
 
 import (
 	"bytes"
@@ -15,7 +15,7 @@
 	"connectrpc.com/connect"
 	"github.com/matryer/is"
 
-	"almondway.dev/almondway/internal/app/cli"
+	"almondway.dev/almondway/internal/app/cmds"
 	"almondway.dev/almondway/internal/core/codes"
 	"almondway.dev/almondway/internal/core/event"
 	"almondway.dev/almondway/internal/core/model"
@@ -84,7 +84,7 @@
 
 func run(args ...string) result {
 	var output, faults bytes.Buffer
-	code := cli.Run(args, &output, &faults)
+	code := cmds.Run(args, &output, &faults)
 	return result{code: code, output: output.String(), faults: faults.String()}
 }
 
@@ -124,7 +124,7 @@
 	url := serve(t, kernel, openTokens(t))
 	done := run("deployment", "apply", example, "--admin", url, "--operator", "mira")
 	is.Equal(done.faults, "")
-	is.Equal(done.code, cli.ExitOK)
+	is.Equal(done.code, cmds.ExitOK)
 	is.True(strings.Contains(done.output, "+ kinds.seat_count: read fresh timeout=3s\n"))
 	is.True(strings.Contains(done.output, "gradski: revision 1 accepted, in force on 3 of 3 proxies\n"))
 	is.Equal(len(kernel.asked), 2) // the lost answer was asked for again
@@ -144,7 +144,7 @@
 	}
 	url := serve(t, kernel, openTokens(t))
 	raced := run("deployment", "apply", example, "--admin", url, "--expected-revision", "7")
-	is.Equal(raced.code, cli.ExitConflict)
+	is.Equal(raced.code, cmds.ExitConflict)
 	is.Equal(kernel.asked[0].Expected(), uint64(7))
 	is.True(strings.Contains(raced.faults, "AW401 revision_conflict: revision 8 is in force"))
 	is.True(strings.Contains(raced.faults, `revision 8 by "ivo" at 1970-01-01T00:00:01Z, change id c-8`))
@@ -156,7 +156,7 @@
 	is := is.New(t)
 	kernel := &kernel{applies: []event.Result{event.NewApplied(1, 1, 1)}}
 	url := serve(t, kernel, openTokens(t))
-	is.Equal(run("deployment", "apply", example, "--admin", url, "--change-id", "c-1").code, cli.ExitOK)
+	is.Equal(run("deployment", "apply", example, "--admin", url, "--change-id", "c-1").code, cmds.ExitOK)
 	deployed := kernel.asked[0].Deployment().WithRevision(1)
 	kernel.changes = []model.Change{model.NewChange(1, "gradski", "c-1", "mira", time.Unix(0, 0), false, deployed)}
 	kernel.shared.SetDeployments(1, []*model.Deployment{deployed})
@@ -171,8 +171,8 @@
 	is := is.New(t)
 	kernel := &kernel{}
 	url := serve(t, kernel, openTokens(t))
-	is.Equal(run("deployment", "diff", example, "--admin", url).code, cli.ExitDiffers)
-	is.Equal(run("deployment", "get", "gradski", "--admin", url).code, cli.ExitNotFound)
+	is.Equal(run("deployment", "diff", example, "--admin", url).code, cmds.ExitDiffers)
+	is.Equal(run("deployment", "get", "gradski", "--admin", url).code, cmds.ExitNotFound)
 
 	deployed := model.NewDeployment(model.DeploymentSpec{
 		Name: "gradski", Revision: 4, Groups: []model.GroupID{"katalog-1"},
@@ -181,7 +181,7 @@
 	})
 	kernel.shared.SetDeployments(4, []*model.Deployment{deployed})
 	got := run("deployment", "get", "gradski", "--admin", url, "--output", "json")
-	is.Equal(got.code, cli.ExitOK)
+	is.Equal(got.code, cmds.ExitOK)
 	path := filepath.Join(t.TempDir(), "again.json")
 	is.NoErr(os.WriteFile(path, []byte(got.output), 0o600))
 	same := run("deployment", "diff", path, "--admin", url) // what get prints is a deployment file
@@ -203,24 +203,24 @@
 		code  int
 		fault string
 	}{
-		{name: "unknown command", args: []string{"fly"}, code: cli.ExitUsage, fault: "unknown command"},
-		{name: "parent alone", args: []string{"group"}, code: cli.ExitUsage, fault: "needs a command"},
-		{name: "bad settings", args: []string{"proxy", "--listen", "x", "--max-callers", "0"}, code: cli.ExitUsage, fault: "AW502 setting_invalid"},
-		{name: "bad file", args: []string{"check", "../parse/parse.go"}, code: cli.ExitUsage, fault: "AW402 invalid_deployment"},
-		{name: "bad output", args: []string{"status", "--output", "xml"}, code: cli.ExitUsage, fault: "neither table nor json"},
-		{name: "no token", args: []string{"status", "--admin", url}, code: cli.ExitAccess, fault: "AW404 unauthenticated"},
-		{name: "token", args: []string{"status", "--admin", url, "--token-file", operators}, code: cli.ExitOK},
-		{name: "nobody there", args: []string{"status", "--admin", "http://127.0.0.1:1"}, code: cli.ExitUnavailable, fault: "refused"},
-		{name: "unknown group", args: []string{"group", "show", "x", "--admin", url, "--token-file", operators}, code: cli.ExitNotFound, fault: `no group "x"`},
-		{name: "switchover refused", args: []string{"group", "switchover", "katalog-1", "--admin", url, "--token-file", operators}, code: cli.ExitFailed, fault: "no replica is near"},
-		{name: "other proxy", args: []string{"drain", "proxy", "proxy-2", "--admin", url, "--token-file", operators}, code: cli.ExitUsage, fault: `this is "proxy-1"`},
-		{name: "drain", args: []string{"drain", "proxy", "proxy-1", "--admin", url, "--token-file", operators}, code: cli.ExitOK},
-		{name: "check", args: []string{"check", example}, code: cli.ExitOK},
-		{name: "settings", args: []string{"settings", "-o", "json", "--admin", url, "--token-file", operators}, code: cli.ExitOK},
-		{name: "nothing to change", args: []string{"logging", "--admin", url}, code: cli.ExitUsage, fault: "neither --level nor --sample"},
-		{name: "version", args: []string{"version"}, code: cli.ExitOK},
-		{name: "codes", args: []string{"codes", "-o", "json"}, code: cli.ExitOK},
-		{name: "completion", args: []string{"completion", "bash"}, code: cli.ExitOK},
+		{name: "unknown command", args: []string{"fly"}, code: cmds.ExitUsage, fault: "unknown command"},
+		{name: "parent alone", args: []string{"group"}, code: cmds.ExitUsage, fault: "needs a command"},
+		{name: "bad settings", args: []string{"proxy", "--listen", "x", "--max-callers", "0"}, code: cmds.ExitUsage, fault: "AW502 setting_invalid"},
+		{name: "bad file", args: []string{"check", "../parse/parse.go"}, code: cmds.ExitUsage, fault: "AW402 invalid_deployment"},
+		{name: "bad output", args: []string{"status", "--output", "xml"}, code: cmds.ExitUsage, fault: "neither table nor json"},
+		{name: "no token", args: []string{"status", "--admin", url}, code: cmds.ExitAccess, fault: "AW404 unauthenticated"},
+		{name: "token", args: []string{"status", "--admin", url, "--token-file", operators}, code: cmds.ExitOK},
+		{name: "nobody there", args: []string{"status", "--admin", "http://127.0.0.1:1"}, code: cmds.ExitUnavailable, fault: "refused"},
+		{name: "unknown group", args: []string{"group", "show", "x", "--admin", url, "--token-file", operators}, code: cmds.ExitNotFound, fault: `no group "x"`},
+		{name: "switchover refused", args: []string{"group", "switchover", "katalog-1", "--admin", url, "--token-file", operators}, code: cmds.ExitFailed, fault: "no replica is near"},
+		{name: "other proxy", args: []string{"drain", "proxy", "proxy-2", "--admin", url, "--token-file", operators}, code: cmds.ExitUsage, fault: `this is "proxy-1"`},
+		{name: "drain", args: []string{"drain", "proxy", "proxy-1", "--admin", url, "--token-file", operators}, code: cmds.ExitOK},
+		{name: "check", args: []string{"check", example}, code: cmds.ExitOK},
+		{name: "settings", args: []string{"settings", "-o", "json", "--admin", url, "--token-file", operators}, code: cmds.ExitOK},
+		{name: "nothing to change", args: []string{"logging", "--admin", url}, code: cmds.ExitUsage, fault: "neither --level nor --sample"},
+		{name: "version", args: []string{"version"}, code: cmds.ExitOK},
+		{name: "codes", args: []string{"codes", "-o", "json"}, code: cmds.ExitOK},
+		{name: "completion", args: []string{"completion", "bash"}, code: cmds.ExitOK},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -251,16 +251,16 @@
 	t.Cleanup(server.Close)
 	path := filepath.Join(t.TempDir(), "ca.pem")
 	is.NoErr(os.WriteFile(path, pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: server.Certificate().Raw}), 0o600))
-	is.Equal(run("status", "--admin", server.URL, "--ca-file", path).code, cli.ExitOK)
-	is.Equal(run("status", "--admin", server.URL).code, cli.ExitUnavailable) // the certificate is not trusted
-	is.Equal(run("status", "--admin", server.URL, "--ca-file", example).code, cli.ExitUsage)
+	is.Equal(run("status", "--admin", server.URL, "--ca-file", path).code, cmds.ExitOK)
+	is.Equal(run("status", "--admin", server.URL).code, cmds.ExitUnavailable) // the certificate is not trusted
+	is.Equal(run("status", "--admin", server.URL, "--ca-file", example).code, cmds.ExitUsage)
 }
 
 func TestSchemaKeepsDeployment(t *testing.T) {
 	is := is.New(t)
 	kernel := &kernel{applies: []event.Result{event.NewApplied(1, 1, 1)}}
 	url := serve(t, kernel, openTokens(t))
-	is.Equal(run("deployment", "apply", example, "--admin", url).code, cli.ExitOK)
+	is.Equal(run("deployment", "apply", example, "--admin", url).code, cmds.ExitOK)
 	sent := kernel.asked[0].Deployment()
 	again := schema.ToDeployment(schema.FromDeployment(sent))
 	is.Equal(again, sent)
--- a/internal/app/cli/diff.go
+++ b/internal/app/cmds/diff.go
@@ -1,4 +1,4 @@
-package cli
+package cmds
 
 import (
 	"fmt"
--- a/internal/app/cli/root.go
+++ b/internal/app/cmds/root.go
@@ -1,6 +1,6 @@
-// Package cli is the command line: the proxy process and the operator's client
+// Package cmds is the command line: the proxy process and the operator's client
 // of the administration API.
-package cli
+package cmds
 
 import (
 	"fmt"
--- a/internal/proof/pages/pages_test.go
+++ b/internal/proof/pages/pages_test.go
@@ -14,7 +14,7 @@
 
 	"github.com/matryer/is"
 
-	"almondway.dev/almondway/internal/app/cli"
+	"almondway.dev/almondway/internal/app/cmds"
 	"almondway.dev/almondway/internal/app/config"
 	"almondway.dev/almondway/internal/core/codes"
 	"almondway.dev/almondway/internal/core/count"
@@ -68,7 +68,7 @@
 func TestResultCodesPage(t *testing.T) {
 	is := is.New(t)
 	var output bytes.Buffer
-	is.Equal(cli.Run([]string{"codes", "--output", "markdown"}, &output, &output), cli.ExitOK)
+	is.Equal(cmds.Run([]string{"codes", "--output", "markdown"}, &output, &output), cmds.ExitOK)
 	page := read(t, codesPage)
 	index := strings.Index(page, "| Code |")
 	is.True(index > 0)
@@ -121,7 +121,7 @@
 				switch words[0] {
 				case "almondway":
 					var output bytes.Buffer
-					is.Equal(cli.Run(append(words[1:], "--help"), &output, &output), cli.ExitOK)
+					is.Equal(cmds.Run(append(words[1:], "--help"), &output, &output), cmds.ExitOK)
 					is.True(strings.Contains(output.String(), "\n  "+commandOf(words)))
 				case "standin":
 					output, err := exec.Command(program, append(words[1:], "--help")...).CombinedOutput()
--- a/internal/proof/whole/system_test.go
+++ b/internal/proof/whole/system_test.go
@@ -13,7 +13,7 @@
 
 	"github.com/matryer/is"
 
-	"almondway.dev/almondway/internal/app/cli"
+	"almondway.dev/almondway/internal/app/cmds"
 	"almondway.dev/almondway/internal/app/config"
 	"almondway.dev/almondway/internal/app/logs"
 	"almondway.dev/almondway/internal/app/serve"
@@ -123,7 +123,7 @@
 	is.NoErr(procs.Until(system.context(t), func() error {
 		return procs.Healthy(context.Background(), "http://"+system.admin+"/readyz")
 	}))
-	is.Equal(cli.Run([]string{"deployment", "apply", file, "--admin", "http://" + system.admin}, io.Discard, os.Stderr), 0)
+	is.Equal(cmds.Run([]string{"deployment", "apply", file, "--admin", "http://" + system.admin}, io.Discard, os.Stderr), 0)
 	is.NoErr(procs.Until(system.context(t), func() error {
 		return procs.Listening(context.Background(), system.listen)
 	}))
