--- a/internal/core/state/recover_test.go
+++ b/internal/core/state/recover_test.go
@@ -84,6 +84,35 @@
 			},
 			holds: true,
 		},
+		{
+			name: "the others moved on after an index was taken",
+			reports: []report{
+				{c, 1, replica, mark(1, 9)},
+				{c, 1, replica, mark(1, 2)},
+				{c, 1, replica, mark(1, 3)},
+				{a, 1, model.RolePrimary, mark(1, 9)},
+				{b, 1, replica, mark(1, 9)},
+				{a, 1, model.RolePrimary, mark(1, 12)},
+				{b, 1, replica, mark(1, 12)},
+				{c, 1, replica, mark(1, 9)},
+			},
+			holds: true,
+		},
+		{
+			name: "lost once more while it caught up",
+			reports: []report{
+				{c, 1, replica, mark(1, 9)},
+				{c, 1, replica, mark(1, 2)},
+				{c, 1, replica, mark(1, 3)},
+				{a, 1, model.RolePrimary, mark(1, 9)},
+				{b, 1, replica, mark(1, 9)},
+				{c, 0, replica, model.Mark{}},
+				{c, 1, replica, mark(1, 9)},
+				{c, 1, replica, mark(1, 10)},
+			},
+			recovering: true,
+		},
+		{name: "empty from the first report on", reports: []report{{c, 0, replica, model.Mark{}}}, recovering: true},
 		{
 			name: "still behind the others",
 			reports: []report{
