stand: ports that outgoing connections do not take

The ports of the stand-ins lay in the range of outgoing connections; one of those could take the port of an instance before it listened, and the instance ended right after the keys had been written to it. They stood on no majority yet, so the promotion that followed had to lose them, and increments of absent keys changed nothing.

Change: ports come from below that range, in a row from a random one, and a measurement waits until each replica has the keys before the proxies start.

--- a/internal/stand/meas/keys.go
+++ b/internal/stand/meas/keys.go
@@ -12,7 +12,10 @@
 	"almondway.dev/almondway/internal/stand/load"
 )
 
-const auditLimit = 10 * time.Second
+const (
+	auditLimit = 10 * time.Second
+	copyPoll   = 10 * time.Millisecond
+)
 
 // seed writes the keys straight to the first primaries.
 func (run *run) seed(ctx context.Context) error {
@@ -31,9 +34,44 @@
 			return errors.Wrapf(err, "write the keys of group %s", group.ID)
 		}
 	}
+	return run.awaitCopies(ctx)
+}
+
+// awaitCopies waits until every replica has copied the keys. What no majority
+// has is not acknowledged, so a promotion at the start might lose it.
+func (run *run) awaitCopies(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, auditLimit)
+	defer cancel()
+	for _, group := range run.fleet.Topology().Groups {
+		primary, err := run.fleet.State(ctx, group.Primary().ID)
+		if err != nil {
+			return err
+		}
+		for _, instance := range group.Instances {
+			if err := run.awaitTail(ctx, instance.ID, primary.GetTailPosition()); err != nil {
+				return err
+			}
+		}
+	}
 	return nil
 }
 
+func (run *run) awaitTail(ctx context.Context, id string, position uint64) error {
+	for {
+		state, err := run.fleet.State(ctx, id)
+		if err != nil {
+			return err
+		}
+		if state.GetTailPosition() >= position {
+			return nil
+		}
+		if ctx.Err() != nil {
+			return errors.Errorf("instance %s has position %d of %d of the keys", id, state.GetTailPosition(), position)
+		}
+		sleep(ctx, copyPoll)
+	}
+}
+
 // final reads the values of all keys straight from the primaries.
 func (run *run) final(ctx context.Context) (map[string]int, error) {
 	ctx, cancel := context.WithTimeout(ctx, auditLimit)
--- a/internal/stand/procs/ports.go
+++ b/internal/stand/procs/ports.go
@@ -2,37 +2,48 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 
 	"github.com/pkg/errors"
 )
 
-// Ports gives out free ports of the loopback address, each once.
+const (
+	firstPort = 10000
+	lastPort  = 32000
+)
+
+// Ports gives out free ports of the loopback address, each once, in ascending
+// order from a random one, so that several systems seldom meet.
 type Ports struct {
-	mu    sync.Mutex
-	given map[int]bool
+	mu   sync.Mutex
+	next int
 }
 
 // NewPorts returns a Ports.
-func NewPorts() *Ports { return &Ports{given: make(map[int]bool)} }
+func NewPorts() *Ports { return &Ports{next: firstPort + rand.IntN(lastPort-firstPort)} }
 
-// Port returns a port that is free and was not given out before.
+// Port returns a port that is free and was not given out before. It lies below
+// the ports that the system gives to outgoing connections: one of those could
+// take the port before the process that it was meant for listens.
 func (ports *Ports) Port() int {
 	ports.mu.Lock()
 	defer ports.mu.Unlock()
 	for {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		port := ports.next
+		ports.next++
+		if ports.next == lastPort {
+			ports.next = firstPort
+		}
+		listener, err := net.Listen("tcp", net.JoinHostPort("127.0.0.1", strconv.Itoa(port)))
 		if err != nil {
 			continue
 		}
-		port := listener.Addr().(*net.TCPAddr).Port
 		_ = listener.Close()
-		if !ports.given[port] {
-			ports.given[port] = true
-			return port
-		}
+		return port
 	}
 }
 
