member: an answer to a heartbeat is not answered

Cause: a proxy names the others to one that cannot confirm its revision; two such proxies answered each other's answers without end.

Left: a table case of its own.

--- a/internal/plug/member/heartbeat.go
+++ b/internal/plug/member/heartbeat.go
@@ -58,9 +58,10 @@
 }
 
 // introduces reports whether the sender may lack the other proxies, because the
-// first message got lost, and this proxy is one of those that name them again.
+// first message got lost, and this proxy is one of those that name them again. A
+// heartbeat that names proxies is such an answer itself and gets none.
 func (peers *peers) introduces(heartbeat event.Heartbeat) bool {
-	if heartbeat.Confirmed() {
+	if heartbeat.Confirmed() || len(heartbeat.Known()) > 0 {
 		return false
 	}
 	state := peers.context.State()
