--- a/cmd/almondway/main.go
+++ b/cmd/almondway/main.go
@@ -5,8 +5,9 @@
 	"os"
 
 	"almondway.dev/almondway/internal/app/cmds"
+	"almondway.dev/almondway/platform"
 )
 
 func main() {
-	os.Exit(cmds.Run(os.Args[1:], os.Stdout, os.Stderr))
+	os.Exit(cmds.Run(os.Args[1:], os.Stdout, os.Stderr, platform.NewCommand(cmds.Version())))
 }
--- a/internal/app/cmds/proxy.go
+++ b/internal/app/cmds/proxy.go
@@ -48,7 +48,7 @@
 	signals := make(chan os.Signal, signalBuffer)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	defer signal.Stop(signals)
-	proxy, err := serve.New(settings, log, version())
+	proxy, err := serve.New(settings, log, Version())
 	if err != nil {
 		return failure(err)
 	}
--- a/internal/app/cmds/root.go
+++ b/internal/app/cmds/root.go
@@ -11,8 +11,10 @@
 )
 
 // Run runs the command line with the given arguments and returns its exit code.
-func Run(args []string, output, faults io.Writer) int {
+// extras are commands that the program adds to those of this package.
+func Run(args []string, output, faults io.Writer, extras ...*cobra.Command) int {
 	root := newRoot()
+	root.AddCommand(extras...)
 	root.SetArgs(args)
 	root.SetOut(output)
 	root.SetErr(faults)
--- a/internal/app/cmds/version.go
+++ b/internal/app/cmds/version.go
@@ -14,14 +14,14 @@
 		Short: "Print the version",
 		Args:  cobra.NoArgs,
 		RunE: func(command *cobra.Command, _ []string) error {
-			_, err := fmt.Fprintf(command.OutOrStdout(), "almondway %s %s\n", version(), runtime.Version())
+			_, err := fmt.Fprintf(command.OutOrStdout(), "almondway %s %s\n", Version(), runtime.Version())
 			return err
 		},
 	}
 }
 
-// version returns the module's version, or the revision of the source.
-func version() string {
+// Version returns the module's version, or the revision of the source.
+func Version() string {
 	info, ok := debug.ReadBuildInfo()
 	if !ok {
 		return "unknown"
--- a/internal/app/daemon/daemon.go
+++ b/internal/app/daemon/daemon.go
@@ -23,6 +23,7 @@
 	Callers   port.Callers
 	Backend   port.Backend
 	Platform  port.Platform
+	Promoter  port.Promoter
 	Peers     port.Peers
 	Operators port.Operators
 	Journal   port.Journal
@@ -32,18 +33,18 @@
 // Loop feeds a kernel with events and timers.
 type Loop struct {
 	kernel *kern.Kernel
-	start  time.Time
+	now    func() time.Duration
 	inbox  chan event.Event
 	looks  chan func(shared *state.State)
 	ports  Ports
 }
 
-// New returns a Loop for the kernel, whose clock stood at zero at start. The
-// ports are set with Connect before Run.
-func New(kernel *kern.Kernel, start time.Time) *Loop {
+// New returns a Loop for the kernel, whose clock is now. The ports are set with
+// Connect before Run.
+func New(kernel *kern.Kernel, now func() time.Duration) *Loop {
 	return &Loop{
 		kernel: kernel,
-		start:  start,
+		now:    now,
 		inbox:  make(chan event.Event, inboxSize),
 		looks:  make(chan func(shared *state.State)),
 	}
@@ -81,11 +82,11 @@
 		case <-ctx.Done():
 			return
 		case received := <-loop.inbox:
-			loop.carryOut(loop.kernel.Handle(time.Since(loop.start), received))
+			loop.carryOut(loop.kernel.Handle(loop.now(), received))
 		case look := <-loop.looks:
 			look(loop.kernel.State())
 		case <-wake.C:
-			loop.carryOut(loop.kernel.Tick(time.Since(loop.start)))
+			loop.carryOut(loop.kernel.Tick(loop.now()))
 		}
 		wake.Reset(loop.untilNext())
 	}
@@ -96,7 +97,7 @@
 	if !ok {
 		return idleWait
 	}
-	return max(0, next-time.Since(loop.start))
+	return max(0, next-loop.now())
 }
 
 func (loop *Loop) carryOut(actions []event.Action) {
@@ -138,6 +139,8 @@
 		ports.Platform.ListGroups(action)
 	case event.ListHosts:
 		ports.Platform.ListHosts(action)
+	case event.PromoteInstance:
+		ports.Promoter.Promote(action)
 	case event.SendPeer:
 		ports.Peers.Send(action)
 	case event.AnswerOperator:
--- /dev/null
+++ b/internal/app/hosted/hosted.go
@@ -0,0 +1,286 @@
+// Package hosted runs a proxy process on a platform that keeps the deployments
+// and the list of instances. It holds the order of start and shutdown; how the
+// platform speaks is left to the adapters that it is given.
+package hosted
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"almondway.dev/almondway/internal/app/clock"
+	"almondway.dev/almondway/internal/app/daemon"
+	"almondway.dev/almondway/internal/app/logs"
+	"almondway.dev/almondway/internal/app/metric"
+	"almondway.dev/almondway/internal/core/event"
+	"almondway.dev/almondway/internal/core/kern"
+	"almondway.dev/almondway/internal/core/model"
+	"almondway.dev/almondway/internal/core/port"
+	"almondway.dev/almondway/internal/core/state"
+	"almondway.dev/almondway/internal/core/tune"
+
+	_ "almondway.dev/almondway/internal/plug/bundle" // registers the plug-ins
+)
+
+const (
+	// noticeTime is how long after a shutdown was asked for new callers may still
+	// come: the balancer asks every second and believes the second miss.
+	noticeTime = 2300 * time.Millisecond
+	// killMargin is the time that is left before the platform kills the process.
+	killMargin = 500 * time.Millisecond
+	// readyTimeout is how long the kernel may take to say whether it is ready.
+	readyTimeout  = 500 * time.Millisecond
+	headerTimeout = 5 * time.Second
+	pollInterval  = 20 * time.Millisecond
+)
+
+// Spec lists what a Host is made of.
+type Spec struct {
+	Name          string
+	DataCenter    string
+	Version       string
+	Kernel        tune.Spec
+	ShutdownGrace time.Duration
+	MetricsAt     string
+	ReadinessAt   string
+	ReadinessPath string
+	Log           *logs.Log
+	Seed          uint64
+}
+
+// Callers is the adapter towards callers.
+type Callers interface {
+	port.Callers
+	// Start listens.
+	Start() error
+	// Retire closes each caller's connection once it rests.
+	Retire()
+	// Stop takes no new callers.
+	Stop()
+	// Count returns how many callers are connected.
+	Count() int
+	// Shutdown closes all connections.
+	Shutdown()
+}
+
+// Adapters are the adapters of a Host.
+type Adapters struct {
+	Callers  Callers
+	Backend  port.Backend
+	Platform port.Platform
+	Promoter port.Promoter
+	// Follow starts to hand the platform's lists to the kernel until the context ends.
+	Follow func(ctx context.Context)
+}
+
+// Host is a proxy process on a hosting platform.
+type Host struct {
+	spec     Spec
+	loop     *daemon.Loop
+	registry *metric.Registry
+	kernel   *kern.Kernel
+	adapters Adapters
+	started  time.Time
+	retiring atomic.Bool
+	stopped  chan struct{}
+}
+
+// New returns a Host. Nothing listens before Run.
+func New(spec Spec) *Host {
+	spec.Kernel.DrainLimit = max(time.Millisecond, spec.ShutdownGrace-noticeTime-killMargin)
+	self := model.NewProxyView(model.ProxyID(spec.Name), "", model.DataCenter(spec.DataCenter), 0, false, 0)
+	started := time.Now()
+	hostClock := clock.New()
+	kernel := kern.NewProfile(kern.ProfileHosted, self, tune.New(spec.Kernel), started, spec.Seed)
+	return &Host{
+		spec:     spec,
+		loop:     daemon.New(kernel, hostClock.Now),
+		registry: metric.NewRegistry(),
+		kernel:   kernel,
+		started:  started,
+		stopped:  make(chan struct{}, 1),
+	}
+}
+
+// Inbox returns where the adapters post their events.
+func (host *Host) Inbox() port.Inbox { return host.loop }
+
+// Stop implements port.Process.
+func (host *Host) Stop() {
+	select {
+	case host.stopped <- struct{}{}:
+	default:
+	}
+}
+
+// Send implements port.Peers. Proxies on a hosting platform share what they know
+// through its store.
+func (host *Host) Send(event.SendPeer) {}
+
+// noOperators implements port.Operators: the operator writes to the platform's store.
+type noOperators struct{}
+
+// Answer implements port.Operators.
+func (noOperators) Answer(event.AnswerOperator) {}
+
+// Run serves until a shutdown is over.
+func (host *Host) Run(adapters Adapters, signals <-chan os.Signal) error {
+	host.adapters = adapters
+	host.loop.Connect(daemon.Ports{
+		Callers:   adapters.Callers,
+		Backend:   metric.NewBackend(host.registry, adapters.Backend),
+		Platform:  metric.NewPlatform(host.registry, adapters.Platform),
+		Promoter:  adapters.Promoter,
+		Peers:     host,
+		Operators: noOperators{},
+		Journal:   metric.NewJournal(host.registry, host.spec.Log, host.kernel.State()),
+		Process:   host,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	for _, listen := range []func() error{host.listenReadiness, host.listenMetrics, adapters.Callers.Start} {
+		if err := listen(); err != nil {
+			return err
+		}
+	}
+	looped := make(chan struct{})
+	go func() {
+		defer close(looped)
+		host.loop.Run(ctx)
+	}()
+	adapters.Follow(ctx)
+	host.log("started")
+	host.await(signals)
+	adapters.Callers.Shutdown()
+	cancel()
+	<-looped
+	host.log("stopped")
+	return nil
+}
+
+func (host *Host) log(name string) {
+	host.spec.Log.Logger().WithFields(map[string]any{
+		"proxy": host.spec.Name, "data_center": host.spec.DataCenter, "version": host.spec.Version,
+	}).Info(name)
+}
+
+// await returns when the process shall end. After the order to shut down the
+// process serves on until the balancer has noticed; then it takes nothing new and
+// ends once nothing is in flight.
+func (host *Host) await(signals <-chan os.Signal) {
+	for received := range signals {
+		if received == syscall.SIGHUP {
+			host.log("settings reloaded")
+			continue
+		}
+		break
+	}
+	host.log("shutdown asked")
+	host.retiring.Store(true)
+	host.adapters.Callers.Retire()
+	end := time.After(host.spec.ShutdownGrace - killMargin)
+	host.pause(noticeTime, end)
+	host.adapters.Callers.Stop()
+	host.loop.Post(event.NewShutdownAsked())
+	select {
+	case <-host.stopped:
+	case <-end:
+	}
+	host.flush(end)
+}
+
+// pause waits for a time, or for the end.
+func (host *Host) pause(wait time.Duration, end <-chan time.Time) {
+	select {
+	case <-time.After(wait):
+	case <-end:
+	}
+}
+
+// flush waits until all callers have gone with their last answers, or for the end.
+func (host *Host) flush(end <-chan time.Time) {
+	tick := time.NewTicker(pollInterval)
+	defer tick.Stop()
+	for host.adapters.Callers.Count() > 0 {
+		select {
+		case <-tick.C:
+		case <-end:
+			return
+		}
+	}
+}
+
+// ready reports whether callers should be sent here.
+func (host *Host) ready(ctx context.Context) bool {
+	if host.retiring.Load() {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	ready := false
+	err := host.loop.Inspect(ctx, func(shared *state.State) { ready = Serves(shared) })
+	return err == nil && ready
+}
+
+// Serves reports whether callers can be served: a configuration is in force and
+// each of its groups has an instance.
+func Serves(shared *state.State) bool {
+	if !shared.Confirmed() || shared.Draining() {
+		return false
+	}
+	for _, deployment := range shared.Deployments() {
+		for _, id := range deployment.Groups() {
+			if group := shared.Group(id); group != nil && len(group.Members()) > 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (host *Host) listenReadiness() error {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+host.spec.ReadinessPath, func(writer http.ResponseWriter, request *http.Request) {
+		if !host.ready(request.Context()) {
+			writer.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return host.listen(host.spec.ReadinessAt, mux)
+}
+
+func (host *Host) listenMetrics() error {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", func(writer http.ResponseWriter, request *http.Request) {
+		ctx, cancel := context.WithTimeout(request.Context(), readyTimeout)
+		defer cancel()
+		if err := host.loop.Inspect(ctx, func(shared *state.State) { metric.ObserveState(host.registry, shared) }); err != nil {
+			http.Error(writer, "the kernel does not answer", http.StatusServiceUnavailable)
+			return
+		}
+		metric.ObserveRuntime(host.registry, time.Since(host.started))
+		if err := host.registry.WriteText(writer); err != nil {
+			host.spec.Log.Logger().WithError(err).Debug("metrics not sent")
+		}
+	})
+	return host.listen(host.spec.MetricsAt, mux)
+}
+
+func (host *Host) listen(address string, handler http.Handler) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return errors.Wrapf(err, "listen at %s", address)
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+	go func() {
+		if err := server.Serve(listener); err != nil {
+			host.spec.Log.Logger().WithError(err).WithField("address", address).Warn("server ended")
+		}
+	}()
+	return nil
+}
--- a/internal/app/serve/serve.go
+++ b/internal/app/serve/serve.go
@@ -64,7 +64,7 @@
 		id:       id,
 		version:  version,
 		started:  started,
-		loop:     daemon.New(kernel, started),
+		loop:     daemon.New(kernel, func() time.Duration { return time.Since(started) }),
 		stopped:  make(chan struct{}),
 		draining: make(chan struct{}),
 	}
--- /dev/null
+++ b/internal/core/event/listing.go
@@ -0,0 +1,75 @@
+package event
+
+import "almondway.dev/almondway/internal/core/model"
+
+// CatalogListed reports the deployments and groups of the platform's configuration.
+type CatalogListed struct {
+	revision    uint64
+	deployments []*model.Deployment
+	groups      []model.Group
+}
+
+// NewCatalogListed returns a CatalogListed.
+func NewCatalogListed(revision uint64, deployments []*model.Deployment, groups []model.Group) CatalogListed {
+	return CatalogListed{revision: revision, deployments: deployments, groups: groups}
+}
+
+// Revision returns the revision of the configuration.
+func (catalogListed CatalogListed) Revision() uint64 { return catalogListed.revision }
+
+// Deployments returns all deployments of the revision.
+func (catalogListed CatalogListed) Deployments() []*model.Deployment {
+	return catalogListed.deployments
+}
+
+// Groups returns all groups of the revision, without their instances.
+func (catalogListed CatalogListed) Groups() []model.Group { return catalogListed.groups }
+
+func (CatalogListed) isEvent() {}
+
+// InstancesListed reports the platform's whole list of instances.
+type InstancesListed struct {
+	listings []model.Listing
+}
+
+// NewInstancesListed returns a InstancesListed.
+func NewInstancesListed(listings []model.Listing) InstancesListed {
+	return InstancesListed{listings: listings}
+}
+
+// Listings returns the list.
+func (instancesListed InstancesListed) Listings() []model.Listing { return instancesListed.listings }
+
+func (InstancesListed) isEvent() {}
+
+// InstanceListed reports a new or changed entry of the platform's list.
+type InstanceListed struct {
+	listing model.Listing
+}
+
+// NewInstanceListed returns a InstanceListed.
+func NewInstanceListed(listing model.Listing) InstanceListed {
+	return InstanceListed{listing: listing}
+}
+
+// Listing returns the entry.
+func (instanceListed InstanceListed) Listing() model.Listing { return instanceListed.listing }
+
+func (InstanceListed) isEvent() {}
+
+// InstanceUnlisted reports that an entry was removed from the platform's list.
+type InstanceUnlisted struct {
+	instance model.InstanceID
+}
+
+// NewInstanceUnlisted returns a InstanceUnlisted.
+func NewInstanceUnlisted(instance model.InstanceID) InstanceUnlisted {
+	return InstanceUnlisted{instance: instance}
+}
+
+// Instance returns the instance.
+func (instanceUnlisted InstanceUnlisted) Instance() model.InstanceID {
+	return instanceUnlisted.instance
+}
+
+func (InstanceUnlisted) isEvent() {}
--- /dev/null
+++ b/internal/core/event/promote.go
@@ -0,0 +1,87 @@
+package event
+
+import (
+	"time"
+
+	"almondway.dev/almondway/internal/core/model"
+)
+
+// PromoteInstance orders the platform to make an instance the primary of its
+// group. The answer is PromotionAnswered. An order without an answer may run
+// seconds later, if no higher token was seen until then.
+type PromoteInstance struct {
+	query    model.QueryID
+	group    model.GroupID
+	instance model.InstanceID
+	token    uint64
+	timeout  time.Duration
+}
+
+// NewPromoteInstance returns a PromoteInstance.
+func NewPromoteInstance(query model.QueryID, group model.GroupID, instance model.InstanceID, token uint64, timeout time.Duration) PromoteInstance {
+	return PromoteInstance{query: query, group: group, instance: instance, token: token, timeout: timeout}
+}
+
+// Query returns the query.
+func (promoteInstance PromoteInstance) Query() model.QueryID { return promoteInstance.query }
+
+// Group returns the group.
+func (promoteInstance PromoteInstance) Group() model.GroupID { return promoteInstance.group }
+
+// Instance returns the instance that takes over.
+func (promoteInstance PromoteInstance) Instance() model.InstanceID { return promoteInstance.instance }
+
+// Token returns the fencing token of the order.
+func (promoteInstance PromoteInstance) Token() uint64 { return promoteInstance.token }
+
+// Timeout returns the time after which the order counts as unanswered.
+func (promoteInstance PromoteInstance) Timeout() time.Duration { return promoteInstance.timeout }
+
+func (PromoteInstance) isAction() {}
+
+// PromotionAnswered reports what became of a PromoteInstance.
+type PromotionAnswered struct {
+	query   model.QueryID
+	outcome model.PromotionOutcome
+}
+
+// NewPromotionAnswered returns a PromotionAnswered.
+func NewPromotionAnswered(query model.QueryID, outcome model.PromotionOutcome) PromotionAnswered {
+	return PromotionAnswered{query: query, outcome: outcome}
+}
+
+// Query returns the query.
+func (promotionAnswered PromotionAnswered) Query() model.QueryID { return promotionAnswered.query }
+
+// Outcome returns what became of the order.
+func (promotionAnswered PromotionAnswered) Outcome() model.PromotionOutcome {
+	return promotionAnswered.outcome
+}
+
+func (PromotionAnswered) isEvent() {}
+
+// Pause orders a replica to receive nothing until it is promoted or follows a new primary.
+type Pause struct {
+	term model.Term
+}
+
+// NewPause returns a Pause.
+func NewPause(term model.Term) Pause { return Pause{term: term} }
+
+// Term returns the term, which must be above the newest one.
+func (pause Pause) Term() model.Term { return pause.term }
+
+func (Pause) isOrder() {}
+
+// StepDown orders a primary of a lower term to become a replica.
+type StepDown struct {
+	term model.Term
+}
+
+// NewStepDown returns a StepDown.
+func NewStepDown(term model.Term) StepDown { return StepDown{term: term} }
+
+// Term returns the term.
+func (stepDown StepDown) Term() model.Term { return stepDown.term }
+
+func (StepDown) isOrder() {}
--- a/internal/core/kern/kern.go
+++ b/internal/core/kern/kern.go
@@ -4,6 +4,7 @@
 package kern
 
 import (
+	"slices"
 	"time"
 
 	"almondway.dev/almondway/internal/core/event"
@@ -20,12 +21,20 @@
 	plugins []Plugin
 }
 
-// New returns a Kernel with every registered plug-in. started is the wall-clock
-// time at which the kernel's clock stands at zero; seed feeds its random source.
+// New returns a Kernel with every registered plug-in of ProfileStandalone.
+// started is the wall-clock time at which the kernel's clock stands at zero; seed
+// feeds its random source.
 func New(self model.ProxyView, settings *tune.Settings, started time.Time, seed uint64) *Kernel {
-	factories := make([]Factory, 0, len(registrations))
+	return NewProfile(ProfileStandalone, self, settings, started, seed)
+}
+
+// NewProfile returns a Kernel like New with the plug-ins of a profile.
+func NewProfile(profile Profile, self model.ProxyView, settings *tune.Settings, started time.Time, seed uint64) *Kernel {
+	var factories []Factory
 	for _, registration := range registrations {
-		factories = append(factories, registration.factory)
+		if slices.Contains(registration.profiles, profile) {
+			factories = append(factories, registration.factory)
+		}
 	}
 	return NewWith(self, settings, started, seed, factories...)
 }
--- a/internal/core/model/deployment.go
+++ b/internal/core/model/deployment.go
@@ -12,6 +12,8 @@
 const (
 	AccessRead  Access = "read"
 	AccessWrite Access = "write"
+	// AccessEither leaves it to each statement whether it writes.
+	AccessEither Access = "either"
 )
 
 // LagPolicy tells what a read does when no replica is recent enough.
@@ -30,9 +32,11 @@
 	Name       string
 	Access     Access
 	Staleness  time.Duration
+	OwnWrites  bool
 	Idempotent bool
 	Group      GroupID
 	Timeout    time.Duration
+	TxIdle     time.Duration
 }
 
 // Kind is a kind of request of a deployment. It is immutable.
@@ -52,6 +56,13 @@
 // Staleness returns the age of data that a read accepts; 0 accepts none.
 func (kind Kind) Staleness() time.Duration { return kind.spec.Staleness }
 
+// OwnWrites reports whether a read that accepts staleness sees all the same what
+// its own session committed.
+func (kind Kind) OwnWrites() bool { return kind.spec.OwnWrites }
+
+// TxIdle returns how long a transaction may rest between two statements; 0 sets no bound.
+func (kind Kind) TxIdle() time.Duration { return kind.spec.TxIdle }
+
 // Idempotent reports whether a write may run more than once.
 func (kind Kind) Idempotent() bool { return kind.spec.Idempotent }
 
@@ -97,6 +108,7 @@
 	DefaultKind string
 	LagPolicy   LagPolicy
 	Weight      int
+	Priority    int
 	MaxWaiting  int
 }
 
@@ -167,6 +179,9 @@
 // Weight returns the share of the Deployment when deployments compete; at least 1.
 func (deployment *Deployment) Weight() int { return max(1, deployment.spec.Weight) }
 
+// Priority returns the rank of the Deployment when it competes; 0 goes first.
+func (deployment *Deployment) Priority() int { return deployment.spec.Priority }
+
 // MaxWaiting returns how many requests may wait in one proxy; 0 means the proxy's own limit.
 func (deployment *Deployment) MaxWaiting() int { return deployment.spec.MaxWaiting }
 
--- a/internal/core/model/group.go
+++ b/internal/core/model/group.go
@@ -24,6 +24,8 @@
 	id         InstanceID
 	address    string
 	dataCenter DataCenter
+	slots      int
+	conns      int
 }
 
 // NewInstance returns an Instance that listens at address, an "ip:port".
@@ -40,17 +42,52 @@
 // DataCenter returns the data centre of the Instance.
 func (instance Instance) DataCenter() DataCenter { return instance.dataCenter }
 
+// WithCapacity returns a copy that runs slots statements at once and takes conns
+// connections from all proxies together; 0 stands for the proxy's own settings.
+func (instance Instance) WithCapacity(slots, conns int) Instance {
+	instance.slots = slots
+	instance.conns = conns
+	return instance
+}
+
+// Slots returns how many statements the Instance runs at once, or 0 if it is not known.
+func (instance Instance) Slots() int { return instance.slots }
+
+// Conns returns how many connections the Instance takes, or 0 if it is not known.
+func (instance Instance) Conns() int { return instance.conns }
+
 // Group is a database group, as the platform lists it.
 type Group struct {
-	id        GroupID
-	instances []Instance
+	id          GroupID
+	instances   []Instance
+	replication Replication
+	conns       int
 }
 
-// NewGroup returns a Group of the given instances.
+// NewGroup returns a Group of the given instances that acknowledges by majority.
 func NewGroup(id GroupID, instances []Instance) Group {
-	return Group{id: id, instances: instances}
+	return Group{id: id, instances: instances, replication: MajorityAcknowledged{}}
 }
 
+// WithReplication returns a copy with another kind of replication.
+func (group Group) WithReplication(replication Replication) Group {
+	group.replication = replication
+	return group
+}
+
+// WithConns returns a copy each of whose instances takes conns connections from
+// all proxies together.
+func (group Group) WithConns(conns int) Group {
+	group.conns = conns
+	return group
+}
+
+// Conns returns how many connections an instance takes, or 0 if it is not known.
+func (group Group) Conns() int { return group.conns }
+
+// Replication returns how the instances make a commit safe.
+func (group Group) Replication() Replication { return group.replication }
+
 // ID returns the name of the Group.
 func (group Group) ID() GroupID { return group.id }
 
@@ -65,6 +102,7 @@
 	upstream       InstanceID
 	primarySilence time.Duration
 	leaving        bool
+	paused         Term
 }
 
 // NewStatus returns a Status. fence is the highest term that the instance
@@ -81,6 +119,16 @@
 	}
 }
 
+// WithPaused returns a copy of the report of a replica that receives nothing by
+// an order of the given term; 0 stands for none.
+func (status Status) WithPaused(term Term) Status {
+	status.paused = term
+	return status
+}
+
+// Paused returns the term of the order by which a replica receives nothing, or 0.
+func (status Status) Paused() Term { return status.paused }
+
 // Fence returns the highest term that the instance accepted. It refuses orders of lower terms.
 func (status Status) Fence() Term { return status.fence }
 
--- a/internal/core/model/request.go
+++ b/internal/core/model/request.go
@@ -39,6 +39,8 @@
 	Digest    uint64
 	Token     Token
 	Timeout   time.Duration
+	Writes    bool
+	ReadOnly  bool
 	Statement Payload
 }
 
@@ -83,5 +85,11 @@
 // Timeout returns the time that the caller allows, or 0 for the kind's own.
 func (request *Request) Timeout() time.Duration { return request.spec.Timeout }
 
+// Writes reports whether the statement changes data, where its kind leaves that open.
+func (request *Request) Writes() bool { return request.spec.Writes }
+
+// ReadOnly reports whether OpBegin opens a transaction that only reads.
+func (request *Request) ReadOnly() bool { return request.spec.ReadOnly }
+
 // Statement returns the statement, or nil for OpBegin, OpCommit and OpRollback.
 func (request *Request) Statement() Payload { return request.spec.Statement }
--- a/internal/core/model/work.go
+++ b/internal/core/model/work.go
@@ -22,6 +22,8 @@
 	// StepSettle inserts a tombstone into the request ledger, so that a request
 	// whose row is not there yet can never run.
 	StepSettle
+	// StepLead proves that the instance leads: an empty transaction that may write.
+	StepLead
 	// StepTrim deletes the ledger rows that are older than the retention time.
 	StepTrim
 )
@@ -31,6 +33,7 @@
 	Step      Step
 	Write     bool
 	Guard     Term
+	After     Mark
 	LedgerID  string
 	Digest    uint64
 	Statement Payload
@@ -55,6 +58,10 @@
 // write when it is not the primary of that term.
 func (work *Work) Guard() Term { return work.spec.Guard }
 
+// After returns the Mark that the instance's log must cover before a read or a
+// transaction starts; the zero Mark asks for nothing.
+func (work *Work) After() Mark { return work.spec.After }
+
 // LedgerID returns the key of the request's ledger row, or the empty text for none.
 func (work *Work) LedgerID() string { return work.spec.LedgerID }
 
@@ -79,6 +86,8 @@
 	FailureStatement
 	// FailureFenced means that the instance refused a write of another term before it ran.
 	FailureFenced
+	// FailureLagging means that the instance refused before it ran because its log lacks Work.After.
+	FailureLagging
 	// FailureBusy means that the instance refused before it ran for lack of slots or connections.
 	FailureBusy
 	// FailureLeaving means that the instance refused before it ran because it is shutting down.
--- a/internal/core/port/port.go
+++ b/internal/core/port/port.go
@@ -41,6 +41,11 @@
 	ListHosts(action event.ListHosts)
 }
 
+// Promoter is the side of a platform that carries out promotions itself.
+type Promoter interface {
+	Promote(action event.PromoteInstance)
+}
+
 // Peers is the side of the other proxies.
 type Peers interface {
 	Send(action event.SendPeer)
--- a/internal/core/route/route.go
+++ b/internal/core/route/route.go
@@ -30,6 +30,8 @@
 type Ask struct {
 	Instance model.InstanceID
 	Job      *Job
+	// Urgent asks for a slot beyond the limit, for upkeep that takes no slot of the instance.
+	Urgent bool
 }
 
 // Entrant waits for a slot of an instance.
@@ -56,6 +58,8 @@
 	Leave(ask Ask, held time.Duration, busy bool)
 	// Load returns how many statements run or wait at an instance.
 	Load(instance model.InstanceID) int
+	// Delay returns how long one more statement is expected to take at an instance.
+	Delay(instance model.InstanceID) time.Duration
 	// Retry takes one retry out of the budget of a group. It reports false if none is left.
 	Retry(group model.GroupID) bool
 	// RetryAfter returns when a request that is refused now may come back.
--- a/internal/core/route/tx.go
+++ b/internal/core/route/tx.go
@@ -10,6 +10,7 @@
 	RequestID string
 	OwnID     bool
 	Digest    uint64
+	ReadOnly  bool
 }
 
 // Tx is a caller's transaction whose first statement has arrived. It owns its
@@ -20,6 +21,7 @@
 	instance model.InstanceID
 	term     model.Term
 	opened   bool
+	wrote    bool
 }
 
 // NewTx returns the Tx that spec describes. It has no connection yet.
@@ -43,6 +45,15 @@
 // Digest returns the hash of the first statement.
 func (tx *Tx) Digest() uint64 { return tx.spec.Digest }
 
+// ReadOnly reports whether the caller opened the transaction for reading only.
+func (tx *Tx) ReadOnly() bool { return tx.spec.ReadOnly }
+
+// Wrote reports whether a statement of the transaction that writes was sent.
+func (tx *Tx) Wrote() bool { return tx.wrote }
+
+// SetWrote records that a statement that writes is sent.
+func (tx *Tx) SetWrote() { tx.wrote = true }
+
 // Open records the connection of the transaction.
 func (tx *Tx) Open(conn model.ConnID, instance model.InstanceID, term model.Term) {
 	tx.conn = conn
@@ -59,6 +70,7 @@
 func (tx *Tx) Restart() {
 	tx.conn = 0
 	tx.opened = false
+	tx.wrote = false
 }
 
 // Close records that the transaction has no connection any more.
--- a/internal/core/state/group.go
+++ b/internal/core/state/group.go
@@ -9,17 +9,20 @@
 // Group is the view of a database group: what its instances reported and what
 // follows from that. Times are those of the kernel's clock.
 type Group struct {
-	id      model.GroupID
-	members []*Member
-	term    model.Term
-	primary model.InstanceID
-	rounds  rounds
-	hold    hold
+	id          model.GroupID
+	members     []*Member
+	term        model.Term
+	primary     model.InstanceID
+	rounds      rounds
+	hold        hold
+	refuted     map[model.InstanceID]time.Duration
+	replication model.Replication
+	conns       int
 }
 
 // NewGroup returns the view of a group of which nothing is known yet.
 func NewGroup(group model.Group) *Group {
-	view := &Group{id: group.ID()}
+	view := &Group{id: group.ID(), replication: group.Replication(), conns: group.Conns()}
 	for _, instance := range group.Instances() {
 		view.members = append(view.members, &Member{instance: instance})
 	}
@@ -29,6 +32,9 @@
 // ID returns the name of the group.
 func (group *Group) ID() model.GroupID { return group.id }
 
+// Replication returns how the instances make a commit safe.
+func (group *Group) Replication() model.Replication { return group.replication }
+
 // Term returns the highest term whose primary is known, or 0.
 func (group *Group) Term() model.Term { return group.term }
 
--- /dev/null
+++ b/internal/core/state/lead.go
@@ -0,0 +1,68 @@
+package state
+
+import (
+	"time"
+
+	"almondway.dev/almondway/internal/core/model"
+)
+
+// ObserveLead records that an instance led the term of mark at some moment after
+// sentAt and that its log then ended at mark, so that mark covers every commit
+// that was acknowledged before sentAt. It reports whether the term is new. It
+// applies to groups whose instances acknowledge commits themselves.
+func (group *Group) ObserveLead(instance model.InstanceID, mark model.Mark, sentAt time.Duration) bool {
+	if mark.Term() < group.term {
+		return false
+	}
+	group.rounds.add(round{since: sentAt, index: mark})
+	delete(group.refuted, instance)
+	if mark.Term() == group.term && group.primary == instance {
+		return false
+	}
+	group.term = mark.Term()
+	group.primary = instance
+	return true
+}
+
+// Refute records that an instance said at the given time that it does not lead.
+func (group *Group) Refute(instance model.InstanceID, now time.Duration) {
+	if group.refuted == nil {
+		group.refuted = make(map[model.InstanceID]time.Duration)
+	}
+	group.refuted[instance] = now
+	if group.primary == instance {
+		group.primary = ""
+	}
+}
+
+// RefutedSince reports whether an instance said at since or later that it does not lead.
+func (group *Group) RefutedSince(instance model.InstanceID, since time.Duration) bool {
+	at, ok := group.refuted[instance]
+	return ok && at >= since
+}
+
+// Believe records that the platform lists an instance as the primary.
+func (group *Group) Believe(instance model.InstanceID) {
+	delete(group.refuted, instance)
+	group.primary = instance
+}
+
+// Floor returns the lowest known mark that covers every commit that was
+// acknowledged before oldest.
+func (group *Group) Floor(oldest time.Duration) (model.Mark, bool) {
+	for _, round := range group.rounds.list {
+		if round.since >= oldest {
+			return round.index, true
+		}
+	}
+	return model.Mark{}, false
+}
+
+// FloorAge returns how long ago the statement behind the newest mark was sent.
+func (group *Group) FloorAge(now time.Duration) (time.Duration, bool) {
+	last := len(group.rounds.list) - 1
+	if last < 0 {
+		return 0, false
+	}
+	return now - group.rounds.list[last].since, true
+}
--- a/internal/core/state/member.go
+++ b/internal/core/state/member.go
@@ -19,6 +19,7 @@
 	announced bool
 	drained   bool
 	recovery  recovery
+	listing   model.Listing
 }
 
 // Instance returns the instance as the platform lists it.
@@ -52,6 +53,18 @@
 	return member.status.Leaving() || member.listed || member.announced || member.drained
 }
 
+// Listing returns what the instance last said of itself in the platform's list.
+func (member *Member) Listing() model.Listing { return member.listing }
+
+// List records what the instance says of itself in the platform's list. conns is
+// how many connections it takes.
+func (member *Member) List(listing model.Listing, conns int) {
+	member.listing = listing
+	member.instance = listing.Instance().WithCapacity(listing.Instance().Slots(), conns)
+	member.listed = listing.Leaving()
+	member.heard = true
+}
+
 // SetListed records whether the host list says that the instance leaves.
 func (member *Member) SetListed(leaving bool) { member.listed = leaving }
 
--- a/internal/core/state/state.go
+++ b/internal/core/state/state.go
@@ -80,6 +80,55 @@
 	slices.Sort(state.groupOrder)
 }
 
+// PutGroup adds a group without instances, or changes the replication of a known one.
+func (state *State) PutGroup(group model.Group) *Group {
+	view, ok := state.groups[group.ID()]
+	if !ok {
+		view = NewGroup(group)
+		state.groups[group.ID()] = view
+		state.groupOrder = append(state.groupOrder, group.ID())
+		slices.Sort(state.groupOrder)
+	}
+	view.replication = group.Replication()
+	view.conns = group.Conns()
+	for _, member := range view.members {
+		member.instance = member.instance.WithCapacity(member.instance.Slots(), view.conns)
+	}
+	return view
+}
+
+// PutMember records an entry of the platform's list in its group, if the group is known.
+func (state *State) PutMember(listing model.Listing) bool {
+	view, ok := state.groups[listing.Group()]
+	if !ok {
+		return false
+	}
+	if other := state.byInstance[listing.ID()]; other != nil && other != view {
+		state.DropMember(listing.ID())
+	}
+	member := view.Member(listing.ID())
+	if member == nil {
+		member = &Member{}
+		view.members = append(view.members, member)
+		state.byInstance[listing.ID()] = view
+	}
+	member.List(listing, view.conns)
+	return true
+}
+
+// DropMember forgets an instance that is listed no more.
+func (state *State) DropMember(instance model.InstanceID) {
+	view, ok := state.byInstance[instance]
+	if !ok {
+		return
+	}
+	delete(state.byInstance, instance)
+	view.members = slices.DeleteFunc(view.members, func(member *Member) bool { return member.ID() == instance })
+	if view.primary == instance {
+		view.primary = ""
+	}
+}
+
 // Revision returns the revision of the deployments in force and whether any is known.
 func (state *State) Revision() (uint64, bool) { return state.revision, state.known }
 
--- a/internal/plug/bundle/bundle.go
+++ b/internal/plug/bundle/bundle.go
@@ -3,6 +3,7 @@
 package bundle
 
 import (
+	_ "almondway.dev/almondway/internal/plug/catlog" // registers the plug-in
 	_ "almondway.dev/almondway/internal/plug/conns"  // registers the plug-in
 	_ "almondway.dev/almondway/internal/plug/deploy" // registers the plug-in
 	_ "almondway.dev/almondway/internal/plug/drain"  // registers the plug-in
@@ -11,6 +12,7 @@
 	_ "almondway.dev/almondway/internal/plug/member" // registers the plug-in
 	_ "almondway.dev/almondway/internal/plug/probe"  // registers the plug-in
 	_ "almondway.dev/almondway/internal/plug/reads"  // registers the plug-in
+	_ "almondway.dev/almondway/internal/plug/relay"  // registers the plug-in
 	_ "almondway.dev/almondway/internal/plug/sessn"  // registers the plug-in
 	_ "almondway.dev/almondway/internal/plug/tally"  // registers the plug-in
 	_ "almondway.dev/almondway/internal/plug/writes" // registers the plug-in
--- /dev/null
+++ b/internal/plug/catlog/catlog.go
@@ -0,0 +1,168 @@
+// Package catlog is the plug-in that puts in force what a hosting platform lists:
+// the operator's configuration and the instances of the groups.
+package catlog
+
+import (
+	"strconv"
+	"time"
+
+	"almondway.dev/almondway/internal/core/event"
+	"almondway.dev/almondway/internal/core/kern"
+	"almondway.dev/almondway/internal/core/model"
+	"almondway.dev/almondway/internal/core/timer"
+)
+
+func init() { kern.Register("catlog", kern.RankDeployments, New, kern.ProfileHosted) }
+
+// lapseGrace is how long an instance whose entry is gone is still used: entries
+// that were lost while the store was away are written again within two seconds.
+const lapseGrace = 2500 * time.Millisecond
+
+// Catlog is the plug-in.
+type Catlog struct {
+	context *kern.Context
+	lapsing map[model.InstanceID]timer.ID
+	early   map[model.InstanceID]model.Listing // entries of groups that are not known yet
+}
+
+// New returns the plug-in.
+func New(context *kern.Context) kern.Plugin {
+	return &Catlog{
+		context: context,
+		lapsing: make(map[model.InstanceID]timer.ID),
+		early:   make(map[model.InstanceID]model.Listing),
+	}
+}
+
+// Handle implements kern.Plugin.
+func (catlog *Catlog) Handle(received event.Event) {
+	switch received := received.(type) {
+	case event.CatalogListed:
+		catlog.apply(received)
+	case event.InstancesListed:
+		catlog.replace(received.Listings())
+	case event.InstanceListed:
+		catlog.list(received.Listing())
+	case event.InstanceUnlisted:
+		catlog.lapse(received.Instance())
+	}
+}
+
+// apply puts a configuration in force unless one as new already is.
+func (catlog *Catlog) apply(listed event.CatalogListed) {
+	state := catlog.context.State()
+	if !state.SetDeployments(listed.Revision(), listed.Deployments()) {
+		return
+	}
+	for _, group := range listed.Groups() {
+		state.PutGroup(group)
+	}
+	for id, listing := range catlog.early {
+		if state.PutMember(listing) {
+			delete(catlog.early, id)
+			catlog.announce(listing)
+		}
+	}
+	state.SetConfirmed(true)
+	catlog.log("catalog_applied", model.Decision{
+		Revision: listed.Revision(),
+		Reason:   strconv.Itoa(len(listed.Deployments())) + " deployments",
+	})
+	catlog.context.Publish(event.NewCatalogChanged(listed.Revision()))
+}
+
+// replace takes a whole list of instances.
+func (catlog *Catlog) replace(listings []model.Listing) {
+	present := make(map[model.InstanceID]bool, len(listings))
+	for _, listing := range listings {
+		present[listing.ID()] = true
+		catlog.list(listing)
+	}
+	for _, group := range catlog.context.State().Groups() {
+		for _, member := range group.Members() {
+			if !present[member.ID()] {
+				catlog.lapse(member.ID())
+			}
+		}
+	}
+}
+
+// list takes a new or changed entry.
+func (catlog *Catlog) list(listing model.Listing) {
+	state := catlog.context.State()
+	catlog.context.Timers().Cancel(catlog.lapsing[listing.ID()])
+	delete(catlog.lapsing, listing.ID())
+	before := model.Listing{}
+	if group := state.GroupOf(listing.ID()); group != nil {
+		before = group.Member(listing.ID()).Listing()
+	}
+	if before == listing {
+		return
+	}
+	if !state.PutMember(listing) {
+		catlog.early[listing.ID()] = listing
+		return
+	}
+	catlog.log("instance_listed", model.Decision{
+		Group:    listing.Group(),
+		Instance: listing.ID(),
+		Reason:   describe(listing),
+	})
+	if listing.Leaving() != before.Leaving() {
+		catlog.context.Publish(event.NewLeavingChanged(listing.ID(), listing.Leaving()))
+	}
+	if listing.Role() != before.Role() || before.ID() == "" {
+		catlog.announce(listing)
+	}
+	catlog.context.Publish(event.NewGroupObserved(listing.Group()))
+}
+
+// announce tells the group what role the instance has.
+func (catlog *Catlog) announce(listing model.Listing) {
+	group := catlog.context.State().Group(listing.Group())
+	if listing.Role() == model.RolePrimary {
+		group.Believe(listing.ID())
+	} else {
+		group.Refute(listing.ID(), catlog.context.Now())
+	}
+	catlog.context.Publish(event.NewGroupObserved(listing.Group()))
+}
+
+// lapse forgets an instance unless its entry comes back soon.
+func (catlog *Catlog) lapse(instance model.InstanceID) {
+	delete(catlog.early, instance)
+	if _, ok := catlog.lapsing[instance]; ok {
+		return
+	}
+	group := catlog.context.State().GroupOf(instance)
+	if group == nil {
+		return
+	}
+	if group.Member(instance).Leaving() {
+		catlog.forget(group.ID(), instance)
+		return
+	}
+	catlog.lapsing[instance] = catlog.context.Timers().After(lapseGrace, func() {
+		catlog.forget(group.ID(), instance)
+	})
+}
+
+func (catlog *Catlog) forget(group model.GroupID, instance model.InstanceID) {
+	delete(catlog.lapsing, instance)
+	catlog.context.State().DropMember(instance)
+	catlog.log("instance_gone", model.Decision{Group: group, Instance: instance, Reason: "its entry is gone"})
+	catlog.context.Publish(event.NewLeavingChanged(instance, true))
+	catlog.context.Publish(event.NewGroupObserved(group))
+}
+
+func (catlog *Catlog) log(name string, decision model.Decision) {
+	decision.Name = name
+	catlog.context.Emit(event.NewLogDecision(decision))
+}
+
+func describe(listing model.Listing) string {
+	if listing.Leaving() {
+		return listing.Role().String() + ", leaving"
+	}
+	return listing.Role().String()
+}
--- a/internal/plug/conns/conns.go
+++ b/internal/plug/conns/conns.go
@@ -9,7 +9,9 @@
 	"almondway.dev/almondway/internal/core/route"
 )
 
-func init() { kern.Register("conns", kern.RankConnections, New) }
+func init() {
+	kern.Register("conns", kern.RankConnections, New, kern.ProfileStandalone, kern.ProfileHosted)
+}
 
 // Pools holds the connection pools of all instances.
 type Pools struct {
--- a/internal/plug/conns/pool.go
+++ b/internal/plug/conns/pool.go
@@ -64,7 +64,11 @@
 func (pool *pool) limit() int {
 	context := pool.pools.context
 	proxies := max(1, len(context.State().Proxies()))
-	return max(1, context.Settings().ConnsPerInstance()/proxies)
+	conns := context.Settings().ConnsPerInstance()
+	if listed := pool.instance.Conns(); listed > 0 {
+		conns = listed
+	}
+	return max(1, conns/proxies)
 }
 
 // warm returns how many connections are kept open ahead of need.
--- a/internal/plug/drain/drain.go
+++ b/internal/plug/drain/drain.go
@@ -38,7 +38,7 @@
 func init() {
 	kern.Register("drain", kern.RankDrain, func(context *kern.Context) kern.Plugin {
 		return New(context)
-	})
+	}, kern.ProfileStandalone, kern.ProfileHosted)
 }
 
 // Drain is the plug-in.
--- a/internal/plug/limit/gate.go
+++ b/internal/plug/limit/gate.go
@@ -15,6 +15,10 @@
 	// heldSmoothing and baseSmoothing are the shares of a new sample in a mean, as divisors.
 	heldSmoothing = 8
 	baseSmoothing = 32
+	// heldHalfLife is the time without samples in which what the mean has above
+	// the base halves.
+	heldHalfLife = 500 * time.Millisecond
+	maxHalvings  = 16
 	// congestion is the multiple of the base at which an instance counts as congested.
 	congestion = 2
 	// decrease is the share of the limit that congestion takes away, as a divisor.
@@ -34,6 +38,7 @@
 	base    time.Duration // the same with little load
 	samples int
 	pressed bool
+	learned time.Duration // when the last sample came
 }
 
 // learn takes a new sample of the time that a slot is held.
@@ -70,7 +75,7 @@
 func (limits *Limits) gate(instance model.InstanceID) *gate {
 	found, ok := limits.gates[instance]
 	if !ok {
-		found = &gate{limit: limits.floor(), waiting: newQueue(hop{}), held: firstHeld, base: firstHeld}
+		found = &gate{limit: limits.floor(instance), waiting: newQueue(hop{}), held: firstHeld, base: firstHeld}
 		limits.gates[instance] = found
 	}
 	return found
@@ -93,6 +98,17 @@
 	return codes.OK, 0
 }
 
+// Delay implements route.Admission. The mean of an instance that gets no work
+// falls back to that with little load, so that it is tried again.
+func (limits *Limits) Delay(instance model.InstanceID) time.Duration {
+	gate := limits.gate(instance)
+	held := gate.held
+	if idle := limits.context.Now() - gate.learned; idle > 0 && held > gate.base {
+		held = gate.base + (held-gate.base)>>min(uint(idle/heldHalfLife), maxHalvings)
+	}
+	return held + held*time.Duration(gate.running+gate.waiting.size)/time.Duration(gate.limit)
+}
+
 // RetryAfter implements route.Admission. The time is that in which the queue of
 // the instance is served, with jitter, so that callers do not come back together.
 func (limits *Limits) RetryAfter(instance model.InstanceID) time.Duration {
@@ -103,15 +119,31 @@
 
 // floor returns this proxy's share of the slots of an instance. Where they do
 // not divide, each proxy has the part more.
-func (limits *Limits) floor() int {
-	proxies := limits.proxies()
+func (limits *Limits) floor(instance model.InstanceID) int {
 	slots := limits.context.Settings().SlotsPerInstance()
+	if listed := limits.listed(instance); listed.Slots() > 0 {
+		slots = listed.Slots()
+	}
+	proxies := limits.proxies()
 	return max(1, (slots+proxies-1)/proxies)
 }
 
 // ceiling returns this proxy's share of the connections of an instance.
-func (limits *Limits) ceiling() int {
-	return max(limits.floor(), limits.context.Settings().ConnsPerInstance()/limits.proxies())
+func (limits *Limits) ceiling(instance model.InstanceID) int {
+	conns := limits.context.Settings().ConnsPerInstance()
+	if listed := limits.listed(instance); listed.Conns() > 0 {
+		conns = listed.Conns()
+	}
+	return max(limits.floor(instance), conns/limits.proxies())
+}
+
+// listed returns an instance with its capacity, or the zero Instance.
+func (limits *Limits) listed(instance model.InstanceID) model.Instance {
+	group := limits.context.State().GroupOf(instance)
+	if group == nil {
+		return model.Instance{}
+	}
+	return group.Member(instance).Instance()
 }
 
 func (limits *Limits) proxies() int { return max(1, len(limits.context.State().Proxies())) }
--- a/internal/plug/limit/limit.go
+++ b/internal/plug/limit/limit.go
@@ -14,7 +14,7 @@
 	"almondway.dev/almondway/internal/core/route"
 )
 
-func init() { kern.Register("limit", kern.RankLimits, New) }
+func init() { kern.Register("limit", kern.RankLimits, New, kern.ProfileStandalone, kern.ProfileHosted) }
 
 // Limits admits requests.
 type Limits struct {
@@ -44,6 +44,11 @@
 // Enter implements route.Admission.
 func (limits *Limits) Enter(entrant route.Entrant) {
 	ask := entrant.Ask()
+	if ask.Urgent {
+		limits.Force(ask)
+		entrant.SlotGranted()
+		return
+	}
 	class := limits.class(ask)
 	if class == nil || class.running < class.limit {
 		limits.enterGate(entrant, class)
@@ -100,8 +105,9 @@
 // Leave implements route.Admission.
 func (limits *Limits) Leave(ask route.Ask, held time.Duration, busy bool) {
 	gate := limits.gate(ask.Instance)
-	if !busy {
-		gate.learn(held, limits.floor(), limits.ceiling())
+	if !busy && !ask.Urgent {
+		gate.learned = limits.context.Now()
+		gate.learn(held, limits.floor(ask.Instance), limits.ceiling(ask.Instance))
 	}
 	gate.running--
 	limits.serve(gate)
--- /dev/null
+++ b/internal/plug/relay/answer.go
@@ -0,0 +1,148 @@
+package relay
+
+import (
+	"almondway.dev/almondway/internal/core/codes"
+	"almondway.dev/almondway/internal/core/event"
+	"almondway.dev/almondway/internal/core/model"
+	"almondway.dev/almondway/internal/core/route"
+)
+
+// ExecuteDone implements route.Taker.
+func (task *task) ExecuteDone(done event.ExecuteDone) {
+	task.relay.answered(task.instance)
+	task.observe(done.Mark())
+	conn := task.conn
+	switch task.step {
+	case model.StepLead:
+		task.begin()
+	case model.StepFirst, model.StepNext:
+		task.conn = 0
+		task.relay.conns.Park(conn)
+		task.finish(route.ResultSpec{Answer: done.Answer(), Reason: task.reason})
+	case model.StepCommit:
+		task.conn = 0
+		task.relay.conns.Release(conn, false)
+		task.job.Tx().Close()
+		task.succeed(done, task.job.Tx().Wrote())
+	default:
+		task.conn = 0
+		task.relay.conns.Release(conn, false)
+		task.succeed(done, task.writes())
+	}
+}
+
+// succeed passes an answer on. After a commit the session is owed what the
+// instance's log held then.
+func (task *task) succeed(done event.ExecuteDone, committed bool) {
+	result := route.ResultSpec{Answer: done.Answer(), Reason: task.reason}
+	if committed {
+		result.Mark = done.Mark()
+	}
+	task.finish(result)
+}
+
+// observe takes the mark of an answer that only the leader gives.
+func (task *task) observe(mark model.Mark) {
+	led := task.step == model.StepLead || task.need == needLead && (task.step != model.StepCommit || task.job.Tx().Wrote())
+	if view := task.view(); led && view != nil {
+		task.relay.observeLead(view, task.instance, mark, task.sentAt)
+	}
+}
+
+// ExecuteFailed implements route.Taker.
+func (task *task) ExecuteFailed(failed event.ExecuteFailed) {
+	task.conn = 0
+	step := task.step
+	task.giveBack(failed.Conn(), step)
+	switch failed.Class() {
+	case model.FailureStatement:
+		task.failed(failed)
+		return
+	case model.FailureLost:
+		task.relay.fail(task.instance)
+		task.lost(step)
+		return
+	case model.FailureFenced:
+		if view := task.view(); view != nil {
+			task.relay.refute(view, task.instance)
+		}
+	case model.FailureNotSent:
+		task.relay.fail(task.instance)
+	}
+	task.unsent(failed.Class(), step)
+}
+
+// giveBack returns the connection of a failed execution. A transaction ends with it.
+func (task *task) giveBack(conn model.ConnID, step model.Step) {
+	tx := task.job.Tx()
+	inTx := tx != nil && step != model.StepLead
+	task.relay.conns.Release(conn, inTx || step == model.StepLead)
+	if inTx {
+		tx.Close()
+	}
+}
+
+// failed passes an error on that the instance gave after it ran the statement. A
+// single read is run once more elsewhere, since the fault may be the instance's.
+func (task *task) failed(failed event.ExecuteFailed) {
+	if task.need == needMark && task.step == model.StepSingle && !task.reran && task.elsewhere() {
+		task.reran = true
+		task.relay.fail(task.instance)
+		task.avoid("the instance failed the read")
+		return
+	}
+	task.finish(route.ResultSpec{Outcome: model.OutcomeUnknown, Code: codes.Statement, Answer: failed.Answer(), Reason: task.reason})
+}
+
+// lost decides what follows from a lost answer.
+func (task *task) lost(step model.Step) {
+	switch {
+	case task.uncertain():
+		task.finish(route.ResultSpec{Outcome: model.OutcomeUnknown, Code: codes.OutcomeUnknown, Reason: "the answer was lost"})
+	case task.resumed:
+		task.loseTx("connection lost")
+	default:
+		task.restart("the answer was lost", step)
+	}
+}
+
+// unsent decides what follows when nothing ran.
+func (task *task) unsent(class model.FailureClass, step model.Step) {
+	if task.resumed {
+		task.loseTx("refused within the transaction")
+		return
+	}
+	if class == model.FailureBusy && !(task.need == needMark && task.elsewhere()) {
+		task.refuse(codes.Overloaded, "the instance has no slot")
+		return
+	}
+	task.restart(classReason(class), step)
+}
+
+// restart runs a statement again of which nothing stands.
+func (task *task) restart(reason string, step model.Step) {
+	if tx := task.job.Tx(); tx != nil && step != model.StepLead {
+		tx.Restart()
+	}
+	task.avoid(reason)
+}
+
+// loseTx ends a transaction whose commit did not run.
+func (task *task) loseTx(reason string) {
+	task.finish(route.ResultSpec{Outcome: model.OutcomeNotRun, Code: codes.TransactionLost, Reason: reason})
+}
+
+func classReason(class model.FailureClass) string {
+	switch class {
+	case model.FailureLagging:
+		return "the log of the instance lacks the mark"
+	case model.FailureFenced:
+		return "the instance does not lead"
+	case model.FailureBusy:
+		return "the instance has no slot"
+	case model.FailureLeaving:
+		return "the instance is shutting down"
+	default:
+		return "nothing was sent"
+	}
+}
--- /dev/null
+++ b/internal/plug/relay/choose.go
@@ -0,0 +1,129 @@
+package relay
+
+import (
+	"time"
+
+	"almondway.dev/almondway/internal/core/model"
+	"almondway.dev/almondway/internal/core/route"
+	"almondway.dev/almondway/internal/core/state"
+)
+
+const (
+	// refutedFor is how long an instance that does not lead is not asked again for the lead.
+	refutedFor = 150 * time.Millisecond
+	// failedFor is how long an instance that did not answer gets no reads while others can take them.
+	failedFor = time.Second
+	// sparePrimary is what an instance that leads costs more as the place of a
+	// read, since writes can go nowhere else.
+	sparePrimary = 10 * time.Millisecond
+	// otherCenter is what an instance in another data centre costs more.
+	otherCenter = 2 * time.Millisecond
+	// warming is what an instance costs more that says that it is slow after its start.
+	warming = 30 * time.Millisecond
+)
+
+// primary returns the instance that is believed to lead, or, where none is, one
+// that has not denied it lately. It returns the empty name if there is none to ask.
+func (relay *Relay) primary(view *state.Group) model.InstanceID {
+	if primary := view.Primary(); primary != nil {
+		return primary.ID()
+	}
+	oldest := relay.context.Now() - refutedFor
+	for _, member := range view.Members() {
+		if !member.Leaving() && !view.RefutedSince(member.ID(), oldest) && !relay.failed(member.ID()) {
+			return member.ID()
+		}
+	}
+	return ""
+}
+
+// replica returns the instance that is expected to answer a read first.
+func (relay *Relay) replica(view *state.Group, task *task) model.InstanceID {
+	var best model.InstanceID
+	var lowest time.Duration
+	members := view.Members()
+	first := 0
+	if len(members) > 1 {
+		first = relay.context.Random().IntN(len(members))
+	}
+	for offset := range members {
+		member := members[(first+offset)%len(members)]
+		if member.Leaving() || task.avoids(member.ID()) {
+			continue
+		}
+		if cost := relay.cost(view, member); best == "" || cost < lowest {
+			best, lowest = member.ID(), cost
+		}
+	}
+	return best
+}
+
+// cost returns the expected time of a read at an instance and what speaks against it.
+func (relay *Relay) cost(view *state.Group, member *state.Member) time.Duration {
+	cost := relay.admission.Delay(member.ID())
+	if primary := view.Primary(); primary != nil && primary.ID() == member.ID() {
+		cost += sparePrimary
+	}
+	if member.Instance().DataCenter() != relay.context.State().Self().DataCenter() {
+		cost += otherCenter
+	}
+	if member.Listing().Warming() > 0 {
+		cost += warming
+	}
+	if relay.failed(member.ID()) {
+		cost += failedFor
+	}
+	return cost
+}
+
+// failed reports whether an instance failed to answer lately.
+func (relay *Relay) failed(instance model.InstanceID) bool {
+	at, ok := relay.failures[instance]
+	return ok && relay.context.Now()-at < failedFor
+}
+
+// fail records that an instance failed to answer.
+func (relay *Relay) fail(instance model.InstanceID) {
+	relay.failures[instance] = relay.context.Now()
+}
+
+// answered records that an instance answered.
+func (relay *Relay) answered(instance model.InstanceID) { delete(relay.failures, instance) }
+
+// requirement tells what an instance must fulfil to run a job.
+type requirement int
+
+const (
+	// needLead: the statement itself is refused by an instance that does not lead.
+	needLead requirement = iota
+	// needProof: the instance proves that it leads after the statement arrived.
+	needProof
+	// needMark: the log of the instance covers a mark.
+	needMark
+)
+
+// requires returns what the instance must fulfil at the start of a job.
+func requires(job *route.Job) requirement {
+	tx := job.Tx()
+	switch {
+	case tx != nil && !tx.ReadOnly(), tx == nil && job.Request().Writes():
+		return needLead
+	case job.Kind().Staleness() == 0:
+		return needProof
+	default:
+		return needMark
+	}
+}
+
+// floor returns the mark that the log of the instance must cover for a read that
+// accepts staleness.
+func floor(view *state.Group, job *route.Job) (model.Mark, bool) {
+	mark, ok := view.Floor(job.Arrived() - job.Kind().Staleness())
+	if !ok {
+		return model.Mark{}, false
+	}
+	if job.Kind().OwnWrites() && job.Seen().Covers(mark) {
+		mark = job.Seen()
+	}
+	return mark, true
+}
--- /dev/null
+++ b/internal/plug/relay/ping.go
@@ -0,0 +1,147 @@
+package relay
+
+import (
+	"time"
+
+	"almondway.dev/almondway/internal/core/codes"
+	"almondway.dev/almondway/internal/core/event"
+	"almondway.dev/almondway/internal/core/model"
+	"almondway.dev/almondway/internal/core/route"
+	"almondway.dev/almondway/internal/core/state"
+)
+
+const (
+	// refreshInterval is the time between two looks at the age of the marks.
+	refreshInterval = 100 * time.Millisecond
+	// refreshAge is the age of the newest mark of a group from which a new one is
+	// asked for: half of the shortest staleness that operators set.
+	refreshAge = 700 * time.Millisecond
+	// pingTimeout bounds an empty transaction.
+	pingTimeout = 500 * time.Millisecond
+	// usedFor is how long after its last read a group's marks are kept fresh.
+	usedFor = 5 * time.Second
+)
+
+// ping asks the primary of a group for a mark, by an empty transaction. It
+// implements route.Taker.
+type ping struct {
+	relay    *Relay
+	group    model.GroupID
+	running  bool
+	ticket   route.Ticket
+	conn     model.ConnID
+	instance model.InstanceID
+	sentAt   time.Duration
+	usedAt   time.Duration
+	endsAt   time.Duration
+}
+
+func (relay *Relay) ping(group model.GroupID) *ping {
+	found, ok := relay.pings[group]
+	if !ok {
+		found = &ping{relay: relay, group: group}
+		relay.pings[group] = found
+	}
+	return found
+}
+
+// refresh asks for a new mark of each group whose marks grow old.
+func (relay *Relay) refresh() {
+	now := relay.context.Now()
+	for _, view := range relay.context.State().Groups() {
+		ping := relay.ping(view.ID())
+		ping.expire(now)
+		age, known := view.FloorAge(now)
+		if now-ping.usedAt < usedFor && (!known || age > refreshAge) {
+			ping.start(view)
+		}
+	}
+}
+
+// start asks the primary unless an earlier question is still open.
+func (ping *ping) start(view *state.Group) {
+	if ping.running {
+		return
+	}
+	instance := ping.relay.primary(view)
+	if instance == "" {
+		return
+	}
+	ping.running = true
+	ping.instance = instance
+	ping.endsAt = ping.relay.context.Now() + pingTimeout
+	ticket := ping.relay.conns.Acquire(route.Ask{Instance: instance, Urgent: true}, ping)
+	if ping.running && ping.conn == 0 {
+		ping.ticket = ticket
+	}
+}
+
+// expire gives a question up that nobody answered.
+func (ping *ping) expire(now time.Duration) {
+	if !ping.running || now < ping.endsAt {
+		return
+	}
+	ping.relay.fail(ping.instance)
+	if ping.conn != 0 {
+		ping.relay.conns.Discard(ping.conn)
+	} else {
+		ping.relay.conns.Withdraw(ping.ticket)
+	}
+	ping.done()
+}
+
+func (ping *ping) done() {
+	ping.running = false
+	ping.conn = 0
+	ping.ticket = 0
+}
+
+// ConnGranted implements route.Taker.
+func (ping *ping) ConnGranted(conn model.ConnID) {
+	ping.ticket = 0
+	ping.conn = conn
+	ping.sentAt = ping.relay.context.Now()
+	ping.relay.conns.Execute(conn, model.NewWork(model.WorkSpec{Step: model.StepLead, Timeout: pingTimeout}))
+}
+
+// ConnDenied implements route.Taker.
+func (ping *ping) ConnDenied(codes.Code, time.Duration) {
+	ping.relay.fail(ping.instance)
+	ping.done()
+}
+
+// ExecuteDone implements route.Taker.
+func (ping *ping) ExecuteDone(done event.ExecuteDone) {
+	relay := ping.relay
+	relay.conns.Release(done.Conn(), false)
+	relay.answered(ping.instance)
+	ping.done()
+	view := relay.context.State().Group(ping.group)
+	if view == nil {
+		return
+	}
+	relay.observeLead(view, ping.instance, done.Mark(), ping.sentAt)
+	relay.context.Publish(event.NewGroupObserved(ping.group))
+}
+
+// ExecuteFailed implements route.Taker.
+func (ping *ping) ExecuteFailed(failed event.ExecuteFailed) {
+	relay := ping.relay
+	if failed.Usable() {
+		relay.conns.Release(failed.Conn(), true)
+	}
+	ping.done()
+	view := relay.context.State().Group(ping.group)
+	if view == nil {
+		return
+	}
+	if failed.Class() == model.FailureFenced {
+		relay.refute(view, ping.instance)
+		relay.context.Publish(event.NewGroupObserved(ping.group))
+		return
+	}
+	relay.fail(ping.instance)
+}
+
+// ConnLost implements route.Taker.
+func (ping *ping) ConnLost(model.ConnID) { ping.done() }
--- a/internal/plug/sessn/caller.go
+++ b/internal/plug/sessn/caller.go
@@ -14,16 +14,19 @@
 	class      string
 	inForce    *model.Deployment
 	inClass    model.Class
+	inKind     model.Kind
 	token      model.Token
 	job        *route.Job
 	access     model.Access
 	timer      timer.ID
 	expire     func()
+	resting    timer.ID
 	queue      []*model.Request
 	inTx       bool
 	failed     bool
 	tx         *route.Tx
 	txID       string
+	readOnly   bool
 }
 
 // txState returns the state of the caller's transaction.
@@ -38,11 +41,12 @@
 	}
 }
 
-func (caller *caller) begin(requestID string) {
+func (caller *caller) begin(requestID string, readOnly bool) {
 	caller.inTx = true
 	caller.failed = false
 	caller.tx = nil
 	caller.txID = requestID
+	caller.readOnly = readOnly
 }
 
 func (caller *caller) end() {
--- a/internal/plug/sessn/finish.go
+++ b/internal/plug/sessn/finish.go
@@ -1,6 +1,8 @@
 package sessn
 
 import (
+	"time"
+
 	"almondway.dev/almondway/internal/core/codes"
 	"almondway.dev/almondway/internal/core/event"
 	"almondway.dev/almondway/internal/core/model"
@@ -19,22 +21,44 @@
 	if result.Code == codes.OK {
 		caller.token = caller.token.With(job.Group(), result.Mark)
 	}
-	settleTx(caller, job, result)
+	sessions.settleTx(caller, job, result)
 	sessions.log(caller, job, result)
 	sessions.answer(caller, job.Request(), result)
 	sessions.next(caller)
 }
 
 // settleTx brings the state of the caller's transaction up to date.
-func settleTx(caller *caller, job *route.Job, result route.ResultSpec) {
+func (sessions *Sessions) settleTx(caller *caller, job *route.Job, result route.ResultSpec) {
 	switch {
 	case job.Request().Op() == model.OpCommit:
 		caller.end()
 	case caller.inTx && result.Code != codes.OK:
 		caller.failed = true
+	case caller.inTx && job.Kind().TxIdle() > 0:
+		sessions.rest(caller, job.Kind().TxIdle())
 	}
 }
 
+// rest ends the transaction of a caller that sends nothing more for a time, so
+// that its connection and its locks come free.
+func (sessions *Sessions) rest(caller *caller, limit time.Duration) {
+	caller.resting = sessions.context.Timers().After(limit, func() {
+		if caller.job != nil || caller.tx == nil || caller.failed {
+			return
+		}
+		sessions.drop(caller)
+		caller.failed = true
+		sessions.context.Emit(event.NewLogDecision(model.Decision{
+			Name:       "end_idle_transaction",
+			Caller:     caller.id,
+			Deployment: caller.deployment,
+			Group:      caller.tx.Group(),
+			Instance:   caller.tx.Instance(),
+			Reason:     "no statement for " + limit.String(),
+		}))
+	})
+}
+
 // reply answers a request that no runner has.
 func (sessions *Sessions) reply(caller *caller, request *model.Request, result route.ResultSpec) {
 	sessions.answer(caller, request, result)
@@ -110,6 +134,8 @@
 		return "route_describe"
 	case caller.access == model.AccessWrite:
 		return "route_write"
+	case caller.access == model.AccessEither:
+		return "route_statement"
 	default:
 		return "route_read"
 	}
--- a/internal/plug/sessn/sessn.go
+++ b/internal/plug/sessn/sessn.go
@@ -10,19 +10,24 @@
 	"almondway.dev/almondway/internal/core/route"
 )
 
-func init() { kern.Register("sessn", kern.RankSessions, New) }
+func init() {
+	kern.Register("sessn", kern.RankSessions, New, kern.ProfileStandalone, kern.ProfileHosted)
+}
 
 // Sessions holds the callers of the proxy and their running requests.
 type Sessions struct {
 	context *kern.Context
 	callers map[model.CallerID]*caller
-	reader  route.Runner
-	writer  route.Runner
+	runners map[model.Access]route.Runner
 }
 
 // New returns the plug-in. It offers route.Sessions.
 func New(context *kern.Context) kern.Plugin {
-	sessions := &Sessions{context: context, callers: make(map[model.CallerID]*caller)}
+	sessions := &Sessions{
+		context: context,
+		callers: make(map[model.CallerID]*caller),
+		runners: make(map[model.Access]route.Runner),
+	}
 	context.Offer(route.SessionsService, sessions)
 	return sessions
 }
@@ -43,11 +48,7 @@
 
 // Serve implements route.Sessions.
 func (sessions *Sessions) Serve(access model.Access, runner route.Runner) {
-	if access == model.AccessWrite {
-		sessions.writer = runner
-		return
-	}
-	sessions.reader = runner
+	sessions.runners[access] = runner
 }
 
 // InFlight implements route.Sessions.
@@ -61,12 +62,7 @@
 	return count
 }
 
-func (sessions *Sessions) runner(access model.Access) route.Runner {
-	if access == model.AccessWrite {
-		return sessions.writer
-	}
-	return sessions.reader
-}
+func (sessions *Sessions) runner(access model.Access) route.Runner { return sessions.runners[access] }
 
 func (sessions *Sessions) opened(opened event.CallerOpened) {
 	if code, detail := sessions.admits(opened); code != codes.OK {
@@ -135,6 +131,7 @@
 	}
 	delete(sessions.callers, id)
 	sessions.context.Timers().Cancel(caller.timer)
+	sessions.context.Timers().Cancel(caller.resting)
 	switch {
 	case caller.job != nil:
 		sessions.runner(caller.access).Abandon(caller.job)
--- a/internal/plug/sessn/start.go
+++ b/internal/plug/sessn/start.go
@@ -17,6 +17,7 @@
 }
 
 func (sessions *Sessions) start(caller *caller, request *model.Request) {
+	sessions.context.Timers().Cancel(caller.resting)
 	switch request.Op() {
 	case model.OpBegin:
 		sessions.begin(caller, request)
@@ -36,7 +37,7 @@
 		return
 	}
 	if !caller.inTx {
-		caller.begin(request.RequestID())
+		caller.begin(request.RequestID(), request.ReadOnly())
 	}
 	sessions.reply(caller, request, route.ResultSpec{Reason: "begin"})
 }
@@ -47,6 +48,8 @@
 		sessions.drop(caller)
 		caller.end()
 		sessions.refuse(caller, request, refusal{codes.TransactionState, "the transaction failed and was rolled back"})
+	case caller.tx == nil && caller.inTx && request.Statement() != nil:
+		sessions.commitEmpty(caller, request)
 	case caller.tx == nil:
 		caller.end()
 		sessions.reply(caller, request, route.ResultSpec{Reason: "empty commit"})
@@ -55,6 +58,19 @@
 	}
 }
 
+// commitEmpty runs a transaction without statements, for callers that need the
+// answer of an instance to their commit.
+func (sessions *Sessions) commitEmpty(caller *caller, request *model.Request) {
+	job, refused := sessions.validate(caller, request)
+	if refused.code != codes.OK {
+		caller.end()
+		sessions.refuse(caller, request, refused)
+		return
+	}
+	caller.tx = job.Tx()
+	sessions.run(caller, job, accessOf(job))
+}
+
 func (sessions *Sessions) rollback(caller *caller, request *model.Request) {
 	sessions.drop(caller)
 	caller.end()
@@ -76,6 +92,7 @@
 	}
 	caller.inForce = job.Deployment()
 	caller.inClass = job.Class()
+	caller.inKind = job.Kind()
 	if job.Tx() != nil {
 		caller.tx = job.Tx()
 	}
@@ -114,17 +131,22 @@
 // finishing returns the Job that commits the caller's transaction.
 func (sessions *Sessions) finishing(caller *caller, request *model.Request) *route.Job {
 	now := sessions.context.Now()
+	kind := model.Kind{}
+	if caller.tx.Access() == model.AccessEither {
+		kind = caller.inKind
+	}
 	return route.NewJob(route.JobSpec{
 		Request:    request,
 		Deployment: caller.inForce,
 		Class:      caller.inClass,
+		Kind:       kind,
 		Group:      caller.tx.Group(),
 		RequestID:  caller.tx.RequestID(),
 		OwnID:      caller.tx.OwnID(),
 		Seen:       caller.token.Mark(caller.tx.Group()),
 		Tx:         caller.tx,
 		Arrived:    now,
-		Deadline:   now + sessions.timeout(request, model.Kind{}),
+		Deadline:   now + sessions.timeout(request, kind),
 	})
 }
 
--- a/internal/plug/sessn/validate.go
+++ b/internal/plug/sessn/validate.go
@@ -109,6 +109,7 @@
 			RequestID: spec.RequestID,
 			OwnID:     spec.OwnID,
 			Digest:    spec.Request.Digest(),
+			ReadOnly:  caller.readOnly,
 		})
 	}
 	return refusal{}
--- a/internal/plug/tally/tally.go
+++ b/internal/plug/tally/tally.go
@@ -10,7 +10,7 @@
 	"almondway.dev/almondway/internal/core/model"
 )
 
-func init() { kern.Register("tally", kern.RankTally, New) }
+func init() { kern.Register("tally", kern.RankTally, New, kern.ProfileStandalone, kern.ProfileHosted) }
 
 // Tally is the plug-in.
 type Tally struct {
