catlog: a list that misses several leaving instances ends no process

Cause: the walk over a group's members forgot members while it went, and the shortened list held nil. Test: TestListWithoutInstancesThatLeft, which panicked before.

--- a/internal/plug/catlog/catlog.go
+++ b/internal/plug/catlog/catlog.go
@@ -3,6 +3,7 @@
 package catlog
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -79,7 +80,8 @@
 		catlog.list(listing)
 	}
 	for _, group := range catlog.context.State().Groups() {
-		for _, member := range group.Members() {
+		// The members are copied, since one that left is forgotten at once.
+		for _, member := range slices.Clone(group.Members()) {
 			if !present[member.ID()] {
 				catlog.lapse(member.ID())
 			}
--- /dev/null
+++ b/internal/plug/catlog/catlog_test.go
@@ -0,0 +1,141 @@
+package catlog_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"almondway.dev/almondway/internal/core/event"
+	"almondway.dev/almondway/internal/core/kern"
+	"almondway.dev/almondway/internal/core/model"
+	"almondway.dev/almondway/internal/core/tune"
+	"almondway.dev/almondway/internal/plug/catlog"
+)
+
+const group = model.GroupID("katalog")
+
+func newKernel() *kern.Kernel {
+	self := model.NewProxyView("p", "", "trnje-hall", 0, false, 0)
+	return kern.NewWith(self, tune.New(tune.Default()), time.Unix(0, 0), 1, catlog.New)
+}
+
+func catalog(revision uint64, names ...string) event.CatalogListed {
+	var deployments []*model.Deployment
+	for _, name := range names {
+		deployments = append(deployments, model.NewDeployment(model.DeploymentSpec{Name: name, Revision: revision}))
+	}
+	listed := model.NewGroup(group, nil).WithReplication(model.NewInstanceAcknowledged(1)).WithConns(34)
+	return event.NewCatalogListed(revision, deployments, []model.Group{listed})
+}
+
+func listing(id model.InstanceID, role model.Role, leaving bool) model.Listing {
+	return model.NewListing(model.ListingSpec{
+		Group:    group,
+		Instance: model.NewInstance(id, "10.0.0.1:1", "trnje-hall").WithCapacity(5, 0),
+		Role:     role,
+		Leaving:  leaving,
+	})
+}
+
+func members(kernel *kern.Kernel) []model.InstanceID {
+	var ids []model.InstanceID
+	for _, member := range kernel.State().Group(group).Members() {
+		ids = append(ids, member.ID())
+	}
+	return ids
+}
+
+func TestRevisionNeverReverts(t *testing.T) {
+	tests := []struct {
+		name     string
+		listed   []event.CatalogListed
+		revision uint64
+		has      string
+	}{
+		{name: "newer", listed: []event.CatalogListed{catalog(2, "a"), catalog(5, "b")}, revision: 5, has: "b"},
+		{name: "older", listed: []event.CatalogListed{catalog(5, "b"), catalog(2, "a")}, revision: 5, has: "b"},
+		{name: "same", listed: []event.CatalogListed{catalog(5, "b"), catalog(5, "a")}, revision: 5, has: "b"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			kernel := newKernel()
+			is.True(!kernel.State().Confirmed())
+			for _, listed := range test.listed {
+				kernel.Handle(0, listed)
+			}
+			revision, known := kernel.State().Revision()
+			is.True(known && kernel.State().Confirmed())
+			is.Equal(revision, test.revision)
+			_, ok := kernel.State().Deployment(test.has)
+			is.True(ok)
+		})
+	}
+}
+
+// Entries may come before the configuration that names their group.
+func TestInstancesListedBeforeTheirGroup(t *testing.T) {
+	is := is.New(t)
+	kernel := newKernel()
+	kernel.Handle(0, event.NewInstancesListed([]model.Listing{listing("i-1", model.RolePrimary, false)}))
+	kernel.Handle(1, catalog(1, "a"))
+	is.Equal(members(kernel), []model.InstanceID{"i-1"})
+	is.Equal(kernel.State().Group(group).Primary().ID(), model.InstanceID("i-1"))
+	is.Equal(kernel.State().Group(group).Member("i-1").Instance().Conns(), 34)
+}
+
+// A list that misses several instances that were leaving forgets all of them at once.
+func TestListWithoutInstancesThatLeft(t *testing.T) {
+	is := is.New(t)
+	kernel := newKernel()
+	kernel.Handle(0, catalog(1, "a"))
+	kernel.Handle(1, event.NewInstancesListed([]model.Listing{
+		listing("i-1", model.RolePrimary, true),
+		listing("i-2", model.RoleReplica, true),
+		listing("i-3", model.RoleReplica, true),
+		listing("i-4", model.RoleReplica, false),
+	}))
+	kernel.Handle(2, event.NewInstancesListed([]model.Listing{listing("i-4", model.RoleReplica, false)}))
+	is.Equal(members(kernel), []model.InstanceID{"i-4"})
+}
+
+func TestLapsedEntry(t *testing.T) {
+	tests := []struct {
+		name string
+		back time.Duration // when the entry is listed again, or 0
+		at   time.Duration
+		want int
+	}{
+		{name: "still used", at: 2 * time.Second, want: 1},
+		{name: "gone", at: 3 * time.Second, want: 0},
+		{name: "back in time", back: 2 * time.Second, at: 6 * time.Second, want: 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			kernel := newKernel()
+			kernel.Handle(0, catalog(1, "a"))
+			kernel.Handle(1, event.NewInstanceListed(listing("i-1", model.RoleReplica, false)))
+			kernel.Handle(2, event.NewInstanceUnlisted("i-1"))
+			if test.back > 0 {
+				kernel.Handle(test.back, event.NewInstanceListed(listing("i-1", model.RoleReplica, false)))
+			}
+			kernel.Tick(test.at)
+			is.Equal(len(members(kernel)), test.want)
+		})
+	}
+}
+
+// The listed role moves the belief about the primary, and a primary that says it
+// is a replica is believed at once.
+func TestListedRole(t *testing.T) {
+	is := is.New(t)
+	kernel := newKernel()
+	kernel.Handle(0, catalog(1, "a"))
+	kernel.Handle(1, event.NewInstanceListed(listing("i-1", model.RolePrimary, false)))
+	kernel.Handle(2, event.NewInstanceListed(listing("i-2", model.RolePrimary, false)))
+	is.Equal(kernel.State().Group(group).Primary().ID(), model.InstanceID("i-2"))
+	kernel.Handle(3, event.NewInstanceListed(listing("i-2", model.RoleReplica, false)))
+	is.True(kernel.State().Group(group).Primary() == nil)
+}
