elect: step down first, and the former primary as the last resort

And a status from before a promotion showed a pause, so that a second promotion followed. Now the primary steps down before replicas are paused, and it is promoted again where no replica is known to have all; statuses from before the end of an attempt do not count as stray pauses. Ruled out: leaving the crashed replica out, which may hold acknowledged commits.

--- a/internal/plug/elect/attempt.go
+++ b/internal/plug/elect/attempt.go
@@ -23,6 +23,12 @@
 )
 
 const (
+	// stepDownWait is how long a primary that seems to be there may take to step
+	// down before its replicas are paused.
+	stepDownWait = 300 * time.Millisecond
+	// settleTime is how long the log of a primary that stepped down may still be on
+	// its way to the replicas.
+	settleTime = 200 * time.Millisecond
 	// orderTimeout is the time after which an order to an instance is repeated.
 	orderTimeout = 500 * time.Millisecond
 	// promoteTimeout is the time after which a promotion call is repeated with a higher token.
@@ -45,9 +51,9 @@
 	chosen  model.InstanceID
 	pending map[model.InstanceID]bool
 	paused  map[model.InstanceID]bool
-	stepped bool
-	waiting string // why there is no candidate yet
-	tokens  bool   // a token is being drawn
+	stepped time.Duration // when the former primary had stepped down, or 0
+	waiting string        // why there is no candidate yet
+	tokens  bool          // a token is being drawn
 }
 
 func newAttempt(watch *watch, view *state.Group, reason string) *attempt {
@@ -129,26 +135,42 @@
 	return newest
 }
 
-// stop tells every instance to take part in no more acknowledgement.
+// stop makes sure that nothing more is acknowledged: the primary steps down, or
+// every replica is paused where it does not answer.
 func (attempt *attempt) stop() {
 	if attempt.term == 0 {
 		attempt.term = attempt.newest() + 1
 	}
-	for id, listing := range attempt.watch.counted {
-		if listing.ID() == "" || attempt.pending[id] || attempt.paused[id] || id == attempt.former && attempt.stepped {
-			continue
+	if attempt.stepped > 0 {
+		return
+	}
+	if _, ok := attempt.watch.counted[attempt.former]; ok {
+		attempt.send(attempt.former, event.NewStepDown(attempt.term))
+		sight := attempt.watch.sight(attempt.former)
+		if sight.failures == 0 && sight.known && attempt.watch.now()-attempt.since < stepDownWait {
+			return
 		}
-		var body event.Order = event.NewPause(attempt.term)
-		if id == attempt.former {
-			body = event.NewStepDown(attempt.term)
+	}
+	for id := range attempt.watch.counted {
+		if id != attempt.former && !attempt.paused[id] {
+			attempt.send(id, event.NewPause(attempt.term))
 		}
-		order := model.OrderID(attempt.watch.elect.context.NextID())
-		attempt.watch.elect.orders[order] = attempt
-		attempt.pending[id] = true
-		attempt.watch.elect.context.Emit(event.NewSendOrder(order, id, listing.Instance().Address(), body, orderTimeout))
 	}
 }
 
+// send gives an order to an instance unless an earlier one is not answered yet.
+func (attempt *attempt) send(instance model.InstanceID, body event.Order) {
+	listing := attempt.watch.counted[instance]
+	if attempt.pending[instance] || listing.ID() == "" {
+		return
+	}
+	elect := attempt.watch.elect
+	order := model.OrderID(elect.context.NextID())
+	elect.orders[order] = attempt
+	attempt.pending[instance] = true
+	elect.context.Emit(event.NewSendOrder(order, instance, listing.Instance().Address(), body, orderTimeout))
+}
+
 // ordered takes an instance's answer to an order.
 func (attempt *attempt) ordered(done event.OrderDone) {
 	delete(attempt.pending, done.Instance())
@@ -164,7 +186,10 @@
 	attempt.watch.take(done.Instance(), done.Status())
 	switch {
 	case done.Instance() == attempt.former:
-		attempt.stepped = done.Status().Role() == model.RoleReplica
+		if done.Status().Role() == model.RoleReplica {
+			attempt.stepped = attempt.watch.now()
+			attempt.watch.log("primary_stepped_down", attempt.former, "at "+done.Status().Tail().String())
+		}
 	case done.Status().Paused() > 0:
 		attempt.paused[done.Instance()] = true
 	}
@@ -175,8 +200,10 @@
 
 // seen takes a status that the instance reported by itself.
 func (attempt *attempt) seen(instance model.InstanceID) {
-	if attempt.phase == phaseStopping && attempt.watch.sight(instance).status.Paused() > 0 {
-		attempt.paused[instance] = true
+	if attempt.phase == phaseStopping {
+		if attempt.watch.sight(instance).status.Paused() > 0 && instance != attempt.former {
+			attempt.paused[instance] = true
+		}
 		attempt.choose()
 		return
 	}
@@ -199,7 +226,8 @@
 		return
 	}
 	replication, _ := view.Replication().(model.InstanceAcknowledged)
-	chosen, reason := candidate(attempt.readings(), replication.Replicas())
+	settled := attempt.stepped > 0 && attempt.watch.now()-attempt.stepped >= settleTime
+	chosen, reason := candidate(attempt.readings(), replication.Replicas(), settled)
 	if chosen == "" {
 		if reason != attempt.waiting {
 			attempt.waiting = reason
@@ -216,12 +244,14 @@
 	readings := make([]reading, 0, len(attempt.watch.counted))
 	for id, listing := range attempt.watch.counted {
 		sight := attempt.watch.sight(id)
+		since := attempt.stepped > 0 && sight.known && sight.statusAt >= attempt.stepped
+		stepped := id == attempt.former && attempt.stepped > 0
 		readings = append(readings, reading{
 			instance: id,
 			tail:     sight.status.Tail(),
-			known:    attempt.paused[id] || id == attempt.former && attempt.stepped,
+			known:    attempt.paused[id] || stepped || since,
 			paused:   attempt.paused[id],
-			stepped:  id == attempt.former && attempt.stepped,
+			stepped:  stepped,
 			emptied:  sight.emptied,
 			leaving:  listing.Leaving(),
 			former:   id == attempt.former,
--- a/internal/plug/elect/choose.go
+++ b/internal/plug/elect/choose.go
@@ -11,7 +11,7 @@
 	instance model.InstanceID
 	// tail is the end of its log.
 	tail model.Mark
-	// known is set when the instance answered after the attempt began.
+	// known is set when the instance answered after nothing more could be acknowledged.
 	known bool
 	// paused is set when it reported that it receives nothing by the attempt's order.
 	paused bool
@@ -30,14 +30,15 @@
 // primary and at least one replica have it. So nothing more is acknowledged when
 // the primary has stepped down, or when every replica that counts is paused; and
 // the highest log then has all that was acknowledged, if all logs that can have it
-// are known.
-func candidate(readings []reading, replicas int) (model.InstanceID, string) {
+// are known. settled tells that no more of the former primary's log is on its way
+// to the replicas.
+func candidate(readings []reading, replicas int, settled bool) (model.InstanceID, string) {
 	if replicas == 0 {
 		return fullest(readings), "no replica is waited for"
 	}
 	for _, former := range readings {
 		if former.former && former.stepped {
-			return behindFormer(readings, former)
+			return behindFormer(readings, former, settled)
 		}
 	}
 	for _, reading := range readings {
@@ -60,21 +61,24 @@
 // behindFormer chooses where the former primary has stepped down: its log has all
 // that was acknowledged, so whoever covers it will do. The former primary itself
 // is the last resort.
-func behindFormer(readings []reading, former reading) (model.InstanceID, string) {
-	best := fullest(replicasOf(readings))
-	for _, reading := range readings {
+func behindFormer(readings []reading, former reading, settled bool) (model.InstanceID, string) {
+	replicas := replicasOf(readings)
+	best := fullest(replicas)
+	all := best != ""
+	for _, reading := range replicas {
 		if reading.instance == best && reading.tail.Covers(former.tail) {
 			return best, "it has the whole log of the former primary"
 		}
-	}
-	all := true
-	for _, reading := range replicasOf(readings) {
 		all = all && reading.known && !reading.emptied
 	}
-	if all && best != "" {
+	switch {
+	case !settled:
+		return "", "no replica has the whole log of the former primary yet"
+	case all:
 		return best, "the former primary stepped down and every other log is known"
+	default:
+		return former.instance, "only the former primary is known to have all"
 	}
-	return "", "no replica has the whole log of the former primary"
 }
 
 func replicasOf(readings []reading) []reading {
--- a/internal/plug/elect/watch.go
+++ b/internal/plug/elect/watch.go
@@ -11,6 +11,8 @@
 const (
 	// primaryProbe is the time between two probes of a primary.
 	primaryProbe = 250 * time.Millisecond
+	// attemptProbe is the time between two probes of an instance during an attempt.
+	attemptProbe = 50 * time.Millisecond
 	// replicaProbe is the time between two probes of a replica.
 	replicaProbe = 2 * time.Second
 	// probeTimeout is the time after which a probe counts as unanswered.
@@ -63,6 +65,7 @@
 	adopted   bool             // the instances that the lease counts were taken over
 	attempt   *attempt
 	notBefore time.Duration
+	endedAt   time.Duration // when the last attempt ended
 	// counted are the instances that may hold commits; one that ended without
 	// having left stays until it is listed again.
 	counted map[model.InstanceID]model.Listing
@@ -183,7 +186,10 @@
 		}
 		sight := watch.sight(id)
 		interval := replicaProbe
-		if id == primary || watch.attempt != nil || primary == "" {
+		switch {
+		case watch.attempt != nil:
+			interval = attemptProbe
+		case id == primary || primary == "":
 			interval = primaryProbe
 		}
 		if sight.pending || watch.now()-sight.probedAt < interval && sight.probedAt > 0 {
@@ -306,7 +312,7 @@
 	paused := false
 	for id := range watch.counted {
 		sight := watch.sight(id)
-		paused = paused || sight.known && sight.status.Role() == model.RoleReplica && sight.status.Paused() > 0
+		paused = paused || sight.known && sight.statusAt > watch.endedAt && sight.status.Role() == model.RoleReplica && sight.status.Paused() > 0
 	}
 	switch {
 	case !paused:
@@ -323,6 +329,7 @@
 	watch.attempt = nil
 	watch.headless = 0
 	watch.strayed = 0
+	watch.endedAt = watch.now()
 	watch.notBefore = watch.now() + pause
 }
 
