relay: a full instance is no lost primary

An instance that answers TOOMANY is there; only one that cannot be reached, or that does not answer on an open connection, counts as missed. Ruled out: a crash of the primaries (the log shows 246 refusals for lack of connections and no refused connect after the restart).

--- a/internal/core/route/route.go
+++ b/internal/core/route/route.go
@@ -101,6 +101,9 @@
 	// Resume takes a slot again for a parked connection. taker takes its answers
 	// from now on. It reports false if the connection is gone.
 	Resume(conn model.ConnID, taker Taker) bool
+	// Unreachable reports whether no connection to an instance stands and the last
+	// one failed to open for another reason than that the instance is full.
+	Unreachable(instance model.InstanceID) bool
 	// Release gives a connection back. A dirty one is reset before it is used again.
 	Release(conn model.ConnID, dirty bool)
 	// Discard closes a connection whose answer nobody waits for any more.
--- a/internal/plug/conns/conns.go
+++ b/internal/plug/conns/conns.go
@@ -128,6 +128,12 @@
 	return true
 }
 
+// Unreachable implements route.Conns.
+func (pools *Pools) Unreachable(instance model.InstanceID) bool {
+	pool := pools.pool(instance)
+	return pool != nil && pool.total == pool.opening && pool.failures > 0 && pool.reason != model.FailFull
+}
+
 // Release implements route.Conns.
 func (pools *Pools) Release(id model.ConnID, dirty bool) {
 	conn, ok := pools.conns[id]
--- a/internal/plug/relay/ping.go
+++ b/internal/plug/relay/ping.go
@@ -89,10 +89,15 @@
 	if !ping.running || now < ping.endsAt {
 		return
 	}
-	ping.missed()
-	if ping.conn != 0 {
+	switch {
+	case ping.conn != 0:
+		ping.missed()
 		ping.relay.conns.Discard(ping.conn)
-	} else {
+	case ping.relay.conns.Unreachable(ping.instance):
+		ping.missed()
+		fallthrough
+	default:
+		// An instance that has no connection left is there.
 		ping.relay.conns.Withdraw(ping.ticket)
 	}
 	ping.done()
