limit, conns, relay: what is refused when one instance has to do the work of three

All waited, nearly none was answered within its target: requests waited behind others that were late already, reads that were refused for load went round the lagging replicas until their deadline, and transactions held every connection. Now: a queue that stands for half a second refuses what cannot meet its target, at once; lagging replicas are remembered for 100 ms; a read that no instance has room for is refused at once; transactions own at most two thirds of a proxy's connections; all proxies together queue at most three statements a slot. Routing lines say how long a statement waited and took and which mark it needed.

--- a/internal/app/logs/format.go
+++ b/internal/app/logs/format.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"time"
 	"unicode/utf8"
 
 	"github.com/sirupsen/logrus"
@@ -61,6 +62,16 @@
 	line = appendText(line, "proxy", string(decision.Proxy))
 	line = appendNumber(line, "term", uint64(decision.Term))
 	line = appendNumber(line, "revision", decision.Revision)
+	if !decision.After.IsZero() {
+		line = appendText(line, "after", decision.After.String())
+		line = appendDuration(line, "after_age_ms", decision.Age)
+	}
+	line = appendDuration(line, "waited_ms", decision.Waited)
+	line = appendDuration(line, "took_ms", decision.Took)
+	line = appendDuration(line, "retry_after_ms", decision.RetryAfter)
+	if decision.Outcome != model.OutcomeDone {
+		line = appendText(line, "outcome", decision.Outcome.String())
+	}
 	line = appendText(line, "reason", decision.Reason)
 	if decision.Code != codes.OK {
 		line = appendText(line, "code", decision.Code.String())
@@ -76,6 +87,15 @@
 	return strconv.AppendUint(line, number, 10)
 }
 
+// appendDuration appends milliseconds with a tenth.
+func appendDuration(line []byte, name string, duration time.Duration) []byte {
+	if duration == 0 {
+		return line
+	}
+	line = appendName(line, name)
+	return strconv.AppendFloat(line, float64(duration)/float64(time.Millisecond), 'f', 1, 64)
+}
+
 func appendText(line []byte, name, text string) []byte {
 	if text == "" {
 		return line
--- a/internal/core/model/deployment.go
+++ b/internal/core/model/deployment.go
@@ -36,6 +36,7 @@
 	Idempotent bool
 	Group      GroupID
 	Timeout    time.Duration
+	Target     time.Duration
 	TxIdle     time.Duration
 }
 
@@ -60,6 +61,9 @@
 // its own session committed.
 func (kind Kind) OwnWrites() bool { return kind.spec.OwnWrites }
 
+// Target returns the time within which callers want the answer, or 0 if they do not say.
+func (kind Kind) Target() time.Duration { return kind.spec.Target }
+
 // TxIdle returns how long a transaction may rest between two statements; 0 sets no bound.
 func (kind Kind) TxIdle() time.Duration { return kind.spec.TxIdle }
 
--- a/internal/core/route/route.go
+++ b/internal/core/route/route.go
@@ -121,6 +121,11 @@
 	Mark       model.Mark
 	Answer     model.Payload
 	Reason     string
+	// After is the mark that the instance's log had to cover, and Age how old it was.
+	After model.Mark
+	Age   time.Duration
+	// Waited is the time from the arrival until the statement was sent.
+	Waited time.Duration
 }
 
 // Runner runs the requests of one access.
--- a/internal/core/state/lead.go
+++ b/internal/core/state/lead.go
@@ -48,14 +48,14 @@
 }
 
 // Floor returns the lowest known mark that covers every commit that was
-// acknowledged before oldest.
-func (group *Group) Floor(oldest time.Duration) (model.Mark, bool) {
+// acknowledged before oldest, and when the statement that brought it was sent.
+func (group *Group) Floor(oldest time.Duration) (model.Mark, time.Duration, bool) {
 	for _, round := range group.rounds.list {
 		if round.since >= oldest {
-			return round.index, true
+			return round.index, round.since, true
 		}
 	}
-	return model.Mark{}, false
+	return model.Mark{}, 0, false
 }
 
 // FloorAge returns how long ago the statement behind the newest mark was sent.
--- a/internal/plug/conns/conns.go
+++ b/internal/plug/conns/conns.go
@@ -3,6 +3,7 @@
 package conns
 
 import (
+	"almondway.dev/almondway/internal/core/codes"
 	"almondway.dev/almondway/internal/core/event"
 	"almondway.dev/almondway/internal/core/kern"
 	"almondway.dev/almondway/internal/core/model"
@@ -65,6 +66,10 @@
 		taker.ConnDenied(unreachable, 0)
 		return 0
 	}
+	if ask.Job != nil && ask.Job.Tx() != nil && pool.inTx >= pool.txLimit() {
+		taker.ConnDenied(codes.Overloaded, pools.admission.RetryAfter(ask.Instance))
+		return 0
+	}
 	added := &ticket{id: route.Ticket(pools.context.NextID()), ask: ask, taker: taker, pool: pool}
 	pools.admission.Enter(added)
 	if added.state == ticketEnded {
--- a/internal/plug/conns/pool.go
+++ b/internal/plug/conns/pool.go
@@ -15,8 +15,11 @@
 	// unreachable is the code for an instance that cannot be connected to.
 	unreachable = codes.NoReplica
 
-	maxOpening       = 4
-	warmDivisor      = 2
+	maxOpening  = 4
+	warmDivisor = 2
+	// txParts of txWhole connections may be owned by transactions.
+	txParts          = 2
+	txWhole          = 3
 	maxDoublings     = 6
 	maintainInterval = time.Second
 	firstBackoff     = 20 * time.Millisecond
@@ -42,6 +45,7 @@
 	ask   route.Ask
 	exec  model.ExecID
 	slot  bool
+	inTx  bool // it was granted to a transaction
 	since time.Duration
 }
 
@@ -53,6 +57,7 @@
 	waiting  []*ticket
 	total    int
 	opening  int
+	inTx     int // connections that transactions own
 	failures int
 	failedAt time.Duration
 	reason   model.FailReason
@@ -71,6 +76,21 @@
 	return max(1, conns/proxies)
 }
 
+// txLimit returns how many connections transactions may own at once. They rest
+// between their statements, so a few must be left for single statements.
+func (pool *pool) txLimit() int { return max(1, pool.limit()*txParts/txWhole) }
+
+// own records whether a transaction owns a connection.
+func (pool *pool) own(conn *conn, inTx bool) {
+	switch {
+	case inTx && !conn.inTx:
+		pool.inTx++
+	case !inTx && conn.inTx:
+		pool.inTx--
+	}
+	conn.inTx = inTx
+}
+
 // warm returns how many connections are kept open ahead of need.
 func (pool *pool) warm() int { return max(1, pool.limit()/warmDivisor) }
 
@@ -106,12 +126,14 @@
 	conn.since = pool.pools.context.Now()
 	conn.taker = ticket.taker
 	conn.ask = ticket.ask
+	pool.own(conn, ticket.ask.Job != nil && ticket.ask.Job.Tx() != nil)
 	ticket.end()
 	ticket.taker.ConnGranted(conn.id)
 }
 
 func (pool *pool) park(conn *conn) {
 	conn.state = connIdle
+	pool.own(conn, false)
 	conn.since = pool.pools.context.Now()
 	pool.idle = append(pool.idle, conn)
 }
@@ -124,6 +146,7 @@
 
 func (pool *pool) remove(conn *conn) {
 	pool.total--
+	pool.own(conn, false)
 	if index := slices.Index(pool.idle, conn); index >= 0 {
 		pool.idle = slices.Delete(pool.idle, index, index+1)
 	}
--- a/internal/plug/limit/gate.go
+++ b/internal/plug/limit/gate.go
@@ -19,6 +19,14 @@
 	// the base halves.
 	heldHalfLife = 500 * time.Millisecond
 	maxHalvings  = 16
+	// burstTolerance is how long requests may wait without a break before the queue
+	// counts as standing.
+	burstTolerance = 500 * time.Millisecond
+	// queuePerSlot is how many statements all proxies together send to an instance
+	// at once, for each of its slots: one that runs and two that follow.
+	queuePerSlot = 3
+	// minCeiling lets a proxy use a slot while its next statement is on its way.
+	minCeiling = 2
 	// congestion is the multiple of the base at which an instance counts as congested.
 	congestion = 2
 	// decrease is the share of the limit that congestion takes away, as a divisor.
@@ -39,6 +47,7 @@
 	samples int
 	pressed bool
 	learned time.Duration // when the last sample came
+	queued  time.Duration // since when requests wait without a break
 }
 
 // learn takes a new sample of the time that a slot is held.
@@ -91,13 +100,24 @@
 	if limit == 0 {
 		limit = limits.context.Settings().MaxWaiting()
 	}
-	late := limits.context.Now()+gate.delay() > ask.Job.Deadline()
-	if limits.waiting[deployment.Name()] >= limit || late {
+	granted := limits.context.Now() + gate.delay()
+	hopeless := granted > ask.Job.Deadline() || limits.overdue(ask.Job, gate, granted+gate.held)
+	if limits.waiting[deployment.Name()] >= limit || hopeless {
 		return codes.Overloaded, limits.RetryAfter(ask.Instance)
 	}
 	return codes.OK, 0
 }
 
+// overdue reports whether a request that is answered at the given time comes so
+// late that its slot is better given to another. A short burst is queued, since
+// a late answer is better than none. Where the queue stands, every request would
+// be late, so those that cannot meet their target make room for those that can.
+func (limits *Limits) overdue(job *route.Job, gate *gate, answered time.Duration) bool {
+	target := job.Kind().Target()
+	standing := gate.waiting.size > 0 && limits.context.Now()-gate.queued >= burstTolerance
+	return target > 0 && standing && answered > job.Arrived()+target
+}
+
 // Delay implements route.Admission. The mean of an instance that gets no work
 // falls back to that with little load, so that it is tried again.
 func (limits *Limits) Delay(instance model.InstanceID) time.Duration {
@@ -128,13 +148,17 @@
 	return max(1, (slots+proxies-1)/proxies)
 }
 
-// ceiling returns this proxy's share of the connections of an instance.
+// ceiling returns this proxy's share of the connections of an instance. Where the
+// slots are known, all proxies together queue no more than queuePerSlot statements
+// there: the queue of the instance knows no priorities and no deadlines.
 func (limits *Limits) ceiling(instance model.InstanceID) int {
-	conns := limits.context.Settings().ConnsPerInstance()
-	if listed := limits.listed(instance); listed.Conns() > 0 {
-		conns = listed.Conns()
+	listed := limits.listed(instance)
+	if listed.Slots() == 0 {
+		return max(limits.floor(instance), limits.context.Settings().ConnsPerInstance()/limits.proxies())
 	}
-	return max(limits.floor(instance), conns/limits.proxies())
+	conns := max(1, listed.Conns()/limits.proxies())
+	share := (listed.Slots()*queuePerSlot + limits.proxies() - 1) / limits.proxies()
+	return max(limits.floor(instance), min(conns, max(minCeiling, share)))
 }
 
 // listed returns an instance with its capacity, or the zero Instance.
--- a/internal/plug/limit/limit.go
+++ b/internal/plug/limit/limit.go
@@ -72,6 +72,9 @@
 			return
 		}
 		limits.wait(ask)
+		if gate.waiting.size == 0 {
+			gate.queued = limits.context.Now()
+		}
 		gate.waiting.push(path(ask), entrant)
 		class.enter()
 		return
@@ -124,9 +127,15 @@
 func (limits *Limits) serve(gate *gate) {
 	for gate.waiting.size > 0 && gate.running < gate.limit {
 		next := gate.waiting.pop()
-		limits.unwait(next.Ask())
+		ask := next.Ask()
+		limits.unwait(ask)
+		if ask.Job != nil && limits.overdue(ask.Job, gate, limits.context.Now()+gate.held) {
+			limits.leaveClass(limits.class(ask))
+			next.SlotDenied(codes.Overloaded, limits.RetryAfter(ask.Instance))
+			continue
+		}
 		gate.running++
-		limits.budget(next.Ask()).earn()
+		limits.budget(ask).earn()
 		next.SlotGranted()
 	}
 }
--- a/internal/plug/relay/answer.go
+++ b/internal/plug/relay/answer.go
@@ -66,6 +66,8 @@
 		if view := task.view(); view != nil {
 			task.relay.refute(view, task.instance)
 		}
+	case model.FailureLagging:
+		task.relay.lagged(task.instance, task.after)
 	case model.FailureNotSent:
 		task.relay.fail(task.instance)
 	}
--- a/internal/plug/relay/choose.go
+++ b/internal/plug/relay/choose.go
@@ -13,6 +13,8 @@
 	refutedFor = 150 * time.Millisecond
 	// failedFor is how long an instance that did not answer gets no reads while others can take them.
 	failedFor = time.Second
+	// laggedFor is how long an instance that lacked a mark is not asked for one as high.
+	laggedFor = 100 * time.Millisecond
 	// sparePrimary is what an instance that leads costs more as the place of a
 	// read, since writes can go nowhere else.
 	sparePrimary = 10 * time.Millisecond
@@ -48,7 +50,7 @@
 	}
 	for offset := range members {
 		member := members[(first+offset)%len(members)]
-		if member.Leaving() || task.avoids(member.ID()) {
+		if member.Leaving() || task.avoids(member.ID()) || relay.lacks(member.ID(), task.after) {
 			continue
 		}
 		if cost := relay.cost(view, member); best == "" || cost < lowest {
@@ -58,6 +60,12 @@
 	return best
 }
 
+// lacks reports whether an instance said lately that its log lacks a mark.
+func (relay *Relay) lacks(instance model.InstanceID, mark model.Mark) bool {
+	known, ok := relay.lags[instance]
+	return ok && relay.context.Now()-known.at < laggedFor && mark.Covers(known.mark)
+}
+
 // cost returns the expected time of a read at an instance and what speaks against it.
 func (relay *Relay) cost(view *state.Group, member *state.Member) time.Duration {
 	cost := relay.admission.Delay(member.ID())
@@ -95,6 +103,11 @@
 // answered records that an instance answered.
 func (relay *Relay) answered(instance model.InstanceID) { delete(relay.failures, instance) }
 
+// lagged records that the log of an instance lacks a mark.
+func (relay *Relay) lagged(instance model.InstanceID, mark model.Mark) {
+	relay.lags[instance] = lag{mark: mark, at: relay.context.Now()}
+}
+
 // requirement tells what an instance must fulfil to run a job.
 type requirement int
 
@@ -121,14 +134,14 @@
 }
 
 // floor returns the mark that the log of the instance must cover for a read that
-// accepts staleness.
-func floor(view *state.Group, job *route.Job) (model.Mark, bool) {
-	mark, ok := view.Floor(job.Arrived() - job.Kind().Staleness())
+// accepts staleness, and when the statement that brought the mark was sent.
+func floor(view *state.Group, job *route.Job) (model.Mark, time.Duration, bool) {
+	mark, since, ok := view.Floor(job.Arrived() - job.Kind().Staleness())
 	if !ok {
-		return model.Mark{}, false
+		return model.Mark{}, 0, false
 	}
 	if job.Kind().OwnWrites() && job.Seen().Covers(mark) {
 		mark = job.Seen()
 	}
-	return mark, true
+	return mark, since, true
 }
--- a/internal/plug/relay/relay.go
+++ b/internal/plug/relay/relay.go
@@ -27,6 +27,13 @@
 	board     *route.Board
 	pings     map[model.GroupID]*ping
 	failures  map[model.InstanceID]time.Duration // when an instance last failed to answer
+	lags      map[model.InstanceID]lag
+}
+
+// lag is a mark that the log of an instance lacked.
+type lag struct {
+	mark model.Mark
+	at   time.Duration
 }
 
 // New returns the plug-in.
@@ -41,6 +48,7 @@
 		board:     route.NewBoard(),
 		pings:     make(map[model.GroupID]*ping),
 		failures:  make(map[model.InstanceID]time.Duration),
+		lags:      make(map[model.InstanceID]lag),
 	}
 	relay.sessions.Serve(model.AccessEither, relay)
 	context.Timers().Every(refreshInterval, relay.refresh)
--- a/internal/plug/relay/task.go
+++ b/internal/plug/relay/task.go
@@ -45,11 +45,14 @@
 	avoided  []model.InstanceID
 	step     model.Step
 	after    model.Mark
+	age      time.Duration // how old the mark was when the instance was chosen
 	sentAt   time.Duration
 	resumed  bool // the statement continues a transaction
 	reason   string
 	reran    bool // a read that the instance failed was run again
-	waits    bool // a timer for seekAgain runs
+	waits    bool // a timer to look again runs
+	// overload is when to come back, by an instance that was full, or 0.
+	overload time.Duration
 }
 
 func newTask(relay *Relay, job *route.Job) *task {
@@ -84,6 +87,10 @@
 		return
 	}
 	instance := task.target(view)
+	if instance == "" && task.overload > 0 {
+		task.finish(route.ResultSpec{Outcome: model.OutcomeNotRun, Code: codes.Overloaded, RetryAfter: task.overload, Reason: "every instance that could run it is full"})
+		return
+	}
 	if instance == "" {
 		task.wait()
 		return
@@ -104,13 +111,14 @@
 	}
 	ping := task.relay.ping(view.ID())
 	ping.usedAt = task.relay.context.Now()
-	mark, ok := floor(view, task.job)
+	mark, since, ok := floor(view, task.job)
 	if !ok {
 		task.reason = "no mark is young enough"
 		ping.start(view)
 		return ""
 	}
 	task.after = mark
+	task.age = task.relay.context.Now() - since
 	task.reason = "least load"
 	return task.relay.replica(view, task)
 }
@@ -210,6 +218,7 @@
 		return
 	}
 	if task.need == needMark && task.elsewhere() {
+		task.overload = max(task.overload, retryAfter)
 		task.avoid("queue is full")
 		return
 	}
@@ -223,7 +232,7 @@
 		return false
 	}
 	for _, member := range view.Members() {
-		if member.ID() != task.instance && !member.Leaving() && !task.avoids(member.ID()) {
+		if member.ID() != task.instance && !member.Leaving() && !task.avoids(member.ID()) && !task.relay.lacks(member.ID(), task.after) {
 			return true
 		}
 	}
@@ -319,6 +328,13 @@
 
 func (task *task) finish(result route.ResultSpec) {
 	result.Instance = task.instance
+	if task.sentAt > 0 {
+		result.Waited = task.sentAt - task.job.Arrived()
+	}
+	if task.need == needMark && !task.resumed {
+		result.After = task.after
+		result.Age = task.age
+	}
 	task.end()
 	task.relay.sessions.Finish(task.job, result)
 }
--- a/internal/plug/sessn/finish.go
+++ b/internal/plug/sessn/finish.go
@@ -123,6 +123,12 @@
 		Instance:   result.Instance,
 		Term:       result.Mark.Term(),
 		Revision:   job.Deployment().Revision(),
+		Outcome:    result.Outcome,
+		After:      result.After,
+		Age:        result.Age,
+		Waited:     result.Waited,
+		Took:       sessions.context.Now() - job.Arrived(),
+		RetryAfter: result.RetryAfter,
 		Reason:     result.Reason,
 		Code:       result.Code,
 	}))
