--- /dev/null
+++ b/internal/proof/city/city_test.go
@@ -0,0 +1,155 @@
+package city
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// traffic lets sessions of all kinds work for a time. A session whose proxy was
+// killed connects anew.
+func traffic(world *world, span time.Duration) {
+	var sessions []*session
+	for _, node := range world.nodes {
+		for _, kind := range []string{"primary", "bounded", "own"} {
+			sessions = append(sessions, world.connect(node, kind))
+		}
+	}
+	until := world.now + span
+	var turn func(index int)
+	turn = func(index int) {
+		if world.now >= until {
+			return
+		}
+		session := sessions[index]
+		if session.ended() {
+			sessions[index] = world.connect(session.node, session.kind)
+			session = sessions[index]
+		}
+		if !session.busy && !session.inTx {
+			switch choice := world.random.IntN(10); {
+			case choice < 2:
+				session.write()
+			case choice < 3:
+				session.transact()
+			default:
+				session.read()
+			}
+		}
+		world.after(5*time.Millisecond+time.Duration(world.random.Int64N(int64(20*time.Millisecond))), func() { turn(index) })
+	}
+	for index := range sessions {
+		world.after(hop, func() { turn(index) })
+	}
+}
+
+// fault is something that goes wrong at a time.
+type fault struct {
+	name string
+	run  func(world *world)
+}
+
+var faults = []fault{
+	{"primary crashes and comes back", func(world *world) {
+		if crashed := world.leader; crashed != nil {
+			crashed.crash(4 * time.Second)
+		}
+	}},
+	{"replica crashes and comes back", func(world *world) {
+		for _, instance := range world.instances {
+			if !instance.leads() && instance.up {
+				instance.crash(2 * time.Second)
+				return
+			}
+		}
+	}},
+	{"a replica receives nothing", func(world *world) {
+		deaf := world.instances[world.random.IntN(len(world.instances))]
+		deaf.deaf = true
+		world.after(2*time.Second, func() { deaf.deaf = false })
+	}},
+	{"the replicas apply nothing", func(world *world) {
+		for _, instance := range world.instances {
+			instance.slow = true
+			world.after(time.Second, func() { instance.slow = false })
+		}
+	}},
+	{"the primary is cut from its replicas", func(world *world) {
+		if primary := world.leader; primary != nil {
+			primary.apart = true
+			world.after(3*time.Second, func() { primary.apart = false })
+		}
+	}},
+	{"the primary is cut from most proxies", func(world *world) {
+		if primary := world.leader; primary != nil {
+			for _, node := range world.nodes[1:] {
+				primary.cut[node] = true
+				world.after(4*time.Second, func() { delete(primary.cut, node) })
+			}
+		}
+	}},
+	{"a proxy is killed", func(world *world) {
+		node := world.nodes[world.random.IntN(len(world.nodes))]
+		node.kill()
+		node.start()
+	}},
+	{"a proxy stands still", func(world *world) {
+		world.nodes[world.random.IntN(len(world.nodes))].pause(2 * time.Second)
+	}},
+	{"the store is away", func(world *world) {
+		world.storeDown = true
+		world.after(3*time.Second, func() { world.storeDown = false })
+	}},
+	{"promotion calls come late", func(world *world) {
+		world.late = 0.5
+		world.after(5*time.Second, func() { world.late = 0 })
+	}},
+}
+
+func (instance *instance) crash(span time.Duration) {
+	instance.up = false
+	instance.paused = 0
+	world := instance.world
+	for _, node := range world.nodes {
+		for _, conn := range node.conns {
+			if conn.instance == instance {
+				conn.rollBack()
+			}
+		}
+	}
+	world.relist()
+	world.after(span, func() {
+		instance.up = true
+		if world.leader != nil && world.leader != instance {
+			instance.truncate(world.leader)
+		}
+		world.relist()
+	})
+}
+
+// Each fault alone, and then every one with every other.
+func TestFaults(t *testing.T) {
+	for first := range faults {
+		for second := first; second < len(faults); second++ {
+			t.Run(faults[first].name+", "+faults[second].name, func(t *testing.T) {
+				is := is.New(t)
+				world := newWorld(uint64(1000*first+second), 3)
+				world.run(2 * time.Second)
+				traffic(world, 14*time.Second)
+				world.run(time.Second)
+				faults[first].run(world)
+				world.run(400 * time.Millisecond)
+				faults[second].run(world)
+				world.run(14 * time.Second)
+				is.Equal(world.oracle.broken, nil)
+				served, asked := world.oracle.served, world.oracle.asked
+				traffic(world, 2*time.Second)
+				world.run(4 * time.Second)
+				// Once all is well again, nearly everything is served.
+				is.True(100*(world.oracle.served-served) >= 95*(world.oracle.asked-asked))
+				is.Equal(world.oracle.broken, nil)
+			})
+		}
+	}
+}
