--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(CURDIR)/.bin
 OUT := $(CURDIR)/bin
 TOOLS := $(BIN)/golangci-lint $(BIN)/gofumpt $(BIN)/buf $(BIN)/protoc-gen-go $(BIN)/protoc-gen-connect-go
-PACKAGES := ./cmd/... ./internal/...
+PACKAGES := ./cmd/... ./internal/... ./platform/...
 
 .PHONY: build test lint format generate generated-check demo measure measure-baseline bench slopes fuzz e2e run tools clean
 
@@ -61,10 +61,10 @@
 	@touch $@
 
 format: $(BIN)/gofumpt
-	$(BIN)/gofumpt -w cmd internal
+	$(BIN)/gofumpt -w cmd internal platform
 
 lint: $(BIN)/golangci-lint $(BIN)/gofumpt
-	@unformatted=$$($(BIN)/gofumpt -l cmd internal); \
+	@unformatted=$$($(BIN)/gofumpt -l cmd internal platform); \
 	if [ -n "$$unformatted" ]; then echo "not formatted: $$unformatted"; exit 1; fi
 	$(BIN)/golangci-lint run --allow-parallel-runners $(PACKAGES)
 
--- a/internal/plug/conns/answer.go
+++ b/internal/plug/conns/answer.go
@@ -12,6 +12,9 @@
 	}
 	pool := conn.pool
 	pool.opening--
+	if pool.failures > 0 {
+		pool.log("instance_reached", "a connection was opened")
+	}
 	pool.failures = 0
 	pool.park(conn)
 	pool.serve()
--- a/internal/plug/conns/pool.go
+++ b/internal/plug/conns/pool.go
@@ -182,6 +182,9 @@
 	failed.state = connClosed
 	pool.total--
 	pool.opening--
+	if pool.failures == 0 {
+		pool.log("instance_unreachable", reason.String())
+	}
 	pool.failedAt = pool.pools.context.Now()
 	pool.reason = reason
 	pool.backOff()
@@ -193,6 +196,11 @@
 	}
 }
 
+// log writes that the instance was lost or regained.
+func (pool *pool) log(name, reason string) {
+	pool.pools.context.Emit(event.NewLogDecision(model.Decision{Name: name, Instance: pool.instance.ID(), Reason: reason}))
+}
+
 func (pool *pool) backOff() {
 	context := pool.pools.context
 	backoff := min(maxBackoff, firstBackoff<<min(pool.failures, maxDoublings))
--- a/internal/plug/elect/attempt.go
+++ b/internal/plug/elect/attempt.go
@@ -7,7 +7,6 @@
 	"almondway.dev/almondway/internal/core/event"
 	"almondway.dev/almondway/internal/core/heir"
 	"almondway.dev/almondway/internal/core/model"
-	"almondway.dev/almondway/internal/core/state"
 )
 
 type phase int
@@ -56,11 +55,10 @@
 	waiting string        // why there is no candidate yet
 	// bound is the instance of an order that might be carried out when the attempt
 	// began. What was reported since may be older than that promotion.
-	bound  model.InstanceID
-	tokens bool // a token is being drawn
+	bound model.InstanceID
 }
 
-func newAttempt(watch *watch, view *state.Group, reason string) *attempt {
+func newAttempt(watch *watch, reason string) *attempt {
 	return &attempt{
 		watch:   watch,
 		reason:  reason,
--- a/internal/plug/elect/watch.go
+++ b/internal/plug/elect/watch.go
@@ -176,7 +176,7 @@
 	if reason == "" || watch.now() < watch.notBefore {
 		return
 	}
-	watch.attempt = newAttempt(watch, view, reason)
+	watch.attempt = newAttempt(watch, reason)
 	watch.attempt.start()
 }
 
--- a/internal/plug/relay/answer.go
+++ b/internal/plug/relay/answer.go
@@ -114,7 +114,8 @@
 		task.loseTx("refused within the transaction")
 		return
 	}
-	if class == model.FailureBusy && !(task.need == needMark && task.elsewhere()) {
+	elsewhere := task.need == needMark && task.elsewhere()
+	if class == model.FailureBusy && !elsewhere {
 		task.refuse(codes.Overloaded, "the instance has no slot")
 		return
 	}
--- /dev/null
+++ b/internal/proof/rules/names_test.go
@@ -0,0 +1,44 @@
+package rules
+
+import (
+	"io/fs"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// wireNames are names of the hosting platform's protocol, settings and store. They
+// are put together here, so that this file does not hold them itself.
+var wireNames = regexp.MustCompile(strings.Join([]string{
+	"rows" + "-(tx|get|feed|parts)", "blob" + "-(put|get|drop|list)", "schema" + "_version", "Fencing" + "-Token", "Duty" + "-Holder",
+	"db" + "_role", "STEP" + "DOWN", "START" + "UP ", "DATA" + "ROW", "ALMONDWAY" + "_BOOT", "cloud" + "_api", "tx" + "_idle_ms",
+	"max" + "_staleness_ms", "cold" + "_remaining_ms", "heartbeat" + "_ms", "listen" + "_addrs", "fleet" + "bench",
+}, "|"))
+
+// Only the adapter knows the platform's names.
+func TestPlatformNamesStayInTheAdapter(t *testing.T) {
+	is := is.New(t)
+	checked := 0
+	for _, area := range []string{"cmd", "internal", "proto", "scripts"} {
+		err := filepath.WalkDir(filepath.Join(root, area), func(path string, entry fs.DirEntry, err error) error {
+			if err != nil || entry.IsDir() {
+				return err
+			}
+			content, err := os.ReadFile(path)
+			if err != nil {
+				return err
+			}
+			checked++
+			if found := wireNames.Find(content); found != nil {
+				t.Errorf("%s holds %q, which is a name of the platform", path, found)
+			}
+			return nil
+		})
+		is.NoErr(err)
+	}
+	is.True(checked > 300)
+}
