relay: a transaction whose statement outlives its time is aborted

Cause: the caller was told TIMEOUT, which promises nothing, though the connection is closed and nothing of a transaction is kept before its commit; it could not try a write again. Now it is told that the transaction was lost.

--- a/internal/plug/relay/task.go
+++ b/internal/plug/relay/task.go
@@ -264,6 +264,9 @@
 	switch {
 	case spent == taskExecuting && task.uncertain():
 		task.finish(route.ResultSpec{Outcome: model.OutcomeUnknown, Code: codes.OutcomeUnknown, Reason: "deadline while the statement ran"})
+	case spent == taskExecuting && task.job.Tx() != nil:
+		// The connection is closed, and with it ends the transaction.
+		task.loseTx("deadline while a statement of the transaction ran")
 	case spent == taskExecuting:
 		task.finish(route.ResultSpec{Outcome: model.OutcomeUnknown, Code: codes.DeadlineExceeded, Reason: "deadline while the statement ran"})
 	case task.need == needMark:
