--- a/internal/plug/elect/watch.go
+++ b/internal/plug/elect/watch.go
@@ -14,7 +14,7 @@
 	// attemptProbe is the time between two probes of an instance during an attempt.
 	attemptProbe = 50 * time.Millisecond
 	// replicaProbe is the time between two probes of a replica.
-	replicaProbe = 2 * time.Second
+	replicaProbe = 4 * time.Second
 	// probeTimeout is the time after which a probe counts as unanswered.
 	probeTimeout = 600 * time.Millisecond
 	// refusals is how many probes in a row a process that is gone refuses.
@@ -198,6 +198,9 @@
 		if sight.pending || watch.now()-sight.probedAt < interval && sight.probedAt > 0 {
 			continue
 		}
+		if age, ok := view.FloorAge(watch.now()); id == primary && watch.attempt == nil && sight.known && ok && age < primaryProbe && watch.now()-sight.probedAt < replicaProbe {
+			continue // the statements of callers show that it leads
+		}
 		sight.pending = true
 		sight.probedAt = watch.now()
 		probe := model.ProbeID(watch.elect.context.NextID())
