conns: connections beyond a proxy's share are borrowed for a moment

Where the share is below four, a proxy opens up to four on demand, keeps none ahead of need and closes them after 200 ms; marks are asked for only when they near the bound.

--- a/internal/plug/conns/pool.go
+++ b/internal/plug/conns/pool.go
@@ -17,13 +17,17 @@
 
 	maxOpening  = 4
 	warmDivisor = 2
+	// borrowLimit is how many connections to an instance a proxy may hold whose share is smaller.
+	borrowLimit = 4
 	// txParts of txWhole connections may be owned by transactions.
 	txParts          = 2
 	txWhole          = 3
 	maxDoublings     = 6
-	maintainInterval = time.Second
-	firstBackoff     = 20 * time.Millisecond
-	maxBackoff       = time.Second
+	maintainInterval = 100 * time.Millisecond
+	// briefly is how long a connection beyond the share may be unused.
+	briefly      = 200 * time.Millisecond
+	firstBackoff = 20 * time.Millisecond
+	maxBackoff   = time.Second
 )
 
 type connState int
@@ -65,15 +69,25 @@
 	retry    timer.ID
 }
 
-// limit returns this proxy's share of the connections of an instance.
-func (pool *pool) limit() int {
+// share returns this proxy's share of the connections of an instance; it is 0
+// where there are more proxies than connections.
+func (pool *pool) share() int {
 	context := pool.pools.context
-	proxies := max(1, len(context.State().Proxies()))
 	conns := context.Settings().ConnsPerInstance()
 	if listed := pool.instance.Conns(); listed > 0 {
 		conns = listed
 	}
-	return max(1, conns/proxies)
+	return conns / max(1, len(context.State().Proxies()))
+}
+
+// limit returns how many connections this proxy may hold. Where many proxies share
+// few connections, each may take more than its share for a while, since most hold
+// none; the instance refuses what is too much.
+func (pool *pool) limit() int {
+	if pool.instance.Conns() == 0 {
+		return max(1, pool.share())
+	}
+	return max(borrowLimit, pool.share())
 }
 
 // txLimit returns how many connections transactions may own at once. They rest
@@ -92,7 +106,12 @@
 }
 
 // warm returns how many connections are kept open ahead of need.
-func (pool *pool) warm() int { return max(1, pool.limit()/warmDivisor) }
+func (pool *pool) warm() int {
+	if share := pool.share(); pool.instance.Conns() > 0 && share < borrowLimit {
+		return 0
+	}
+	return max(1, pool.share()/warmDivisor)
+}
 
 // serve hands idle connections to the tickets that wait longest.
 func (pool *pool) serve() {
--- a/internal/plug/conns/upkeep.go
+++ b/internal/plug/conns/upkeep.go
@@ -68,7 +68,11 @@
 
 func (pool *pool) shrink() {
 	context := pool.pools.context
-	oldest := context.Now() - context.Settings().ConnIdle()
+	idle := context.Settings().ConnIdle()
+	if pool.total > pool.share() && pool.instance.Conns() > 0 {
+		idle = min(idle, briefly)
+	}
+	oldest := context.Now() - idle
 	for len(pool.idle) > 0 && (pool.total > pool.limit() || pool.total > pool.warm() && pool.idle[0].since < oldest) {
 		idle := pool.idle[0]
 		context.Emit(event.NewCloseConn(idle.id))
--- a/internal/plug/relay/ping.go
+++ b/internal/plug/relay/ping.go
@@ -17,8 +17,8 @@
 	// refreshInterval is the time between two looks at the age of the marks.
 	refreshInterval = 100 * time.Millisecond
 	// refreshAge is the age of the newest mark of a group from which a new one is
-	// asked for: half of the shortest staleness that operators set.
-	refreshAge = 700 * time.Millisecond
+	// asked for: three quarters of the shortest staleness that operators set.
+	refreshAge = 1100 * time.Millisecond
 	// pingTimeout bounds an empty transaction.
 	pingTimeout = 500 * time.Millisecond
 	// usedFor is how long after its last read a group's marks are kept fresh.
