elect: a lost promoter is replaced sooner, and a lost primary without the store

The lease lasts 3 s, proxies look at it every 400 ms while a group is in need, a primary that does not answer and whose entry is gone is lost, and writes that the primary does not answer in time are complained of. Ruled out: counting proxies that were not heard since as complaining. Test: TestPromoterWithoutStore.

--- a/internal/core/route/fleet.go
+++ b/internal/core/route/fleet.go
@@ -9,6 +9,8 @@
 type Fleet interface {
 	// Complain tells the other proxies whether this one cannot work with an instance that leads.
 	Complain(instance model.InstanceID, unusable bool)
+	// Complains reports whether this proxy cannot work with an instance.
+	Complains(instance model.InstanceID) bool
 	// Complaints returns how many live proxies cannot work with an instance, this
 	// one included, and how many proxies are live.
 	Complaints(instance model.InstanceID) (complaining, live int)
--- a/internal/core/state/member.go
+++ b/internal/core/state/member.go
@@ -20,6 +20,7 @@
 	drained   bool
 	recovery  recovery
 	listing   model.Listing
+	lapsed    bool
 }
 
 // Instance returns the instance as the platform lists it.
@@ -62,9 +63,16 @@
 	member.listing = listing
 	member.instance = listing.Instance().WithCapacity(listing.Instance().Slots(), conns)
 	member.listed = listing.Leaving()
+	member.lapsed = false
 	member.heard = true
 }
 
+// Lapsed reports whether the instance's entry is gone from the platform's list.
+func (member *Member) Lapsed() bool { return member.lapsed }
+
+// Lapse records that the entry is gone.
+func (member *Member) Lapse() { member.lapsed = true }
+
 // SetListed records whether the host list says that the instance leaves.
 func (member *Member) SetListed(leaving bool) { member.listed = leaving }
 
--- a/internal/plug/catlog/catlog.go
+++ b/internal/plug/catlog/catlog.go
@@ -99,6 +99,7 @@
 		before = group.Member(listing.ID()).Listing()
 	}
 	if before == listing {
+		state.PutMember(listing) // ends the lapse
 		return
 	}
 	if !state.PutMember(listing) {
@@ -144,6 +145,7 @@
 		catlog.forget(group.ID(), instance)
 		return
 	}
+	group.Member(instance).Lapse()
 	catlog.lapsing[instance] = catlog.context.Timers().After(lapseGrace, func() {
 		catlog.forget(group.ID(), instance)
 	})
--- a/internal/plug/elect/elect.go
+++ b/internal/plug/elect/elect.go
@@ -47,7 +47,7 @@
 		orders:   make(map[model.OrderID]*attempt),
 		promises: make(map[model.QueryID]*attempt),
 	}
-	elect.lease = newLease(context, client, elect.counted)
+	elect.lease = newLease(context, client, elect.urgent, elect.counted)
 	context.Offer(ServiceName, elect)
 	context.Timers().Every(tickInterval, elect.tick)
 	return elect
@@ -118,6 +118,20 @@
 	return found
 }
 
+// urgent reports whether a group has no primary that this proxy can work with.
+func (elect *Elect) urgent() bool {
+	for _, view := range elect.context.State().Groups() {
+		if len(view.Members()) == 0 {
+			continue
+		}
+		primary := view.Primary()
+		if primary == nil || primary.Leaving() || elect.fleet.Complains(primary.ID()) {
+			return true
+		}
+	}
+	return false
+}
+
 // counted returns the instances of each group that may hold acknowledged commits.
 // What an earlier holder knew stays until this proxy has taken it over.
 func (elect *Elect) counted() map[model.GroupID][]model.InstanceID {
--- a/internal/plug/elect/lease.go
+++ b/internal/plug/elect/lease.go
@@ -16,11 +16,13 @@
 	leaseKey   = "promoter"
 
 	// leaseTime is the time without a renewal after which another proxy takes the lease.
-	leaseTime = 5 * time.Second
+	leaseTime = 3 * time.Second
 	// leaseMargin is the part of it in which the holder does not act any more.
 	leaseMargin = 500 * time.Millisecond
 	// renewInterval is the time between two renewals.
-	renewInterval = 1500 * time.Millisecond
+	renewInterval = time.Second
+	// urgentInterval is the time between two looks while a group needs a promoter.
+	urgentInterval = 400 * time.Millisecond
 	// standbyInterval is the time between two looks of the proxies that stand by first.
 	standbyInterval = 2 * time.Second
 	// standbys is how many proxies look at the lease at this pace; the others look more rarely.
@@ -69,10 +71,13 @@
 	busy      bool
 	resigning bool
 	lookAt    time.Duration
+	lookedAt  time.Duration
 	// next and limit are the tokens that are reserved and not used yet.
 	next, limit uint64
 	// orders are the orders that were not answered.
 	orders map[model.GroupID]order
+	// urgent reports whether a group needs a promoter.
+	urgent func() bool
 	// counted returns what the row shall say of the groups.
 	counted func() map[model.GroupID][]model.InstanceID
 }
@@ -83,8 +88,8 @@
 	at       time.Duration
 }
 
-func newLease(context *kern.Context, client *table.Client, counted func() map[model.GroupID][]model.InstanceID) *lease {
-	return &lease{context: context, client: client, counted: counted, orders: make(map[model.GroupID]order)}
+func newLease(context *kern.Context, client *table.Client, urgent func() bool, counted func() map[model.GroupID][]model.InstanceID) *lease {
+	return &lease{context: context, client: client, urgent: urgent, counted: counted, orders: make(map[model.GroupID]order)}
 }
 
 func (lease *lease) self() model.ProxyID { return lease.context.State().Self().ID() }
@@ -95,9 +100,13 @@
 // tick renews the lease, or looks whether it is free.
 func (lease *lease) tick() {
 	now := lease.context.Now()
+	if lease.known && lease.urgent() {
+		lease.lookAt = min(lease.lookAt, lease.lookedAt+urgentInterval)
+	}
 	if lease.busy || now < lease.lookAt || lease.resigning {
 		return
 	}
+	lease.lookedAt = now
 	lease.look(func() {
 		switch {
 		case lease.row.Holder == lease.self():
@@ -118,6 +127,8 @@
 		return renewInterval
 	case !lease.known:
 		return time.Duration(place+1) * startStagger
+	case lease.urgent():
+		return urgentInterval
 	case place < standbys+1:
 		return standbyInterval
 	default:
--- a/internal/plug/elect/watch.go
+++ b/internal/plug/elect/watch.go
@@ -303,6 +303,8 @@
 		watch.elect.fleet.Refresh()
 	}
 	switch {
+	case down && primary.Lapsed():
+		return "the primary does not answer here and its entry is gone"
 	case down && majority:
 		return "the primary does not answer here and at most proxies"
 	case majority:
--- a/internal/plug/fleet/fleet.go
+++ b/internal/plug/fleet/fleet.go
@@ -133,10 +133,15 @@
 	fleet.read()
 }
 
+// Complains implements route.Fleet.
+func (fleet *Fleet) Complains(instance model.InstanceID) bool {
+	return slices.Contains(fleet.unusable, instance)
+}
+
 // Complaints implements route.Fleet.
 func (fleet *Fleet) Complaints(instance model.InstanceID) (int, int) {
 	complaining, live := 0, 1
-	if slices.Contains(fleet.unusable, instance) {
+	if fleet.Complains(instance) {
 		complaining++
 	}
 	for id, peer := range fleet.peers {
--- a/internal/plug/relay/answer.go
+++ b/internal/plug/relay/answer.go
@@ -1,12 +1,17 @@
 package relay
 
 import (
+	"time"
+
 	"almondway.dev/almondway/internal/core/codes"
 	"almondway.dev/almondway/internal/core/event"
 	"almondway.dev/almondway/internal/core/model"
 	"almondway.dev/almondway/internal/core/route"
 )
 
+// lastMoment is how long before a deadline an answer that is missing counts as late.
+const lastMoment = 20 * time.Millisecond
+
 // ExecuteDone implements route.Taker.
 func (task *task) ExecuteDone(done event.ExecuteDone) {
 	task.relay.answered(task.instance)
@@ -36,6 +41,7 @@
 func (task *task) succeed(done event.ExecuteDone, committed bool) {
 	result := route.ResultSpec{Answer: done.Answer(), Reason: task.reason}
 	if committed {
+		task.relay.ping(task.job.Group()).wrote(task.instance)
 		result.Mark = done.Mark()
 	}
 	task.finish(result)
@@ -100,6 +106,9 @@
 func (task *task) lost(step model.Step) {
 	switch {
 	case task.uncertain():
+		if task.relay.context.Now() >= task.job.Deadline()-lastMoment {
+			task.relay.ping(task.job.Group()).stalled(task.instance)
+		}
 		task.finish(route.ResultSpec{Outcome: model.OutcomeUnknown, Code: codes.OutcomeUnknown, Reason: "the answer was lost"})
 	case task.resumed:
 		task.loseTx("connection lost")
--- a/internal/plug/relay/ping.go
+++ b/internal/plug/relay/ping.go
@@ -14,6 +14,8 @@
 	// missesToComplain is how many questions in a row a primary leaves unanswered
 	// before the other proxies are told.
 	missesToComplain = 2
+	// stallsToComplain is the same for writes that it did not answer in time.
+	stallsToComplain = 2
 	// refreshInterval is the time between two looks at the age of the marks.
 	refreshInterval = 100 * time.Millisecond
 	// refreshAge is the age of the newest mark of a group from which a new one is
@@ -40,6 +42,9 @@
 	// suspect is set when the primary failed to answer, until it answers again.
 	suspect bool
 	misses  int
+	// stalls counts the writes in a row that the primary did not answer in time. It
+	// may lead and yet reach no replica.
+	stalls int
 	// complained is the primary that the other proxies were told of, or the empty name.
 	complained model.InstanceID
 }
@@ -108,13 +113,36 @@
 	view := ping.relay.context.State().Group(ping.group)
 	ping.relay.fail(ping.instance)
 	ping.misses++
-	if ping.misses < missesToComplain || view == nil || view.Primary() == nil || view.Primary().ID() != ping.instance {
+	if ping.misses >= missesToComplain && view != nil && view.Primary() != nil && view.Primary().ID() == ping.instance {
+		ping.complain(ping.instance)
+	}
+}
+
+func (ping *ping) complain(instance model.InstanceID) {
+	if ping.complained != instance {
+		ping.withdraw()
+		ping.complained = instance
+		ping.relay.fleet.Complain(instance, true)
+	}
+}
+
+// stalled counts a write that the primary did not answer in time.
+func (ping *ping) stalled(instance model.InstanceID) {
+	view := ping.relay.context.State().Group(ping.group)
+	if view == nil || view.Primary() == nil || view.Primary().ID() != instance {
 		return
 	}
-	if ping.complained != ping.instance {
+	ping.stalls++
+	if ping.stalls >= stallsToComplain {
+		ping.complain(instance)
+	}
+}
+
+// wrote records that the primary answered a write.
+func (ping *ping) wrote(instance model.InstanceID) {
+	ping.stalls = 0
+	if ping.complained == instance {
 		ping.withdraw()
-		ping.complained = ping.instance
-		ping.relay.fleet.Complain(ping.instance, true)
 	}
 }
 
@@ -122,7 +150,7 @@
 func (ping *ping) hit() {
 	ping.misses = 0
 	ping.suspect = false
-	if ping.complained == ping.instance {
+	if ping.complained == ping.instance && ping.stalls < stallsToComplain {
 		ping.withdraw()
 	}
 }
@@ -140,7 +168,7 @@
 	view := ping.relay.context.State().Group(ping.group)
 	if ping.complained != "" && view.Primary() != nil && view.Primary().ID() != ping.complained {
 		ping.withdraw()
-		ping.misses = 0
+		ping.misses, ping.stalls = 0, 0
 	}
 }
 
--- a/internal/plug/relay/task.go
+++ b/internal/plug/relay/task.go
@@ -263,6 +263,7 @@
 	task.stop()
 	switch {
 	case spent == taskExecuting && task.uncertain():
+		task.relay.ping(task.job.Group()).stalled(task.instance)
 		task.finish(route.ResultSpec{Outcome: model.OutcomeUnknown, Code: codes.OutcomeUnknown, Reason: "deadline while the statement ran"})
 	case spent == taskExecuting && task.job.Tx() != nil:
 		// The connection is closed, and with it ends the transaction.
--- a/internal/proof/city/city_test.go
+++ b/internal/proof/city/city_test.go
@@ -156,6 +156,26 @@
 	}
 }
 
+// The promoter loses the store and the primary ends, and no other proxy but one
+// reaches the store to say that it cannot work with the primary either. The entry
+// of the primary is gone after a few seconds, which is enough.
+func TestPromoterWithoutStore(t *testing.T) {
+	is := is.New(t)
+	world := newWorld(7, 3)
+	world.run(2 * time.Second)
+	traffic(world, 12*time.Second)
+	world.run(time.Second)
+	former := world.leader
+	for _, node := range world.nodes[:2] {
+		node.noStore = true
+	}
+	former.up = false
+	world.after(3600*time.Millisecond, world.relist)
+	world.run(5600 * time.Millisecond)
+	is.True(world.leader != former)
+	is.Equal(world.oracle.broken, nil)
+}
+
 // Random histories: faults of every kind at random times, some at once. A seed
 // that ever broke a promise stays in the list.
 func TestRandomHistories(t *testing.T) {
--- a/internal/proof/city/world_test.go
+++ b/internal/proof/city/world_test.go
@@ -178,6 +178,7 @@
 	kernel  *kern.Kernel
 	started time.Duration
 	paused  bool
+	noStore bool // the store does not answer this proxy
 	held    []event.Event
 	conns   map[model.ConnID]*conn
 	waiting map[model.RequestSeq]func(reply *model.Reply)
@@ -355,7 +356,7 @@
 }
 
 func (node *node) read(action event.ReadStore) {
-	if node.world.storeDown {
+	if node.world.storeDown || node.noStore {
 		node.post(100*time.Millisecond, event.NewStoreFailed(action.Query()))
 		return
 	}
@@ -372,7 +373,7 @@
 
 func (node *node) write(action event.WriteStore) {
 	world := node.world
-	if world.storeDown {
+	if world.storeDown || node.noStore {
 		node.post(100*time.Millisecond, event.NewStoreFailed(action.Query()))
 		return
 	}
