--- a/internal/app/hosted/hosted.go
+++ b/internal/app/hosted/hosted.go
@@ -37,7 +37,9 @@
 	// readyTimeout is how long the kernel may take to say whether it is ready.
 	readyTimeout  = 500 * time.Millisecond
 	headerTimeout = 5 * time.Second
-	pollInterval  = 20 * time.Millisecond
+	// reloadInterval is the time between two looks at the settings.
+	reloadInterval = 2 * time.Second
+	pollInterval   = 20 * time.Millisecond
 )
 
 // Spec lists what a Host is made of.
@@ -52,6 +54,9 @@
 	ReadinessPath string
 	Log           *logs.Log
 	Seed          uint64
+	// Reload reads the settings again and returns the grace period in force. It logs
+	// what changed and what cannot change at run time. It may be nil.
+	Reload func() time.Duration
 }
 
 // Callers is the adapter towards callers.
@@ -174,13 +179,7 @@
 // process serves on until the balancer has noticed; then it takes nothing new and
 // ends once nothing is in flight.
 func (host *Host) await(signals <-chan os.Signal) {
-	for received := range signals {
-		if received == syscall.SIGHUP {
-			host.log("settings reloaded")
-			continue
-		}
-		break
-	}
+	host.reloadUntil(signals)
 	host.log("shutdown asked")
 	host.retiring.Store(true)
 	host.adapters.Callers.Retire()
@@ -195,6 +194,25 @@
 	host.flush(end)
 }
 
+// reloadUntil reads the settings again when it is told to, and now and then, since
+// they may change without a signal. It returns at the first other signal.
+func (host *Host) reloadUntil(signals <-chan os.Signal) {
+	tick := time.NewTicker(reloadInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case received := <-signals:
+			if received != syscall.SIGHUP {
+				return
+			}
+		case <-tick.C:
+		}
+		if host.spec.Reload != nil {
+			host.spec.ShutdownGrace = host.spec.Reload()
+		}
+	}
+}
+
 // pause waits for a time, or for the end.
 func (host *Host) pause(wait time.Duration, end <-chan time.Time) {
 	select {
