logs: failed requests are logged by their id, at most 50 a second

Cause: the line of a request had no id where no ledger key is made, and a refusal was written for one request in fifty only, so that most complaints could not be traced. Failures go before successes, what is beyond the bound is counted and the count is written. Tests: TestDecide, TestFailuresAreBounded.

--- a/internal/app/logs/journal.go
+++ b/internal/app/logs/journal.go
@@ -1,6 +1,7 @@
 package logs
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -13,6 +14,32 @@
 // whatever the sampling is, since each needs attention.
 const firstAlwaysWritten = codes.OutcomeUnknown
 
+// failuresPerSecond bounds the lines of failed requests that are not in the sample.
+const failuresPerSecond = 50
+
+// window counts the lines of failed requests in one second.
+type window struct {
+	second  int64
+	written int
+	leftOut int
+}
+
+// admit reports whether one more line fits, and how many were left out in the
+// second that has ended with it.
+func (window *window) admit(now time.Time) (bool, int) {
+	leftOut := 0
+	if second := now.Unix(); second != window.second {
+		leftOut = window.leftOut
+		window.second, window.written, window.leftOut = second, 0, 0
+	}
+	if window.written >= failuresPerSecond {
+		window.leftOut++
+		return false, leftOut
+	}
+	window.written++
+	return true, leftOut
+}
+
 // record is a decision on its way to the writer.
 type record struct {
 	decision model.Decision
@@ -21,7 +48,8 @@
 }
 
 // Decide implements port.Journal. A routing line is written if its request is
-// in the sample or its outcome needs attention; a placement line always is. The
+// in the sample or failed, up to a number of failures a second, or if its outcome
+// needs attention; a placement line always is. The
 // line is written by another goroutine. Each sort has a queue, so that routing
 // lines cannot crowd placement lines out; while its queue is full, because the
 // output does not take lines as fast as they come, a line is dropped and counted.
@@ -79,7 +107,24 @@
 		return true
 	}
 	sample := log.sample.Load()
-	return sample > 0 && uint64(decision.Seq)%uint64(sample) == 0
+	if sample > 0 && uint64(decision.Seq)%uint64(sample) == 0 {
+		return true
+	}
+	return decision.Code != codes.OK && sample > 0 && log.failed()
+}
+
+// failed admits the line of a failed request and tells how many were left out.
+func (log *Log) failed() bool {
+	admitted, leftOut := log.failures.admit(time.Now())
+	if leftOut > 0 {
+		left := model.Decision{Name: "lines_left_out", Reason: strconv.Itoa(leftOut) + " failed requests in one second"}
+		select {
+		case log.placements <- record{decision: left, level: logrus.WarnLevel, at: time.Now()}:
+		default:
+			log.dropped.Add(1)
+		}
+	}
+	return admitted
 }
 
 func levelOf(decision model.Decision) logrus.Level {
--- a/internal/app/logs/journal_test.go
+++ b/internal/app/logs/journal_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -33,6 +34,11 @@
 			want:     map[string]any{"event": "promote", "level": "info", "group": "katalog-1", "instance": "katalog-1-b", "term": 9.0, "reason": "refused"},
 		},
 		{name: "not in the sample", level: "info", sample: 10, decision: model.Decision{Name: "route", Seq: 7}},
+		{
+			name: "failure that is not in the sample", level: "info", sample: 10,
+			decision: model.Decision{Name: "route", Seq: 7, RequestID: "r-7", Code: codes.Overloaded, Waited: 1500 * time.Microsecond, RetryAfter: 40 * time.Millisecond, Outcome: model.OutcomeNotRun},
+			want:     map[string]any{"event": "route", "level": "info", "seq": 7.0, "request_id": "r-7", "waited_ms": 1.5, "retry_after_ms": 40.0, "outcome": "not_run", "code": "AW201 overloaded"},
+		},
 		{name: "sampling off", level: "info", decision: model.Decision{Name: "route", Seq: 10}},
 		{
 			name: "in the sample", level: "info", sample: 10,
@@ -72,6 +78,22 @@
 	}
 }
 
+// Failures beyond the bound are counted, and the count is written with the next one.
+func TestFailuresAreBounded(t *testing.T) {
+	is := is.New(t)
+	var output bytes.Buffer
+	log, err := logs.New(&output, "info", 1_000_000)
+	is.NoErr(err)
+	for seq := range model.RequestSeq(1000) {
+		log.Decide(model.Decision{Name: "route", Seq: seq + 1, Code: codes.Overloaded})
+	}
+	time.Sleep(1100 * time.Millisecond) // the count belongs to a second of the clock
+	log.Decide(model.Decision{Name: "route", Seq: 2000, Code: codes.Overloaded})
+	log.Close()
+	is.True(strings.Count(output.String(), "\n") < 200)
+	is.True(strings.Contains(output.String(), "lines_left_out"))
+}
+
 func TestSettableAtRunTime(t *testing.T) {
 	is := is.New(t)
 	var output bytes.Buffer
--- a/internal/app/logs/logs.go
+++ b/internal/app/logs/logs.go
@@ -16,9 +16,11 @@
 // Log is the log of one process. Its level and its sampling may be changed at
 // any time and from any goroutine.
 type Log struct {
-	logger  *logrus.Logger
-	sample  atomic.Int64
-	dropped atomic.Int64
+	logger *logrus.Logger
+	sample atomic.Int64
+	// failures is used by Decide alone, which the kernel's loop calls.
+	failures window
+	dropped  atomic.Int64
 
 	placements chan record
 	routings   chan record
--- a/internal/plug/sessn/finish.go
+++ b/internal/plug/sessn/finish.go
@@ -115,7 +115,7 @@
 		Name:       decisionName(caller, job),
 		Caller:     caller.id,
 		Seq:        job.Seq(),
-		RequestID:  job.RequestID(),
+		RequestID:  requestID(job),
 		Session:    job.Request().Session(),
 		Deployment: caller.deployment,
 		Kind:       job.Kind().Name(),
@@ -134,6 +134,15 @@
 	}))
 }
 
+// requestID returns the id by which a request is looked up: its key in the ledger,
+// or the one that its caller gave it.
+func requestID(job *route.Job) string {
+	if job.RequestID() != "" {
+		return job.RequestID()
+	}
+	return job.Request().RequestID()
+}
+
 func decisionName(caller *caller, job *route.Job) string {
 	switch {
 	case job.Request().Op() == model.OpDescribe:
