--- a/internal/plug/conns/pool.go
+++ b/internal/plug/conns/pool.go
@@ -24,6 +24,8 @@
 	txWhole          = 3
 	maxDoublings     = 6
 	maintainInterval = 100 * time.Millisecond
+	// patience is the least time that a request waits for a connection before it is refused.
+	patience = 500 * time.Millisecond
 	// briefly is how long a connection beyond the share may be unused.
 	briefly      = 200 * time.Millisecond
 	firstBackoff = 20 * time.Millisecond
@@ -240,6 +242,27 @@
 	pool.fill()
 }
 
+// refuseLate denies the requests that have waited for a connection beyond their
+// target: transactions hold all of them, and others could be served in time.
+func (pool *pool) refuseLate() {
+	now := pool.pools.context.Now()
+	var kept, late []*ticket
+	for _, waiting := range pool.waiting {
+		job := waiting.ask.Job
+		if job != nil && job.Kind().Target() > 0 && now-job.Arrived() >= max(patience, job.Kind().Target()) {
+			late = append(late, waiting)
+			continue
+		}
+		kept = append(kept, waiting)
+	}
+	pool.waiting = kept
+	for _, refused := range late {
+		refused.end()
+		pool.pools.admission.Leave(refused.ask, 0, true)
+		refused.taker.ConnDenied(codes.Overloaded, pool.pools.admission.RetryAfter(refused.ask.Instance))
+	}
+}
+
 // sendAway denies every request that waits for a connection.
 func (pool *pool) sendAway() {
 	waiting := pool.waiting
--- a/internal/plug/conns/upkeep.go
+++ b/internal/plug/conns/upkeep.go
@@ -23,6 +23,7 @@
 			if pool.blocked == forever {
 				pool.blocked = 0
 			}
+			pool.refuseLate()
 			pool.shrink()
 			if !member.Leaving() && member.Heard() && member.Failures() == 0 {
 				pool.fill()
