--- a/internal/plug/reads/reads.go
+++ b/internal/plug/reads/reads.go
@@ -108,9 +108,4 @@
 }
 
 // Drop implements route.Runner.
-func (reads *Reads) Drop(tx *route.Tx) {
-	if tx.Conn() != 0 {
-		reads.conns.Release(tx.Conn(), true)
-		tx.Close()
-	}
-}
+func (reads *Reads) Drop(tx *route.Tx) { route.Drop(reads.conns, tx) }
--- /dev/null
+++ b/internal/plug/relay/expire.go
@@ -0,0 +1,65 @@
+package relay
+
+import (
+	"almondway.dev/almondway/internal/core/codes"
+	"almondway.dev/almondway/internal/core/model"
+	"almondway.dev/almondway/internal/core/route"
+)
+
+// expire finishes the task at once: its deadline has passed.
+func (task *task) expire() {
+	spent := task.state
+	task.stop()
+	switch {
+	case spent == taskExecuting && task.uncertain():
+		task.relay.ping(task.job.Group()).stalled(task.instance)
+		task.finish(route.ResultSpec{Outcome: model.OutcomeUnknown, Code: codes.OutcomeUnknown, Reason: "deadline while the statement ran"})
+	case spent == taskExecuting && task.job.Tx() != nil:
+		// The connection is closed, and with it ends the transaction.
+		task.loseTx("deadline while a statement of the transaction ran")
+	case spent == taskExecuting:
+		task.finish(route.ResultSpec{Outcome: model.OutcomeUnknown, Code: codes.DeadlineExceeded, Reason: "deadline while the statement ran"})
+	case task.need == needMark:
+		task.refuse(codes.NoReplica, "deadline: "+task.reason)
+	default:
+		task.refuse(codes.NoPrimary, "deadline while no primary took the statement")
+	}
+}
+
+// uncertain reports whether the effect of what is sent now cannot be told
+// without its answer. What runs in a transaction has none before the commit.
+func (task *task) uncertain() bool {
+	switch task.step {
+	case model.StepCommit:
+		return task.job.Tx().Wrote()
+	case model.StepSingle:
+		return task.writes()
+	default:
+		return false
+	}
+}
+
+func (task *task) refuse(code codes.Code, reason string) {
+	task.finish(route.ResultSpec{
+		Outcome:    model.OutcomeNotRun,
+		Code:       code,
+		RetryAfter: task.relay.admission.RetryAfter(task.instance),
+		Reason:     reason,
+	})
+}
+
+// stop takes the task off the connection and the queues.
+func (task *task) stop() {
+	switch task.state {
+	case taskAcquiring:
+		task.relay.conns.Withdraw(task.ticket)
+	case taskProving, taskExecuting:
+		task.relay.conns.Discard(task.conn)
+		if tx := task.job.Tx(); tx != nil {
+			tx.Close()
+		}
+	case taskSeeking, taskEnded:
+	}
+	task.conn = 0
+	task.state = taskEnded
+}
--- a/internal/plug/relay/relay.go
+++ b/internal/plug/relay/relay.go
@@ -112,12 +112,7 @@
 }
 
 // Drop implements route.Runner.
-func (relay *Relay) Drop(tx *route.Tx) {
-	if tx.Conn() != 0 {
-		relay.conns.Release(tx.Conn(), true)
-		tx.Close()
-	}
-}
+func (relay *Relay) Drop(tx *route.Tx) { route.Drop(relay.conns, tx) }
 
 // observeLead records that an instance led when it answered a statement that was
 // sent at sentAt.
--- a/internal/plug/writes/writes.go
+++ b/internal/plug/writes/writes.go
@@ -102,12 +102,7 @@
 }
 
 // Drop implements route.Runner.
-func (writes *Writes) Drop(tx *route.Tx) {
-	if tx.Conn() != 0 {
-		writes.conns.Release(tx.Conn(), true)
-		tx.Close()
-	}
-}
+func (writes *Writes) Drop(tx *route.Tx) { route.Drop(writes.conns, tx) }
 
 // primary returns the primary of a group if it may take writes. A silent one is
 // not given any, because what it does with them would be unknown.
