relay: a transaction without statements gives its connection back

Cause: seen while reading the change: the commit of an empty transaction runs as its first step, whose connection is kept for the next statement, which never comes. Test: TestEmptyTransactionsKeepNoConnection, which failed before with every connection taken.

--- a/internal/plug/relay/answer.go
+++ b/internal/plug/relay/answer.go
@@ -17,14 +17,14 @@
 	task.relay.answered(task.instance)
 	task.observe(done.Mark())
 	conn := task.conn
-	switch task.step {
-	case model.StepLead:
+	switch {
+	case task.step == model.StepLead:
 		task.begin()
-	case model.StepFirst, model.StepNext:
+	case !task.commits() && (task.step == model.StepFirst || task.step == model.StepNext):
 		task.conn = 0
 		task.relay.conns.Park(conn)
 		task.finish(route.ResultSpec{Answer: done.Answer(), Reason: task.reason})
-	case model.StepCommit:
+	case task.commits():
 		task.conn = 0
 		task.relay.conns.Release(conn, false)
 		task.job.Tx().Close()
