--- a/internal/app/hosted/hosted.go
+++ b/internal/app/hosted/hosted.go
@@ -171,7 +171,7 @@
 
 func (host *Host) log(name string) {
 	host.spec.Log.Logger().WithFields(map[string]any{
-		"proxy": host.spec.Name, "data_center": host.spec.DataCenter, "version": host.spec.Version,
+		"proxy": host.spec.Name, "data_center": host.spec.DataCenter, "version": host.spec.Version, "metrics": host.spec.MetricsAt,
 	}).Info(name)
 }
 
