--- a/internal/plug/conns/pool.go
+++ b/internal/plug/conns/pool.go
@@ -110,7 +110,7 @@
 // warm returns how many connections are kept open ahead of need.
 func (pool *pool) warm() int {
 	if share := pool.share(); pool.instance.Conns() > 0 && share < borrowLimit {
-		return 0
+		return min(share, 1)
 	}
 	return max(1, pool.share()/warmDivisor)
 }
--- a/internal/plug/elect/attempt.go
+++ b/internal/plug/elect/attempt.go
@@ -272,7 +272,7 @@
 	elect := attempt.watch.elect
 	attempt.since = attempt.watch.now()
 	query := model.QueryID(elect.context.NextID())
-	elect.promises[query] = attempt
+	elect.queries[query] = attempt
 	attempt.watch.log("promotion_ordered", attempt.chosen, "token "+strconv.FormatUint(token, 10))
 	elect.context.Emit(event.NewPromoteInstance(query, attempt.watch.group, attempt.chosen, token, promoteTimeout))
 }
--- a/internal/plug/elect/elect.go
+++ b/internal/plug/elect/elect.go
@@ -25,27 +25,27 @@
 
 // Elect is the plug-in.
 type Elect struct {
-	context  *kern.Context
-	fleet    route.Fleet
-	client   *table.Client
-	lease    *lease
-	watches  map[model.GroupID]*watch
-	probes   map[model.ProbeID]*watch
-	orders   map[model.OrderID]*attempt
-	promises map[model.QueryID]*attempt
+	context *kern.Context
+	fleet   route.Fleet
+	client  *table.Client
+	lease   *lease
+	watches map[model.GroupID]*watch
+	probes  map[model.ProbeID]*watch
+	orders  map[model.OrderID]*attempt
+	queries map[model.QueryID]*attempt
 }
 
 // New returns the plug-in.
 func New(context *kern.Context) kern.Plugin {
 	client := table.New(context)
 	elect := &Elect{
-		context:  context,
-		fleet:    context.Service(route.FleetService).(route.Fleet),
-		client:   client,
-		watches:  make(map[model.GroupID]*watch),
-		probes:   make(map[model.ProbeID]*watch),
-		orders:   make(map[model.OrderID]*attempt),
-		promises: make(map[model.QueryID]*attempt),
+		context: context,
+		fleet:   context.Service(route.FleetService).(route.Fleet),
+		client:  client,
+		watches: make(map[model.GroupID]*watch),
+		probes:  make(map[model.ProbeID]*watch),
+		orders:  make(map[model.OrderID]*attempt),
+		queries: make(map[model.QueryID]*attempt),
 	}
 	elect.lease = newLease(context, client, elect.urgent, elect.counted)
 	context.Offer(ServiceName, elect)
@@ -88,8 +88,8 @@
 			attempt.unordered(received.Instance())
 		}
 	case event.PromotionAnswered:
-		if attempt, ok := elect.promises[received.Query()]; ok {
-			delete(elect.promises, received.Query())
+		if attempt, ok := elect.queries[received.Query()]; ok {
+			delete(elect.queries, received.Query())
 			attempt.answered(received.Outcome())
 		}
 	case event.DrainStarted:
