elect: a leaving primary steps down only once it was seen to lead lately

Cause: seen while reading the change. The promoter asks a primary for its status every 4 s where its callers' answers show that it leads; told to step down on an older one, it did not count as the former primary, and as the fullest of three replicas it was promoted again although it left (2 of 8 cases of TestPrimaryLeaves). Three more: an instance that lost its log was distrusted for good, an order without an answer was repeated without a new look at the group, and an order waited 300 ms for a lease call that was under way.

--- a/internal/plug/elect/attempt.go
+++ b/internal/plug/elect/attempt.go
@@ -27,6 +27,9 @@
 	// settleTime is how long the log of a primary that stepped down may still be on
 	// its way to the replicas.
 	settleTime = 200 * time.Millisecond
+	// repeatWait is how long the group may take to be seen as stopped again before an
+	// order is repeated.
+	repeatWait = time.Second
 	// readingAge is how old the report of a paused replica may be when the candidate
 	// is chosen: one that started again receives once more.
 	readingAge = 300 * time.Millisecond
@@ -91,19 +94,31 @@
 			attempt.abandon("the order for instance " + string(attempt.bound) + " cannot be carried out any more")
 			return
 		}
-		attempt.stop()
+		if attempt.chosen == "" {
+			attempt.stop()
+		} else if waited >= repeatWait {
+			attempt.abandon("the group is no longer stopped")
+			return
+		}
 		attempt.choose()
 	case phaseOrdering:
 		if waited >= promoteTimeout+orderTimeout {
-			attempt.order()
+			attempt.again()
 		}
 	case phaseConfirming:
 		if waited >= confirmTimeout {
-			attempt.order()
+			attempt.again()
 		}
 	}
 }
 
+// again goes back to the choice after an order without an answer. Only the same
+// instance may be ordered again, and only if the group is still stopped.
+func (attempt *attempt) again() {
+	attempt.bound = attempt.chosen
+	attempt.enter(phaseStopping)
+}
+
 // newest returns the highest term that any instance reported.
 func (attempt *attempt) newest() model.Term {
 	newest := model.Term(0)
@@ -126,9 +141,13 @@
 		return
 	}
 	if _, ok := attempt.watch.counted[attempt.former]; ok {
-		attempt.send(attempt.former, event.NewStepDown(attempt.term))
 		sight := attempt.watch.sight(attempt.former)
-		if sight.failures == 0 && sight.known && attempt.watch.now()-attempt.since < stepDownWait {
+		waits := sight.failures == 0 && sight.known && attempt.watch.now()-attempt.since < stepDownWait
+		if waits && attempt.watch.now()-sight.statusAt > leadAge {
+			return // its stepping down counts only if it was seen to lead lately
+		}
+		attempt.send(attempt.former, event.NewStepDown(attempt.term))
+		if waits {
 			return
 		}
 	}
@@ -185,8 +204,13 @@
 
 // seen takes a status that the instance reported by itself.
 func (attempt *attempt) seen(instance model.InstanceID) {
+	leads := attempt.watch.sight(instance).status.Role() == model.RolePrimary
+	if instance == attempt.chosen && leads {
+		attempt.confirm()
+		return
+	}
 	if attempt.phase == phaseStopping {
-		if attempt.watch.sight(instance).status.Role() == model.RolePrimary && attempt.stepped == 0 {
+		if leads && attempt.stepped == 0 {
 			// The primary is back, or was not known when the attempt began.
 			attempt.former = instance
 		}
@@ -194,13 +218,6 @@
 			attempt.paused[instance] = attempt.watch.sight(instance).status.Paused() > 0
 		}
 		attempt.choose()
-		return
-	}
-	if attempt.phase != phaseConfirming || instance != attempt.chosen {
-		return
-	}
-	if attempt.watch.sight(instance).status.Role() == model.RolePrimary {
-		attempt.confirm()
 	}
 }
 
@@ -290,7 +307,7 @@
 		attempt.watch.elect.lease.settled(attempt.watch.group)
 		attempt.refused()
 	default:
-		attempt.order()
+		attempt.again()
 	}
 }
 
--- a/internal/plug/elect/lease.go
+++ b/internal/plug/elect/lease.go
@@ -37,6 +37,8 @@
 	// orderLife is how long an order without an answer may still be carried out; the
 	// platform speaks of seconds.
 	orderLife = 15 * time.Second
+	// busyPause is the pause before a call that waits for another one looks again.
+	busyPause = 5 * time.Millisecond
 	// startStagger is how much later each further proxy looks for the first time.
 	startStagger = 150 * time.Millisecond
 )
@@ -246,13 +248,18 @@
 		done(token, true)
 	}
 	lease.context.Timers().After(recordWait, finish)
+	lease.record(finish)
+}
+
+// record writes the orders to the row, once the call that is under way has ended.
+func (lease *lease) record(done func()) {
 	if lease.busy {
-		lease.lookAt = 0
+		lease.context.Timers().After(busyPause, func() { lease.record(done) })
 		return
 	}
 	lease.look(func() {
 		if lease.row.Holder == lease.self() {
-			lease.write(leaseRow{Holder: lease.self(), Token: lease.reserve(), Beat: lease.row.Beat + 1}, func(bool) { finish() })
+			lease.write(leaseRow{Holder: lease.self(), Token: lease.reserve(), Beat: lease.row.Beat + 1}, func(bool) { done() })
 		}
 	})
 }
--- a/internal/plug/elect/watch.go
+++ b/internal/plug/elect/watch.go
@@ -52,7 +52,8 @@
 	// born is when its process started, by its listing.
 	born int64
 	// emptied is set when the instance lost its log, until it has caught up.
-	emptied bool
+	emptied   bool
+	emptiedAt time.Duration
 	// unlisted is when the instance was first missing in the list, or 0.
 	unlisted time.Duration
 }
@@ -179,6 +180,7 @@
 	reborn := sight.known && sight.born != born
 	if reborn && !status.Tail().Covers(sight.top) {
 		sight.emptied = true
+		sight.emptiedAt = watch.now()
 		watch.log("log_lost", instance, "its log ends before "+sight.top.String())
 	}
 	sight.status = status
@@ -186,6 +188,18 @@
 	sight.known = true
 	sight.born = born
 	sight.top = status.Tail()
+	if sight.emptied && watch.recovered(sight) {
+		sight.emptied = false
+		watch.log("log_regained", instance, "its log covers that of the primary")
+	}
+}
+
+// recovered reports whether an instance that lost its log has all again that the
+// primary had after the loss.
+func (watch *watch) recovered(sight *sight) bool {
+	lead, ok := watch.sights[watch.former]
+	return ok && lead.known && lead != sight && lead.status.Role() == model.RolePrimary &&
+		lead.statusAt > sight.emptiedAt && sight.status.Tail().Covers(lead.status.Tail())
 }
 
 func (watch *watch) failed(instance model.InstanceID, reason model.FailReason) {
--- a/internal/proof/city/city_test.go
+++ b/internal/proof/city/city_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"almondway.dev/almondway/internal/core/model"
 )
 
 // traffic lets sessions of all kinds work for a time. A session whose proxy was
@@ -136,7 +138,7 @@
 		for second := first; second < len(faults); second++ {
 			t.Run(faults[first].name+", "+faults[second].name, func(t *testing.T) {
 				is := is.New(t)
-				world := newWorld(uint64(1000*first+second), 3)
+				world := newWorld(uint64(1000*first + second))
 				world.run(2 * time.Second)
 				traffic(world, 14*time.Second)
 				world.run(time.Second)
@@ -161,7 +163,7 @@
 // of the primary is gone after a few seconds, which is enough.
 func TestPromoterWithoutStore(t *testing.T) {
 	is := is.New(t)
-	world := newWorld(7, 3)
+	world := newWorld(7)
 	world.run(2 * time.Second)
 	traffic(world, 12*time.Second)
 	world.run(time.Second)
@@ -176,13 +178,35 @@
 	is.Equal(world.oracle.broken, nil)
 }
 
+// A primary that leaves is replaced once, by an instance that stays, whenever the
+// promoter last asked it for its status.
+func TestPrimaryLeaves(t *testing.T) {
+	for index := range 8 {
+		t.Run(strconv.Itoa(index), func(t *testing.T) {
+			is := is.New(t)
+			world := newWorld(uint64(index))
+			defer explain(t, world)
+			world.run(2 * time.Second)
+			traffic(world, 14*time.Second)
+			world.run(4*time.Second + time.Duration(index)*500*time.Millisecond)
+			former := world.leader
+			former.leaving = true
+			world.relist()
+			world.run(2 * time.Second)
+			is.True(world.leader != nil && world.leader != former)
+			is.Equal(world.term, model.Term(2))
+			is.Equal(world.oracle.broken, nil)
+		})
+	}
+}
+
 // Random histories: faults of every kind at random times, some at once. A seed
 // that ever broke a promise stays in the list.
 func TestRandomHistories(t *testing.T) {
 	for _, seed := range histories(t) {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
 			is := is.New(t)
-			world := newWorld(seed, 3)
+			world := newWorld(seed)
 			defer explain(t, world)
 			world.run(2 * time.Second)
 			traffic(world, 20*time.Second)
--- a/internal/proof/city/instance_test.go
+++ b/internal/proof/city/instance_test.go
@@ -24,6 +24,7 @@
 	id       model.InstanceID
 	up       bool
 	unlisted bool
+	leaving  bool // it is about to shut down
 	log      []entry
 	applied  int
 	paused   model.Term
@@ -41,6 +42,7 @@
 	spec := model.ListingSpec{
 		Group:    group,
 		Instance: model.NewInstance(instance.id, "10.0.0.1:1", "trnje-hall").WithCapacity(5, 0),
+		Leaving:  instance.leaving,
 	}
 	if instance.leads() {
 		spec.Role = model.RolePrimary
--- a/internal/proof/city/world_test.go
+++ b/internal/proof/city/world_test.go
@@ -23,6 +23,7 @@
 	promoteTime = 300 * time.Millisecond
 	staleness   = 500 * time.Millisecond
 	timeout     = time.Second
+	proxyCount  = 3
 )
 
 // step is something that happens at a time.
@@ -75,14 +76,14 @@
 	lines  []string // what the proxies logged, but for single requests
 }
 
-func newWorld(seed uint64, proxies int) *world {
+func newWorld(seed uint64) *world {
 	world := &world{random: rand.New(rand.NewPCG(seed, seed)), rows: make(map[string]stored), term: 1}
 	world.oracle = &oracle{world: world, told: make(map[int]string), acked: make(map[int]int)}
 	for _, name := range []model.InstanceID{"i-a", "i-b", "i-c"} {
 		world.instances = append(world.instances, &instance{world: world, id: name, up: true, cut: make(map[*node]bool)})
 	}
 	world.leader = world.instances[0]
-	for index := range proxies {
+	for index := range proxyCount {
 		world.nodes = append(world.nodes, newNode(world, fmt.Sprintf("proxy-%d", index)))
 	}
 	for _, node := range world.nodes {
