elect, catlog, app: what the change wrote twice, and walks in a fixed order

The kernel's plug-ins walked maps where they emit orders, so that the same history could give another order: elect and catlog walk sorted names now. No other behaviour is meant to change.

--- /dev/null
+++ b/internal/app/daemon/seed.go
@@ -0,0 +1,19 @@
+package daemon
+
+import (
+	"crypto/rand"
+	"encoding/binary"
+
+	"github.com/pkg/errors"
+)
+
+const seedBytes = 8
+
+// NewSeed returns a seed for a kernel's random source.
+func NewSeed() (uint64, error) {
+	seed := make([]byte, seedBytes)
+	if _, err := rand.Read(seed); err != nil {
+		return 0, errors.Wrap(err, "draw seed of kernel")
+	}
+	return binary.BigEndian.Uint64(seed), nil
+}
--- a/internal/app/hosted/hosted.go
+++ b/internal/app/hosted/hosted.go
@@ -247,7 +247,7 @@
 }
 
 // Serves reports whether callers can be served: a configuration is in force and
-// each of its groups has an instance.
+// some group of it has an instance.
 func Serves(shared *state.State) bool {
 	if !shared.Confirmed() || shared.Draining() {
 		return false
--- a/internal/app/serve/ident.go
+++ b/internal/app/serve/ident.go
@@ -2,7 +2,6 @@
 
 import (
 	"crypto/rand"
-	"encoding/binary"
 	"encoding/hex"
 	"os"
 	"regexp"
@@ -13,10 +12,7 @@
 	"almondway.dev/almondway/internal/core/model"
 )
 
-const (
-	suffixBytes = 4
-	seedBytes   = 8
-)
+const suffixBytes = 4
 
 var notInName = regexp.MustCompile(`[^a-z0-9.-]+`)
 
@@ -36,12 +32,3 @@
 	}
 	return model.ProxyID(name + "-" + hex.EncodeToString(suffix)), nil
 }
-
-// newSeed returns a seed for the kernel's random source.
-func newSeed() (uint64, error) {
-	seed := make([]byte, seedBytes)
-	if _, err := rand.Read(seed); err != nil {
-		return 0, errors.Wrap(err, "draw seed of kernel")
-	}
-	return binary.BigEndian.Uint64(seed), nil
-}
--- a/internal/app/serve/serve.go
+++ b/internal/app/serve/serve.go
@@ -50,7 +50,7 @@
 	if err != nil {
 		return nil, err
 	}
-	seed, err := newSeed()
+	seed, err := daemon.NewSeed()
 	if err != nil {
 		return nil, err
 	}
--- a/internal/core/route/fleet.go
+++ b/internal/core/route/fleet.go
@@ -2,6 +2,9 @@
 
 import "almondway.dev/almondway/internal/core/model"
 
+// FleetTable is the table of the store in which the proxies keep what they share.
+const FleetTable = "almondway"
+
 // FleetService is the name of the Fleet.
 const FleetService = "fleet"
 
--- a/internal/plug/catlog/catlog.go
+++ b/internal/plug/catlog/catlog.go
@@ -3,6 +3,7 @@
 package catlog
 
 import (
+	"maps"
 	"slices"
 	"strconv"
 	"time"
@@ -58,10 +59,12 @@
 	for _, group := range listed.Groups() {
 		state.PutGroup(group)
 	}
-	for id, listing := range catlog.early {
+	for _, id := range slices.Sorted(maps.Keys(catlog.early)) {
+		listing := catlog.early[id]
 		if state.PutMember(listing) {
 			delete(catlog.early, id)
 			catlog.announce(listing)
+			catlog.context.Publish(event.NewGroupObserved(listing.Group()))
 		}
 	}
 	state.SetConfirmed(true)
@@ -128,7 +131,6 @@
 	} else {
 		group.Refute(listing.ID(), catlog.context.Now())
 	}
-	catlog.context.Publish(event.NewGroupObserved(listing.Group()))
 }
 
 // lapse forgets an instance unless its entry comes back soon.
--- a/internal/plug/elect/attempt.go
+++ b/internal/plug/elect/attempt.go
@@ -151,7 +151,7 @@
 			return
 		}
 	}
-	for id := range attempt.watch.counted {
+	for _, id := range attempt.watch.ids() {
 		if id != attempt.former && !attempt.paused[id] {
 			attempt.send(id, event.NewPause(attempt.term))
 		}
@@ -248,7 +248,8 @@
 
 func (attempt *attempt) readings() []heir.Reading {
 	readings := make([]heir.Reading, 0, len(attempt.watch.counted))
-	for id, listing := range attempt.watch.counted {
+	for _, id := range attempt.watch.ids() {
+		listing := attempt.watch.counted[id]
 		sight := attempt.watch.sight(id)
 		fresh := sight.known && attempt.watch.now()-sight.statusAt <= readingAge
 		paused := attempt.paused[id] && fresh
--- a/internal/plug/elect/elect.go
+++ b/internal/plug/elect/elect.go
@@ -4,7 +4,6 @@
 
 import (
 	"maps"
-	"slices"
 	"time"
 
 	"almondway.dev/almondway/internal/core/event"
@@ -141,7 +140,7 @@
 	}
 	for id, watch := range elect.watches {
 		if watch.adopted {
-			all[id] = slices.Sorted(maps.Keys(watch.counted))
+			all[id] = watch.ids()
 		}
 	}
 	return all
--- a/internal/plug/elect/lease.go
+++ b/internal/plug/elect/lease.go
@@ -8,12 +8,12 @@
 	"almondway.dev/almondway/internal/core/kern"
 	"almondway.dev/almondway/internal/core/model"
 	"almondway.dev/almondway/internal/core/rank"
+	"almondway.dev/almondway/internal/core/route"
 	"almondway.dev/almondway/internal/core/table"
 )
 
 const (
-	leaseTable = "almondway"
-	leaseKey   = "promoter"
+	leaseKey = "promoter"
 
 	// leaseTime is the time without a renewal after which another proxy takes the lease.
 	leaseTime = 3 * time.Second
@@ -112,7 +112,7 @@
 	lease.look(func() {
 		switch {
 		case lease.row.Holder == lease.self():
-			lease.write(leaseRow{Holder: lease.self(), Token: lease.reserve(), Beat: lease.row.Beat + 1}, func(bool) {})
+			lease.renew(func() {})
 		case lease.free():
 			lease.take()
 		}
@@ -146,7 +146,7 @@
 // look reads the row and calls done if that succeeded.
 func (lease *lease) look(done func()) {
 	lease.busy = true
-	lease.client.Read(leaseTable, leaseKey, func(rows []model.Row, ok bool) {
+	lease.client.Read(route.FleetTable, leaseKey, func(rows []model.Row, ok bool) {
 		lease.busy = false
 		if !ok {
 			return
@@ -188,16 +188,22 @@
 func (lease *lease) take() {
 	before := lease.row.Holder
 	lease.adopt()
-	lease.write(leaseRow{Holder: lease.self(), Token: lease.row.Token + reservedTokens, Beat: lease.row.Beat + 1}, func(ok bool) {
+	lease.write(leaseRow{Holder: lease.self(), Token: lease.row.Token + reservedTokens}, func(ok bool) {
 		if ok {
 			lease.log("lease_taken", "was held by "+string(before))
 		}
 	})
 }
 
+// renew writes the row of a lease that this proxy holds.
+func (lease *lease) renew(done func()) {
+	lease.write(leaseRow{Holder: lease.self(), Token: lease.reserve()}, func(bool) { done() })
+}
+
 // write replaces the row that was read last. A write without an answer counts as
 // failed; the next look tells what became of it.
 func (lease *lease) write(row leaseRow, done func(ok bool)) {
+	row.Beat = lease.row.Beat + 1
 	row.Counted = lease.row.Counted
 	row.Ordered = lease.named()
 	if lease.row.Holder == lease.self() {
@@ -205,12 +211,13 @@
 	}
 	value, err := json.Marshal(row)
 	if err != nil {
+		lease.log("lease_not_written", err.Error())
 		done(false)
 		return
 	}
 	lease.busy = true
 	sentAt := lease.context.Now()
-	lease.client.Write([]model.RowWrite{model.NewRowWrite(leaseTable, leaseKey, lease.version, value)}, func(outcome table.Outcome) {
+	lease.client.Write([]model.RowWrite{model.NewRowWrite(route.FleetTable, leaseKey, lease.version, value)}, func(outcome table.Outcome) {
 		lease.busy = false
 		if outcome != table.Written {
 			done(false)
@@ -259,7 +266,7 @@
 	}
 	lease.look(func() {
 		if lease.row.Holder == lease.self() {
-			lease.write(leaseRow{Holder: lease.self(), Token: lease.reserve(), Beat: lease.row.Beat + 1}, func(bool) { done() })
+			lease.renew(done)
 		}
 	})
 }
@@ -308,14 +315,14 @@
 
 // resign gives the lease back, so that another proxy need not wait for its end.
 func (lease *lease) resign() {
-	if !lease.held() || lease.busy {
-		lease.resigning = true
+	free := !lease.held() || lease.busy
+	lease.resigning = true
+	if free {
 		return
 	}
-	lease.resigning = true
 	lease.look(func() {
 		if lease.row.Holder == lease.self() {
-			lease.write(leaseRow{Token: lease.row.Token, Beat: lease.row.Beat + 1}, func(bool) {})
+			lease.write(leaseRow{Token: lease.row.Token}, func(bool) {})
 			lease.until = 0
 			lease.log("lease_given_back", "shutdown")
 		}
--- a/internal/plug/elect/watch.go
+++ b/internal/plug/elect/watch.go
@@ -1,6 +1,8 @@
 package elect
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"almondway.dev/almondway/internal/core/event"
@@ -93,6 +95,10 @@
 	return found
 }
 
+// ids returns the instances that count, in ascending order, so that the same history
+// gives the same orders.
+func (watch *watch) ids() []model.InstanceID { return slices.Sorted(maps.Keys(watch.counted)) }
+
 func (watch *watch) now() time.Duration { return watch.elect.context.Now() }
 
 func (watch *watch) tick(view *state.Group) {
@@ -120,7 +126,8 @@
 // probe asks the instances for their status.
 func (watch *watch) probe(view *state.Group) {
 	primary := watch.primary(view)
-	for id, listing := range watch.counted {
+	for _, id := range watch.ids() {
+		listing := watch.counted[id]
 		if listing.ID() == "" {
 			continue
 		}
--- a/internal/plug/fleet/fleet.go
+++ b/internal/plug/fleet/fleet.go
@@ -18,8 +18,6 @@
 func init() { kern.Register("fleet", kern.RankProbe, New, kern.ProfileHosted) }
 
 const (
-	// Table is the table of the proxies' own rows.
-	Table  = "almondway"
 	prefix = "proxy/"
 
 	// beatInterval is the time between two beats of a small fleet. A beat is two
@@ -168,7 +166,7 @@
 	}
 	fleet.reading = true
 	fleet.lastAt = fleet.context.Now()
-	fleet.client.Read(Table, prefix, fleet.took)
+	fleet.client.Read(route.FleetTable, prefix, fleet.took)
 }
 
 func (fleet *Fleet) took(rows []model.Row, ok bool) {
@@ -188,10 +186,11 @@
 		Unusable:   fleet.unusable,
 	})
 	if err != nil {
+		fleet.context.Emit(event.NewLogDecision(model.Decision{Name: "row_not_written", Reason: err.Error()}))
 		fleet.finish()
 		return
 	}
-	fleet.client.Write([]model.RowWrite{model.NewRowWrite(Table, fleet.key(), fleet.version, value)}, func(table.Outcome) {
+	fleet.client.Write([]model.RowWrite{model.NewRowWrite(route.FleetTable, fleet.key(), fleet.version, value)}, func(table.Outcome) {
 		fleet.finish()
 	})
 }
@@ -245,7 +244,7 @@
 	known, ok := fleet.peers[id]
 	if ok && known.version == found.Version() {
 		if now-known.seenAt > forgetAfter {
-			fleet.client.Write([]model.RowWrite{model.NewRowWrite(Table, found.Key(), found.Version(), nil)}, func(table.Outcome) {})
+			fleet.client.Write([]model.RowWrite{model.NewRowWrite(route.FleetTable, found.Key(), found.Version(), nil)}, func(table.Outcome) {})
 		}
 		return
 	}
@@ -262,7 +261,7 @@
 	fleet.left = true
 	if !fleet.reading {
 		fleet.reading = true
-		fleet.client.Read(Table, fleet.key(), fleet.took)
+		fleet.client.Read(route.FleetTable, fleet.key(), fleet.took)
 	}
 }
 
@@ -272,5 +271,5 @@
 	}
 	version := fleet.version
 	fleet.version = 0
-	fleet.client.Write([]model.RowWrite{model.NewRowWrite(Table, fleet.key(), version, nil)}, func(table.Outcome) {})
+	fleet.client.Write([]model.RowWrite{model.NewRowWrite(route.FleetTable, fleet.key(), version, nil)}, func(table.Outcome) {})
 }
--- a/internal/proof/city/oracle_test.go
+++ b/internal/proof/city/oracle_test.go
@@ -88,10 +88,9 @@
 
 // readCheck is what a read must see.
 type readCheck struct {
-	oracle    *oracle
-	kind      string
-	needed    []int
-	sessionOf *session
+	oracle *oracle
+	kind   string
+	needed []int
 }
 
 // ran checks a read where it runs.
@@ -162,7 +161,7 @@
 func (session *session) read() {
 	oracle := session.node.world.oracle
 	oracle.asked++
-	check := &readCheck{oracle: oracle, kind: session.kind, needed: session.needed(), sessionOf: session}
+	check := &readCheck{oracle: oracle, kind: session.kind, needed: session.needed()}
 	session.send(model.RequestSpec{Op: model.OpStatement, Statement: &payload{check: check}}, func(reply *model.Reply) {
 		if reply.Code() == codes.OK {
 			oracle.served++
