metric, platform: latency histograms, ages of lists and marks, phases of promotions

On-call had counters alone: how long requests take and wait, how old the lists and marks are, and where a promotion spends its time stood only in lines.

Histograms have fixed buckets, so that those of many processes can be added; a process has at most 1,000 of them.

--- a/internal/app/daemon/daemon.go
+++ b/internal/app/daemon/daemon.go
@@ -53,6 +53,9 @@
 // Connect sets the adapters.
 func (loop *Loop) Connect(ports Ports) { loop.ports = ports }
 
+// Now returns the time of the kernel's clock.
+func (loop *Loop) Now() time.Duration { return loop.now() }
+
 // Post implements port.Inbox. It blocks while the inbox is full.
 func (loop *Loop) Post(received event.Event) { loop.inbox <- received }
 
--- a/internal/app/hosted/hosted.go
+++ b/internal/app/hosted/hosted.go
@@ -82,6 +82,8 @@
 	Promoter port.Promoter
 	// Follow starts to hand the platform's lists to the kernel until the context ends.
 	Follow func(ctx context.Context)
+	// Followed tells about these lists.
+	Followed func() []port.Followed
 }
 
 // Host is a proxy process on a hosting platform.
@@ -277,10 +279,12 @@
 	mux.HandleFunc("GET /metrics", func(writer http.ResponseWriter, request *http.Request) {
 		ctx, cancel := context.WithTimeout(request.Context(), readyTimeout)
 		defer cancel()
-		if err := host.loop.Inspect(ctx, func(shared *state.State) { metric.ObserveState(host.registry, shared) }); err != nil {
+		observe := func(shared *state.State) { metric.ObserveState(host.registry, shared, host.loop.Now()) }
+		if err := host.loop.Inspect(ctx, observe); err != nil {
 			http.Error(writer, "the kernel does not answer", http.StatusServiceUnavailable)
 			return
 		}
+		metric.ObserveLists(host.registry, host.adapters.Followed())
 		metric.ObserveRuntime(host.registry, time.Since(host.started))
 		if err := host.registry.WriteText(writer); err != nil {
 			host.spec.Log.Logger().WithError(err).Debug("metrics not sent")
--- a/internal/app/metric/journal.go
+++ b/internal/app/metric/journal.go
@@ -15,6 +15,9 @@
 // the series without labels of requests.
 const maxSeries = 10000
 
+// maxTimed bounds the histograms of a Journal, each of which has sixteen lines.
+const maxTimed = 1000
+
 // readEvent is the name of the decision that ends a read.
 const readEvent = "route_read"
 
@@ -40,9 +43,21 @@
 	next     port.Journal
 	shared   *state.State
 	counters map[series]metrics.Counter
+	timed    map[timed]*Histogram
 	shares   map[string]*share
 }
 
+// timed are the labels by which the durations of decisions are counted.
+type timed struct {
+	name string
+	// label names what value is.
+	label      string
+	value      string
+	deployment string
+	kind       string
+	code       codes.Code
+}
+
 // share counts the reads of a deployment that were answered.
 type share struct {
 	reads     int64
@@ -57,6 +72,7 @@
 		next:     next,
 		shared:   shared,
 		counters: make(map[series]metrics.Counter),
+		timed:    make(map[timed]*Histogram),
 		shares:   make(map[string]*share),
 	}
 }
@@ -72,6 +88,9 @@
 		counted.kind = decision.Kind
 	}
 	journal.counter(counted).Inc(1)
+	if decision.Took > 0 {
+		journal.time(decision, counted)
+	}
 	if counted.name == readEvent && counted.code == codes.OK {
 		journal.countRead(counted)
 	}
@@ -86,6 +105,50 @@
 	}
 }
 
+// time counts how long a request took, waited for its turn and was at the instance,
+// or how long after its start a promotion reached a phase.
+func (journal *Journal) time(decision model.Decision, counted series) {
+	if !decision.IsRouting() {
+		journal.histogram(timed{name: "phase_seconds", label: "event", value: decision.Name}).Update(decision.Took)
+		return
+	}
+	request := timed{
+		name: "request_seconds", label: "role", value: counted.role,
+		deployment: counted.deployment, kind: counted.kind, code: decision.Code,
+	}
+	journal.histogram(request).Update(decision.Took)
+	if decision.Instance == "" {
+		return
+	}
+	instance := string(decision.Instance)
+	journal.histogram(timed{name: "wait_seconds", label: "instance", value: instance}).Update(decision.Waited)
+	if decision.Code == codes.OK {
+		journal.histogram(timed{name: "instance_seconds", label: "instance", value: instance}).Update(decision.Took - decision.Waited)
+	}
+}
+
+// histogram returns the histogram of the labels. Those beyond maxTimed share one for each name.
+func (journal *Journal) histogram(counted timed) *Histogram {
+	if histogram, ok := journal.timed[counted]; ok {
+		return histogram
+	}
+	if len(journal.timed) >= maxTimed {
+		return journal.registry.Histogram("other_" + counted.name)
+	}
+	labels := []Label{NewLabel(counted.label, counted.value)}
+	if counted.label == "role" {
+		labels = append(
+			labels,
+			NewLabel("code", fmt.Sprintf("AW%03d", int(counted.code))),
+			NewLabel("deployment", counted.deployment),
+			NewLabel("kind", counted.kind),
+		)
+	}
+	histogram := journal.registry.Histogram(counted.name, labels...)
+	journal.timed[counted] = histogram
+	return histogram
+}
+
 func (journal *Journal) countRead(counted series) {
 	counts, ok := journal.shares[counted.deployment]
 	if !ok {
--- a/internal/app/metric/metric.go
+++ b/internal/app/metric/metric.go
@@ -8,6 +8,8 @@
 	"io"
 	"slices"
 	"strings"
+	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
@@ -26,11 +28,15 @@
 
 // Registry holds metrics by name and labels. It may be used by several goroutines.
 type Registry struct {
-	metrics metrics.Registry
+	metrics    metrics.Registry
+	mutex      sync.Mutex
+	histograms map[string]*Histogram
 }
 
 // NewRegistry returns an empty Registry.
-func NewRegistry() *Registry { return &Registry{metrics: metrics.NewRegistry()} }
+func NewRegistry() *Registry {
+	return &Registry{metrics: metrics.NewRegistry(), histograms: make(map[string]*Histogram)}
+}
 
 // Counter returns the counter of the given name and labels, which is made when
 // it is asked for first. The name is in snake case and ends in "_total".
@@ -53,6 +59,29 @@
 	return metrics.GetOrRegisterTimer(key(name, labels), registry.metrics)
 }
 
+// Histogram returns the histogram of durations of the given name and labels. The name
+// ends in "_seconds".
+func (registry *Registry) Histogram(name string, labels ...Label) *Histogram {
+	registry.mutex.Lock()
+	defer registry.mutex.Unlock()
+	full := key(name, labels)
+	histogram, ok := registry.histograms[full]
+	if !ok {
+		histogram = &Histogram{}
+		registry.histograms[full] = histogram
+	}
+	return histogram
+}
+
+// eachHistogram calls visit for every histogram.
+func (registry *Registry) eachHistogram(visit func(name string, histogram *Histogram)) {
+	registry.mutex.Lock()
+	defer registry.mutex.Unlock()
+	for name, histogram := range registry.histograms {
+		visit(name, histogram)
+	}
+}
+
 // key returns the name with its labels as the Prometheus text form writes them.
 func key(name string, labels []Label) string {
 	if len(labels) == 0 {
@@ -77,7 +106,14 @@
 func (registry *Registry) WriteJSON(output io.Writer) error {
 	encoder := json.NewEncoder(output)
 	encoder.SetEscapeHTML(false)
-	return errors.Wrap(encoder.Encode(registry.metrics.GetAll()), "write metrics")
+	all := registry.metrics.GetAll()
+	registry.eachHistogram(func(name string, histogram *Histogram) {
+		all[name] = map[string]any{
+			"count": histogram.Count(),
+			"sum":   time.Duration(histogram.sum.Load()).Seconds(),
+		}
+	})
+	return errors.Wrap(encoder.Encode(all), "write metrics")
 }
 
 // WriteText writes all metrics in the Prometheus text form, in ascending order.
@@ -86,11 +122,14 @@
 	registry.metrics.Each(func(name string, metric any) {
 		samples = append(samples, samplesOf(name, metric)...)
 	})
+	registry.eachHistogram(func(name string, histogram *Histogram) {
+		samples = append(samples, histogram.samples(name)...)
+	})
 	slices.SortStableFunc(samples, func(left, right sample) int {
 		if left.family != right.family {
 			return strings.Compare(left.family, right.family)
 		}
-		return strings.Compare(left.labels, right.labels)
+		return strings.Compare(left.series, right.series)
 	})
 	family := ""
 	for _, sample := range samples {
--- a/internal/app/metric/metric_test.go
+++ b/internal/app/metric/metric_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -13,6 +14,7 @@
 	"almondway.dev/almondway/internal/core/codes"
 	"almondway.dev/almondway/internal/core/count"
 	"almondway.dev/almondway/internal/core/model"
+	"almondway.dev/almondway/internal/core/port"
 	"almondway.dev/almondway/internal/core/state"
 )
 
@@ -68,29 +70,88 @@
 	journal.Decide(read)
 	journal.Decide(model.Decision{Name: "refuse", Seq: 2, Deployment: "gradski", Kind: "any text", Code: codes.UnknownKind})
 	journal.Decide(model.Decision{Name: "promoted", Group: "g", Instance: "g-b"})
+	journal.Decide(model.Decision{Name: "promotion_done", Group: "g", Took: 2 * time.Second})
+	read.Took, read.Waited = 30*time.Millisecond, 10*time.Millisecond
+	journal.Decide(read)
 	journal.Observe()
-	is.Equal(next.lines, 6)
+	is.Equal(next.lines, 8)
 	var output bytes.Buffer
 	is.NoErr(registry.WriteText(&output))
 	for _, line := range []string{
 		`almondway_requests_total{event="route_read",code="AW000",deployment="gradski",kind="browse",role="replica"} 3`,
-		`almondway_requests_total{event="route_read",code="AW000",deployment="gradski",kind="browse",role="primary"} 1`,
+		`almondway_requests_total{event="route_read",code="AW000",deployment="gradski",kind="browse",role="primary"} 2`,
 		`almondway_requests_total{event="refuse",code="AW102",deployment="",kind="",role="none"} 1`,
 		`almondway_decisions_total{event="promoted",code="AW000"} 1`,
-		`almondway_replica_read_share{deployment="gradski"} 0.75`,
+		`almondway_replica_read_share{deployment="gradski"} 0.6`,
+		`almondway_phase_seconds_bucket{event="promotion_done",le="1"} 0`,
+		`almondway_phase_seconds_bucket{event="promotion_done",le="2.5"} 1`,
+		`almondway_request_seconds_sum{role="primary",code="AW000",deployment="gradski",kind="browse"} 0.03`,
+		`almondway_wait_seconds_sum{instance="g-a"} 0.01`,
+		`almondway_instance_seconds_bucket{instance="g-a",le="0.025"} 1`,
 	} {
 		is.True(strings.Contains(output.String(), line+"\n"))
 	}
 }
 
+func TestHistogram(t *testing.T) {
+	is := is.New(t)
+	registry := metric.NewRegistry()
+	for _, took := range []time.Duration{time.Millisecond, 2 * time.Millisecond, time.Hour} {
+		registry.Histogram("a_seconds", metric.NewLabel("kind", "x")).Update(took)
+	}
+	is.Equal(registry.Histogram("a_seconds", metric.NewLabel("kind", "x")).Count(), uint64(3))
+	var output bytes.Buffer
+	is.NoErr(registry.WriteText(&output))
+	lines := strings.Split(output.String(), "\n")
+	is.Equal(lines[0], "# TYPE almondway_a_seconds histogram")
+	is.Equal(lines[1], `almondway_a_seconds_bucket{kind="x",le="0.001"} 1`)
+	is.Equal(lines[2], `almondway_a_seconds_bucket{kind="x",le="0.0025"} 2`)
+	is.Equal(lines[13], `almondway_a_seconds_bucket{kind="x",le="10"} 2`)
+	is.Equal(lines[14:], []string{
+		`almondway_a_seconds_bucket{kind="x",le="+Inf"} 3`,
+		`almondway_a_seconds_sum{kind="x"} 3600.003`,
+		`almondway_a_seconds_count{kind="x"} 3`,
+		"",
+	})
+}
+
+// Histograms have many lines, so that there are few of them.
+func TestJournalBoundsHistograms(t *testing.T) {
+	is := is.New(t)
+	registry := metric.NewRegistry()
+	journal := metric.NewJournal(registry, &discard{}, state.New(model.NewProxyView("proxy-1", "", "", 0, false, 0)))
+	for index := range 2000 {
+		journal.Decide(model.Decision{Name: "promotion_" + strconv.Itoa(index), Took: time.Second})
+	}
+	is.Equal(registry.Histogram("other_phase_seconds").Count(), uint64(1000))
+}
+
+func TestObserveLists(t *testing.T) {
+	is := is.New(t)
+	registry := metric.NewRegistry()
+	for range 2 { // a second look counts nothing twice
+		metric.ObserveLists(registry, []port.Followed{{Name: "instances", Age: 1500 * time.Millisecond, Answered: 3, Failed: 1}})
+	}
+	var output bytes.Buffer
+	is.NoErr(registry.WriteText(&output))
+	is.Equal(output.String(), strings.Join([]string{
+		"# TYPE almondway_list_age_seconds gauge",
+		`almondway_list_age_seconds{list="instances"} 1.5`,
+		"# TYPE almondway_list_calls_total counter",
+		`almondway_list_calls_total{list="instances",outcome="answered"} 3`,
+		`almondway_list_calls_total{list="instances",outcome="failed"} 1`,
+		"",
+	}, "\n"))
+}
+
 func TestObserveState(t *testing.T) {
 	is := is.New(t)
 	shared := state.New(model.NewProxyView("proxy-1", "", "", 0, false, 0))
 	registry := metric.NewRegistry()
 	shared.Counts().Add(count.FencedWrites)
 	shared.Counts().AddGap(300 * time.Millisecond)
-	metric.ObserveState(registry, shared)
-	metric.ObserveState(registry, shared) // a second look counts nothing twice
+	metric.ObserveState(registry, shared, time.Second)
+	metric.ObserveState(registry, shared, time.Second) // a second look counts nothing twice
 	is.Equal(registry.Counter("fenced_writes_total").Count(), int64(1))
 	is.Equal(registry.Seconds("failover_gap_seconds").Count(), int64(1))
 }
--- a/internal/app/metric/observe.go
+++ b/internal/app/metric/observe.go
@@ -5,12 +5,13 @@
 	"time"
 
 	"almondway.dev/almondway/internal/core/count"
+	"almondway.dev/almondway/internal/core/port"
 	"almondway.dev/almondway/internal/core/state"
 )
 
 // ObserveState brings the gauges of the kernel's shared state up to date. It is
-// called in the kernel's loop.
-func ObserveState(registry *Registry, shared *state.State) {
+// called in the kernel's loop; now is the time of the kernel's clock.
+func ObserveState(registry *Registry, shared *state.State, now time.Duration) {
 	revision, known := shared.Revision()
 	registry.Gauge("revision").Update(int64(revision))
 	registry.Gauge("revision_known").Update(truth(known))
@@ -23,6 +24,9 @@
 	var headless, unreachable, leaving int64
 	for _, group := range shared.Groups() {
 		headless += truth(group.Primary() == nil)
+		if age, ok := group.FloorAge(now); ok {
+			registry.Ratio("mark_age_seconds", NewLabel("group", string(group.ID()))).Update(age.Seconds())
+		}
 		for _, member := range group.Members() {
 			unreachable += truth(member.Failures() > 0)
 			leaving += truth(member.Leaving())
@@ -34,6 +38,18 @@
 	observeCounts(registry, shared.Counts())
 }
 
+// ObserveLists brings the gauges of the lists that the process follows up to date.
+func ObserveLists(registry *Registry, lists []port.Followed) {
+	for _, list := range lists {
+		label := NewLabel("list", list.Name)
+		registry.Ratio("list_age_seconds", label).Update(list.Age.Seconds())
+		for outcome, value := range map[string]uint64{"answered": list.Answered, "failed": list.Failed} {
+			counter := registry.Counter("list_calls_total", label, NewLabel("outcome", outcome))
+			counter.Inc(int64(value) - counter.Count())
+		}
+	}
+}
+
 // observeCounts brings the counters of the kernel and the failover gaps up to date.
 func observeCounts(registry *Registry, counts *count.Counts) {
 	for _, name := range count.Names() {
--- a/internal/app/metric/sample.go
+++ b/internal/app/metric/sample.go
@@ -16,6 +16,9 @@
 	suffix string
 	kind   string
 	labels string
+	// series are the labels by which lines are in order; those of one series with equal
+	// ones stay in the order in which they were made.
+	series string
 	value  any
 }
 
@@ -23,11 +26,11 @@
 	family, labels := split(name)
 	switch metric := metric.(type) {
 	case metrics.Counter:
-		return []sample{{family: family, kind: "counter", labels: labels, value: metric.Count()}}
+		return []sample{{family: family, kind: "counter", labels: labels, series: labels, value: metric.Count()}}
 	case metrics.Gauge:
-		return []sample{{family: family, kind: "gauge", labels: labels, value: metric.Value()}}
+		return []sample{{family: family, kind: "gauge", labels: labels, series: labels, value: metric.Value()}}
 	case metrics.GaugeFloat64:
-		return []sample{{family: family, kind: "gauge", labels: labels, value: metric.Value()}}
+		return []sample{{family: family, kind: "gauge", labels: labels, series: labels, value: metric.Value()}}
 	case metrics.Timer:
 		return summary(family, labels, metric.Snapshot())
 	default:
@@ -36,22 +39,22 @@
 }
 
 func summary(family, labels string, timer metrics.Timer) []sample {
-	var samples []sample
+	sum := time.Duration(timer.Sum()).Seconds()
+	samples := []sample{
+		{family: family, suffix: "_sum", kind: "summary", labels: labels, series: labels, value: sum},
+		{family: family, suffix: "_count", kind: "summary", labels: labels, series: labels, value: timer.Count()},
+	}
 	for index, value := range timer.Percentiles(quantiles) {
 		quantile := fmt.Sprintf(`quantile="%v"`, quantiles[index])
 		samples = append(samples, sample{
 			family: family,
 			kind:   "summary",
 			labels: join(labels, quantile),
+			series: labels,
 			value:  value / float64(time.Second),
 		})
 	}
-	sum := time.Duration(timer.Sum()).Seconds()
-	return append(
-		samples,
-		sample{family: family, suffix: "_sum", kind: "summary", labels: labels, value: sum},
-		sample{family: family, suffix: "_count", kind: "summary", labels: labels, value: timer.Count()},
-	)
+	return samples
 }
 
 // split parts a name from its labels, which keep their braces.
--- a/internal/app/serve/health.go
+++ b/internal/app/serve/health.go
@@ -85,7 +85,7 @@
 	proxy.registry.Gauge("log_lines_dropped").Update(proxy.log.Dropped())
 	metric.ObserveRuntime(proxy.registry, time.Since(proxy.started))
 	_ = proxy.loop.Inspect(ctx, func(shared *state.State) {
-		metric.ObserveState(proxy.registry, shared)
+		metric.ObserveState(proxy.registry, shared, proxy.loop.Now())
 		proxy.journal.Observe()
 	})
 }
--- a/internal/core/port/port.go
+++ b/internal/core/port/port.go
@@ -3,6 +3,8 @@
 package port
 
 import (
+	"time"
+
 	"almondway.dev/almondway/internal/core/event"
 	"almondway.dev/almondway/internal/core/model"
 )
@@ -41,6 +43,15 @@
 	ListHosts(action event.ListHosts)
 }
 
+// Followed is what an adapter tells of a list of the platform that it follows.
+type Followed struct {
+	Name string
+	// Age is the time since the list was last known to be up to date, or since the start.
+	Age      time.Duration
+	Answered uint64 // calls
+	Failed   uint64 // calls
+}
+
 // Promoter is the side of a platform that carries out promotions itself.
 type Promoter interface {
 	Promote(action event.PromoteInstance)
--- a/internal/plug/elect/attempt.go
+++ b/internal/plug/elect/attempt.go
@@ -321,8 +321,7 @@
 
 func (attempt *attempt) confirm() {
 	elect := attempt.watch.elect
-	waited := attempt.watch.now() - attempt.began
-	attempt.watch.log("promotion_done", attempt.chosen, "after "+waited.String())
+	attempt.watch.log("promotion_done", attempt.chosen, attempt.reason)
 	if view := elect.context.State().Group(attempt.watch.group); view != nil {
 		view.Believe(attempt.chosen)
 		elect.context.Publish(event.NewGroupObserved(attempt.watch.group))
--- a/internal/plug/elect/watch.go
+++ b/internal/plug/elect/watch.go
@@ -303,6 +303,15 @@
 		Name:     name,
 		Group:    watch.group,
 		Instance: instance,
+		Took:     watch.running(),
 		Reason:   reason,
 	}))
 }
+
+// running returns how long the present attempt has been running.
+func (watch *watch) running() time.Duration {
+	if watch.attempt == nil {
+		return 0
+	}
+	return watch.now() - watch.attempt.began
+}
