elect: a primary without a free slot is found by its answers to orders

A promoter that starts while the primary is down pauses the replicas. The primary comes back and leads, its commits wait for the paused replicas and hold all slots, and every status is refused as busy. The attempt learned of a primary from statuses alone, so it waited for good, and paused it.

Now the answer to an order says so too, and the primary is told to step down. An answer to an order counts from when the order was sent; before, it took the time of the last probe, which may be later.

Ruled out: taking a refused status as a sign of lead, which says nothing of roles.

TestPrimaryWithoutSlots fails without it.

--- a/internal/plug/elect/attempt.go
+++ b/internal/plug/elect/attempt.go
@@ -52,7 +52,7 @@
 	since   time.Duration // when the phase began
 	began   time.Duration
 	chosen  model.InstanceID
-	pending map[model.InstanceID]bool
+	pending map[model.InstanceID]time.Duration // when the order without an answer was sent
 	paused  map[model.InstanceID]bool
 	stepped time.Duration // when the former primary had stepped down, or 0
 	waiting string        // why there is no candidate yet
@@ -68,7 +68,7 @@
 		former:  watch.former,
 		bound:   watch.elect.lease.outstanding(watch.group),
 		began:   watch.now(),
-		pending: make(map[model.InstanceID]bool),
+		pending: make(map[model.InstanceID]time.Duration),
 		paused:  make(map[model.InstanceID]bool),
 	}
 }
@@ -161,18 +161,19 @@
 // send gives an order to an instance unless an earlier one is not answered yet.
 func (attempt *attempt) send(instance model.InstanceID, body event.Order) {
 	listing := attempt.watch.counted[instance]
-	if attempt.pending[instance] || listing.ID() == "" {
+	if _, ok := attempt.pending[instance]; ok || listing.ID() == "" {
 		return
 	}
 	elect := attempt.watch.elect
 	order := model.OrderID(elect.context.NextID())
 	elect.orders[order] = attempt
-	attempt.pending[instance] = true
+	attempt.pending[instance] = attempt.watch.now()
 	elect.context.Emit(event.NewSendOrder(order, instance, listing.Instance().Address(), body, orderTimeout))
 }
 
 // ordered takes an instance's answer to an order.
 func (attempt *attempt) ordered(done event.OrderDone) {
+	sentAt := attempt.pending[done.Instance()]
 	delete(attempt.pending, done.Instance())
 	if attempt.watch.attempt != attempt || attempt.phase != phaseStopping {
 		return
@@ -185,9 +186,10 @@
 	}
 	sight := attempt.watch.sight(done.Instance())
 	led := sight.known && sight.status.Role() == model.RolePrimary && attempt.watch.now()-sight.statusAt <= leadAge
-	attempt.watch.take(done.Instance(), done.Status())
+	attempt.watch.take(done.Instance(), done.Status(), sentAt)
 	switch {
-	case done.Instance() == attempt.former && done.Status().Role() == model.RolePrimary:
+	case done.Status().Role() == model.RolePrimary:
+		attempt.leads(done.Instance())
 	case done.Instance() == attempt.former && led:
 		attempt.stepped = attempt.watch.now()
 		attempt.watch.log("primary_stepped_down", attempt.former, "at "+done.Status().Tail().String())
@@ -210,9 +212,8 @@
 		return
 	}
 	if attempt.phase == phaseStopping {
-		if leads && attempt.stepped == 0 {
-			// The primary is back, or was not known when the attempt began.
-			attempt.former = instance
+		if leads {
+			attempt.leads(instance)
 		}
 		if instance != attempt.former {
 			attempt.paused[instance] = attempt.watch.sight(instance).status.Paused() > 0
@@ -221,6 +222,14 @@
 	}
 }
 
+// leads takes note of a primary that is back, or that was not known when the attempt
+// began: it is the one that has to step down.
+func (attempt *attempt) leads(instance model.InstanceID) {
+	if attempt.stepped == 0 {
+		attempt.former = instance
+	}
+}
+
 // choose orders the promotion once a candidate is safe.
 func (attempt *attempt) choose() {
 	if attempt.phase != phaseStopping {
--- a/internal/plug/elect/watch.go
+++ b/internal/plug/elect/watch.go
@@ -166,7 +166,7 @@
 	sight.pending = false
 	sight.failures, sight.refused = 0, 0
 	sight.answeredAt = watch.now()
-	watch.take(instance, status)
+	watch.take(instance, status, sight.probedAt)
 	view := watch.elect.context.State().Group(watch.group)
 	if view == nil {
 		return
@@ -180,8 +180,8 @@
 	}
 }
 
-// take keeps a status and notices an instance that lost its log.
-func (watch *watch) take(instance model.InstanceID, status model.Status) {
+// take keeps the status that answers what was sent at sentAt, and notices an instance that lost its log.
+func (watch *watch) take(instance model.InstanceID, status model.Status, sentAt time.Duration) {
 	sight := watch.sight(instance)
 	born := watch.counted[instance].Born()
 	reborn := sight.known && sight.born != born
@@ -191,7 +191,7 @@
 		watch.log("log_lost", instance, "its log ends before "+sight.top.String())
 	}
 	sight.status = status
-	sight.statusAt = sight.probedAt
+	sight.statusAt = sentAt
 	sight.known = true
 	sight.born = born
 	sight.top = status.Tail()
--- a/internal/proof/city/city_test.go
+++ b/internal/proof/city/city_test.go
@@ -200,6 +200,27 @@
 	}
 }
 
+// A primary comes back whose promoter has never seen it. Its replicas are paused, so
+// that its commits wait and hold all slots, and it has none for a status.
+func TestPrimaryWithoutSlots(t *testing.T) {
+	is := is.New(t)
+	world := newWorld(133)
+	defer explain(t, world)
+	world.run(2 * time.Second)
+	traffic(world, 20*time.Second)
+	world.run(time.Second)
+	former := world.leader
+	former.crash(3 * time.Second)
+	former.full = true
+	for _, node := range world.nodes {
+		node.kill()
+		node.start()
+	}
+	world.run(10 * time.Second)
+	is.True(world.leader != nil && world.leader != former)
+	is.Equal(world.oracle.broken, nil)
+}
+
 // Random histories: faults of every kind at random times, some at once. A seed
 // that ever broke a promise stays in the list.
 func TestRandomHistories(t *testing.T) {
--- a/internal/proof/city/instance_test.go
+++ b/internal/proof/city/instance_test.go
@@ -30,6 +30,8 @@
 	paused   model.Term
 	// deaf replicas receive nothing; slow ones apply nothing.
 	deaf, slow bool
+	// full is set while no slot is free for a status.
+	full bool
 	// cut holds the proxies that cannot reach the instance.
 	cut map[*node]bool
 	// apart is set on a primary whose replicas it does not reach.
@@ -132,6 +134,8 @@
 	switch {
 	case !instance.up:
 		node.post(2*hop, event.NewStatusFailed(action.Probe(), instance.id, model.FailRefused))
+	case instance.full:
+		node.post(2*hop, event.NewStatusFailed(action.Probe(), instance.id, model.FailFull))
 	case instance.cut[node]:
 		node.post(action.Timeout(), event.NewStatusFailed(action.Probe(), instance.id, model.FailTimeout))
 	default:
