elect: an instance that is gone for good is left out sooner; no primary steps down for itself

An instance is lost for good and 4.5 s later the primary that followed it. The first one counted until all others had been asked for their status after it left, which they are every 4 s (the primary not at all while its callers' statements show that it leads), up to 9 s after the loss; so the attempt waited for good. While such an instance counts, all are asked every 500 ms: it is left out about 5 s after its loss.

In the same history the last instance, whose commits nobody acknowledges, was told to step down and was promoted again and again. It is left alone while it answers and no other instance does.

Ruled out: leaving the first out at its loss, which is safe only if it can no longer receive; the time until its entry lapsed and 2 s of silence stay.

TestTwoLosses fails without either.

--- a/internal/plug/elect/count.go
+++ b/internal/plug/elect/count.go
@@ -31,6 +31,16 @@
 	watch.retire(view)
 }
 
+// retiring reports whether an instance counts that is not listed any more.
+func (watch *watch) retiring(view *state.Group) bool {
+	for id := range watch.counted {
+		if view.Member(id) == nil {
+			return true
+		}
+	}
+	return false
+}
+
 // retire leaves instances out that are gone for good: they are not listed, they
 // do not answer, and every other log has caught up with the primary since.
 func (watch *watch) retire(view *state.Group) {
--- a/internal/plug/elect/watch.go
+++ b/internal/plug/elect/watch.go
@@ -17,6 +17,9 @@
 	attemptProbe = 50 * time.Millisecond
 	// replicaProbe is the time between two probes of a replica.
 	replicaProbe = 4 * time.Second
+	// retireProbe is the time between two probes of an instance while one that is not
+	// listed any more counts, which ends once all others have caught up.
+	retireProbe = 500 * time.Millisecond
 	// probeTimeout is the time after which a probe counts as unanswered.
 	probeTimeout = 600 * time.Millisecond
 	// refusals is how many probes in a row a process that is gone refuses.
@@ -125,7 +128,7 @@
 
 // probe asks the instances for their status.
 func (watch *watch) probe(view *state.Group) {
-	primary := watch.primary(view)
+	primary, retiring := watch.primary(view), watch.retiring(view)
 	for _, id := range watch.ids() {
 		listing := watch.counted[id]
 		if listing.ID() == "" {
@@ -138,11 +141,13 @@
 			interval = attemptProbe
 		case id == primary || primary == "":
 			interval = primaryProbe
+		case retiring:
+			interval = retireProbe
 		}
 		if sight.pending || watch.now()-sight.probedAt < interval && sight.probedAt > 0 {
 			continue
 		}
-		if age, ok := view.FloorAge(watch.now()); id == primary && watch.attempt == nil && sight.known && ok && age < primaryProbe && watch.now()-sight.probedAt < replicaProbe {
+		if age, ok := view.FloorAge(watch.now()); id == primary && watch.attempt == nil && !retiring && sight.known && ok && age < primaryProbe && watch.now()-sight.probedAt < replicaProbe {
 			continue // the statements of callers show that it leads
 		}
 		sight.pending = true
@@ -264,13 +269,25 @@
 		return "the primary does not answer here and its entry is gone"
 	case down && majority:
 		return "the primary does not answer here and at most proxies"
-	case majority:
+	case majority && (sight.failures > 0 || watch.replaceable(view)):
 		watch.elect.fleet.Refresh()
 		return "most proxies cannot work with the primary"
 	}
 	return ""
 }
 
+// replaceable reports whether another instance than the primary answers. Without one, the
+// primary would have to step down for itself.
+func (watch *watch) replaceable(view *state.Group) bool {
+	for _, member := range view.Members() {
+		sight := watch.sight(member.ID())
+		if member.ID() != watch.primary(view) && sight.known && sight.failures == 0 && !member.Leaving() {
+			return true
+		}
+	}
+	return false
+}
+
 // stray reports whether a replica stays paused though no attempt is under way, as
 // after a promoter that ended in the middle of one.
 func (watch *watch) stray() bool {
--- a/internal/proof/city/city_test.go
+++ b/internal/proof/city/city_test.go
@@ -221,6 +221,30 @@
 	is.Equal(world.oracle.broken, nil)
 }
 
+// A replica is lost for good, and soon afterwards the primary. The last instance has
+// all commits, which is known once the first one is left out.
+func TestTwoLosses(t *testing.T) {
+	for index := range 8 {
+		t.Run(strconv.Itoa(index), func(t *testing.T) {
+			is := is.New(t)
+			world := newWorld(uint64(index))
+			defer explain(t, world)
+			world.run(2 * time.Second)
+			traffic(world, 20*time.Second)
+			world.run(time.Second + time.Duration(index)*500*time.Millisecond)
+			world.instances[2].up = false
+			world.relist()
+			// The entry lapses after 2.5 s, and the instance is left out after 2 s of silence.
+			world.run(5500 * time.Millisecond)
+			world.instances[0].up = false
+			world.relist()
+			world.run(8 * time.Second)
+			is.True(world.leader == world.instances[1])
+			is.Equal(world.oracle.broken, nil)
+		})
+	}
+}
+
 // Random histories: faults of every kind at random times, some at once. A seed
 // that ever broke a promise stays in the list.
 func TestRandomHistories(t *testing.T) {
