--- a/internal/proof/city/city_test.go
+++ b/internal/proof/city/city_test.go
@@ -245,6 +245,24 @@
 	}
 }
 
+// What finds no slot is refused at once.
+func TestSlotsTakenForLong(t *testing.T) {
+	is := is.New(t)
+	world := newWorld(9)
+	defer explain(t, world)
+	world.run(2 * time.Second)
+	traffic(world, time.Second)
+	for _, instance := range world.instances {
+		instance.busyUntil = world.now + 10*time.Second
+	}
+	world.run(2 * time.Second)
+	is.True(world.oracle.asked > 10)
+	is.Equal(world.oracle.served, 0)
+	for _, node := range world.nodes {
+		is.Equal(len(node.waiting), 0)
+	}
+}
+
 // Random histories: faults of every kind at random times, some at once. A seed
 // that ever broke a promise stays in the list.
 func TestRandomHistories(t *testing.T) {
--- a/internal/proof/city/instance_test.go
+++ b/internal/proof/city/instance_test.go
@@ -30,8 +30,9 @@
 	paused   model.Term
 	// deaf replicas receive nothing; slow ones apply nothing.
 	deaf, slow bool
-	// full is set while no slot is free for a status.
-	full bool
+	// full is set while no slot is free for a status, and busyUntil is when one is for statements.
+	full      bool
+	busyUntil time.Duration
 	// cut holds the proxies that cannot reach the instance.
 	cut map[*node]bool
 	// apart is set on a primary whose replicas it does not reach.
@@ -209,6 +210,10 @@
 		conn.fail(action, model.FailureLost)
 		return
 	}
+	if instance.world.now < instance.busyUntil {
+		conn.fail(action, model.FailureBusy)
+		return
+	}
 	statement, _ := work.Statement().(*payload)
 	if work.Step() == model.StepFirst {
 		if !conn.begin(action) {
