--- a/internal/core/route/route.go
+++ b/internal/core/route/route.go
@@ -104,6 +104,9 @@
 	// Unreachable reports whether no connection to an instance stands and the last
 	// one failed to open for another reason than that the instance is full.
 	Unreachable(instance model.InstanceID) bool
+	// Connecting returns how long a statement is expected to wait for a connection to an
+	// instance because none stands, and 0 where one does.
+	Connecting(instance model.InstanceID) time.Duration
 	// Release gives a connection back. A dirty one is reset before it is used again.
 	Release(conn model.ConnID, dirty bool)
 	// Discard closes a connection whose answer nobody waits for any more.
--- a/internal/plug/conns/answer.go
+++ b/internal/plug/conns/answer.go
@@ -16,6 +16,7 @@
 		pool.log("instance_reached", "a connection was opened")
 	}
 	pool.failures = 0
+	pool.handshake += (pools.context.Now() - conn.since - pool.handshake) / handshakeSmoothing
 	pool.park(conn)
 	pool.serve()
 	pool.fill()
--- a/internal/plug/conns/conns.go
+++ b/internal/plug/conns/conns.go
@@ -3,6 +3,8 @@
 package conns
 
 import (
+	"time"
+
 	"almondway.dev/almondway/internal/core/codes"
 	"almondway.dev/almondway/internal/core/event"
 	"almondway.dev/almondway/internal/core/kern"
@@ -139,6 +141,15 @@
 	return pool != nil && pool.total == pool.opening && pool.failures > 0 && pool.reason != model.FailFull
 }
 
+// Connecting implements route.Conns.
+func (pools *Pools) Connecting(instance model.InstanceID) time.Duration {
+	pool := pools.pool(instance)
+	if pool == nil || pool.total > pool.opening {
+		return 0
+	}
+	return pool.handshake
+}
+
 // Release implements route.Conns.
 func (pools *Pools) Release(id model.ConnID, dirty bool) {
 	conn, ok := pools.conns[id]
@@ -190,7 +201,7 @@
 	if group == nil {
 		return nil
 	}
-	added := &pool{pools: pools, instance: group.Member(id).Instance()}
+	added := &pool{pools: pools, instance: group.Member(id).Instance(), handshake: firstHandshake}
 	pools.pools[id] = added
 	return added
 }
--- a/internal/plug/conns/pool.go
+++ b/internal/plug/conns/pool.go
@@ -27,9 +27,13 @@
 	// patience is the least time that a request waits for a connection before it is refused.
 	patience = 500 * time.Millisecond
 	// briefly is how long a connection beyond the share may be unused.
-	briefly      = 200 * time.Millisecond
-	firstBackoff = 20 * time.Millisecond
-	maxBackoff   = time.Second
+	briefly = 200 * time.Millisecond
+	// firstHandshake is taken as the time to open a connection before one was opened.
+	firstHandshake = 15 * time.Millisecond
+	// handshakeSmoothing is the share of a new sample in the mean, as a divisor.
+	handshakeSmoothing = 8
+	firstBackoff       = 20 * time.Millisecond
+	maxBackoff         = time.Second
 )
 
 type connState int
@@ -69,6 +73,8 @@
 	reason   model.FailReason
 	blocked  time.Duration
 	retry    timer.ID
+	// handshake is the mean time that it takes to open a connection.
+	handshake time.Duration
 }
 
 // share returns this proxy's share of the connections of an instance; it is 0
@@ -189,7 +195,7 @@
 
 func (pool *pool) open() {
 	context := pool.pools.context
-	added := &conn{id: model.ConnID(context.NextID()), pool: pool, state: connOpening}
+	added := &conn{id: model.ConnID(context.NextID()), pool: pool, state: connOpening, since: context.Now()}
 	pool.pools.conns[added.id] = added
 	pool.total++
 	pool.opening++
