fleet: complaints that the store did not take are written again soon

Now they are tried again after 0.25 to 0.75 s. Ruled out: the lease, which its holder has again at its next look, 0.4 s after the store is back.

TestPrimaryLostWithStore fails without it.

--- a/internal/plug/fleet/fleet.go
+++ b/internal/plug/fleet/fleet.go
@@ -34,6 +34,8 @@
 	forgetAfter = 15 * time.Minute
 	// complainInterval is the least time between two beats for the sake of complaints.
 	complainInterval = 150 * time.Millisecond
+	// retryInterval is the mean time until a complaint is written again that the store did not take.
+	retryInterval = 500 * time.Millisecond
 )
 
 // row is a proxy's row in the store.
@@ -64,6 +66,8 @@
 	lastAt   time.Duration
 	left     bool
 	settled  bool // the second beat is arranged
+	unsaid   bool // the store does not have the complaints as they are
+	retrying bool
 }
 
 // New returns the plug-in.
@@ -128,6 +132,7 @@
 		reason = "unusable here"
 	}
 	fleet.context.Emit(event.NewLogDecision(model.Decision{Name: "primary_complaint", Instance: instance, Reason: reason}))
+	fleet.unsaid = true
 	fleet.read()
 }
 
@@ -190,7 +195,9 @@
 		fleet.finish()
 		return
 	}
-	fleet.client.Write([]model.RowWrite{model.NewRowWrite(route.FleetTable, fleet.key(), fleet.version, value)}, func(table.Outcome) {
+	fleet.unsaid = false
+	fleet.client.Write([]model.RowWrite{model.NewRowWrite(route.FleetTable, fleet.key(), fleet.version, value)}, func(outcome table.Outcome) {
+		fleet.unsaid = fleet.unsaid || outcome != table.Written && len(fleet.unusable) > 0
 		fleet.finish()
 	})
 }
@@ -205,7 +212,24 @@
 	if fleet.wanted {
 		fleet.wanted = false
 		fleet.context.Timers().After(complainInterval, fleet.read)
+		return
 	}
+	fleet.retry()
+}
+
+// retry arranges that complaints are written again which the store did not take.
+func (fleet *Fleet) retry() {
+	if !fleet.unsaid || fleet.retrying {
+		return
+	}
+	fleet.retrying = true
+	jitter := time.Duration(fleet.context.Random().Int64N(int64(retryInterval)))
+	fleet.context.Timers().After(retryInterval/2+jitter, func() {
+		fleet.retrying = false
+		if fleet.unsaid {
+			fleet.read()
+		}
+	})
 }
 
 func (fleet *Fleet) key() string { return prefix + string(fleet.context.State().Self().ID()) }
--- a/internal/proof/city/city_test.go
+++ b/internal/proof/city/city_test.go
@@ -245,6 +245,31 @@
 	}
 }
 
+// The primary ends while the store is away. What the proxies say of it is written as
+// soon as the store is back, not at their next beat.
+func TestPrimaryLostWithStore(t *testing.T) {
+	for index := range 6 {
+		t.Run(strconv.Itoa(index), func(t *testing.T) {
+			is := is.New(t)
+			world := newWorld(uint64(index))
+			defer explain(t, world)
+			world.run(2 * time.Second)
+			traffic(world, 20*time.Second)
+			world.run(time.Duration(index) * time.Second)
+			world.storeDown = true
+			world.run(time.Second)
+			former := world.leader
+			former.up = false
+			world.run(7 * time.Second)
+			is.True(world.leader == former) // nobody may promote without the lease
+			world.storeDown = false
+			world.run(2 * time.Second)
+			is.True(world.leader != former)
+			is.Equal(world.oracle.broken, nil)
+		})
+	}
+}
+
 // What finds no slot is refused at once.
 func TestSlotsTakenForLong(t *testing.T) {
 	is := is.New(t)
