elect: the lease says who led which term

A primary is lost for good, and all proxies are killed before one promotes. The next promoter has never seen it lead. It knows from the lease that it may hold commits, so it waits for its log for good, though a primary alone acknowledges nothing once every other instance is paused.

The row of the lease now names the newest lead that a status showed, with its term. That is a fact that stays true; it is used only where the attempt has seen no primary, and not once any instance has heard of a newer term.

Ruled out: keeping the former primary in each proxy's memory, which a loss of power takes; leaving out what is unlisted at the start, which may hold commits.

--- a/internal/plug/elect/attempt.go
+++ b/internal/plug/elect/attempt.go
@@ -255,7 +255,25 @@
 	attempt.order()
 }
 
+// leader returns the instance that led before the attempt, or the empty name. One that this
+// proxy never saw lead is taken from what the lease says, unless an instance has heard of a
+// newer term.
+func (attempt *attempt) leader() model.InstanceID {
+	led := attempt.watch.led
+	if attempt.former != "" || led.Instance == "" {
+		return attempt.former
+	}
+	for _, id := range attempt.watch.ids() {
+		status := attempt.watch.sight(id).status
+		if max(status.Fence(), status.Tail().Term()) > led.Term {
+			return ""
+		}
+	}
+	return led.Instance
+}
+
 func (attempt *attempt) readings() []heir.Reading {
+	former := attempt.leader()
 	readings := make([]heir.Reading, 0, len(attempt.watch.counted))
 	for _, id := range attempt.watch.ids() {
 		listing := attempt.watch.counted[id]
@@ -272,7 +290,7 @@
 			Stepped:  id == attempt.former && attempt.stepped > 0,
 			Emptied:  sight.emptied,
 			Leaving:  listing.Leaving(),
-			Former:   id == attempt.former,
+			Former:   id == former,
 			Ordered:  id == attempt.bound,
 		})
 	}
--- a/internal/plug/elect/count.go
+++ b/internal/plug/elect/count.go
@@ -24,6 +24,9 @@
 			watch.counted[id] = model.Listing{}
 		}
 	}
+	if known := watch.elect.lease.row.Led[watch.group]; !watch.adopted && watch.elect.lease.held() && known.Term > watch.led.Term {
+		watch.led = known
+	}
 	watch.adopted = watch.adopted || watch.elect.lease.held()
 	if primary := watch.primary(view); primary != "" {
 		watch.former = primary
--- a/internal/plug/elect/elect.go
+++ b/internal/plug/elect/elect.go
@@ -46,7 +46,7 @@
 		orders:  make(map[model.OrderID]*attempt),
 		queries: make(map[model.QueryID]*attempt),
 	}
-	elect.lease = newLease(context, client, elect.urgent, elect.counted)
+	elect.lease = newLease(context, client, elect)
 	context.Offer(ServiceName, elect)
 	context.Timers().Every(tickInterval, elect.tick)
 	return elect
@@ -131,6 +131,20 @@
 	return false
 }
 
+// led returns who led each group last, as far as this proxy or an earlier holder saw it lead.
+func (elect *Elect) led() map[model.GroupID]lead {
+	all := maps.Clone(elect.lease.row.Led)
+	if all == nil {
+		all = make(map[model.GroupID]lead, len(elect.watches))
+	}
+	for group, watch := range elect.watches {
+		if watch.led.Instance != "" && watch.led.Term >= all[group].Term {
+			all[group] = watch.led
+		}
+	}
+	return all
+}
+
 // counted returns the instances of each group that may hold acknowledged commits.
 // What an earlier holder knew stays until this proxy has taken it over.
 func (elect *Elect) counted() map[model.GroupID][]model.InstanceID {
--- a/internal/plug/elect/lease.go
+++ b/internal/plug/elect/lease.go
@@ -54,11 +54,19 @@
 	// Counted are the instances of each group that may hold acknowledged commits,
 	// for a promoter that starts when some of them are not listed.
 	Counted map[model.GroupID][]model.InstanceID `json:"counted,omitempty"`
+	// Led is who led each group, for a promoter that starts when it is not listed.
+	Led map[model.GroupID]lead `json:"led,omitempty"`
 	// Ordered is the instance of each group that an order to promote named which
 	// may still be carried out.
 	Ordered map[model.GroupID]model.InstanceID `json:"ordered,omitempty"`
 }
 
+// lead is the fact that an instance led a term.
+type lead struct {
+	Instance model.InstanceID `json:"instance"`
+	Term     model.Term       `json:"term"`
+}
+
 // lease is the right to order promotions, which one proxy has at a time.
 type lease struct {
 	context *kern.Context
@@ -80,8 +88,9 @@
 	orders map[model.GroupID]order
 	// urgent reports whether a group needs a promoter.
 	urgent func() bool
-	// counted returns what the row shall say of the groups.
+	// counted and led return what the row shall say of the groups.
 	counted func() map[model.GroupID][]model.InstanceID
+	led     func() map[model.GroupID]lead
 }
 
 // order is an order to promote an instance, and when it was sent.
@@ -90,8 +99,15 @@
 	at       time.Duration
 }
 
-func newLease(context *kern.Context, client *table.Client, urgent func() bool, counted func() map[model.GroupID][]model.InstanceID) *lease {
-	return &lease{context: context, client: client, urgent: urgent, counted: counted, orders: make(map[model.GroupID]order)}
+func newLease(context *kern.Context, client *table.Client, elect *Elect) *lease {
+	return &lease{
+		context: context,
+		client:  client,
+		urgent:  elect.urgent,
+		counted: elect.counted,
+		led:     elect.led,
+		orders:  make(map[model.GroupID]order),
+	}
 }
 
 func (lease *lease) self() model.ProxyID { return lease.context.State().Self().ID() }
@@ -204,10 +220,10 @@
 // failed; the next look tells what became of it.
 func (lease *lease) write(row leaseRow, done func(ok bool)) {
 	row.Beat = lease.row.Beat + 1
-	row.Counted = lease.row.Counted
+	row.Counted, row.Led = lease.row.Counted, lease.row.Led
 	row.Ordered = lease.named()
 	if lease.row.Holder == lease.self() {
-		row.Counted = lease.counted()
+		row.Counted, row.Led = lease.counted(), lease.led()
 	}
 	value, err := json.Marshal(row)
 	if err != nil {
--- a/internal/plug/elect/watch.go
+++ b/internal/plug/elect/watch.go
@@ -71,6 +71,7 @@
 	headless  time.Duration    // since when no primary is known, or 0
 	strayed   time.Duration    // since when a replica is paused without an attempt, or 0
 	former    model.InstanceID // the last instance that led as far as is known
+	led       lead             // the newest lead that an instance reported
 	adopted   bool             // the instances that the lease counts were taken over
 	attempt   *attempt
 	notBefore time.Duration
@@ -200,6 +201,9 @@
 	sight.known = true
 	sight.born = born
 	sight.top = status.Tail()
+	if status.Role() == model.RolePrimary && status.Fence() >= watch.led.Term {
+		watch.led = lead{Instance: instance, Term: status.Fence()}
+	}
 	if sight.emptied && watch.recovered(sight) {
 		sight.emptied = false
 		watch.log("log_regained", instance, "its log covers that of the primary")
--- a/internal/proof/city/city_test.go
+++ b/internal/proof/city/city_test.go
@@ -270,6 +270,28 @@
 	}
 }
 
+// The primary is lost for good, and all proxies are killed before one promotes. Those
+// that follow have not seen it lead; the row of the lease says that it did.
+func TestPrimaryGoneWithAllProxies(t *testing.T) {
+	is := is.New(t)
+	world := newWorld(2006)
+	defer explain(t, world)
+	world.run(2 * time.Second)
+	traffic(world, 20*time.Second)
+	world.run(6 * time.Second)
+	former := world.leader
+	former.up = false
+	world.relist()
+	world.run(300 * time.Millisecond)
+	for _, node := range world.nodes {
+		node.kill()
+		node.start()
+	}
+	world.run(8 * time.Second)
+	is.True(world.leader != former)
+	is.Equal(world.oracle.broken, nil)
+}
+
 // What finds no slot is refused at once.
 func TestSlotsTakenForLong(t *testing.T) {
 	is := is.New(t)
