--- a/internal/app/hosted/hosted.go
+++ b/internal/app/hosted/hosted.go
@@ -159,7 +159,7 @@
 	looped := make(chan struct{})
 	go func() {
 		defer close(looped)
-		host.loop.Run(ctx)
+		host.spec.Log.Guard("kernel", os.Exit, func() { host.loop.Run(ctx) })
 	}()
 	adapters.Follow(ctx)
 	host.log("started")
