relay: a read that was denied at once withdraws from the queue where it waits next

A read that its first instance denies within the call looks elsewhere within the same call and waits there; the outer call then overwrote the ticket of that wait with its own, which is none. When the deadline passed, the wait was not withdrawn. A connection that was granted later was taken for the transaction that the caller had been told had not run; its ROLLBACK gave the connection back while the statement ran, and the answer found nobody: a nil taker in conns.executeDone, in the handling of an event, where the trace ends. Else the connection was held for good.

TestExpireEndsTheSecondWait fails without it.

--- /dev/null
+++ b/internal/plug/relay/seek_test.go
@@ -0,0 +1,107 @@
+package relay
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"almondway.dev/almondway/internal/core/codes"
+	"almondway.dev/almondway/internal/core/event"
+	"almondway.dev/almondway/internal/core/kern"
+	"almondway.dev/almondway/internal/core/model"
+	"almondway.dev/almondway/internal/core/route"
+	"almondway.dev/almondway/internal/core/tune"
+)
+
+// fakeConns denies a connection to the first instance that is asked for at once and lets
+// others wait. Methods that the test does not need are those of the nil interface, here
+// and below.
+type fakeConns struct {
+	route.Conns
+	full      model.InstanceID
+	ticket    route.Ticket
+	withdrawn []route.Ticket
+}
+
+// Acquire implements route.Conns.
+func (conns *fakeConns) Acquire(ask route.Ask, taker route.Taker) route.Ticket {
+	if conns.full == "" {
+		conns.full = ask.Instance
+		taker.ConnDenied(codes.Overloaded, time.Millisecond)
+		return 0
+	}
+	conns.ticket++
+	return conns.ticket
+}
+
+// Withdraw implements route.Conns.
+func (conns *fakeConns) Withdraw(ticket route.Ticket) {
+	conns.withdrawn = append(conns.withdrawn, ticket)
+}
+
+// Connecting implements route.Conns.
+func (conns *fakeConns) Connecting(model.InstanceID) time.Duration { return 0 }
+
+type fakeAdmission struct{ route.Admission }
+
+// Delay implements route.Admission.
+func (fakeAdmission) Delay(model.InstanceID) time.Duration { return 0 }
+
+// RetryAfter implements route.Admission.
+func (fakeAdmission) RetryAfter(model.InstanceID) time.Duration { return time.Millisecond }
+
+type fakeSessions struct {
+	route.Sessions
+	finished int
+}
+
+// Serve implements route.Sessions.
+func (*fakeSessions) Serve(model.Access, route.Runner) {}
+
+// Finish implements route.Sessions.
+func (sessions *fakeSessions) Finish(*route.Job, route.ResultSpec) { sessions.finished++ }
+
+type fakeFleet struct{ route.Fleet }
+
+// offers is a plug-in that offers the fakes.
+type offers struct{}
+
+// Handle implements kern.Plugin.
+func (offers) Handle(event.Event) {}
+
+// A read whose first instance denies it at once waits for the second one. When its
+// deadline passes, that wait ends too: a connection that is granted later would run it.
+func TestExpireEndsTheSecondWait(t *testing.T) {
+	is := is.New(t)
+	conns, sessions := &fakeConns{}, &fakeSessions{}
+	var relay *Relay
+	offer := func(context *kern.Context) kern.Plugin {
+		context.Offer(route.SessionsService, sessions)
+		context.Offer(route.ConnsService, conns)
+		context.Offer(route.AdmissionService, fakeAdmission{})
+		context.Offer(route.FleetService, fakeFleet{})
+		return offers{}
+	}
+	catch := func(context *kern.Context) kern.Plugin {
+		relay = New(context).(*Relay)
+		return relay
+	}
+	kernel := kern.NewWith(model.ProxyView{}, tune.New(tune.Default()), time.Time{}, 1, offer, catch)
+	instances := []model.Instance{model.NewInstance("a", "", ""), model.NewInstance("b", "", "")}
+	kernel.State().SetGroups([]model.Group{model.NewGroup("g", instances)})
+	kernel.State().Group("g").ObserveLead("a", model.NewMark(1, 1), time.Second)
+	kind := model.NewKind(model.KindSpec{Name: "k", Access: model.AccessEither, Staleness: time.Second})
+	job := route.NewJob(route.JobSpec{
+		Request:    model.NewRequest(model.RequestSpec{Seq: 1}),
+		Deployment: model.NewDeployment(model.DeploymentSpec{Name: "d"}),
+		Kind:       kind, Group: "g", Arrived: time.Second, Deadline: 2 * time.Second,
+	})
+	relay.context.Timers().After(time.Second, func() { relay.Start(job) })
+	kernel.Tick(time.Second)
+	is.Equal(conns.ticket, route.Ticket(1))
+	relay.context.Timers().After(time.Second, func() { relay.Expire(job) })
+	kernel.Tick(2 * time.Second)
+	is.Equal(sessions.finished, 1)
+	is.Equal(conns.withdrawn, []route.Ticket{1})
+}
--- a/internal/plug/relay/task.go
+++ b/internal/plug/relay/task.go
@@ -97,8 +97,8 @@
 	}
 	task.instance = instance
 	task.state = taskAcquiring
-	ticket := task.relay.conns.Acquire(route.Ask{Instance: instance, Job: task.job}, task)
-	if task.state == taskAcquiring {
+	// A denial at once looks elsewhere within this call, and that wait has its own ticket.
+	if ticket := task.relay.conns.Acquire(route.Ask{Instance: instance, Job: task.job}, task); ticket != 0 {
 		task.ticket = ticket
 	}
 }
