--- a/internal/app/metric/histogram.go
+++ b/internal/app/metric/histogram.go
@@ -53,14 +53,13 @@
 			bound = strconv.FormatFloat(bounds[index].Seconds(), 'g', -1, 64)
 		}
 		samples = append(samples, sample{
-			family: family, suffix: "_bucket", kind: "histogram", series: labels,
-			labels: join(labels, `le="`+bound+`"`), value: count,
+			family: family, suffix: "_bucket", kind: "histogram", labels: labels, extra: `le="` + bound + `"`, value: count,
 		})
 	}
 	sum := time.Duration(histogram.sum.Load()).Seconds()
 	return append(
 		samples,
-		sample{family: family, suffix: "_sum", kind: "histogram", series: labels, labels: labels, value: sum},
-		sample{family: family, suffix: "_count", kind: "histogram", series: labels, labels: labels, value: count},
+		sample{family: family, suffix: "_sum", kind: "histogram", labels: labels, value: sum},
+		sample{family: family, suffix: "_count", kind: "histogram", labels: labels, value: count},
 	)
 }
--- a/internal/app/metric/metric.go
+++ b/internal/app/metric/metric.go
@@ -129,7 +129,7 @@
 		if left.family != right.family {
 			return strings.Compare(left.family, right.family)
 		}
-		return strings.Compare(left.series, right.series)
+		return strings.Compare(left.labels, right.labels)
 	})
 	family := ""
 	for _, sample := range samples {
@@ -139,7 +139,7 @@
 				return errors.Wrap(err, "write metrics")
 			}
 		}
-		if _, err := fmt.Fprintf(output, "%s%s%s %v\n", sample.family, sample.suffix, sample.labels, sample.value); err != nil {
+		if _, err := fmt.Fprintf(output, "%s%s%s %v\n", sample.family, sample.suffix, join(sample.labels, sample.extra), sample.value); err != nil {
 			return errors.Wrap(err, "write metrics")
 		}
 	}
--- a/internal/app/metric/sample.go
+++ b/internal/app/metric/sample.go
@@ -16,21 +16,21 @@
 	suffix string
 	kind   string
 	labels string
-	// series are the labels by which lines are in order; those of one series with equal
-	// ones stay in the order in which they were made.
-	series string
-	value  any
+	// extra is a further label of one line of several with the same labels, which stay in
+	// the order in which they were made.
+	extra string
+	value any
 }
 
 func samplesOf(name string, metric any) []sample {
 	family, labels := split(name)
 	switch metric := metric.(type) {
 	case metrics.Counter:
-		return []sample{{family: family, kind: "counter", labels: labels, series: labels, value: metric.Count()}}
+		return []sample{{family: family, kind: "counter", labels: labels, value: metric.Count()}}
 	case metrics.Gauge:
-		return []sample{{family: family, kind: "gauge", labels: labels, series: labels, value: metric.Value()}}
+		return []sample{{family: family, kind: "gauge", labels: labels, value: metric.Value()}}
 	case metrics.GaugeFloat64:
-		return []sample{{family: family, kind: "gauge", labels: labels, series: labels, value: metric.Value()}}
+		return []sample{{family: family, kind: "gauge", labels: labels, value: metric.Value()}}
 	case metrics.Timer:
 		return summary(family, labels, metric.Snapshot())
 	default:
@@ -41,16 +41,16 @@
 func summary(family, labels string, timer metrics.Timer) []sample {
 	sum := time.Duration(timer.Sum()).Seconds()
 	samples := []sample{
-		{family: family, suffix: "_sum", kind: "summary", labels: labels, series: labels, value: sum},
-		{family: family, suffix: "_count", kind: "summary", labels: labels, series: labels, value: timer.Count()},
+		{family: family, suffix: "_sum", kind: "summary", labels: labels, value: sum},
+		{family: family, suffix: "_count", kind: "summary", labels: labels, value: timer.Count()},
 	}
 	for index, value := range timer.Percentiles(quantiles) {
 		quantile := fmt.Sprintf(`quantile="%v"`, quantiles[index])
 		samples = append(samples, sample{
 			family: family,
 			kind:   "summary",
-			labels: join(labels, quantile),
-			series: labels,
+			labels: labels,
+			extra:  quantile,
 			value:  value / float64(time.Second),
 		})
 	}
@@ -66,8 +66,12 @@
 	return name[:index], name[index:]
 }
 
+// join adds a label to labels in their braces; either may be empty.
 func join(labels, added string) string {
-	if labels == "" {
+	switch {
+	case added == "":
+		return labels
+	case labels == "":
 		return "{" + added + "}"
 	}
 	return strings.TrimSuffix(labels, "}") + "," + added + "}"
--- a/internal/plug/conns/conns.go
+++ b/internal/plug/conns/conns.go
@@ -138,13 +138,13 @@
 // Unreachable implements route.Conns.
 func (pools *Pools) Unreachable(instance model.InstanceID) bool {
 	pool := pools.pool(instance)
-	return pool != nil && pool.total == pool.opening && pool.failures > 0 && pool.reason != model.FailFull
+	return pool != nil && !pool.connected() && pool.failures > 0 && pool.reason != model.FailFull
 }
 
 // Connecting implements route.Conns.
 func (pools *Pools) Connecting(instance model.InstanceID) time.Duration {
 	pool := pools.pool(instance)
-	if pool == nil || pool.total > pool.opening {
+	if pool == nil || pool.connected() {
 		return 0
 	}
 	return pool.handshake
--- a/internal/plug/conns/pool.go
+++ b/internal/plug/conns/pool.go
@@ -113,6 +113,9 @@
 	conn.inTx = inTx
 }
 
+// connected reports whether a connection stands.
+func (pool *pool) connected() bool { return pool.total > pool.opening }
+
 // warm returns how many connections are kept open ahead of need.
 func (pool *pool) warm() int {
 	if share := pool.share(); pool.instance.Conns() > 0 && share < borrowLimit {
@@ -218,7 +221,7 @@
 	if reason == model.FailLeaving {
 		pool.pools.context.Publish(event.NewLeavingChanged(pool.instance.ID(), true))
 	}
-	if reason != model.FailFull && pool.total == pool.opening {
+	if reason != model.FailFull && !pool.connected() {
 		pool.sendAway()
 	}
 }
--- a/internal/proof/city/city_test.go
+++ b/internal/proof/city/city_test.go
@@ -132,15 +132,24 @@
 	})
 }
 
+// busy returns a world whose sessions have begun to work for a time. Where the test
+// fails, it is explained.
+func busy(t *testing.T, seed uint64, span time.Duration) *world {
+	t.Helper()
+	world := newWorld(seed)
+	t.Cleanup(func() { explain(t, world) })
+	world.run(2 * time.Second)
+	traffic(world, span)
+	return world
+}
+
 // Each fault alone, and then every one with every other.
 func TestFaults(t *testing.T) {
 	for first := range faults {
 		for second := first; second < len(faults); second++ {
 			t.Run(faults[first].name+", "+faults[second].name, func(t *testing.T) {
 				is := is.New(t)
-				world := newWorld(uint64(1000*first + second))
-				world.run(2 * time.Second)
-				traffic(world, 14*time.Second)
+				world := busy(t, uint64(1000*first+second), 14*time.Second)
 				world.run(time.Second)
 				faults[first].run(world)
 				world.run(400 * time.Millisecond)
@@ -163,9 +172,7 @@
 // of the primary is gone after a few seconds, which is enough.
 func TestPromoterWithoutStore(t *testing.T) {
 	is := is.New(t)
-	world := newWorld(7)
-	world.run(2 * time.Second)
-	traffic(world, 12*time.Second)
+	world := busy(t, 7, 12*time.Second)
 	world.run(time.Second)
 	former := world.leader
 	for _, node := range world.nodes[:2] {
@@ -184,10 +191,7 @@
 	for index := range 8 {
 		t.Run(strconv.Itoa(index), func(t *testing.T) {
 			is := is.New(t)
-			world := newWorld(uint64(index))
-			defer explain(t, world)
-			world.run(2 * time.Second)
-			traffic(world, 14*time.Second)
+			world := busy(t, uint64(index), 14*time.Second)
 			world.run(4*time.Second + time.Duration(index)*500*time.Millisecond)
 			former := world.leader
 			former.leaving = true
@@ -204,10 +208,7 @@
 // that its commits wait and hold all slots, and it has none for a status.
 func TestPrimaryWithoutSlots(t *testing.T) {
 	is := is.New(t)
-	world := newWorld(133)
-	defer explain(t, world)
-	world.run(2 * time.Second)
-	traffic(world, 20*time.Second)
+	world := busy(t, 133, 20*time.Second)
 	world.run(time.Second)
 	former := world.leader
 	former.crash(3 * time.Second)
@@ -227,10 +228,7 @@
 	for index := range 8 {
 		t.Run(strconv.Itoa(index), func(t *testing.T) {
 			is := is.New(t)
-			world := newWorld(uint64(index))
-			defer explain(t, world)
-			world.run(2 * time.Second)
-			traffic(world, 20*time.Second)
+			world := busy(t, uint64(index), 20*time.Second)
 			world.run(time.Second + time.Duration(index)*500*time.Millisecond)
 			world.instances[2].up = false
 			world.relist()
@@ -251,10 +249,7 @@
 	for index := range 6 {
 		t.Run(strconv.Itoa(index), func(t *testing.T) {
 			is := is.New(t)
-			world := newWorld(uint64(index))
-			defer explain(t, world)
-			world.run(2 * time.Second)
-			traffic(world, 20*time.Second)
+			world := busy(t, uint64(index), 20*time.Second)
 			world.run(time.Duration(index) * time.Second)
 			world.storeDown = true
 			world.run(time.Second)
@@ -274,10 +269,7 @@
 // that follow have not seen it lead; the row of the lease says that it did.
 func TestPrimaryGoneWithAllProxies(t *testing.T) {
 	is := is.New(t)
-	world := newWorld(2006)
-	defer explain(t, world)
-	world.run(2 * time.Second)
-	traffic(world, 20*time.Second)
+	world := busy(t, 2006, 20*time.Second)
 	world.run(6 * time.Second)
 	former := world.leader
 	former.up = false
@@ -295,10 +287,7 @@
 // What finds no slot is refused at once.
 func TestSlotsTakenForLong(t *testing.T) {
 	is := is.New(t)
-	world := newWorld(9)
-	defer explain(t, world)
-	world.run(2 * time.Second)
-	traffic(world, time.Second)
+	world := busy(t, 9, time.Second)
 	for _, instance := range world.instances {
 		instance.busyUntil = world.now + 10*time.Second
 	}
@@ -316,10 +305,7 @@
 	for _, seed := range histories(t) {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
 			is := is.New(t)
-			world := newWorld(seed)
-			defer explain(t, world)
-			world.run(2 * time.Second)
-			traffic(world, 20*time.Second)
+			world := busy(t, seed, 20*time.Second)
 			for range 8 {
 				world.run(time.Duration(world.random.Int64N(int64(2500 * time.Millisecond))))
 				chosen := faults[world.random.IntN(len(faults))]
