--- a/internal/plug/drain/drain.go
+++ b/internal/plug/drain/drain.go
@@ -20,6 +20,10 @@
 	// that a proxy whose process was paused reads the events received meanwhile before it
 	// stops.
 	minIdleChecks = 10
+	// maxCheckGap is the time between two checks above which the process was paused. The
+	// first check after a pause does not count, since it runs before the events that were
+	// received meanwhile.
+	maxCheckGap = 2 * checkInterval
 
 	deployService   = "deploy"
 	failoverService = "failov"
@@ -50,7 +54,8 @@
 	context    *kern.Context
 	started    bool
 	startedAt  time.Duration
-	idleChecks int // consecutive checks without work in flight
+	checkedAt  time.Duration // time of the last check
+	idleChecks int           // consecutive checks without work in flight
 }
 
 // New returns the plug-in. It is inactive until event.ShutdownRequested.
@@ -69,6 +74,7 @@
 	}
 	drain.started = true
 	drain.startedAt = drain.context.Now()
+	drain.checkedAt = drain.startedAt
 	drain.context.State().SetDraining()
 	drain.context.Publish(event.NewDrainStarted())
 	drain.log("drain_started", "shutdown was requested")
@@ -78,11 +84,15 @@
 // check stops the proxy after minIdleChecks checks without work in flight, or when the
 // drain limit has passed.
 func (drain *Drain) check() {
-	drain.idleChecks++
-	if drain.busy() {
+	now := drain.context.Now()
+	switch {
+	case drain.busy():
 		drain.idleChecks = 0
+	case now-drain.checkedAt <= maxCheckGap:
+		drain.idleChecks++
 	}
-	waited := drain.context.Now() - drain.startedAt
+	drain.checkedAt = now
+	waited := now - drain.startedAt
 	switch {
 	case drain.idleChecks >= minIdleChecks:
 		drain.stop("nothing is in flight")
--- a/internal/plug/drain/drain_test.go
+++ b/internal/plug/drain/drain_test.go
@@ -130,6 +130,29 @@
 	}
 }
 
+// The pause falls between the last two idle checks, so that the check after it would be the
+// one that stops the proxy. The requests that arrived during the pause are read after it.
+func TestPauseBeforeLastIdleCheck(t *testing.T) {
+	is := is.New(t)
+	kernel := kern.New(model.NewProxyView("proxy-1", "", "", 0, false, 0), tune.New(tune.Default()), time.Time{}, 1)
+	fakeLoad := <-fakeLoads
+	kernel.Handle(0, event.NewShutdownRequested())
+	for now := step; now < 200*time.Millisecond; now += step {
+		is.True(!stopsProxy(kernel.Tick(now)))
+	}
+	is.True(!stopsProxy(kernel.Tick(3 * time.Second)))
+	fakeLoad.requests = 1
+	for now := 3*time.Second + step; now < 5*time.Second; now += step {
+		is.True(!stopsProxy(kernel.Tick(now)))
+	}
+	fakeLoad.requests = 0
+	stopped := false
+	for now := 5 * time.Second; now < 6*time.Second && !stopped; now += step {
+		stopped = stopsProxy(kernel.Tick(now))
+	}
+	is.True(stopped)
+}
+
 func oneIf(busy bool) int {
 	if busy {
 		return 1
