--- a/internal/plug/elect/attempt.go
+++ b/internal/plug/elect/attempt.go
@@ -125,14 +125,24 @@
 	attempt.enterPhase(phaseStopping)
 }
 
-// highestTerm returns the highest term that any instance has reported.
-func (attempt *attempt) highestTerm() model.Term {
-	highest := model.Term(0)
+// newestTerm returns the newest term of the group that is known from any instance.
+func (attempt *attempt) newestTerm() model.Term {
+	newest := model.Term(0)
 	if group := attempt.monitor.elect.context.State().Group(attempt.monitor.groupID); group != nil {
-		highest = group.Term()
+		newest = group.Term()
+	}
+	for _, observation := range attempt.monitor.observations {
+		newest = max(newest, observation.status.Fence(), observation.status.Tail().Term())
 	}
+	return newest
+}
+
+// highestTerm returns the highest term that any instance has reported, including that of
+// a pause.
+func (attempt *attempt) highestTerm() model.Term {
+	highest := attempt.newestTerm()
 	for _, observation := range attempt.monitor.observations {
-		highest = max(highest, observation.status.Fence(), observation.status.Tail().Term(), observation.status.PausedTerm())
+		highest = max(highest, observation.status.PausedTerm())
 	}
 	return highest
 }
@@ -140,7 +150,9 @@
 // stopCommits sends the orders that prevent further acknowledged commits: the primary
 // steps down, or every replica is paused if the primary does not answer.
 func (attempt *attempt) stopCommits() {
-	if attempt.term == 0 {
+	if attempt.term <= attempt.newestTerm() {
+		// Orders with such a term have no effect, and an instance need not answer them with an
+		// error.
 		attempt.term = attempt.highestTerm() + 1
 	}
 	if attempt.steppedDownAt > 0 {
--- a/internal/proof/city/city_test.go
+++ b/internal/proof/city/city_test.go
@@ -290,6 +290,35 @@
 	is.Equal(simulation.oracle.violations, nil)
 }
 
+// A primary is leaving when all proxies restart. They get the configuration last, when one
+// of them already holds the lease. It starts the promotion before it has observed a term, so
+// its first orders have a term that is too low. An instance answers such an order with an
+// error or with its unchanged status.
+func TestPromoterKnowsNoTerm(t *testing.T) {
+	for _, answered := range []bool{false, true} {
+		t.Run(strconv.FormatBool(answered), func(t *testing.T) {
+			is := is.New(t)
+			simulation := newBusySimulation(t, 7, 12*time.Second)
+			simulation.staleOrdersAnswered = answered
+			simulation.run(time.Second)
+			former := simulation.primary
+			former.leaving = true
+			for _, proxy := range simulation.proxies {
+				proxy.kill()
+				proxy.tick()
+			}
+			simulation.publishListings()
+			simulation.run(4 * time.Second)
+			for _, proxy := range simulation.proxies {
+				proxy.start()
+			}
+			simulation.run(2 * time.Second)
+			is.True(simulation.primary != nil && simulation.primary != former)
+			is.Equal(simulation.oracle.violations, nil)
+		})
+	}
+}
+
 // Requests that find no free slot are refused at once and do not wait.
 func TestNoFreeSlotIsRefused(t *testing.T) {
 	is := is.New(t)
--- a/internal/proof/city/instance_test.go
+++ b/internal/proof/city/instance_test.go
@@ -164,7 +164,9 @@
 	})
 }
 
-// applyOrder executes a pause or step-down order and reports whether it was accepted.
+// applyOrder executes a pause or step-down order and reports whether it was accepted. An
+// order with a term that is not above the instance's has no effect. The answer to it is an
+// error or, if staleOrdersAnswered is set, the status like after any other order.
 func (instance *instance) applyOrder(body event.Order) bool {
 	if !instance.up {
 		return false
@@ -172,7 +174,7 @@
 	switch body := body.(type) {
 	case event.Pause:
 		if body.Term() <= instance.simulation.term {
-			return false
+			return instance.simulation.staleOrdersAnswered
 		}
 		if !instance.isPrimary() {
 			instance.pausedTerm = body.Term()
--- a/internal/proof/city/simulation_test.go
+++ b/internal/proof/city/simulation_test.go
@@ -78,8 +78,10 @@
 	// latePromotionShare is the share of promotion calls that time out and are executed seconds later.
 	latePromotionShare float64
 	highestToken       uint64 // of the promotion orders that were accepted
-	oracle             *oracle
-	logLines           []string // the decisions that the proxies logged, except those about single requests
+	// staleOrdersAnswered selects how instances answer an order with a term that is too low.
+	staleOrdersAnswered bool
+	oracle              *oracle
+	logLines            []string // the decisions that the proxies logged, except those about single requests
 }
 
 func newSimulation(seed uint64) *simulation {
