--- /dev/null
+++ b/internal/proof/city/experiment.go
@@ -0,0 +1,161 @@
+package city
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"almondway.dev/almondway/internal/core/event"
+	"almondway.dev/almondway/internal/core/kern"
+	"almondway.dev/almondway/internal/core/model"
+)
+
+const (
+	// membershipTime is the time after the start in which the proxies learn of each other.
+	membershipTime = 3 * time.Second
+	// drainTime is the time after the last arrival in which operations may end.
+	drainTime = 12 * time.Second
+	// maxLatency is the upper bound of the latency histograms.
+	maxLatency = time.Minute
+)
+
+// Load describes the load of an experiment and the group that serves it.
+type Load struct {
+	Seed uint64
+	// Rate is the number of operations a second.
+	Rate float64
+	// Span is the time during which operations arrive.
+	Span  time.Duration
+	Kinds []LoadKind
+	// ProxiesByZone is the number of proxies of each data centre. Every data centre gets the
+	// same share of the operations.
+	ProxiesByZone []int
+	Slots         int // of an instance
+	QueueLimit    int // statements that wait for a slot of an instance
+	MaxConns      int // connections of an instance
+	Handshake     time.Duration
+	// ApplyDelay is the delay of the replicas from LagFrom to LagUntil, counted from the
+	// first arrival.
+	ApplyDelay        time.Duration
+	LagFrom, LagUntil time.Duration
+	// Factories are the plug-ins of each proxy; nil selects those of the hosted profile.
+	Factories []kern.Factory
+}
+
+// KindResult is what the callers of one kind got.
+type KindResult struct {
+	Name     string
+	Asked    int
+	InTarget int
+	Late     int
+	Unserved int
+	// Refusals is the number of refused attempts by result code.
+	Refusals map[string]int
+	// Latency holds the latencies of the served operations in microseconds.
+	Latency *hdrhistogram.Histogram
+}
+
+// Result is the result of an experiment.
+type Result struct {
+	Kinds []*KindResult
+	// SlotUse is the share of the time in which the slots of each instance were held.
+	SlotUse []float64
+}
+
+// InTarget returns the share of all operations that were served within their target.
+func (result Result) InTarget() float64 {
+	asked, inTarget := 0, 0
+	for _, kind := range result.Kinds {
+		asked += kind.Asked
+		inTarget += kind.InTarget
+	}
+	return float64(inTarget) / float64(max(1, asked))
+}
+
+// Kind returns the result of the kind with the given name, or nil.
+func (result Result) Kind(name string) *KindResult {
+	for _, kind := range result.Kinds {
+		if kind.Name == name {
+			return kind
+		}
+	}
+	return nil
+}
+
+// Experiment plays a load and returns what the callers got. The result depends on the load
+// and its seed only.
+func Experiment(spec Load) Result {
+	simulation := newEmptySimulation(spec.Seed, spec.catalog())
+	simulation.factories = spec.Factories
+	for zone, count := range spec.ProxiesByZone {
+		for range count {
+			simulation.addProxy("proxy-"+strconv.Itoa(len(simulation.proxies)), zoneName(zone))
+		}
+	}
+	for index, instance := range simulation.instances {
+		instance.dataCenter = zoneName(index % len(spec.ProxiesByZone))
+		instance.capacity = capacity{slots: spec.Slots, queueLimit: spec.QueueLimit, maxConns: spec.MaxConns, handshake: spec.Handshake}
+	}
+	load := &load{simulation: simulation, spec: spec}
+	for index := range spec.Kinds {
+		load.results = append(load.results, &KindResult{
+			Name:     spec.Kinds[index].Name,
+			Refusals: make(map[string]int),
+			Latency:  hdrhistogram.New(1, maxLatency.Microseconds(), 3),
+		})
+	}
+	simulation.start()
+	simulation.run(membershipTime)
+	load.until = simulation.now + spec.Span
+	simulation.runAfter(spec.LagFrom, func() { simulation.setApplyDelay(spec.ApplyDelay) })
+	simulation.runAfter(spec.LagUntil, func() { simulation.setApplyDelay(0) })
+	for _, instance := range simulation.instances {
+		instance.capacity.busy = 0
+	}
+	load.scheduleArrival()
+	simulation.run(spec.Span)
+	result := Result{Kinds: load.results}
+	for _, instance := range simulation.instances {
+		result.SlotUse = append(result.SlotUse, instance.capacity.busy.Seconds()/spec.Span.Seconds()/float64(instance.capacity.listedSlots()))
+	}
+	simulation.run(drainTime)
+	return result
+}
+
+func zoneName(zone int) model.DataCenter {
+	return model.DataCenter("zone-" + strconv.Itoa(zone))
+}
+
+func (simulation *simulation) setApplyDelay(delay time.Duration) {
+	for _, instance := range simulation.instances {
+		if instance != simulation.primary {
+			instance.applyDelay = delay
+		}
+	}
+}
+
+// catalog returns the operator's configuration: one deployment for each kind.
+func (spec Load) catalog() event.CatalogListed {
+	var deployments []*model.Deployment
+	for _, kind := range spec.Kinds {
+		deployments = append(deployments, model.NewDeployment(model.DeploymentSpec{
+			Name:     kind.Name,
+			Groups:   []model.GroupID{groupID},
+			Priority: kind.Priority,
+			Kinds: []model.Kind{model.NewKind(model.KindSpec{
+				Name:          kind.Name,
+				Access:        model.AccessEither,
+				Group:         groupID,
+				Timeout:       kind.Timeout,
+				TargetLatency: kind.Target,
+				Staleness:     kind.Staleness,
+				SeesOwnWrites: kind.SeesOwnWrites,
+			})},
+			Classes:     []model.CallerClass{model.NewCallerClass(model.CallerClassSpec{})},
+			DefaultKind: kind.Name,
+		}))
+	}
+	listed := model.NewGroup(groupID, nil).WithReplication(model.NewPrimaryAcknowledged(1)).WithMaxConns(spec.MaxConns)
+	return event.NewCatalogListed(1, deployments, []model.Group{listed})
+}
--- a/internal/proof/city/instance_test.go
+++ b/internal/proof/city/instance.go
@@ -22,12 +22,14 @@
 type instance struct {
 	simulation *simulation
 	id         model.InstanceID
+	dataCenter model.DataCenter
 	up         bool
 	unlisted   bool
 	leaving    bool // announced in the listing: the instance is about to shut down
 	log        []logEntry
-	applied    int        // the number of log entries that reads see
-	pausedTerm model.Term // the term whose promotion stopped replication, or 0
+	receivedAt []time.Duration // when each log entry was received
+	applied    int             // the number of log entries that reads see
+	pausedTerm model.Term      // the term whose promotion stopped replication, or 0
 	// With replicationBlocked a replica receives no entries, with applyBlocked it applies none.
 	replicationBlocked, applyBlocked bool
 	// probesRefused is set while no slot is free for a status query. busyUntil is the time at which a
@@ -38,6 +40,9 @@
 	unreachableFrom map[*proxy]bool
 	// partitioned is set on a primary that cannot reach its replicas.
 	partitioned bool
+	// applyDelay is the time from the receipt of an entry by a replica until reads see it.
+	applyDelay time.Duration
+	capacity   capacity
 }
 
 func (instance *instance) isPrimary() bool {
@@ -47,7 +52,7 @@
 func (instance *instance) listing() model.Listing {
 	spec := model.ListingSpec{
 		Group:    groupID,
-		Instance: model.NewInstance(instance.id, "10.0.0.1:1", "trnje-hall").WithCapacity(5, 0),
+		Instance: model.NewInstance(instance.id, "10.0.0.1:1", instance.dataCenter).WithCapacity(instance.capacity.listedSlots(), 0),
 		Leaving:  instance.leaving,
 	}
 	if instance.isPrimary() {
@@ -71,17 +76,24 @@
 	}
 	if instance.pausedTerm == 0 && !instance.replicationBlocked && !primary.partitioned && len(instance.log) < len(primary.log) {
 		instance.log = append(instance.log, primary.log[len(instance.log)])
+		instance.receivedAt = append(instance.receivedAt, instance.simulation.now)
 	}
-	if !instance.applyBlocked {
-		instance.applied = len(instance.log)
+	for !instance.applyBlocked && instance.applied < len(instance.log) && instance.hasWaited(instance.applied) {
+		instance.applied++
 	}
 }
 
+// hasWaited reports whether the apply delay of an entry has passed.
+func (instance *instance) hasWaited(index int) bool {
+	return instance.applyDelay == 0 || instance.simulation.now-instance.receivedAt[index] >= instance.applyDelay
+}
+
 // truncate drops the entries from the first one that the log of a new primary lacks.
 func (instance *instance) truncate(primary *instance) {
 	for index := range instance.log {
 		if index >= len(primary.log) || instance.log[index].term != primary.log[index].term || instance.log[index].writes[0] != primary.log[index].writes[0] {
 			instance.log = instance.log[:index]
+			instance.receivedAt = instance.receivedAt[:index]
 			break
 		}
 	}
@@ -103,6 +115,15 @@
 type payload struct {
 	write int // the number of the write, or 0 for a read
 	check *readCheck
+	// work is how long the statement holds a slot; 0 selects readTime or writeTime.
+	work time.Duration
+}
+
+func (payload *payload) workOr(fallback time.Duration) time.Duration {
+	if payload == nil || payload.work == 0 {
+		return fallback
+	}
+	return payload.work
 }
 
 // Size implements model.Payload.
@@ -125,14 +146,26 @@
 
 func (proxy *proxy) openConn(action event.OpenConn) {
 	instance := proxy.simulation.instance(action.Instance())
-	switch {
+	switch capacity := &instance.capacity; {
 	case !instance.up:
 		proxy.post(2*networkDelay, event.NewConnFailed(action.Conn(), model.ConnFailureRefused))
 	case instance.unreachableFrom[proxy]:
 		proxy.post(700*time.Millisecond, event.NewConnFailed(action.Conn(), model.ConnFailureTimeout))
+	case capacity.maxConns > 0 && capacity.conns >= capacity.maxConns:
+		proxy.post(2*networkDelay, event.NewConnFailed(action.Conn(), model.ConnFailureFull))
 	default:
+		capacity.conns++
 		proxy.conns[action.Conn()] = &conn{proxy: proxy, id: action.Conn(), instance: instance}
-		proxy.post(12*networkDelay, event.NewConnOpened(action.Conn()))
+		if capacity.handshake == 0 {
+			proxy.post(defaultConnectTime, event.NewConnOpened(action.Conn()))
+			return
+		}
+		capacity.acquire(func() {
+			proxy.simulation.runAfter(capacity.handshake, func() {
+				capacity.release(capacity.handshake)
+				proxy.post(2*networkDelay, event.NewConnOpened(action.Conn()))
+			})
+		})
 	}
 }
 
@@ -194,6 +227,12 @@
 	conn.writes = nil
 }
 
+// end rolls back the open transaction of a closed connection and frees its place.
+func (conn *conn) end() {
+	conn.rollBack()
+	conn.instance.capacity.conns--
+}
+
 // execute sends a unit of work to the instance.
 func (conn *conn) execute(action event.Execute) {
 	proxy, work := conn.proxy, action.Work()
@@ -219,7 +258,7 @@
 		conn.sendFailure(action, model.FailureLost)
 		return
 	}
-	if instance.simulation.now < instance.busyUntil {
+	if instance.simulation.now < instance.busyUntil || work.Step() != model.StepConfirmPrimary && instance.capacity.full() {
 		conn.sendFailure(action, model.FailureBusy)
 		return
 	}
@@ -243,16 +282,41 @@
 	case statement.write > 0 && !instance.isPrimary():
 		conn.sendFailure(action, model.FailureFenced)
 	case statement.write > 0 && conn.inTx:
-		conn.writes = append(conn.writes, statement.write)
-		conn.sendResult(action, writeTime)
+		conn.hold(action, statement.workOr(writeTime), func() {
+			conn.writes = append(conn.writes, statement.write)
+			conn.sendResult(action, 0)
+		})
 	case statement.write > 0:
-		conn.appendCommit(action, []int{statement.write})
+		conn.hold(action, statement.workOr(0), func() { conn.appendCommit(action, []int{statement.write}) })
 	case work.Step() == model.StepSingle && !instance.hasApplied(work.After()):
 		conn.sendFailure(action, model.FailureLagging)
 	default:
 		statement.check.verify(instance)
-		conn.sendResult(action, readTime)
+		conn.hold(action, statement.workOr(readTime), func() { conn.sendResult(action, 0) })
+	}
+}
+
+// hold holds a slot of the instance for a time and then calls done, unless the connection
+// was closed meanwhile.
+func (conn *conn) hold(action event.Execute, span time.Duration, done func()) {
+	capacity := &conn.instance.capacity
+	finish := func() {
+		if conn.closed || !conn.instance.up {
+			conn.sendFailure(action, model.FailureLost)
+			return
+		}
+		done()
 	}
+	if span == 0 {
+		finish()
+		return
+	}
+	capacity.acquire(func() {
+		conn.proxy.simulation.runAfter(span, func() {
+			capacity.release(span)
+			finish()
+		})
+	})
 }
 
 // begin opens a transaction for its first statement. It reports a failure and returns false
@@ -278,14 +342,20 @@
 		conn.sendResult(action, 0)
 		return
 	}
-	conn.appendCommit(action, writes)
+	statement, _ := action.Work().Statement().(*payload)
+	conn.hold(action, statement.workOr(0), func() { conn.appendCommit(action, writes) })
 }
 
 // appendCommit appends a commit to the primary's log. The answer is sent once a replica has
 // received it.
 func (conn *conn) appendCommit(action event.Execute, writes []int) {
 	primary := conn.instance
+	if !primary.isPrimary() {
+		conn.sendFailure(action, model.FailureFenced)
+		return
+	}
 	primary.log = append(primary.log, logEntry{writes: writes, term: primary.simulation.term})
+	primary.receivedAt = append(primary.receivedAt, primary.simulation.now)
 	primary.applied = len(primary.log)
 	conn.proxy.simulation.oracle.recordExecution(writes)
 	conn.awaitReplication(action, len(primary.log), primary.simulation.term)
--- /dev/null
+++ b/internal/proof/city/load.go
@@ -0,0 +1,230 @@
+package city
+
+import (
+	"math"
+	"time"
+
+	"almondway.dev/almondway/internal/core/codes"
+	"almondway.dev/almondway/internal/core/event"
+	"almondway.dev/almondway/internal/core/model"
+)
+
+const (
+	// thinkTime is the pause of a caller between two statements of a transaction.
+	thinkTime = 20 * time.Millisecond
+	// maxTxStatements is the maximum number of statements of a transaction before its commit.
+	maxTxStatements = 5
+	// workSpread is the standard deviation of the logarithm of a statement's work.
+	workSpread = 0.7
+	// commitWork is how long a commit holds a slot.
+	commitWork = 4 * time.Millisecond
+	// minBackoff and maxBackoff bound the time until a caller retries a refused operation.
+	minBackoff = 50 * time.Millisecond
+	maxBackoff = 150 * time.Millisecond
+)
+
+// LoadKind describes the operations of one kind: single statements and transactions.
+type LoadKind struct {
+	Name          string
+	Share         float64 // of all operations
+	Writes        float64 // share of the operations that write
+	Transactions  float64 // share of the operations that are transactions
+	Work          time.Duration
+	Priority      int // 0 is the highest
+	Target        time.Duration
+	Deadline      time.Duration
+	Timeout       time.Duration // of a statement
+	Staleness     time.Duration
+	SeesOwnWrites bool
+	Retries       int
+}
+
+// load sends operations to the proxies at a fixed mean rate, whether or not earlier ones
+// were answered.
+type load struct {
+	simulation *simulation
+	spec       Load
+	until      time.Duration
+	results    []*KindResult
+	lastCaller model.CallerID
+	pending    int
+}
+
+// operation is one operation of a caller, which may take several attempts.
+type operation struct {
+	load       *load
+	kind       *LoadKind
+	result     *KindResult
+	zone       int
+	statements []statementSpec
+	inTx       bool
+	arrived    time.Duration
+	paused     time.Duration // pauses of the caller, which do not count
+	attempts   int
+	proxy      *proxy // of the current attempt
+	caller     model.CallerID
+	next       int // index of the next statement of the current attempt
+}
+
+type statementSpec struct {
+	writes bool
+	work   time.Duration
+}
+
+// scheduleArrival schedules the next operation.
+func (load *load) scheduleArrival() {
+	delay := time.Duration(load.simulation.random.ExpFloat64() / load.spec.Rate * float64(time.Second))
+	load.simulation.runAfter(delay, func() {
+		if load.simulation.now >= load.until {
+			return
+		}
+		load.newOperation().attempt()
+		load.scheduleArrival()
+	})
+}
+
+func (load *load) newOperation() *operation {
+	random := load.simulation.random
+	index := 0
+	for draw := random.Float64(); index < len(load.spec.Kinds)-1 && draw >= load.spec.Kinds[index].Share; index++ {
+		draw -= load.spec.Kinds[index].Share
+	}
+	kind := &load.spec.Kinds[index]
+	added := &operation{
+		load:    load,
+		kind:    kind,
+		result:  load.results[index],
+		zone:    random.IntN(len(load.spec.ProxiesByZone)),
+		arrived: load.simulation.now,
+		inTx:    random.Float64() < kind.Transactions,
+	}
+	count, writes := 1, random.Float64() < kind.Writes
+	if added.inTx {
+		count += random.IntN(maxTxStatements)
+	}
+	for range count {
+		added.statements = append(added.statements, statementSpec{writes: writes, work: load.drawWork(kind.Work)})
+	}
+	added.result.Asked++
+	load.pending++
+	return added
+}
+
+// drawWork returns a random work with the given mean, log-normally distributed.
+func (load *load) drawWork(mean time.Duration) time.Duration {
+	factor := math.Exp(workSpread*load.simulation.random.NormFloat64() - workSpread*workSpread/2)
+	return max(time.Millisecond, time.Duration(float64(mean)*factor))
+}
+
+// attempt runs the operation from its first statement on a proxy of the caller's zone,
+// another one than before if there are several.
+func (operation *operation) attempt() {
+	load := operation.load
+	operation.attempts++
+	candidates := load.zoneProxies(operation.zone)
+	chosen := candidates[load.simulation.random.IntN(len(candidates))]
+	for len(candidates) > 1 && chosen == operation.proxy {
+		chosen = candidates[load.simulation.random.IntN(len(candidates))]
+	}
+	operation.proxy = chosen
+	load.lastCaller++
+	operation.caller = load.lastCaller
+	operation.next = 0
+	chosen.post(networkDelay, event.NewCallerOpened(operation.caller, operation.kind.Name, ""))
+	if operation.inTx {
+		operation.send(model.RequestSpec{Op: model.OpBegin, ReadOnly: !operation.statements[0].writes}, func(*model.Reply) { operation.sendNext() })
+		return
+	}
+	operation.sendNext()
+}
+
+func (load *load) zoneProxies(zone int) []*proxy {
+	first := 0
+	for _, count := range load.spec.ProxiesByZone[:zone] {
+		first += count
+	}
+	return load.simulation.proxies[first : first+load.spec.ProxiesByZone[zone]]
+}
+
+func (operation *operation) send(spec model.RequestSpec, done func(reply *model.Reply)) {
+	proxy := operation.proxy
+	proxy.lastSeq++
+	spec.Seq = proxy.lastSeq
+	spec.Caller = operation.caller
+	proxy.pendingReplies[spec.Seq] = func(reply *model.Reply) {
+		operation.load.simulation.runAfter(networkDelay, func() { done(reply) })
+	}
+	proxy.post(networkDelay, event.NewRequestReceived(model.NewRequest(spec)))
+}
+
+// sendNext sends the next statement, or the commit after the last one.
+func (operation *operation) sendNext() {
+	if operation.next == len(operation.statements) {
+		if !operation.inTx {
+			operation.end(true)
+			return
+		}
+		operation.send(model.RequestSpec{Op: model.OpCommit, Statement: &payload{work: commitWork}}, func(reply *model.Reply) {
+			if reply.Code() != codes.OK {
+				operation.failed(reply)
+				return
+			}
+			operation.end(true)
+		})
+		return
+	}
+	statement := operation.statements[operation.next]
+	operation.next++
+	body := &payload{work: statement.work, check: &readCheck{oracle: operation.load.simulation.oracle}}
+	if statement.writes {
+		oracle := operation.load.simulation.oracle
+		oracle.lastWrite++
+		body.write = oracle.lastWrite
+	}
+	operation.send(model.RequestSpec{Op: model.OpStatement, Writes: statement.writes, Statement: body}, func(reply *model.Reply) {
+		switch {
+		case reply.Code() != codes.OK:
+			operation.failed(reply)
+		case operation.inTx:
+			operation.paused += thinkTime
+			operation.load.simulation.runAfter(thinkTime, operation.sendNext)
+		default:
+			operation.sendNext()
+		}
+	})
+}
+
+// failed retries the operation if its attempt has had no effect, or ends it.
+func (operation *operation) failed(reply *model.Reply) {
+	load := operation.load
+	operation.proxy.post(networkDelay, event.NewCallerClosed(operation.caller))
+	operation.result.Refusals[reply.Code().String()]++
+	backoff := minBackoff + time.Duration(load.simulation.random.Int64N(int64(maxBackoff-minBackoff)))
+	inTime := load.simulation.now+backoff < operation.arrived+operation.kind.Deadline
+	if reply.Outcome() != model.OutcomeNotRun || operation.attempts > operation.kind.Retries || !inTime {
+		operation.record(false)
+		return
+	}
+	load.simulation.runAfter(backoff, operation.attempt)
+}
+
+func (operation *operation) end(served bool) {
+	operation.proxy.post(networkDelay, event.NewCallerClosed(operation.caller))
+	operation.record(served)
+}
+
+func (operation *operation) record(served bool) {
+	operation.load.pending--
+	latency := operation.load.simulation.now - operation.arrived - operation.paused
+	switch {
+	case !served:
+		operation.result.Unserved++
+	case latency <= operation.kind.Target:
+		operation.result.InTarget++
+	default:
+		operation.result.Late++
+	}
+	if served {
+		_ = operation.result.Latency.RecordValue(latency.Microseconds())
+	}
+}
--- a/internal/proof/city/simulation_test.go
+++ b/internal/proof/city/simulation.go
@@ -3,7 +3,9 @@
 import (
 	"container/heap"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"time"
 
@@ -80,25 +82,47 @@
 	highestToken       uint64 // of the promotion orders that were accepted
 	// staleOrdersAnswered selects how instances answer an order with a term that is too low.
 	staleOrdersAnswered bool
-	oracle              *oracle
-	logLines            []string // the decisions that the proxies logged, except those about single requests
+	// catalog is the operator's configuration.
+	catalog event.CatalogListed
+	// factories are the plug-ins of each kernel; nil selects those of the hosted profile.
+	factories []kern.Factory
+	oracle    *oracle
+	logLines  []string // the decisions that the proxies logged, except those about single requests
 }
 
+// newSimulation returns a simulation of the given number of proxies.
 func newSimulation(seed uint64) *simulation {
-	simulation := &simulation{random: rand.New(rand.NewPCG(seed, seed)), rows: make(map[string]storedRow), term: 1}
+	simulation := newEmptySimulation(seed, newCatalog())
+	for index := range proxyCount {
+		simulation.addProxy(fmt.Sprintf("proxy-%d", index), "trnje-hall")
+	}
+	simulation.start()
+	return simulation
+}
+
+// newEmptySimulation returns a simulation without proxies.
+func newEmptySimulation(seed uint64, catalog event.CatalogListed) *simulation {
+	simulation := &simulation{random: rand.New(rand.NewPCG(seed, seed)), rows: make(map[string]storedRow), term: 1, catalog: catalog}
 	simulation.oracle = &oracle{simulation: simulation, reported: make(map[int]string), acked: make(map[int]int)}
 	for _, name := range []model.InstanceID{"i-a", "i-b", "i-c"} {
-		simulation.instances = append(simulation.instances, &instance{simulation: simulation, id: name, up: true, unreachableFrom: make(map[*proxy]bool)})
+		simulation.instances = append(simulation.instances, &instance{simulation: simulation, id: name, dataCenter: "trnje-hall", up: true, unreachableFrom: make(map[*proxy]bool)})
 	}
 	simulation.primary = simulation.instances[0]
-	for index := range proxyCount {
-		simulation.proxies = append(simulation.proxies, newProxy(simulation, fmt.Sprintf("proxy-%d", index)))
-	}
+	return simulation
+}
+
+func (simulation *simulation) addProxy(name string, dataCenter model.DataCenter) {
+	added := &proxy{simulation: simulation, name: name, dataCenter: dataCenter}
+	added.reset()
+	simulation.proxies = append(simulation.proxies, added)
+}
+
+// start starts all proxies and the replication.
+func (simulation *simulation) start() {
 	for _, proxy := range simulation.proxies {
 		proxy.start()
 	}
 	simulation.replicate()
-	return simulation
 }
 
 // runAfter schedules a function for a later time.
@@ -185,6 +209,7 @@
 type proxy struct {
 	simulation       *simulation
 	name             string
+	dataCenter       model.DataCenter
 	kernel           *kern.Kernel
 	started          time.Duration
 	frozen           bool          // the process is suspended
@@ -196,16 +221,15 @@
 	nextTick         time.Duration // the time of the scheduled tick, or 0
 }
 
-func newProxy(simulation *simulation, name string) *proxy {
-	proxy := &proxy{simulation: simulation, name: name}
-	proxy.reset()
-	return proxy
-}
-
 // reset replaces the process by a new one without state.
 func (proxy *proxy) reset() {
-	self := model.NewProxyView(model.ProxyID(proxy.name), "", "trnje-hall", 0, false, 0)
-	proxy.kernel = kern.NewWithProfile(kern.ProfileHosted, self, tune.New(tune.Default()), time.Unix(0, 0), proxy.simulation.random.Uint64())
+	self := model.NewProxyView(model.ProxyID(proxy.name), "", proxy.dataCenter, 0, false, 0)
+	settings, started, seed := tune.New(tune.Default()), time.Unix(0, 0), proxy.simulation.random.Uint64()
+	if proxy.simulation.factories == nil {
+		proxy.kernel = kern.NewWithProfile(kern.ProfileHosted, self, settings, started, seed)
+	} else {
+		proxy.kernel = kern.NewWithFactories(self, settings, started, seed, proxy.simulation.factories...)
+	}
 	proxy.started = proxy.simulation.now
 	proxy.conns = make(map[model.ConnID]*conn)
 	proxy.pendingReplies = make(map[model.RequestSeq]func(reply *model.Reply))
@@ -214,7 +238,7 @@
 }
 
 func (proxy *proxy) start() {
-	proxy.post(networkDelay, newCatalog())
+	proxy.post(networkDelay, proxy.simulation.catalog)
 	proxy.tick()
 	proxy.simulation.runAfter(networkDelay, proxy.simulation.publishListings)
 }
@@ -223,7 +247,7 @@
 func (proxy *proxy) kill() {
 	for _, conn := range proxy.conns {
 		conn.closed = true
-		conn.rollBack()
+		conn.end()
 	}
 	proxy.reset()
 }
@@ -321,7 +345,7 @@
 	case event.CloseConn:
 		if conn, ok := proxy.conns[action.Conn()]; ok {
 			conn.closed = true
-			proxy.simulation.runAfter(networkDelay, conn.rollBack)
+			proxy.simulation.runAfter(networkDelay, conn.end)
 			delete(proxy.conns, action.Conn())
 		}
 	case event.ResetConn:
@@ -377,8 +401,8 @@
 	}
 	proxy.simulation.runAfter(storeLatency/2, func() {
 		var rows []model.Row
-		for key, row := range proxy.simulation.rows {
-			if strings.HasPrefix(key, action.Table()+"/"+action.Prefix()) {
+		for _, key := range slices.Sorted(maps.Keys(proxy.simulation.rows)) {
+			if row := proxy.simulation.rows[key]; strings.HasPrefix(key, action.Table()+"/"+action.Prefix()) {
 				rows = append(rows, model.NewRow(strings.TrimPrefix(key, action.Table()+"/"), row.version, row.value))
 			}
 		}
