--- a/internal/core/kern/kern.go
+++ b/internal/core/kern/kern.go
@@ -29,13 +29,24 @@
 
 // NewWithProfile returns a Kernel like New, with the plug-ins of the given profile.
 func NewWithProfile(profile Profile, self model.ProxyView, settings *tune.Settings, started time.Time, seed uint64) *Kernel {
+	return NewWithFactories(self, settings, started, seed, Factories(profile, nil)...)
+}
+
+// Factories returns the factories of the plug-ins of a profile in the order of their ranks.
+// replaced gives other factories for some plug-ins, by their names.
+func Factories(profile Profile, replaced map[string]Factory) []Factory {
 	var factories []Factory
 	for _, registration := range registrations {
-		if slices.Contains(registration.profiles, profile) {
-			factories = append(factories, registration.factory)
+		if !slices.Contains(registration.profiles, profile) {
+			continue
+		}
+		factory := registration.factory
+		if other, ok := replaced[registration.name]; ok {
+			factory = other
 		}
+		factories = append(factories, factory)
 	}
-	return NewWithFactories(self, settings, started, seed, factories...)
+	return factories
 }
 
 // NewWithFactories returns a Kernel with the given plug-ins only, in the given order.
--- a/internal/plug/limit/instancelimit.go
+++ b/internal/plug/limit/instancelimit.go
@@ -20,17 +20,6 @@
 	// baseHeld halves.
 	heldHalfLife = 500 * time.Millisecond
 	maxHalvings  = 16
-	// burstTolerance is how long the queue may be non-empty without interruption before
-	// it counts as a standing queue.
-	burstTolerance = 500 * time.Millisecond
-	// statementsPerSlot is the maximum number of statements that all proxies together
-	// have outstanding at an instance per slot: one that runs and two that are queued.
-	statementsPerSlot = 3
-	// minUpperBound is 2 so that a proxy keeps a slot busy while its next statement is
-	// in transit.
-	minUpperBound = 2
-	// An instance is congested if meanHeld exceeds congestionRatio times baseHeld.
-	congestionRatio = 2
 	// Congestion reduces the limit by 1/decreaseDivisor.
 	decreaseDivisor = 4
 )
@@ -45,7 +34,7 @@
 type instanceLimit struct {
 	limit       int
 	running     int
-	queue       *queue
+	queue       *lanes
 	meanHeld    time.Duration // moving average of how long a slot is held
 	baseHeld    time.Duration // the same under low load
 	samples     int
@@ -55,7 +44,7 @@
 }
 
 // addSample records how long a slot was held and adjusts the limit at the end of a round.
-func (instanceLimit *instanceLimit) addSample(held time.Duration, lowerBound, upperBound int) {
+func (instanceLimit *instanceLimit) addSample(held time.Duration, lowerBound, upperBound int, policy Policy) {
 	instanceLimit.meanHeld += (held - instanceLimit.meanHeld) / heldSmoothing
 	if instanceLimit.running <= lowerBound {
 		instanceLimit.baseHeld += (held - instanceLimit.baseHeld) / baseSmoothing
@@ -63,15 +52,15 @@
 	instanceLimit.hadWaiters = instanceLimit.hadWaiters || instanceLimit.queue.size > 0
 	instanceLimit.samples++
 	if instanceLimit.samples >= instanceLimit.limit {
-		instanceLimit.adjust()
+		instanceLimit.adjust(policy)
 	}
 	instanceLimit.limit = min(max(instanceLimit.limit, lowerBound), upperBound)
 }
 
 // adjust changes the limit at the end of a round.
-func (instanceLimit *instanceLimit) adjust() {
+func (instanceLimit *instanceLimit) adjust(policy Policy) {
 	switch {
-	case instanceLimit.meanHeld > congestionRatio*instanceLimit.baseHeld:
+	case float64(instanceLimit.meanHeld) > policy.CongestionRatio*float64(instanceLimit.baseHeld):
 		instanceLimit.limit -= 1 + instanceLimit.limit/decreaseDivisor
 	case instanceLimit.hadWaiters:
 		instanceLimit.limit++
@@ -80,15 +69,20 @@
 	instanceLimit.hadWaiters = false
 }
 
-// queueDelay returns the expected wait of a request that joins the end of the queue.
+// queueDelay returns the time in which the queue drains.
 func (instanceLimit *instanceLimit) queueDelay() time.Duration {
 	return instanceLimit.meanHeld * time.Duration(instanceLimit.queue.size+1) / time.Duration(instanceLimit.limit)
 }
 
+// wait returns the expected wait of a request that joins the queue now.
+func (instanceLimit *instanceLimit) wait(ranked lane) time.Duration {
+	return time.Duration(float64(instanceLimit.meanHeld) * instanceLimit.queue.place(ranked) / float64(instanceLimit.limit))
+}
+
 func (limits *Limits) instanceLimit(instance model.InstanceID) *instanceLimit {
 	found, ok := limits.instanceLimits[instance]
 	if !ok {
-		found = &instanceLimit{limit: limits.lowerBound(instance), queue: newQueue(pathStep{}), meanHeld: initialHeld, baseHeld: initialHeld}
+		found = &instanceLimit{limit: limits.lowerBound(instance), queue: &lanes{turnInterval: limits.policy.TurnInterval}, meanHeld: initialHeld, baseHeld: initialHeld}
 		limits.instanceLimits[instance] = found
 	}
 	return found
@@ -106,23 +100,26 @@
 	if limit == 0 {
 		limit = limits.context.Settings().MaxWaiting()
 	}
-	granted := limits.context.Now() + instanceLimit.queueDelay()
-	tooLate := granted > request.Job.Deadline() || limits.missesTarget(request.Job, instanceLimit, granted+instanceLimit.meanHeld)
+	granted := limits.context.Now() + instanceLimit.wait(limits.rankedLane(request))
+	tooLate := granted > request.Job.Deadline() || limits.missesTarget(request, instanceLimit, granted)
 	if limits.waitingByDeployment[deployment.Name()] >= limit || tooLate {
 		return codes.Overloaded, limits.RetryAfter(request.Instance)
 	}
 	return codes.OK, 0
 }
 
-// missesTarget reports whether a request that is answered at the given time misses its
-// target latency and should be denied a slot. During a short burst no request is denied,
-// since a late answer is better than none. With a standing queue every request would be
-// late, so the requests that cannot meet their target are denied in favor of those
-// that can.
-func (limits *Limits) missesTarget(job *route.Job, instanceLimit *instanceLimit, answered time.Duration) bool {
-	target := job.Kind().TargetLatency()
-	standing := instanceLimit.queue.size > 0 && limits.context.Now()-instanceLimit.queuedSince >= burstTolerance
-	return target > 0 && standing && answered > job.Arrived()+target
+// missesTarget reports whether a request that is granted a slot at the given time misses
+// its target latency and should be denied the slot. During a short burst no request is
+// denied, since a late answer is better than none. With a standing queue every request
+// would be late, so the requests that cannot meet their target are denied in favor of
+// those that can.
+func (limits *Limits) missesTarget(request route.SlotRequest, instanceLimit *instanceLimit, granted time.Duration) bool {
+	target := request.Job.Kind().TargetLatency()
+	standing := instanceLimit.queue.size > 0 && limits.context.Now()-instanceLimit.queuedSince >= limits.policy.BurstTolerance
+	if target == 0 || !standing {
+		return false
+	}
+	return granted+instanceLimit.meanHeld > request.Job.Arrived()+target
 }
 
 // ExpectedDelay implements route.Admission. While an instance gets no statements, the
@@ -155,7 +152,7 @@
 }
 
 // upperBound returns this proxy's share of the connections of an instance. If the number
-// of slots is known, all proxies together have at most statementsPerSlot statements per
+// of slots is known, all proxies together have at most StatementsPerSlot statements per
 // slot outstanding there, because the queue of the instance observes neither priorities
 // nor deadlines.
 func (limits *Limits) upperBound(instance model.InstanceID) int {
@@ -164,8 +161,8 @@
 		return max(limits.lowerBound(instance), limits.context.Settings().ConnsPerInstance()/limits.proxyCount())
 	}
 	conns := max(1, listed.MaxConns()/limits.proxyCount())
-	share := (listed.Slots()*statementsPerSlot + limits.proxyCount() - 1) / limits.proxyCount()
-	return max(limits.lowerBound(instance), min(conns, max(minUpperBound, share)))
+	share := (listed.Slots()*limits.policy.StatementsPerSlot + limits.proxyCount() - 1) / limits.proxyCount()
+	return max(limits.lowerBound(instance), min(conns, max(limits.policy.MinUpperBound, share)))
 }
 
 // listedInstance returns the listed instance with its capacity, or the zero Instance if
--- a/internal/plug/limit/limit.go
+++ b/internal/plug/limit/limit.go
@@ -19,20 +19,28 @@
 // Limits implements route.Admission.
 type Limits struct {
 	context             *kern.Context
+	policy              Policy
 	instanceLimits      map[model.InstanceID]*instanceLimit
 	classLimits         map[classKey]*classLimit
 	waitingByDeployment map[string]int
 	retryBudgets        map[model.GroupID]*retryBudget
+	workEstimates       map[laneKey]*workEstimate
+	meanWork            average // of the statements of all lanes
 }
 
 // New returns the plug-in, which provides route.Admission.
-func New(context *kern.Context) kern.Plugin {
+func New(context *kern.Context) kern.Plugin { return NewWithPolicy(context, DefaultPolicy()) }
+
+// NewWithPolicy returns the plug-in with the given parameters, for experiments.
+func NewWithPolicy(context *kern.Context, policy Policy) kern.Plugin {
 	limits := &Limits{
 		context:             context,
+		policy:              policy,
 		instanceLimits:      make(map[model.InstanceID]*instanceLimit),
 		classLimits:         make(map[classKey]*classLimit),
 		waitingByDeployment: make(map[string]int),
 		retryBudgets:        make(map[model.GroupID]*retryBudget),
+		workEstimates:       make(map[laneKey]*workEstimate),
 	}
 	context.ProvideService(route.AdmissionService, limits)
 	return limits
@@ -76,16 +84,35 @@
 		if instanceLimit.queue.size == 0 {
 			instanceLimit.queuedSince = limits.context.Now()
 		}
-		instanceLimit.queue.push(flowPath(request), waiter)
+		instanceLimit.queue.push(limits.rankedLane(request), flowPath(request), waiter)
 		classLimit.acquire()
 		return
 	}
 	classLimit.acquire()
+	limits.grant(waiter, instanceLimit)
+}
+
+// grant grants a slot to a waiter.
+func (limits *Limits) grant(waiter route.SlotWaiter, instanceLimit *instanceLimit) {
+	request := waiter.SlotRequest()
 	instanceLimit.running++
 	limits.retryBudget(request).deposit()
+	if key := laneOf(request); key.inTx {
+		limits.workEstimate(key).addTx()
+	}
 	waiter.SlotGranted()
 }
 
+// rankedLane returns the lane of a request with its rank, without waiters.
+func (limits *Limits) rankedLane(request route.SlotRequest) lane {
+	key := laneOf(request)
+	if request.Job == nil {
+		return lane{key: key, weight: 1}
+	}
+	deployment := request.Job.Deployment()
+	return lane{key: key, priority: deployment.Priority(), weight: deployment.Weight(), work: limits.expectedWork(key)}
+}
+
 // CancelWait implements route.Admission.
 func (limits *Limits) CancelWait(waiter route.SlotWaiter) {
 	request := waiter.SlotRequest()
@@ -94,7 +121,7 @@
 		limits.removeWaiting(request)
 		return
 	}
-	if limits.instanceLimit(request.Instance).queue.remove(flowPath(request), waiter) {
+	if limits.instanceLimit(request.Instance).queue.remove(laneOf(request), flowPath(request), waiter) {
 		limits.removeWaiting(request)
 		limits.releaseClass(classLimit)
 	}
@@ -104,6 +131,9 @@
 func (limits *Limits) ForceAcquire(request route.SlotRequest) {
 	limits.classLimit(request).acquire()
 	limits.instanceLimit(request.Instance).running++
+	if key := laneOf(request); key.inTx {
+		limits.workEstimate(key).resumed++
+	}
 }
 
 // Release implements route.Admission.
@@ -111,7 +141,8 @@
 	instanceLimit := limits.instanceLimit(request.Instance)
 	if !busy && !request.BypassLimit {
 		instanceLimit.lastSample = limits.context.Now()
-		instanceLimit.addSample(held, limits.lowerBound(request.Instance), limits.upperBound(request.Instance))
+		instanceLimit.addSample(held, limits.lowerBound(request.Instance), limits.upperBound(request.Instance), limits.policy)
+		limits.recordHeld(request, held)
 	}
 	instanceLimit.running--
 	limits.grantWaiting(instanceLimit)
@@ -131,14 +162,12 @@
 		next := instanceLimit.queue.pop()
 		request := next.SlotRequest()
 		limits.removeWaiting(request)
-		if request.Job != nil && limits.missesTarget(request.Job, instanceLimit, limits.context.Now()+instanceLimit.meanHeld) {
+		if request.Job != nil && limits.missesTarget(request, instanceLimit, limits.context.Now()) {
 			limits.releaseClass(limits.classLimit(request))
 			next.SlotDenied(codes.Overloaded, limits.RetryAfter(request.Instance))
 			continue
 		}
-		instanceLimit.running++
-		limits.retryBudget(request).deposit()
-		next.SlotGranted()
+		limits.grant(next, instanceLimit)
 	}
 }
 
@@ -169,16 +198,15 @@
 	}
 }
 
-// flowPath returns the path of a request in the tree of flows: its deployment with its
-// weight, its caller class, and its key, or the caller if it has no key.
+// flowPath returns the path of a request in the tree of flows of its lane: its caller
+// class and its key, or the caller if it has no key.
 func flowPath(request route.SlotRequest) []pathStep {
 	if request.Job == nil {
-		return []pathStep{{"", 1}, {"", 1}, {"", 1}}
+		return []pathStep{{"", 1}, {"", 1}}
 	}
 	flow := request.Job.Request().Key()
 	if flow == "" {
 		flow = "#" + strconv.FormatUint(uint64(request.Job.Request().Caller()), 10)
 	}
-	deployment := request.Job.Deployment()
-	return []pathStep{{deployment.Name(), deployment.Weight()}, {request.Job.Class().Name(), 1}, {flow, 1}}
+	return []pathStep{{request.Job.Class().Name(), 1}, {flow, 1}}
 }
--- a/internal/plug/limit/limit_test.go
+++ b/internal/plug/limit/limit_test.go
@@ -42,6 +42,8 @@
 	key           string
 	deadline      time.Duration
 	maxWaiting    int
+	priority      int
+	target        time.Duration
 }
 
 func (flowSpec flowSpec) newWaiter() *fakeWaiter {
@@ -51,7 +53,8 @@
 	}
 	return &fakeWaiter{request: route.SlotRequest{Instance: instance, Job: route.NewJob(route.JobSpec{
 		Request:    model.NewRequest(model.RequestSpec{Key: flowSpec.key}),
-		Deployment: model.NewDeployment(model.DeploymentSpec{Name: flowSpec.deployment, Weight: flowSpec.weight, MaxWaiting: flowSpec.maxWaiting}),
+		Deployment: model.NewDeployment(model.DeploymentSpec{Name: flowSpec.deployment, Weight: flowSpec.weight, MaxWaiting: flowSpec.maxWaiting, Priority: flowSpec.priority}),
+		Kind:       model.NewKind(model.KindSpec{TargetLatency: flowSpec.target}),
 		Class:      model.NewCallerClass(model.CallerClassSpec{Name: flowSpec.class, MaxConcurrent: flowSpec.maxConcurrent}),
 		Deadline:   deadline,
 	})}}
--- /dev/null
+++ b/internal/plug/limit/policy.go
@@ -0,0 +1,35 @@
+package limit
+
+import "time"
+
+// Policy holds the parameters of the admission that experiments vary. The proxy uses
+// DefaultPolicy.
+type Policy struct {
+	// BurstTolerance is how long the queue may be non-empty without interruption before
+	// it counts as a standing queue.
+	BurstTolerance time.Duration
+	// TurnInterval is the number of grants of which one goes to the lane whose turn it is.
+	// The others go to the lane with the best rank. With 1, rank has no effect.
+	TurnInterval int
+	// StatementsPerSlot is the maximum number of statements that all proxies together
+	// have outstanding at an instance per slot: with 3, one that runs and two that are
+	// queued.
+	StatementsPerSlot int
+	// MinUpperBound is the minimum of the upper bound of an instance limit. With 2, a proxy
+	// keeps a slot busy while its next statement is in transit.
+	MinUpperBound int
+	// CongestionRatio is the ratio of meanHeld to baseHeld above which an instance is
+	// congested.
+	CongestionRatio float64
+}
+
+// DefaultPolicy returns the parameters that the proxy uses.
+func DefaultPolicy() Policy {
+	return Policy{
+		BurstTolerance:    500 * time.Millisecond,
+		TurnInterval:      8,
+		StatementsPerSlot: 3,
+		MinUpperBound:     2,
+		CongestionRatio:   2,
+	}
+}
--- a/internal/proof/city/experiment.go
+++ b/internal/proof/city/experiment.go
@@ -1,6 +1,7 @@
 package city
 
 import (
+	"math/rand/v2"
 	"strconv"
 	"time"
 
@@ -25,6 +26,9 @@
 	Seed uint64
 	// Rate is the number of operations a second.
 	Rate float64
+	// BurstRate replaces Rate from BurstFrom to BurstUntil, counted from the first arrival.
+	BurstRate             float64
+	BurstFrom, BurstUntil time.Duration
 	// Span is the time during which operations arrive.
 	Span  time.Duration
 	Kinds []LoadKind
@@ -61,6 +65,9 @@
 	Kinds []*KindResult
 	// SlotUse is the share of the time in which the slots of each instance were held.
 	SlotUse []float64
+	// PrimaryBound is the share of the operations that the slots of the primary alone could
+	// serve if the work of each operation were known in advance.
+	PrimaryBound float64
 }
 
 // InTarget returns the share of all operations that were served within their target.
@@ -97,7 +104,7 @@
 		instance.dataCenter = zoneName(index % len(spec.ProxiesByZone))
 		instance.capacity = capacity{slots: spec.Slots, queueLimit: spec.QueueLimit, maxConns: spec.MaxConns, handshake: spec.Handshake}
 	}
-	load := &load{simulation: simulation, spec: spec}
+	load := &load{simulation: simulation, spec: spec, random: rand.New(rand.NewPCG(spec.Seed, 0))}
 	for index := range spec.Kinds {
 		load.results = append(load.results, &KindResult{
 			Name:     spec.Kinds[index].Name,
@@ -115,7 +122,7 @@
 	}
 	load.scheduleArrival()
 	simulation.run(spec.Span)
-	result := Result{Kinds: load.results}
+	result := Result{Kinds: load.results, PrimaryBound: load.bound(spec.Slots, spec.Span)}
 	for _, instance := range simulation.instances {
 		result.SlotUse = append(result.SlotUse, instance.capacity.busy.Seconds()/spec.Span.Seconds()/float64(instance.capacity.listedSlots()))
 	}
--- a/internal/proof/city/instance.go
+++ b/internal/proof/city/instance.go
@@ -274,7 +274,7 @@
 			conn.sendFailure(action, model.FailureFenced)
 			return
 		}
-		conn.sendResult(action, 0)
+		conn.sendResult(action)
 	case conn.inTx && conn.readWrite && !instance.isPrimary():
 		conn.sendFailure(action, model.FailureFenced)
 	case work.Step() == model.StepCommit:
@@ -284,7 +284,7 @@
 	case statement.write > 0 && conn.inTx:
 		conn.hold(action, statement.workOr(writeTime), func() {
 			conn.writes = append(conn.writes, statement.write)
-			conn.sendResult(action, 0)
+			conn.sendResult(action)
 		})
 	case statement.write > 0:
 		conn.hold(action, statement.workOr(0), func() { conn.appendCommit(action, []int{statement.write}) })
@@ -292,7 +292,7 @@
 		conn.sendFailure(action, model.FailureLagging)
 	default:
 		statement.check.verify(instance)
-		conn.hold(action, statement.workOr(readTime), func() { conn.sendResult(action, 0) })
+		conn.hold(action, statement.workOr(readTime), func() { conn.sendResult(action) })
 	}
 }
 
@@ -339,7 +339,7 @@
 	writes := conn.writes
 	conn.rollBack()
 	if len(writes) == 0 {
-		conn.sendResult(action, 0)
+		conn.sendResult(action)
 		return
 	}
 	statement, _ := action.Work().Statement().(*payload)
@@ -376,31 +376,24 @@
 	for _, replica := range simulation.instances {
 		if replica != primary && len(replica.log) >= length {
 			simulation.oracle.recordAck(primary.log[length-1].writes, length)
-			conn.sendResult(action, 0)
+			conn.sendResult(action)
 			return
 		}
 	}
 	simulation.runAfter(networkDelay, func() { conn.awaitReplication(action, length, term) })
 }
 
-// sendResult answers a unit of work after its execution time.
-func (conn *conn) sendResult(action event.Execute, span time.Duration) {
-	simulation := conn.proxy.simulation
-	simulation.runAfter(span, func() {
-		if !conn.instance.up || conn.closed {
-			conn.sendFailure(action, model.FailureLost)
-			return
-		}
-		if conn.instance.unreachableFrom[conn.proxy] {
-			conn.proxy.post(action.Work().Timeout(), event.NewExecuteFailed(action.Exec(), conn.id, model.FailureLost, false, model.Mark{}, nil))
-			return
-		}
-		mark := conn.instance.markAt(len(conn.instance.log))
-		if !conn.instance.isPrimary() {
-			mark = conn.instance.markAt(conn.instance.applied)
-		}
-		conn.proxy.post(networkDelay, event.NewExecuteDone(action.Exec(), conn.id, mark, &payload{}))
-	})
+// sendResult answers a unit of work.
+func (conn *conn) sendResult(action event.Execute) {
+	if conn.instance.unreachableFrom[conn.proxy] {
+		conn.proxy.post(action.Work().Timeout(), event.NewExecuteFailed(action.Exec(), conn.id, model.FailureLost, false, model.Mark{}, nil))
+		return
+	}
+	mark := conn.instance.markAt(len(conn.instance.log))
+	if !conn.instance.isPrimary() {
+		mark = conn.instance.markAt(conn.instance.applied)
+	}
+	conn.proxy.post(networkDelay, event.NewExecuteDone(action.Exec(), conn.id, mark, &payload{}))
 }
 
 // hasApplied reports whether the applied part of the log covers a mark.
--- a/internal/proof/city/load.go
+++ b/internal/proof/city/load.go
@@ -2,6 +2,8 @@
 
 import (
 	"math"
+	"math/rand/v2"
+	"slices"
 	"time"
 
 	"almondway.dev/almondway/internal/core/codes"
@@ -44,10 +46,13 @@
 type load struct {
 	simulation *simulation
 	spec       Load
+	// random draws the operations, apart from what the proxies draw, so that the same
+	// operations arrive whatever the proxies decide.
+	random     *rand.Rand
 	until      time.Duration
 	results    []*KindResult
+	works      []time.Duration // of all operations, with the commits
 	lastCaller model.CallerID
-	pending    int
 }
 
 // operation is one operation of a caller, which may take several attempts.
@@ -73,7 +78,7 @@
 
 // scheduleArrival schedules the next operation.
 func (load *load) scheduleArrival() {
-	delay := time.Duration(load.simulation.random.ExpFloat64() / load.spec.Rate * float64(time.Second))
+	delay := time.Duration(load.random.ExpFloat64() / load.rate() * float64(time.Second))
 	load.simulation.runAfter(delay, func() {
 		if load.simulation.now >= load.until {
 			return
@@ -83,8 +88,17 @@
 	})
 }
 
+// rate returns the current number of operations a second.
+func (load *load) rate() float64 {
+	began := load.until - load.spec.Span
+	if passed := load.simulation.now - began; passed >= load.spec.BurstFrom && passed < load.spec.BurstUntil {
+		return load.spec.BurstRate
+	}
+	return load.spec.Rate
+}
+
 func (load *load) newOperation() *operation {
-	random := load.simulation.random
+	random := load.random
 	index := 0
 	for draw := random.Float64(); index < len(load.spec.Kinds)-1 && draw >= load.spec.Kinds[index].Share; index++ {
 		draw -= load.spec.Kinds[index].Share
@@ -102,17 +116,23 @@
 	if added.inTx {
 		count += random.IntN(maxTxStatements)
 	}
+	var total time.Duration
 	for range count {
-		added.statements = append(added.statements, statementSpec{writes: writes, work: load.drawWork(kind.Work)})
+		work := load.drawWork(kind.Work)
+		added.statements = append(added.statements, statementSpec{writes: writes, work: work})
+		total += work
+	}
+	if added.inTx && writes {
+		total += commitWork
 	}
+	load.works = append(load.works, total)
 	added.result.Asked++
-	load.pending++
 	return added
 }
 
 // drawWork returns a random work with the given mean, log-normally distributed.
 func (load *load) drawWork(mean time.Duration) time.Duration {
-	factor := math.Exp(workSpread*load.simulation.random.NormFloat64() - workSpread*workSpread/2)
+	factor := math.Exp(workSpread*load.random.NormFloat64() - workSpread*workSpread/2)
 	return max(time.Millisecond, time.Duration(float64(mean)*factor))
 }
 
@@ -138,6 +158,20 @@
 	operation.sendNext()
 }
 
+// bound returns the share of the operations that slots could serve in a time if the work of
+// each operation were known in advance: those with the least work.
+func (load *load) bound(slots int, span time.Duration) float64 {
+	works := slices.Clone(load.works)
+	slices.Sort(works)
+	left := time.Duration(slots) * span
+	for served, work := range works {
+		if left -= work; left < 0 {
+			return float64(served) / float64(len(works))
+		}
+	}
+	return 1
+}
+
 func (load *load) zoneProxies(zone int) []*proxy {
 	first := 0
 	for _, count := range load.spec.ProxiesByZone[:zone] {
@@ -214,7 +248,6 @@
 }
 
 func (operation *operation) record(served bool) {
-	operation.load.pending--
 	latency := operation.load.simulation.now - operation.arrived - operation.paused
 	switch {
 	case !served:
--- a/internal/proof/city/simulation.go
+++ b/internal/proof/city/simulation.go
@@ -14,6 +14,7 @@
 	"almondway.dev/almondway/internal/core/model"
 	"almondway.dev/almondway/internal/core/tune"
 
+	// Registers the plug-ins that kern.Factories returns.
 	_ "almondway.dev/almondway/internal/plug/bundle"
 )
 
