--- a/internal/plug/limit/instancelimit.go
+++ b/internal/plug/limit/instancelimit.go
@@ -12,10 +12,10 @@
 	initialHeld   = 5 * time.Millisecond
 	minRetryAfter = 50 * time.Millisecond
 	maxRetryAfter = 5 * time.Second
-	// Each new sample moves meanHeld by 1/heldSmoothing, and baseHeld by 1/baseSmoothing,
-	// of the difference.
-	heldSmoothing = 8
-	baseSmoothing = 32
+	// Each new sample moves meanHeld by 1/heldSmoothing of the difference, and baseHeld, if
+	// it falls, by 1/baseFallSmoothing.
+	heldSmoothing     = 8
+	baseFallSmoothing = 32
 	// heldHalfLife is the time without samples in which the excess of meanHeld over
 	// baseHeld halves.
 	heldHalfLife = 500 * time.Millisecond
@@ -37,6 +37,7 @@
 	queue       *lanes
 	meanHeld    time.Duration // moving average of how long a slot is held
 	baseHeld    time.Duration // the same under low load
+	baseSamples int
 	samples     int
 	hadWaiters  bool
 	lastSample  time.Duration // time of the last sample
@@ -46,9 +47,7 @@
 // addSample records how long a slot was held and adjusts the limit at the end of a round.
 func (instanceLimit *instanceLimit) addSample(held time.Duration, lowerBound, upperBound int, policy Policy) {
 	instanceLimit.meanHeld += (held - instanceLimit.meanHeld) / heldSmoothing
-	if instanceLimit.running <= lowerBound {
-		instanceLimit.baseHeld += (held - instanceLimit.baseHeld) / baseSmoothing
-	}
+	instanceLimit.updateBase(policy)
 	instanceLimit.hadWaiters = instanceLimit.hadWaiters || instanceLimit.queue.size > 0
 	instanceLimit.samples++
 	if instanceLimit.samples >= instanceLimit.limit {
@@ -57,6 +56,20 @@
 	instanceLimit.limit = min(max(instanceLimit.limit, lowerBound), upperBound)
 }
 
+// updateBase moves baseHeld towards meanHeld: soon if it falls, slowly if it rises. The
+// first samples count in full.
+func (instanceLimit *instanceLimit) updateBase(policy Policy) {
+	smoothing := baseFallSmoothing
+	if instanceLimit.meanHeld > instanceLimit.baseHeld {
+		smoothing = policy.BaseRiseSmoothing
+	}
+	if instanceLimit.baseSamples < baseFallSmoothing {
+		instanceLimit.baseSamples++
+		smoothing = min(smoothing, instanceLimit.baseSamples)
+	}
+	instanceLimit.baseHeld += (instanceLimit.meanHeld - instanceLimit.baseHeld) / time.Duration(smoothing)
+}
+
 // adjust changes the limit at the end of a round.
 func (instanceLimit *instanceLimit) adjust(policy Policy) {
 	switch {
@@ -112,14 +125,17 @@
 // its target latency and should be denied the slot. During a short burst no request is
 // denied, since a late answer is better than none. With a standing queue every request
 // would be late, so the requests that cannot meet their target are denied in favor of
-// those that can.
+// those that can. A transaction has to run all its statements within the target.
 func (limits *Limits) missesTarget(request route.SlotRequest, instanceLimit *instanceLimit, granted time.Duration) bool {
 	target := request.Job.Kind().TargetLatency()
 	standing := instanceLimit.queue.size > 0 && limits.context.Now()-instanceLimit.queuedSince >= limits.policy.BurstTolerance
 	if target == 0 || !standing {
 		return false
 	}
-	return granted+instanceLimit.meanHeld > request.Job.Arrived()+target
+	statements := limits.workEstimate(laneOf(request)).statements()
+	run := min(statements*float64(instanceLimit.meanHeld), limits.policy.MaxRunShare*float64(target))
+	answered := granted + time.Duration(run)
+	return answered > request.Job.Arrived()+time.Duration(limits.policy.TargetShare*float64(target))
 }
 
 // ExpectedDelay implements route.Admission. While an instance gets no statements, the
--- a/internal/plug/limit/work_test.go
+++ b/internal/plug/limit/work_test.go
@@ -39,6 +39,41 @@
 	}
 }
 
+// The answer of a transaction is expected after all its statements. A kind whose work alone
+// takes longer than its target is still served while the queue is short.
+func TestExpectedAnswer(t *testing.T) {
+	const target = time.Second
+	tests := []struct {
+		name     string
+		held     time.Duration // by each statement
+		resumed  int           // further statements of a transaction
+		position time.Duration // when the slot is granted
+		misses   bool
+	}{
+		{"soon enough", 100 * time.Millisecond, 0, 700 * time.Millisecond, false},
+		{"too late", 100 * time.Millisecond, 0, 800 * time.Millisecond, true},
+		{"a transaction needs more time", 100 * time.Millisecond, 3, 700 * time.Millisecond, true},
+		{"a transaction that is granted early", 100 * time.Millisecond, 3, 400 * time.Millisecond, false},
+		{"more work than the target", 2 * time.Second, 0, 300 * time.Millisecond, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			limits := newLimits(1)
+			instanceLimit := limits.instanceLimit(instance)
+			instanceLimit.meanHeld = test.held
+			for range 2 {
+				limits.Acquire(flowSpec{}.newWaiter())
+			}
+			limits.context.Timers().Advance(DefaultPolicy().BurstTolerance)
+			request := flowSpec{target: target}.newWaiter().request
+			estimate := limits.workEstimate(laneOf(request))
+			estimate.txs, estimate.resumed = 1, test.resumed
+			is.Equal(limits.missesTarget(request, instanceLimit, test.position), test.misses)
+		})
+	}
+}
+
 // Estimates follow a change of the work and of the length of transactions.
 func TestEstimatesFollow(t *testing.T) {
 	is := is.New(t)
--- a/internal/proof/city/load_test.go
+++ b/internal/proof/city/load_test.go
@@ -116,3 +116,15 @@
 		}
 	}
 }
+
+// Under an overload, more callers are served in time if a request is denied unless its whole
+// operation is expected to end well within the target.
+func TestExpectedAnswerServesMore(t *testing.T) {
+	is := is.New(t)
+	firstStatementOnly := func(seed uint64) Load {
+		return overloadedPrimary(seed).withPolicy(func(policy *limit.Policy) {
+			policy.TargetShare, policy.MaxRunShare = 1, 0
+		})
+	}
+	is.True(totalInTarget("", overloadedPrimary) > totalInTarget("", firstStatementOnly))
+}
