--- a/internal/plug/limit/limit_test.go
+++ b/internal/plug/limit/limit_test.go
@@ -181,6 +181,27 @@
 	}
 }
 
+// An overload that lasts does not count as low load, so the limit stays low.
+func TestLimitUnderLastingOverload(t *testing.T) {
+	is := is.New(t)
+	const quick, slow = 5 * time.Millisecond, 25 * time.Millisecond
+	limits := newLimits(4)
+	for range 40 {
+		limits.Acquire(flowSpec{}.newWaiter())
+	}
+	request := flowSpec{}.newWaiter().request
+	for range 100 {
+		limits.Release(request, quick, false)
+		limits.Acquire(flowSpec{}.newWaiter())
+	}
+	is.Equal(limits.instanceLimit(instance).limit, 4)
+	for range 300 {
+		limits.Release(request, slow, false)
+		limits.Acquire(flowSpec{}.newWaiter())
+	}
+	is.Equal(limits.instanceLimit(instance).limit, 1)
+}
+
 func TestCancelWait(t *testing.T) {
 	is := is.New(t)
 	limits := newLimits(1)
--- a/internal/plug/limit/policy.go
+++ b/internal/plug/limit/policy.go
@@ -43,7 +43,7 @@
 		MaxRunShare:       0.5,
 		StatementsPerSlot: 3,
 		MinUpperBound:     2,
-		CongestionRatio:   2,
-		BaseRiseSmoothing: 32,
+		CongestionRatio:   1.3,
+		BaseRiseSmoothing: 2048,
 	}
 }
--- a/internal/proof/city/load_test.go
+++ b/internal/proof/city/load_test.go
@@ -128,3 +128,14 @@
 	}
 	is.True(totalInTarget("", overloadedPrimary) > totalInTarget("", firstStatementOnly))
 }
+
+// Under an overload that lasts, requests wait in the proxies, where those with a high
+// priority overtake, and not in the queue of the instance.
+func TestCongestionKeepsPriority(t *testing.T) {
+	is := is.New(t)
+	neverCongested := func(seed uint64) Load {
+		return overloadedPrimary(seed).withPolicy(func(policy *limit.Policy) { policy.CongestionRatio = 100 })
+	}
+	is.True(totalInTarget("", overloadedPrimary) > totalInTarget("", neverCongested))
+	is.True(10*totalInTarget("filing", overloadedPrimary) > 11*totalInTarget("filing", neverCongested))
+}
