--- a/internal/plug/conns/pool.go
+++ b/internal/plug/conns/pool.go
@@ -31,6 +31,10 @@
 	minConnWait = 500 * time.Millisecond
 	// excessIdleTimeout is how long a connection in excess of the share may be idle.
 	excessIdleTimeout = 200 * time.Millisecond
+	// surplusIdleTimeout is how long a connection within the share may be idle if the
+	// instance lists a maximum. After a loss of power, an instance holds the old connections
+	// of the proxies for seconds, so that only the rest is left for the new ones.
+	surplusIdleTimeout = 500 * time.Millisecond
 	// initialConnectTime is the estimate of the connect time until the first connection is
 	// open.
 	initialConnectTime = 15 * time.Millisecond
--- a/internal/plug/conns/upkeep.go
+++ b/internal/plug/conns/upkeep.go
@@ -74,7 +74,10 @@
 func (pool *pool) closeExcess() {
 	context := pool.pools.context
 	idle := context.Settings().ConnIdle()
-	if pool.total > pool.share() && pool.instance.MaxConns() > 0 {
+	if pool.instance.MaxConns() > 0 {
+		idle = min(idle, surplusIdleTimeout)
+	}
+	if pool.instance.MaxConns() > 0 && pool.total > pool.share() {
 		idle = min(idle, excessIdleTimeout)
 	}
 	oldest := context.Now() - idle
--- a/internal/plug/limit/limit_test.go
+++ b/internal/plug/limit/limit_test.go
@@ -60,7 +60,7 @@
 	})}}
 }
 
-// newLimits returns the plug-in of a kernel with one slot per instance and the given
+// newLimits returns the plug-in of a proxy alone, with one slot per instance and the given
 // number of connections per instance.
 func newLimits(conns int) *Limits {
 	spec := tune.Default()
@@ -71,7 +71,8 @@
 		limits = New(context).(*Limits)
 		return limits
 	}
-	kern.NewWithFactories(model.ProxyView{}, tune.New(spec), time.Time{}, 1, capture)
+	kernel := kern.NewWithFactories(model.ProxyView{}, tune.New(spec), time.Time{}, 1, capture)
+	kernel.State().SetProxies(make([]model.ProxyView, 1))
 	return limits
 }
 
--- a/internal/proof/city/experiment.go
+++ b/internal/proof/city/experiment.go
@@ -43,6 +43,15 @@
 	// first arrival.
 	ApplyDelay        time.Duration
 	LagFrom, LagUntil time.Duration
+	// All proxies are killed RestartAt after the first arrival and start again after
+	// RestartSpan. A RestartSpan of 0 kills none.
+	RestartAt, RestartSpan time.Duration
+	// LingerSpan is how long the instances hold the connections of the killed proxies, as
+	// after a loss of power.
+	LingerSpan time.Duration
+	// The results count the operations that arrive from CountFrom to CountUntil after the
+	// first arrival; a CountUntil of 0 counts all.
+	CountFrom, CountUntil time.Duration
 	// Factories are the plug-ins of each proxy; nil selects those of the hosted profile.
 	Factories []kern.Factory
 }
@@ -117,6 +126,9 @@
 	load.until = simulation.now + spec.Span
 	simulation.runAfter(spec.LagFrom, func() { simulation.setApplyDelay(spec.ApplyDelay) })
 	simulation.runAfter(spec.LagUntil, func() { simulation.setApplyDelay(0) })
+	if spec.RestartSpan > 0 {
+		simulation.runAfter(spec.RestartAt, load.killProxies)
+	}
 	for _, instance := range simulation.instances {
 		instance.capacity.busy = 0
 	}
--- a/internal/proof/city/load.go
+++ b/internal/proof/city/load.go
@@ -23,6 +23,10 @@
 	// minBackoff and maxBackoff bound the time until a caller retries a refused operation.
 	minBackoff = 50 * time.Millisecond
 	maxBackoff = 150 * time.Millisecond
+	// maxStartTime is the maximum time that a proxy takes to start.
+	maxStartTime = 150 * time.Millisecond
+	// reconnectInterval is the time between two tries to connect while the proxies are down.
+	reconnectInterval = 100 * time.Millisecond
 )
 
 // LoadKind describes the operations of one kind: single statements and transactions.
@@ -51,7 +55,7 @@
 	random     *rand.Rand
 	until      time.Duration
 	results    []*KindResult
-	works      []time.Duration // of all operations, with the commits
+	operations []*operation
 	lastCaller model.CallerID
 }
 
@@ -68,7 +72,10 @@
 	attempts   int
 	proxy      *proxy // of the current attempt
 	caller     model.CallerID
-	next       int // index of the next statement of the current attempt
+	next       int           // index of the next statement of the current attempt
+	active     bool          // an attempt is in progress
+	unsafe     bool          // the last statement sent may have had an effect
+	work       time.Duration // of all statements and the commit
 }
 
 type statementSpec struct {
@@ -125,11 +132,21 @@
 	if added.inTx && writes {
 		total += commitWork
 	}
-	load.works = append(load.works, total)
-	added.result.Asked++
+	load.operations = append(load.operations, added)
+	added.work = total
+	if added.counts() {
+		added.result.Asked++
+	}
 	return added
 }
 
+// counts reports whether the operation counts in the results.
+func (operation *operation) counts() bool {
+	spec := &operation.load.spec
+	after := operation.arrived - (operation.load.until - spec.Span)
+	return spec.CountUntil == 0 || after >= spec.CountFrom && after < spec.CountUntil
+}
+
 // drawWork returns a random work with the given mean, log-normally distributed.
 func (load *load) drawWork(mean time.Duration) time.Duration {
 	factor := math.Exp(workSpread*load.random.NormFloat64() - workSpread*workSpread/2)
@@ -140,8 +157,13 @@
 // another one than before if there are several.
 func (operation *operation) attempt() {
 	load := operation.load
+	candidates := load.runningProxies(operation.zone)
+	if len(candidates) == 0 {
+		operation.awaitProxies()
+		return
+	}
 	operation.attempts++
-	candidates := load.zoneProxies(operation.zone)
+	operation.active, operation.unsafe = true, false
 	chosen := candidates[load.simulation.random.IntN(len(candidates))]
 	for len(candidates) > 1 && chosen == operation.proxy {
 		chosen = candidates[load.simulation.random.IntN(len(candidates))]
@@ -161,7 +183,10 @@
 // bound returns the share of the operations that slots could serve in a time if the work of
 // each operation were known in advance: those with the least work.
 func (load *load) bound(slots int, span time.Duration) float64 {
-	works := slices.Clone(load.works)
+	works := make([]time.Duration, 0, len(load.operations))
+	for _, operation := range load.operations {
+		works = append(works, operation.work)
+	}
 	slices.Sort(works)
 	left := time.Duration(slots) * span
 	for served, work := range works {
@@ -172,12 +197,64 @@
 	return 1
 }
 
-func (load *load) zoneProxies(zone int) []*proxy {
+// awaitProxies starts the attempt once a proxy accepts connections again.
+func (operation *operation) awaitProxies() {
+	load := operation.load
+	if load.simulation.now >= operation.arrived+operation.kind.Deadline {
+		operation.record(false)
+		return
+	}
+	load.simulation.runAfter(reconnectInterval, operation.attempt)
+}
+
+// killProxies kills all proxies, which breaks the attempts in progress, and starts them
+// again later.
+func (load *load) killProxies() {
+	for _, proxy := range load.simulation.proxies {
+		proxy.losePower(load.spec.LingerSpan)
+	}
+	for _, operation := range load.operations {
+		if !operation.active {
+			continue
+		}
+		operation.active = false
+		if operation.unsafe || operation.attempts > operation.kind.Retries {
+			operation.record(false)
+			continue
+		}
+		operation.awaitProxies()
+	}
+	for _, proxy := range load.simulation.proxies {
+		proxy.down = true
+		startTime := time.Duration(load.random.Int64N(int64(maxStartTime)))
+		load.simulation.runAfter(load.spec.RestartSpan+startTime, func() {
+			proxy.down = false
+			proxy.start()
+		})
+	}
+}
+
+// runningProxies returns the running proxies of a zone or, if there is none, those of all
+// zones.
+func (load *load) runningProxies(zone int) []*proxy {
 	first := 0
 	for _, count := range load.spec.ProxiesByZone[:zone] {
 		first += count
 	}
-	return load.simulation.proxies[first : first+load.spec.ProxiesByZone[zone]]
+	var inZone, all []*proxy
+	for index, proxy := range load.simulation.proxies {
+		if proxy.down {
+			continue
+		}
+		all = append(all, proxy)
+		if index >= first && index < first+load.spec.ProxiesByZone[zone] {
+			inZone = append(inZone, proxy)
+		}
+	}
+	if len(inZone) > 0 {
+		return inZone
+	}
+	return all
 }
 
 func (operation *operation) send(spec model.RequestSpec, done func(reply *model.Reply)) {
@@ -186,7 +263,7 @@
 	spec.Seq = proxy.lastSeq
 	spec.Caller = operation.caller
 	proxy.pendingReplies[spec.Seq] = func(reply *model.Reply) {
-		operation.load.simulation.runAfter(networkDelay, func() { done(reply) })
+		operation.runAfter(networkDelay, func() { done(reply) })
 	}
 	proxy.post(networkDelay, event.NewRequestReceived(model.NewRequest(spec)))
 }
@@ -198,6 +275,7 @@
 			operation.end(true)
 			return
 		}
+		operation.unsafe = operation.statements[0].writes
 		operation.send(model.RequestSpec{Op: model.OpCommit, Statement: &payload{work: commitWork}}, func(reply *model.Reply) {
 			if reply.Code() != codes.OK {
 				operation.failed(reply)
@@ -209,6 +287,7 @@
 	}
 	statement := operation.statements[operation.next]
 	operation.next++
+	operation.unsafe = statement.writes && !operation.inTx
 	body := &payload{work: statement.work, check: &readCheck{oracle: operation.load.simulation.oracle}}
 	if statement.writes {
 		oracle := operation.load.simulation.oracle
@@ -220,19 +299,37 @@
 		case reply.Code() != codes.OK:
 			operation.failed(reply)
 		case operation.inTx:
-			operation.paused += thinkTime
-			operation.load.simulation.runAfter(thinkTime, operation.sendNext)
+			operation.pause()
 		default:
 			operation.sendNext()
 		}
 	})
 }
 
+// pause sends the next statement after the caller's pause.
+func (operation *operation) pause() {
+	operation.paused += thinkTime
+	operation.runAfter(thinkTime, operation.sendNext)
+}
+
+// runAfter schedules a step of the current attempt.
+func (operation *operation) runAfter(delay time.Duration, step func()) {
+	attempt := operation.attempts
+	operation.load.simulation.runAfter(delay, func() {
+		if operation.active && operation.attempts == attempt {
+			step()
+		}
+	})
+}
+
 // failed retries the operation if its attempt has had no effect, or ends it.
 func (operation *operation) failed(reply *model.Reply) {
 	load := operation.load
+	operation.active = false
 	operation.proxy.post(networkDelay, event.NewCallerClosed(operation.caller))
-	operation.result.Refusals[reply.Code().String()]++
+	if operation.counts() {
+		operation.result.Refusals[reply.Code().String()]++
+	}
 	backoff := minBackoff + time.Duration(load.simulation.random.Int64N(int64(maxBackoff-minBackoff)))
 	inTime := load.simulation.now+backoff < operation.arrived+operation.kind.Deadline
 	if reply.Outcome() != model.OutcomeNotRun || operation.attempts > operation.kind.Retries || !inTime {
@@ -243,11 +340,15 @@
 }
 
 func (operation *operation) end(served bool) {
+	operation.active = false
 	operation.proxy.post(networkDelay, event.NewCallerClosed(operation.caller))
 	operation.record(served)
 }
 
 func (operation *operation) record(served bool) {
+	if !operation.counts() {
+		return
+	}
 	latency := operation.load.simulation.now - operation.arrived - operation.paused
 	switch {
 	case !served:
--- a/internal/proof/city/load_test.go
+++ b/internal/proof/city/load_test.go
@@ -139,3 +139,22 @@
 	is.True(totalInTarget("", overloadedPrimary) > totalInTarget("", neverCongested))
 	is.True(10*totalInTarget("filing", overloadedPrimary) > 11*totalInTarget("filing", neverCongested))
 }
+
+// All proxies lose power at the same moment under load, and the instances hold their old
+// connections for 3 s. Meanwhile the new connections suffice: nine tenths of the operations
+// that arrive later than a second after the return are served in time.
+func TestReturnOfPower(t *testing.T) {
+	is := is.New(t)
+	asked, inTarget := 0, 0
+	for seed := range uint64(loadSeeds) {
+		load := recallLoad(seed + 1)
+		load.RestartAt, load.RestartSpan, load.LingerSpan = 5*time.Second, time.Second, 3*time.Second
+		load.CountFrom, load.CountUntil = 7*time.Second, 9*time.Second
+		for _, kind := range Experiment(load).Kinds {
+			asked += kind.Asked
+			inTarget += kind.InTarget
+			t.Logf("%s: %d of %d in target, %d late, %v", kind.Name, kind.InTarget, kind.Asked, kind.Late, kind.Refusals)
+		}
+	}
+	is.True(10*inTarget >= 9*asked)
+}
--- a/internal/proof/city/simulation.go
+++ b/internal/proof/city/simulation.go
@@ -214,6 +214,7 @@
 	kernel           *kern.Kernel
 	started          time.Duration
 	frozen           bool          // the process is suspended
+	down             bool          // the process does not run
 	storeUnreachable bool          // the store is unavailable to this proxy only
 	queuedEvents     []event.Event // received while frozen
 	conns            map[model.ConnID]*conn
@@ -253,6 +254,16 @@
 	proxy.reset()
 }
 
+// losePower ends the process like kill, but the instances notice the loss of its
+// connections only after a time.
+func (proxy *proxy) losePower(noticed time.Duration) {
+	for _, conn := range proxy.conns {
+		conn.closed = true
+		proxy.simulation.runAfter(noticed, conn.end)
+	}
+	proxy.reset()
+}
+
 // newCatalog returns one deployment per kind of session, all for the same group.
 func newCatalog() event.CatalogListed {
 	kinds := []model.KindSpec{
