--- a/internal/core/route/route.go
+++ b/internal/core/route/route.go
@@ -36,6 +36,16 @@
 	BypassLimit bool
 }
 
+// Denial describes why a request for a slot or a connection is rejected.
+type Denial struct {
+	// Code is the result code; codes.NoReplica means that the instance cannot be reached.
+	Code codes.Code
+	// RetryAfter is the time after which the request may be repeated, or 0.
+	RetryAfter time.Duration
+	// Reason is for the decision log.
+	Reason string
+}
+
 // SlotWaiter waits for a slot of an instance.
 type SlotWaiter interface {
 	// SlotRequest returns the slot that is requested.
@@ -44,7 +54,7 @@
 	// Admission.Release.
 	SlotGranted()
 	// SlotDenied is called when the request for a slot is rejected.
-	SlotDenied(code codes.Code, retryAfter time.Duration)
+	SlotDenied(denial Denial)
 }
 
 // Admission limits the number of statements that run concurrently on an instance and for
@@ -80,8 +90,7 @@
 	// Conns.Release or Conns.Discard.
 	ConnGranted(conn model.ConnID)
 	// ConnDenied is called when the request for a connection is rejected.
-	// codes.NoReplica means that the instance cannot be reached.
-	ConnDenied(code codes.Code, retryAfter time.Duration)
+	ConnDenied(denial Denial)
 	// ExecuteDone delivers the answer of an execution.
 	ExecuteDone(done event.ExecuteDone)
 	// ExecuteFailed is called when an execution gave no result. If the connection is
--- a/internal/plug/conns/conns.go
+++ b/internal/plug/conns/conns.go
@@ -66,11 +66,11 @@
 func (pools *Pools) Acquire(request route.SlotRequest, user route.ConnUser) route.WaitID {
 	pool := pools.pool(request.Instance)
 	if pool == nil {
-		user.ConnDenied(unreachable, 0)
+		user.ConnDenied(unreachable)
 		return 0
 	}
 	if request.Job != nil && request.Job.Tx() != nil && pool.txConns >= pool.maxTxConns() {
-		user.ConnDenied(codes.Overloaded, pools.admission.RetryAfter(request.Instance))
+		user.ConnDenied(pools.overloaded(request, "transactions hold their share of the connections"))
 		return 0
 	}
 	added := &waiter{id: route.WaitID(pools.context.NextID()), request: request, user: user, pool: pool}
@@ -82,6 +82,11 @@
 	return added.id
 }
 
+// overloaded returns the denial of a request for which no connection is free.
+func (pools *Pools) overloaded(request route.SlotRequest, reason string) route.Denial {
+	return route.Denial{Code: codes.Overloaded, RetryAfter: pools.admission.RetryAfter(request.Instance), Reason: reason}
+}
+
 // CancelWait implements route.Conns.
 func (pools *Pools) CancelWait(id route.WaitID) {
 	waiter, ok := pools.waiters[id]
--- a/internal/plug/conns/conns_test.go
+++ b/internal/plug/conns/conns_test.go
@@ -28,7 +28,7 @@
 
 func (fakeUser *fakeUser) ConnGranted(conn model.ConnID) { fakeUser.conn = conn }
 
-func (fakeUser *fakeUser) ConnDenied(code codes.Code, _ time.Duration) { fakeUser.code = code }
+func (fakeUser *fakeUser) ConnDenied(denial route.Denial) { fakeUser.code = denial.Code }
 
 func (fakeUser *fakeUser) ExecuteDone(event.ExecuteDone) { fakeUser.done++ }
 
@@ -225,9 +225,9 @@
 	for _, conn := range fixture.takeOpenings() {
 		fixture.handle(event.NewConnFailed(conn, model.ConnFailureRefused))
 	}
-	is.Equal(user.code, unreachable)
-	is.Equal(fixture.acquire().code, unreachable) // denied immediately
-	is.Equal(len(fixture.takeOpenings()), 0)      // back-off
+	is.Equal(user.code, codes.NoReplica)
+	is.Equal(fixture.acquire().code, codes.NoReplica) // denied immediately
+	is.Equal(len(fixture.takeOpenings()), 0)          // back-off
 	fixture.tick(2 * initialBackoff)
 	is.Equal(len(fixture.takeOpenings()), 1)
 }
@@ -310,5 +310,5 @@
 	fixture.tick(2 * time.Second)
 	is.Equal(len(fixture.pools.conns), 0)
 	is.Equal(len(fixture.pools.pools), 0)
-	is.Equal(fixture.acquire().code, unreachable)
+	is.Equal(fixture.acquire().code, codes.NoReplica)
 }
--- a/internal/plug/conns/pool.go
+++ b/internal/plug/conns/pool.go
@@ -12,10 +12,6 @@
 )
 
 const (
-	// unreachable is the code of a denial because no connection to the instance can be
-	// opened.
-	unreachable = codes.NoReplica
-
 	maxOpening     = 4
 	minOpenDivisor = 2
 	// borrowLimit is how many connections to an instance a proxy may open if its share is
@@ -44,6 +40,9 @@
 	maxBackoff           = time.Second
 )
 
+// unreachable is the denial because no connection to the instance can be opened.
+var unreachable = route.Denial{Code: codes.NoReplica, Reason: "instance cannot be reached"}
+
 type connState int
 
 const (
@@ -283,7 +282,7 @@
 	for _, waiter := range late {
 		waiter.end()
 		pool.pools.admission.Release(waiter.request, 0, true)
-		waiter.user.ConnDenied(codes.Overloaded, pool.pools.admission.RetryAfter(waiter.request.Instance))
+		waiter.user.ConnDenied(pool.pools.overloaded(waiter.request, "no connection became free within the target latency"))
 	}
 }
 
@@ -295,6 +294,6 @@
 	for _, waiter := range waiting {
 		waiter.end()
 		pool.pools.admission.Release(waiter.request, 0, true)
-		waiter.user.ConnDenied(unreachable, 0)
+		waiter.user.ConnDenied(unreachable)
 	}
 }
--- a/internal/plug/conns/waiter.go
+++ b/internal/plug/conns/waiter.go
@@ -1,11 +1,6 @@
 package conns
 
-import (
-	"time"
-
-	"almondway.dev/almondway/internal/core/codes"
-	"almondway.dev/almondway/internal/core/route"
-)
+import "almondway.dev/almondway/internal/core/route"
 
 type waiterState int
 
@@ -35,9 +30,9 @@
 }
 
 // SlotDenied implements route.SlotWaiter.
-func (waiter *waiter) SlotDenied(code codes.Code, retryAfter time.Duration) {
+func (waiter *waiter) SlotDenied(denial route.Denial) {
 	waiter.end()
-	waiter.user.ConnDenied(code, retryAfter)
+	waiter.user.ConnDenied(denial)
 }
 
 func (waiter *waiter) end() {
--- a/internal/plug/limit/instancelimit.go
+++ b/internal/plug/limit/instancelimit.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"almondway.dev/almondway/internal/core/codes"
 	"almondway.dev/almondway/internal/core/model"
 	"almondway.dev/almondway/internal/core/route"
 )
@@ -101,12 +100,19 @@
 	return found
 }
 
-// checkWait returns codes.OK if a request may wait for a slot. It returns the code and
-// the retry delay of the denial if the queue of the deployment is full or if the slot
-// would be granted too late.
-func (limits *Limits) checkWait(request route.SlotRequest, instanceLimit *instanceLimit) (codes.Code, time.Duration) {
+// The reasons of denials, for the decision log.
+const (
+	deploymentQueueFull = "the queue of the deployment is full"
+	afterDeadline       = "a slot would be free after the deadline only"
+	afterTarget         = "the answer would miss the target latency"
+	waitedTooLong       = "the answer would miss the target latency after the wait for a slot"
+)
+
+// checkWait returns an empty string if a request may wait for a slot, and else the reason
+// why it is denied one.
+func (limits *Limits) checkWait(request route.SlotRequest, instanceLimit *instanceLimit) string {
 	if request.Job == nil {
-		return codes.OK, 0
+		return ""
 	}
 	deployment := request.Job.Deployment()
 	limit := deployment.MaxWaiting()
@@ -114,11 +120,15 @@
 		limit = limits.context.Settings().MaxWaiting()
 	}
 	granted := limits.context.Now() + instanceLimit.wait(limits.rankedLane(request))
-	tooLate := granted > request.Job.Deadline() || limits.missesTarget(request, instanceLimit, granted)
-	if limits.waitingByDeployment[deployment.Name()] >= limit || tooLate {
-		return codes.Overloaded, limits.RetryAfter(request.Instance)
+	switch {
+	case limits.waitingByDeployment[deployment.Name()] >= limit:
+		return deploymentQueueFull
+	case granted > request.Job.Deadline():
+		return afterDeadline
+	case limits.missesTarget(request, instanceLimit, granted):
+		return afterTarget
 	}
-	return codes.OK, 0
+	return ""
 }
 
 // missesTarget reports whether a request that is granted a slot at the given time misses
--- a/internal/plug/limit/limit.go
+++ b/internal/plug/limit/limit.go
@@ -62,8 +62,8 @@
 		limits.acquireInstance(waiter, classLimit)
 		return
 	}
-	if code, retryAfter := limits.checkWait(request, limits.instanceLimit(request.Instance)); code != codes.OK {
-		waiter.SlotDenied(code, retryAfter)
+	if reason := limits.checkWait(request, limits.instanceLimit(request.Instance)); reason != "" {
+		limits.deny(waiter, reason)
 		return
 	}
 	limits.addWaiting(request)
@@ -76,8 +76,8 @@
 	request := waiter.SlotRequest()
 	instanceLimit := limits.instanceLimit(request.Instance)
 	if instanceLimit.queue.size > 0 || instanceLimit.running >= instanceLimit.limit {
-		if code, retryAfter := limits.checkWait(request, instanceLimit); code != codes.OK {
-			waiter.SlotDenied(code, retryAfter)
+		if reason := limits.checkWait(request, instanceLimit); reason != "" {
+			limits.deny(waiter, reason)
 			return
 		}
 		limits.addWaiting(request)
@@ -92,6 +92,12 @@
 	limits.grant(waiter, instanceLimit)
 }
 
+// deny denies a waiter a slot because of an overload.
+func (limits *Limits) deny(waiter route.SlotWaiter, reason string) {
+	retryAfter := limits.RetryAfter(waiter.SlotRequest().Instance)
+	waiter.SlotDenied(route.Denial{Code: codes.Overloaded, RetryAfter: retryAfter, Reason: reason})
+}
+
 // grant grants a slot to a waiter.
 func (limits *Limits) grant(waiter route.SlotWaiter, instanceLimit *instanceLimit) {
 	request := waiter.SlotRequest()
@@ -164,7 +170,7 @@
 		limits.removeWaiting(request)
 		if request.Job != nil && limits.missesTarget(request, instanceLimit, limits.context.Now()) {
 			limits.releaseClass(limits.classLimit(request))
-			next.SlotDenied(codes.Overloaded, limits.RetryAfter(request.Instance))
+			limits.deny(next, waitedTooLong)
 			continue
 		}
 		limits.grant(next, instanceLimit)
--- a/internal/plug/limit/limit_test.go
+++ b/internal/plug/limit/limit_test.go
@@ -22,15 +22,17 @@
 	granted    bool
 	code       codes.Code
 	retryAfter time.Duration
+	reason     string
 }
 
 func (fakeWaiter *fakeWaiter) SlotRequest() route.SlotRequest { return fakeWaiter.request }
 
 func (fakeWaiter *fakeWaiter) SlotGranted() { fakeWaiter.granted = true }
 
-func (fakeWaiter *fakeWaiter) SlotDenied(code codes.Code, retryAfter time.Duration) {
-	fakeWaiter.code = code
-	fakeWaiter.retryAfter = retryAfter
+func (fakeWaiter *fakeWaiter) SlotDenied(denial route.Denial) {
+	fakeWaiter.code = denial.Code
+	fakeWaiter.retryAfter = denial.RetryAfter
+	fakeWaiter.reason = denial.Reason
 }
 
 // flowSpec lists the properties of a request that determine its place in the queue.
@@ -129,10 +131,11 @@
 		flow    flowSpec
 		waiting int
 		code    codes.Code
+		reason  string
 	}{
-		{"waits", flowSpec{}, 3, codes.OK},
-		{"queue of the deployment is full", flowSpec{maxWaiting: 3}, 3, codes.Overloaded},
-		{"slot would be granted after the deadline", flowSpec{deadline: time.Millisecond}, 3, codes.Overloaded},
+		{"waits", flowSpec{}, 3, codes.OK, ""},
+		{"queue of the deployment is full", flowSpec{maxWaiting: 3}, 3, codes.Overloaded, deploymentQueueFull},
+		{"slot would be granted after the deadline", flowSpec{deadline: time.Millisecond}, 3, codes.Overloaded, afterDeadline},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -144,6 +147,7 @@
 			last := test.flow.newWaiter()
 			limits.Acquire(last)
 			is.Equal(last.code, test.code)
+			is.Equal(last.reason, test.reason)
 			is.Equal(last.retryAfter > 0, test.code != codes.OK)
 			is.True(!last.granted)
 		})
--- a/internal/plug/limit/share_test.go
+++ b/internal/plug/limit/share_test.go
@@ -6,7 +6,6 @@
 	"testing"
 	"time"
 
-	"almondway.dev/almondway/internal/core/codes"
 	"almondway.dev/almondway/internal/core/kern"
 	"almondway.dev/almondway/internal/core/model"
 	"almondway.dev/almondway/internal/core/route"
@@ -70,7 +69,7 @@
 }
 
 // SlotDenied implements route.SlotWaiter.
-func (timedWaiter *timedWaiter) SlotDenied(codes.Code, time.Duration) {
+func (timedWaiter *timedWaiter) SlotDenied(route.Denial) {
 	timedWaiter.simulation.denied++
 }
 
--- a/internal/plug/reads/read.go
+++ b/internal/plug/reads/read.go
@@ -138,16 +138,16 @@
 }
 
 // ConnDenied implements route.ConnUser.
-func (read *read) ConnDenied(code codes.Code, retryAfter time.Duration) {
+func (read *read) ConnDenied(denial route.Denial) {
 	read.waitID = 0
-	if code == codes.NoReplica {
+	if denial.Code == codes.NoReplica {
 		read.avoided = read.instance
 		read.state = readAwaitingInstance
 		read.requestReports()
 		read.reads.context.Timers().After(acquireRetryDelay, read.retryAcquire)
 		return
 	}
-	read.finish(route.ResultSpec{Outcome: model.OutcomeNotRun, Code: code, RetryAfter: retryAfter, Reason: "no connection"})
+	read.finish(route.ResultSpec{Outcome: model.OutcomeNotRun, Code: denial.Code, RetryAfter: denial.RetryAfter, Reason: denial.Reason})
 }
 
 func (read *read) retryAcquire() {
--- a/internal/plug/relay/acquire_test.go
+++ b/internal/plug/relay/acquire_test.go
@@ -28,7 +28,7 @@
 func (conns *fakeConns) Acquire(request route.SlotRequest, user route.ConnUser) route.WaitID {
 	if conns.denied == "" {
 		conns.denied = request.Instance
-		user.ConnDenied(codes.Overloaded, time.Millisecond)
+		user.ConnDenied(route.Denial{Code: codes.Overloaded, RetryAfter: time.Millisecond})
 		return 0
 	}
 	conns.lastWaitID++
--- a/internal/plug/relay/ping.go
+++ b/internal/plug/relay/ping.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"almondway.dev/almondway/internal/core/codes"
 	"almondway.dev/almondway/internal/core/event"
 	"almondway.dev/almondway/internal/core/model"
 	"almondway.dev/almondway/internal/core/route"
@@ -192,7 +191,7 @@
 }
 
 // ConnDenied implements route.ConnUser.
-func (monitor *monitor) ConnDenied(codes.Code, time.Duration) {
+func (monitor *monitor) ConnDenied(route.Denial) {
 	monitor.recordMiss()
 	monitor.endPing()
 }
--- a/internal/plug/relay/task.go
+++ b/internal/plug/relay/task.go
@@ -218,19 +218,19 @@
 }
 
 // ConnDenied implements route.ConnUser.
-func (task *task) ConnDenied(code codes.Code, retryAfter time.Duration) {
+func (task *task) ConnDenied(denial route.Denial) {
 	task.waitID = 0
-	if code == codes.NoReplica {
+	if denial.Code == codes.NoReplica {
 		task.relay.recordFailure(task.instance)
-		task.retryElsewhere("instance cannot be reached")
+		task.retryElsewhere(denial.Reason)
 		return
 	}
 	if task.requirement == requireMark && task.hasAlternative() {
-		task.retryAfter = max(task.retryAfter, retryAfter)
-		task.retryElsewhere("queue is full")
+		task.retryAfter = max(task.retryAfter, denial.RetryAfter)
+		task.retryElsewhere(denial.Reason)
 		return
 	}
-	task.finish(route.ResultSpec{Outcome: model.OutcomeNotRun, Code: code, RetryAfter: retryAfter, Reason: "no connection"})
+	task.finish(route.ResultSpec{Outcome: model.OutcomeNotRun, Code: denial.Code, RetryAfter: denial.RetryAfter, Reason: denial.Reason})
 }
 
 // hasAlternative reports whether another instance can run the read.
--- a/internal/plug/writes/trim.go
+++ b/internal/plug/writes/trim.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"almondway.dev/almondway/internal/core/codes"
 	"almondway.dev/almondway/internal/core/event"
 	"almondway.dev/almondway/internal/core/ident"
 	"almondway.dev/almondway/internal/core/model"
@@ -53,7 +52,7 @@
 }
 
 // ConnDenied implements route.ConnUser.
-func (trimmer *trimmer) ConnDenied(codes.Code, time.Duration) {}
+func (trimmer *trimmer) ConnDenied(route.Denial) {}
 
 // ConnLost implements route.ConnUser.
 func (trimmer *trimmer) ConnLost(model.ConnID) {}
--- a/internal/plug/writes/write.go
+++ b/internal/plug/writes/write.go
@@ -156,13 +156,13 @@
 }
 
 // ConnDenied implements route.ConnUser.
-func (write *write) ConnDenied(code codes.Code, retryAfter time.Duration) {
+func (write *write) ConnDenied(denial route.Denial) {
 	write.waitID = 0
-	if write.attemptInDoubt || code == codes.NoReplica {
+	if write.attemptInDoubt || denial.Code == codes.NoReplica {
 		write.backOff()
 		return
 	}
-	write.finish(route.ResultSpec{Outcome: model.OutcomeNotRun, Code: code, RetryAfter: retryAfter, Reason: "no connection"})
+	write.finish(route.ResultSpec{Outcome: model.OutcomeNotRun, Code: denial.Code, RetryAfter: denial.RetryAfter, Reason: denial.Reason})
 }
 
 // ConnLost implements route.ConnUser.
