--- a/internal/core/state/state.go
+++ b/internal/core/state/state.go
@@ -178,8 +178,21 @@
 // SetConfirmed records whether the revision in force is confirmed to be current.
 func (state *State) SetConfirmed(confirmed bool) { state.confirmed = confirmed }
 
+// assumedProxies is the number of live proxies that is assumed until they are known. A
+// proxy that assumed to be alone would take all connections and slots of the instances
+// when all proxies start at the same time.
+const assumedProxies = 8
+
+// ProxyCount returns the number of live proxies, this one included.
+func (state *State) ProxyCount() int {
+	if len(state.proxies) == 0 {
+		return assumedProxies
+	}
+	return len(state.proxies)
+}
+
 // Proxies returns the live proxies, this one included, in ascending order of
-// their names. Callers must not change it.
+// their names. It is empty until they are known. Callers must not change it.
 func (state *State) Proxies() []model.ProxyView { return state.proxies }
 
 // SetProxies records the live proxies, this one included, in ascending order of their names.
--- a/internal/plug/conns/conns_test.go
+++ b/internal/plug/conns/conns_test.go
@@ -139,6 +139,7 @@
 		{"six proxies", 6, 5},
 		{"eight proxies", 8, 4},
 		{"more proxies than connections", 100, 1},
+		{"proxies not known yet", 0, 4},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/internal/plug/conns/pool.go
+++ b/internal/plug/conns/pool.go
@@ -92,7 +92,7 @@
 	if listed := pool.instance.MaxConns(); listed > 0 {
 		conns = listed
 	}
-	return conns / max(1, len(context.State().Proxies()))
+	return conns / context.State().ProxyCount()
 }
 
 // maxOpen returns the maximum number of connections of the pool, including those being
--- a/internal/plug/fleet/fleet.go
+++ b/internal/plug/fleet/fleet.go
@@ -76,7 +76,6 @@
 func New(context *kern.Context) kern.Plugin {
 	fleet := &Fleet{context: context, client: table.New(context), peers: make(map[model.ProxyID]*peer)}
 	context.ProvideService(route.FleetService, fleet)
-	context.State().SetProxies([]model.ProxyView{context.State().Self()})
 	context.Timers().After(0, fleet.tick)
 	return fleet
 }
--- a/internal/plug/limit/instancelimit.go
+++ b/internal/plug/limit/instancelimit.go
@@ -201,4 +201,4 @@
 	return group.Member(instance).Instance()
 }
 
-func (limits *Limits) proxyCount() int { return max(1, len(limits.context.State().Proxies())) }
+func (limits *Limits) proxyCount() int { return limits.context.State().ProxyCount() }
--- a/internal/proof/city/simulation.go
+++ b/internal/proof/city/simulation.go
@@ -290,7 +290,7 @@
 func (proxy *proxy) post(delay time.Duration, received event.Event) {
 	kernel := proxy.kernel
 	proxy.simulation.runAfter(delay, func() {
-		if proxy.kernel != kernel {
+		if proxy.kernel != kernel || proxy.down {
 			return
 		}
 		if proxy.frozen {
