--- a/internal/plug/elect/monitor.go
+++ b/internal/plug/elect/monitor.go
@@ -31,6 +31,9 @@
 	// maxTimeWithoutPrimary is the time without a known primary after which an attempt
 	// starts.
 	maxTimeWithoutPrimary = 700 * time.Millisecond
+	// firstProbeTime is the time after this proxy took the lease in which a primary that
+	// reaches it answers the first probe.
+	firstProbeTime = 200 * time.Millisecond
 	// maxPrimaryStatusAge is the maximum age of a primary's last report as primary for
 	// which its later step-down proves that it was the primary until then.
 	maxPrimaryStatusAge = time.Second
@@ -75,6 +78,7 @@
 	groupID         model.GroupID
 	observations    map[model.InstanceID]*observation
 	noPrimarySince  time.Duration    // when the group was first without a known primary, or 0
+	leaseHeldSince  time.Duration    // when this proxy took the lease, or 0 without it
 	strayPauseSince time.Duration    // when a replica was first paused without an attempt, or 0
 	lastPrimary     model.InstanceID // the last known primary
 	reportedPrimary primaryRecord    // the primary of the highest reported term
@@ -116,13 +120,17 @@
 
 func (monitor *monitor) tick(group *state.Group) {
 	monitor.updateCounted(group)
+	monitor.updateNoPrimary(group)
 	if !monitor.elect.lease.held() {
-		monitor.noPrimarySince = 0
+		monitor.leaseHeldSince = 0
 		if monitor.attempt != nil {
 			monitor.attempt.abandon("the lease was lost")
 		}
 		return
 	}
+	if monitor.leaseHeldSince == 0 {
+		monitor.leaseHeldSince = monitor.now()
+	}
 	monitor.probe(group)
 	if monitor.attempt != nil {
 		monitor.attempt.tick()
@@ -136,6 +144,17 @@
 	monitor.attempt.start()
 }
 
+// updateNoPrimary records since when the group has had no known primary, also while another
+// proxy holds the lease.
+func (monitor *monitor) updateNoPrimary(group *state.Group) {
+	switch {
+	case group.Primary() != nil:
+		monitor.noPrimarySince = 0
+	case monitor.noPrimarySince == 0:
+		monitor.noPrimarySince = monitor.now()
+	}
+}
+
 // probe sends the probes that are due.
 func (monitor *monitor) probe(group *state.Group) {
 	primary, unlistedCounted := monitor.primary(group), monitor.countsUnlisted(group)
@@ -256,15 +275,11 @@
 	}
 	primary := group.Primary()
 	if primary == nil {
-		if monitor.noPrimarySince == 0 {
-			monitor.noPrimarySince = monitor.now()
-		}
-		if monitor.now()-monitor.noPrimarySince >= maxTimeWithoutPrimary {
+		if monitor.now()-monitor.noPrimarySince >= maxTimeWithoutPrimary && monitor.now()-monitor.leaseHeldSince >= firstProbeTime {
 			return "the group has no primary"
 		}
 		return ""
 	}
-	monitor.noPrimarySince = 0
 	if monitor.hasStrayPause() {
 		return "a replica is paused without a promotion attempt"
 	}
--- a/internal/proof/city/city_test.go
+++ b/internal/proof/city/city_test.go
@@ -188,6 +188,31 @@
 	is.Equal(simulation.oracle.violations, nil)
 }
 
+// The primary and the promoter are lost at the same time. The next promoter replaces the
+// primary right after the lease of the lost one has ended.
+func TestPrimaryAndPromoterLost(t *testing.T) {
+	for index := range 4 {
+		t.Run(strconv.Itoa(index), func(t *testing.T) {
+			is := is.New(t)
+			simulation := newBusySimulation(t, uint64(index), 12*time.Second)
+			simulation.run(time.Second + time.Duration(index)*250*time.Millisecond)
+			former := simulation.primary
+			former.up = false
+			simulation.proxies[0].kill() // it took the lease first
+			simulation.proxies[0].down = true
+			simulation.publishListings()
+			lostAt := simulation.now
+			for simulation.primary == former && simulation.now < lostAt+10*time.Second {
+				simulation.run(50 * time.Millisecond)
+			}
+			// 3 s of lease, 0.4 s until it is read again, 0.2 s of probes, 0.3 s of the promotion and
+			// 0.1 s of calls.
+			is.True(simulation.now-lostAt <= 4*time.Second)
+			is.Equal(simulation.oracle.violations, nil)
+		})
+	}
+}
+
 // A leaving primary is replaced exactly once, by an instance that is not leaving, at any
 // offset from the promoter's last probe of it.
 func TestPrimaryLeaves(t *testing.T) {
