--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 TOOLS := $(BIN)/golangci-lint $(BIN)/gofumpt $(BIN)/buf $(BIN)/protoc-gen-go $(BIN)/protoc-gen-connect-go $(BIN)/gopls
 PACKAGES := ./cmd/... ./internal/... ./platform/...
 
-.PHONY: build test lint format generate generated-check demo measure measure-baseline bench slopes fuzz soak run tools clean
+.PHONY: build test experiment lint format generate generated-check demo measure measure-baseline bench slopes fuzz soak run tools clean
 
 build:
 	go build -o $(OUT)/almondway ./cmd/almondway
@@ -14,6 +14,9 @@
 test:
 	go test $(PACKAGES)
 
+experiment: build
+	$(OUT)/standin experiment --load "$(LOAD)" --without "$(WITHOUT)"
+
 demo: build
 	$(OUT)/standin demo
 
--- a/internal/proof/city/experiment.go
+++ b/internal/proof/city/experiment.go
@@ -59,6 +59,7 @@
 // KindResult is what the callers of one kind got.
 type KindResult struct {
 	Name     string
+	Priority int // 0 is the highest
 	Asked    int
 	InTarget int
 	Late     int
@@ -72,11 +73,44 @@
 // Result is the result of an experiment.
 type Result struct {
 	Kinds []*KindResult
+	// Reasons is the number of attempts that the proxies refused, by the reason that they
+	// logged.
+	Reasons map[string]int
 	// SlotUse is the share of the time in which the slots of each instance were held.
 	SlotUse []float64
-	// PrimaryBound is the share of the operations that the slots of the primary alone could
-	// serve if the work of each operation were known in advance.
-	PrimaryBound float64
+	// Bound is the share of the operations that the slots could serve if the work of each
+	// operation were known in advance, or a sum of such shares: the slots of the primary
+	// alone if the replicas lag beyond every staleness, else those of the group.
+	Bound float64
+}
+
+// Add adds another result of the same load. SlotUse and Bound become sums.
+func (result *Result) Add(other Result) {
+	if result.Kinds == nil {
+		*result = other
+		return
+	}
+	for index, kind := range other.Kinds {
+		result.Kinds[index].add(kind)
+	}
+	for reason, count := range other.Reasons {
+		result.Reasons[reason] += count
+	}
+	for index, use := range other.SlotUse {
+		result.SlotUse[index] += use
+	}
+	result.Bound += other.Bound
+}
+
+func (kindResult *KindResult) add(other *KindResult) {
+	kindResult.Asked += other.Asked
+	kindResult.InTarget += other.InTarget
+	kindResult.Late += other.Late
+	kindResult.Unserved += other.Unserved
+	for code, count := range other.Refusals {
+		kindResult.Refusals[code] += count
+	}
+	kindResult.Latency.Merge(other.Latency)
 }
 
 // InTarget returns the share of all operations that were served within their target.
@@ -117,6 +151,7 @@
 	for index := range spec.Kinds {
 		load.results = append(load.results, &KindResult{
 			Name:     spec.Kinds[index].Name,
+			Priority: spec.Kinds[index].Priority,
 			Refusals: make(map[string]int),
 			Latency:  hdrhistogram.New(1, maxLatency.Microseconds(), 3),
 		})
@@ -134,14 +169,25 @@
 	}
 	load.scheduleArrival()
 	simulation.run(spec.Span)
-	result := Result{Kinds: load.results, PrimaryBound: load.bound(spec.Slots, spec.Span)}
+	result := Result{Kinds: load.results, Bound: load.bound(spec.usableSlots(), spec.Span)}
 	for _, instance := range simulation.instances {
 		result.SlotUse = append(result.SlotUse, instance.capacity.busy.Seconds()/spec.Span.Seconds()/float64(instance.capacity.listedSlots()))
 	}
 	simulation.run(drainTime)
+	result.Reasons = simulation.refusals
 	return result
 }
 
+// usableSlots returns the number of slots that can serve the load.
+func (spec Load) usableSlots() int {
+	for _, kind := range spec.Kinds {
+		if kind.Staleness > spec.ApplyDelay {
+			return instanceCount * spec.Slots
+		}
+	}
+	return spec.Slots
+}
+
 func zoneName(zone int) model.DataCenter {
 	return model.DataCenter("zone-" + strconv.Itoa(zone))
 }
--- a/internal/proof/city/load_test.go
+++ b/internal/proof/city/load_test.go
@@ -4,65 +4,12 @@
 	"reflect"
 	"strconv"
 	"testing"
-	"time"
 
 	"github.com/matryer/is"
 
-	"almondway.dev/almondway/internal/core/kern"
 	"almondway.dev/almondway/internal/plug/limit"
 )
 
-// recallLoad is a load of three kinds on six proxies. The replicas serve three quarters of
-// it as long as they keep up.
-func recallLoad(seed uint64) Load {
-	return Load{
-		Seed: seed,
-		Rate: 165,
-		Span: 20 * time.Second,
-		Kinds: []LoadKind{
-			{
-				Name: "filing", Share: 0.15, Writes: 0.2, Transactions: 0.25, Work: 8 * time.Millisecond, Priority: 1,
-				Target: 200 * time.Millisecond, Deadline: 3 * time.Second, Timeout: time.Second, Retries: 2,
-			},
-			{
-				Name: "lookup", Share: 0.15, Transactions: 0.1, Work: 40 * time.Millisecond, Priority: 2,
-				Target: 600 * time.Millisecond, Deadline: 10 * time.Second, Timeout: 2 * time.Second, Retries: 2,
-				Staleness: 1500 * time.Millisecond,
-			},
-			{
-				Name: "sync", Share: 0.7, Writes: 0.12, Transactions: 0.12, Work: 24 * time.Millisecond, Priority: 2,
-				Target: 400 * time.Millisecond, Deadline: 3 * time.Second, Timeout: time.Second, Retries: 2,
-				Staleness: 2500 * time.Millisecond, SeesOwnWrites: true,
-			},
-		},
-		ProxiesByZone: []int{2, 3, 1},
-		Slots:         3,
-		QueueLimit:    24,
-		MaxConns:      21,
-		Handshake:     12 * time.Millisecond,
-		ApplyDelay:    60 * time.Millisecond,
-		LagUntil:      20 * time.Second,
-	}
-}
-
-// overloadedPrimary is recallLoad with replicas that lag beyond every staleness, so that the
-// primary alone has to serve 1.6 times what it can.
-func overloadedPrimary(seed uint64) Load {
-	load := recallLoad(seed)
-	load.ApplyDelay = 7 * time.Second
-	return load
-}
-
-// withPolicy returns the load with another policy of the admission.
-func (load Load) withPolicy(change func(policy *limit.Policy)) Load {
-	policy := limit.DefaultPolicy()
-	change(&policy)
-	load.Factories = kern.Factories(kern.ProfileHosted, map[string]kern.Factory{
-		"limit": func(context *kern.Context) kern.Plugin { return limit.NewWithPolicy(context, policy) },
-	})
-	return load
-}
-
 const loadSeeds = 4
 
 // totalInTarget returns how many operations of a kind, or of all kinds for an empty name, are
@@ -81,7 +28,7 @@
 
 func TestExperimentRepeats(t *testing.T) {
 	is := is.New(t)
-	first, second := Experiment(overloadedPrimary(3)), Experiment(overloadedPrimary(3))
+	first, second := Experiment(OverloadedPrimary(3)), Experiment(OverloadedPrimary(3))
 	for index, kind := range first.Kinds {
 		is.True(reflect.DeepEqual(kind, second.Kinds[index]))
 		is.Equal(kind.Asked, kind.InTarget+kind.Late+kind.Unserved)
@@ -93,7 +40,7 @@
 	for seed := range uint64(loadSeeds) {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
 			is := is.New(t)
-			for _, kind := range Experiment(recallLoad(seed + 1)).Kinds {
+			for _, kind := range Experiment(RecallLoad(seed + 1)).Kinds {
 				is.True(100*kind.InTarget >= 98*kind.Asked)
 			}
 		})
@@ -106,12 +53,12 @@
 func TestRankServesMore(t *testing.T) {
 	is := is.New(t)
 	inTurn := func(seed uint64) Load {
-		return overloadedPrimary(seed).withPolicy(func(policy *limit.Policy) { policy.TurnInterval = 1 })
+		return OverloadedPrimary(seed).WithPolicy(func(policy *limit.Policy) { policy.TurnInterval = 1 })
 	}
-	is.True(totalInTarget("", overloadedPrimary) > totalInTarget("", inTurn))
-	is.True(totalInTarget("filing", overloadedPrimary) > 2*totalInTarget("filing", inTurn))
+	is.True(totalInTarget("", OverloadedPrimary) > totalInTarget("", inTurn))
+	is.True(totalInTarget("filing", OverloadedPrimary) > 2*totalInTarget("filing", inTurn))
 	for seed := range uint64(loadSeeds) {
-		for _, kind := range Experiment(overloadedPrimary(seed + 1)).Kinds {
+		for _, kind := range Experiment(OverloadedPrimary(seed + 1)).Kinds {
 			is.True(4*(kind.InTarget+kind.Late) >= kind.Asked)
 		}
 	}
@@ -122,11 +69,11 @@
 func TestExpectedAnswerServesMore(t *testing.T) {
 	is := is.New(t)
 	firstStatementOnly := func(seed uint64) Load {
-		return overloadedPrimary(seed).withPolicy(func(policy *limit.Policy) {
+		return OverloadedPrimary(seed).WithPolicy(func(policy *limit.Policy) {
 			policy.TargetShare, policy.MaxRunShare = 1, 0
 		})
 	}
-	is.True(totalInTarget("", overloadedPrimary) > totalInTarget("", firstStatementOnly))
+	is.True(totalInTarget("", OverloadedPrimary) > totalInTarget("", firstStatementOnly))
 }
 
 // Under an overload that lasts, requests wait in the proxies, where those with a high
@@ -134,10 +81,10 @@
 func TestCongestionKeepsPriority(t *testing.T) {
 	is := is.New(t)
 	neverCongested := func(seed uint64) Load {
-		return overloadedPrimary(seed).withPolicy(func(policy *limit.Policy) { policy.CongestionRatio = 100 })
+		return OverloadedPrimary(seed).WithPolicy(func(policy *limit.Policy) { policy.CongestionRatio = 100 })
 	}
-	is.True(totalInTarget("", overloadedPrimary) > totalInTarget("", neverCongested))
-	is.True(10*totalInTarget("filing", overloadedPrimary) > 11*totalInTarget("filing", neverCongested))
+	is.True(totalInTarget("", OverloadedPrimary) > totalInTarget("", neverCongested))
+	is.True(10*totalInTarget("filing", OverloadedPrimary) > 11*totalInTarget("filing", neverCongested))
 }
 
 // All proxies lose power at the same moment under load, and the instances hold their old
@@ -147,10 +94,7 @@
 	is := is.New(t)
 	asked, inTarget := 0, 0
 	for seed := range uint64(loadSeeds) {
-		load := recallLoad(seed + 1)
-		load.RestartAt, load.RestartSpan, load.LingerSpan = 5*time.Second, time.Second, 3*time.Second
-		load.CountFrom, load.CountUntil = 7*time.Second, 9*time.Second
-		for _, kind := range Experiment(load).Kinds {
+		for _, kind := range Experiment(returnOfPower(seed + 1)).Kinds {
 			asked += kind.Asked
 			inTarget += kind.InTarget
 			t.Logf("%s: %d of %d in target, %d late, %v", kind.Name, kind.InTarget, kind.Asked, kind.Late, kind.Refusals)
--- a/internal/proof/city/simulation.go
+++ b/internal/proof/city/simulation.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"almondway.dev/almondway/internal/core/codes"
 	"almondway.dev/almondway/internal/core/event"
 	"almondway.dev/almondway/internal/core/kern"
 	"almondway.dev/almondway/internal/core/model"
@@ -27,6 +28,7 @@
 	maxStaleness   = 500 * time.Millisecond
 	requestTimeout = time.Second
 	proxyCount     = 3
+	instanceCount  = 3
 )
 
 // scheduledCall is a function that runs at a point of the simulated time.
@@ -88,7 +90,8 @@
 	// factories are the plug-ins of each kernel; nil selects those of the hosted profile.
 	factories []kern.Factory
 	oracle    *oracle
-	logLines  []string // the decisions that the proxies logged, except those about single requests
+	logLines  []string       // the decisions that the proxies logged, except those about single requests
+	refusals  map[string]int // refused requests by the reason that the proxies logged
 }
 
 // newSimulation returns a simulation of the given number of proxies.
@@ -103,7 +106,7 @@
 
 // newEmptySimulation returns a simulation without proxies.
 func newEmptySimulation(seed uint64, catalog event.CatalogListed) *simulation {
-	simulation := &simulation{random: rand.New(rand.NewPCG(seed, seed)), rows: make(map[string]storedRow), term: 1, catalog: catalog}
+	simulation := &simulation{random: rand.New(rand.NewPCG(seed, seed)), rows: make(map[string]storedRow), refusals: make(map[string]int), term: 1, catalog: catalog}
 	simulation.oracle = &oracle{simulation: simulation, reported: make(map[int]string), acked: make(map[int]int)}
 	for _, name := range []model.InstanceID{"i-a", "i-b", "i-c"} {
 		simulation.instances = append(simulation.instances, &instance{simulation: simulation, id: name, dataCenter: "trnje-hall", up: true, unreachableFrom: make(map[*proxy]bool)})
@@ -380,6 +383,7 @@
 	case event.PromoteInstance:
 		proxy.callPromotion(action)
 	case event.LogDecision:
+		proxy.countRefusal(action.Decision())
 		if decision := action.Decision(); !decision.IsRouting() && decision.Name != "conn_spoiled" {
 			proxy.simulation.logLines = append(proxy.simulation.logLines, fmt.Sprintf("%v %s %s %s %s", proxy.simulation.now, proxy.name, decision.Name, decision.Instance, decision.Reason))
 		}
@@ -392,6 +396,12 @@
 	}
 }
 
+func (proxy *proxy) countRefusal(decision model.Decision) {
+	if decision.IsRouting() && decision.Outcome == model.OutcomeNotRun && decision.Code != codes.OK {
+		proxy.simulation.refusals[decision.Reason]++
+	}
+}
+
 // callPromotion sends a promotion order to the platform.
 func (proxy *proxy) callPromotion(action event.PromoteInstance) {
 	simulation := proxy.simulation
--- a/internal/stand/cmds/cmds.go
+++ b/internal/stand/cmds/cmds.go
@@ -24,7 +24,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newTopology(), newPlatform(), newInstance(), newControl(), newDemo(), newSlopes(), newMeasure(), newBench())
+	root.AddCommand(newTopology(), newPlatform(), newInstance(), newControl(), newDemo(), newSlopes(), newMeasure(), newBench(), newExperiment())
 	root.SetArgs(args)
 	if err := root.ExecuteContext(ctx); err != nil {
 		_, _ = fmt.Fprintf(os.Stderr, "standin: %s\n", err)
--- /dev/null
+++ b/internal/stand/cmds/experiment.go
@@ -0,0 +1,146 @@
+package cmds
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+
+	"almondway.dev/almondway/internal/plug/limit"
+	"almondway.dev/almondway/internal/proof/city"
+)
+
+const (
+	defaultExperimentSeeds = 6
+	allMechanisms          = "all"
+)
+
+// experimentOptions are the flags of the experiment command.
+type experimentOptions struct {
+	load      string
+	without   []string
+	seeds     int
+	firstSeed uint64
+}
+
+func newExperiment() *cobra.Command {
+	var options experimentOptions
+	command := &cobra.Command{
+		Use:   "experiment",
+		Short: "Play loads on simulated proxies and instances, and print what callers get",
+		Long: "Play loads on simulated proxies and instances, and print what callers get.\n\n" +
+			"The decisions are those of the product, the time is simulated, and a seed always gives\n" +
+			"the same result. Loads:\n\n" + describeLoads() + "\nMechanisms: " + strings.Join(mechanismNames(), ", ") + ".",
+		Args: cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error { return runExperiment(command.OutOrStdout(), options) },
+	}
+	flags := command.Flags()
+	flags.StringVar(&options.load, "load", "", "load to play; all if empty")
+	flags.StringSliceVar(&options.without, "without", nil, `mechanisms to leave out, one by one; "all" selects each of them`)
+	flags.IntVar(&options.seeds, "seeds", defaultExperimentSeeds, "number of seeds")
+	flags.Uint64Var(&options.firstSeed, "first-seed", 1, "first seed")
+	return command
+}
+
+func describeLoads() string {
+	var lines strings.Builder
+	for _, load := range city.Loads() {
+		_, _ = fmt.Fprintf(&lines, "  %-20s %s\n", load.Name, load.About)
+	}
+	return lines.String()
+}
+
+func mechanismNames() []string {
+	var names []string
+	for _, mechanism := range city.Mechanisms() {
+		names = append(names, mechanism.Name)
+	}
+	return names
+}
+
+// variant is the product's policy or that policy without a mechanism.
+type variant struct {
+	name   string
+	change func(policy *limit.Policy)
+}
+
+func (options experimentOptions) variants() ([]variant, error) {
+	variants := []variant{{"all mechanisms", func(*limit.Policy) {}}}
+	for _, name := range options.without {
+		found := false
+		for _, mechanism := range city.Mechanisms() {
+			if name == mechanism.Name || name == allMechanisms {
+				variants = append(variants, variant{"without " + mechanism.Name, mechanism.LeaveOut})
+				found = true
+			}
+		}
+		if !found {
+			return nil, errors.Errorf("mechanism %q does not exist; the mechanisms are %s", name, strings.Join(mechanismNames(), ", "))
+		}
+	}
+	return variants, nil
+}
+
+func runExperiment(output io.Writer, options experimentOptions) error {
+	if options.seeds < 1 {
+		return errors.Errorf("number of seeds %d is not positive", options.seeds)
+	}
+	variants, err := options.variants()
+	if err != nil {
+		return err
+	}
+	played := false
+	for _, load := range city.Loads() {
+		if options.load != "" && options.load != load.Name {
+			continue
+		}
+		played = true
+		for _, variant := range variants {
+			if err := printExperiment(output, load, variant, options); err != nil {
+				return err
+			}
+		}
+	}
+	if !played {
+		return errors.Errorf("load %q does not exist", options.load)
+	}
+	return nil
+}
+
+// printExperiment plays a load with each seed and prints the sum of the results.
+func printExperiment(output io.Writer, load city.NamedLoad, variant variant, options experimentOptions) error {
+	var total city.Result
+	for index := range uint64(options.seeds) {
+		total.Add(city.Experiment(load.Load(options.firstSeed + index).WithPolicy(variant.change)))
+	}
+	seeds := float64(options.seeds)
+	_, _ = fmt.Fprintf(output, "%s, %s: %.3f in target (of %.3f that the slots could serve), slots of the primary in use %.2f\n",
+		load.Name, variant.name, total.InTarget(), total.Bound/seeds, total.SlotUse[0]/seeds)
+	table := tabwriter.NewWriter(output, 0, 0, 2, ' ', tabwriter.AlignRight)
+	_, _ = fmt.Fprintln(table, "kind\tpriority\tasked\tin target\tlate\tunserved\tp50 ms\tp99 ms\t")
+	for _, kind := range total.Kinds {
+		asked := float64(max(1, kind.Asked))
+		_, _ = fmt.Fprintf(table, "%s\t%d\t%d\t%.3f\t%.3f\t%.3f\t%.0f\t%.0f\t\n", kind.Name, kind.Priority, kind.Asked,
+			float64(kind.InTarget)/asked, float64(kind.Late)/asked, float64(kind.Unserved)/asked,
+			quantile(kind.Latency, 50), quantile(kind.Latency, 99))
+	}
+	if err := table.Flush(); err != nil {
+		return errors.Wrap(err, "print results of the experiment")
+	}
+	for _, reason := range slices.Sorted(maps.Keys(total.Reasons)) {
+		_, _ = fmt.Fprintf(output, "  refused %d: %s\n", total.Reasons[reason], reason)
+	}
+	return nil
+}
+
+// quantile returns a quantile of latencies in milliseconds.
+func quantile(latency *hdrhistogram.Histogram, percent float64) float64 {
+	const microsecondsPerMillisecond = 1000
+	return float64(latency.ValueAtQuantile(percent)) / microsecondsPerMillisecond
+}
