--- a/internal/plug/elect/monitor.go
+++ b/internal/plug/elect/monitor.go
@@ -292,6 +292,8 @@
 	down := observation.refusals >= minFailures || observation.failures >= minFailures && monitor.now()-observation.firstFailureAt >= maxPrimarySilence
 	if down && !majority {
 		monitor.elect.fleet.SetComplaint(primary.ID(), true)
+	}
+	if !majority && monitor.elect.fleet.HasComplaint(primary.ID()) {
 		monitor.elect.fleet.Refresh()
 	}
 	switch {
--- a/internal/proof/city/city_test.go
+++ b/internal/proof/city/city_test.go
@@ -213,6 +213,34 @@
 	}
 }
 
+// The promoter is lost, and some seconds later the primary goes silent. The next promoter
+// takes the word of most proxies, its own included, and does not wait until its own probes
+// have shown the loss once more.
+func TestSilentPrimaryAfterPromoterLost(t *testing.T) {
+	for index := range 4 {
+		t.Run(strconv.Itoa(index), func(t *testing.T) {
+			is := is.New(t)
+			simulation := newBusySimulation(t, uint64(index), 14*time.Second)
+			simulation.run(time.Second + time.Duration(index)*250*time.Millisecond)
+			simulation.proxies[0].kill() // it took the lease first
+			simulation.proxies[0].down = true
+			simulation.run(2800 * time.Millisecond)
+			former := simulation.primary
+			for _, proxy := range simulation.proxies {
+				former.unreachableFrom[proxy] = true
+			}
+			silentAt := simulation.now
+			for simulation.primary == former && simulation.now < silentAt+10*time.Second {
+				simulation.run(50 * time.Millisecond)
+			}
+			// 2 s until most proxies complain, 0.4 s until the complaints are read, 0.3 s for the
+			// step-down that is not answered and 0.3 s of the promotion.
+			is.True(simulation.now-silentAt <= 3*time.Second)
+			is.Equal(simulation.oracle.violations, nil)
+		})
+	}
+}
+
 // A leaving primary is replaced exactly once, by an instance that is not leaving, at any
 // offset from the promoter's last probe of it.
 func TestPrimaryLeaves(t *testing.T) {
