--- a/internal/plug/relay/answer.go
+++ b/internal/plug/relay/answer.go
@@ -61,6 +61,9 @@
 	task.conn = 0
 	step := task.step
 	task.releaseConn(failed.Conn(), step)
+	if failed.Usable() {
+		task.relay.answeredAt[task.instance] = task.relay.context.Now()
+	}
 	switch failed.Class() {
 	case model.FailureStatement:
 		task.statementFailed(failed)
--- a/internal/plug/relay/choose.go
+++ b/internal/plug/relay/choose.go
@@ -109,7 +109,10 @@
 }
 
 // clearFailure records that an instance answered.
-func (relay *Relay) clearFailure(instance model.InstanceID) { delete(relay.failedAt, instance) }
+func (relay *Relay) clearFailure(instance model.InstanceID) {
+	delete(relay.failedAt, instance)
+	relay.answeredAt[instance] = relay.context.Now()
+}
 
 // recordMissingMark records that the log of an instance lacks a mark.
 func (relay *Relay) recordMissingMark(instance model.InstanceID, mark model.Mark) {
--- a/internal/plug/relay/ping.go
+++ b/internal/plug/relay/ping.go
@@ -21,6 +21,9 @@
 	// markRefreshAge is the age of a group's newest mark above which a new one is
 	// requested: three quarters of the shortest staleness that operators set.
 	markRefreshAge = 1100 * time.Millisecond
+	// maxSilence is the time without any answer, while statements are outstanding, after
+	// which the primary is pinged.
+	maxSilence = 300 * time.Millisecond
 	// pingTimeout limits a ping, from the request for a connection to the answer.
 	pingTimeout = 500 * time.Millisecond
 	// markRefreshWindow is how long after its last read the marks of a group are refreshed.
@@ -61,19 +64,37 @@
 }
 
 // refreshMarks pings the primary of each group that has recent reads and an old mark, and
-// each suspect primary. It also ends the pings that have timed out.
+// each suspect or silent primary. It also ends the pings that have timed out.
 func (relay *Relay) refreshMarks() {
 	now := relay.context.Now()
 	for _, group := range relay.context.State().Groups() {
 		monitor := relay.monitor(group.ID())
 		monitor.expirePing(now)
 		age, known := group.MarkAge(now)
+		monitor.suspect = monitor.suspect || relay.primaryIsSilent(group, now)
 		if monitor.suspect || now-monitor.lastReadAt < markRefreshWindow && (!known || age > markRefreshAge) {
 			monitor.startPing(group)
 		}
 	}
 }
 
+// primaryIsSilent reports whether the primary has answered nothing for maxSilence although
+// a statement has been outstanding for that time.
+func (relay *Relay) primaryIsSilent(group *state.Group, now time.Duration) bool {
+	primary := group.Primary()
+	if primary == nil || now-relay.answeredAt[primary.ID()] < maxSilence {
+		return false
+	}
+	for _, item := range relay.runningByGroup.InGroup(group.ID()) {
+		running := item.(*task)
+		executing := running.state == taskExecuting || running.state == taskConfirmingPrimary
+		if executing && running.instance == primary.ID() && now-running.sentAt >= maxSilence {
+			return true
+		}
+	}
+	return false
+}
+
 // startPing pings the likely primary unless a ping is still running.
 func (monitor *monitor) startPing(group *state.Group) {
 	if monitor.pinging {
--- a/internal/plug/relay/relay.go
+++ b/internal/plug/relay/relay.go
@@ -27,6 +27,7 @@
 	runningByGroup *route.RunningRequests
 	monitors       map[model.GroupID]*monitor
 	failedAt       map[model.InstanceID]time.Duration // when an instance last failed to answer
+	answeredAt     map[model.InstanceID]time.Duration // when an instance last answered
 	missingMarks   map[model.InstanceID]missingMark
 }
 
@@ -48,6 +49,7 @@
 		runningByGroup: route.NewRunningRequests(),
 		monitors:       make(map[model.GroupID]*monitor),
 		failedAt:       make(map[model.InstanceID]time.Duration),
+		answeredAt:     make(map[model.InstanceID]time.Duration),
 		missingMarks:   make(map[model.InstanceID]missingMark),
 	}
 	relay.sessions.RegisterRunner(model.AccessEither, relay)
--- a/internal/proof/city/city_test.go
+++ b/internal/proof/city/city_test.go
@@ -213,6 +213,30 @@
 	}
 }
 
+// The primary goes silent under traffic. It is pinged once it has answered nothing for 0.3 s,
+// not only when the mark or a statement gets too old.
+func TestSilentPrimary(t *testing.T) {
+	for index := range 4 {
+		t.Run(strconv.Itoa(index), func(t *testing.T) {
+			is := is.New(t)
+			simulation := newBusySimulation(t, uint64(index), 14*time.Second)
+			simulation.run(time.Second + time.Duration(index)*250*time.Millisecond)
+			former := simulation.primary
+			for _, proxy := range simulation.proxies {
+				former.unreachableFrom[proxy] = true
+			}
+			silentAt := simulation.now
+			for simulation.primary == former && simulation.now < silentAt+10*time.Second {
+				simulation.run(50 * time.Millisecond)
+			}
+			// 0.4 s until the first ping, 1 s of two pings, 0.3 s until the complaints are read and
+			// 0.3 s of the promotion.
+			is.True(simulation.now-silentAt <= 2*time.Second)
+			is.Equal(simulation.oracle.violations, nil)
+		})
+	}
+}
+
 // The promoter is lost, and some seconds later the primary goes silent. The next promoter
 // takes the word of most proxies, its own included, and does not wait until its own probes
 // have shown the loss once more.
