--- a/internal/plug/relay/ping.go
+++ b/internal/plug/relay/ping.go
@@ -72,12 +72,23 @@
 		monitor.expirePing(now)
 		age, known := group.MarkAge(now)
 		monitor.suspect = monitor.suspect || relay.primaryIsSilent(group, now)
-		if monitor.suspect || now-monitor.lastReadAt < markRefreshWindow && (!known || age > markRefreshAge) {
+		refresh := now-monitor.lastReadAt < markRefreshWindow && !relay.connsAreScarce(group)
+		if monitor.suspect || refresh && (!known || age > markRefreshAge) {
 			monitor.startPing(group)
 		}
 	}
 }
 
+// connsAreScarce reports whether there are more proxies than connections to the primary. Each
+// ping then opens a connection, so marks are requested only when a read needs one.
+func (relay *Relay) connsAreScarce(group *state.Group) bool {
+	primary := group.Primary()
+	if primary == nil || primary.Instance().MaxConns() == 0 {
+		return false
+	}
+	return relay.context.State().ProxyCount() > primary.Instance().MaxConns()
+}
+
 // primaryIsSilent reports whether the primary has answered nothing for maxSilence although
 // a statement has been outstanding for that time.
 func (relay *Relay) primaryIsSilent(group *state.Group, now time.Duration) bool {
--- a/internal/proof/city/capacity.go
+++ b/internal/proof/city/capacity.go
@@ -17,6 +17,7 @@
 	handshake  time.Duration // how long opening a connection holds a slot
 	running    int
 	conns      int
+	opened     int // connections since the start
 	waiting    []func()
 	// busy is the sum of the times for which slots were held.
 	busy time.Duration
--- a/internal/proof/city/experiment.go
+++ b/internal/proof/city/experiment.go
@@ -1,6 +1,7 @@
 package city
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"strconv"
 	"time"
@@ -15,8 +16,8 @@
 const (
 	// membershipTime is the time after the start in which the proxies learn of each other.
 	membershipTime = 3 * time.Second
-	// drainTime is the time after the last arrival in which operations may end.
-	drainTime = 12 * time.Second
+	// defaultDrainTime is the time after the last arrival in which operations may end.
+	defaultDrainTime = 12 * time.Second
 	// maxLatency is the upper bound of the latency histograms.
 	maxLatency = time.Minute
 )
@@ -30,8 +31,11 @@
 	BurstRate             float64
 	BurstFrom, BurstUntil time.Duration
 	// Span is the time during which operations arrive.
-	Span  time.Duration
-	Kinds []LoadKind
+	Span time.Duration
+	// DrainTime is the time after the last arrival in which operations may end, 12 s if it
+	// is 0.
+	DrainTime time.Duration
+	Kinds     []LoadKind
 	// ProxiesByZone is the number of proxies of each data centre. Every data centre gets the
 	// same share of the operations.
 	ProxiesByZone []int
@@ -73,6 +77,8 @@
 // Result is the result of an experiment.
 type Result struct {
 	Kinds []*KindResult
+	// Opened is the number of connections that the instances opened.
+	Opened int
 	// Reasons is the number of attempts that the proxies refused, by the reason that they
 	// logged.
 	Reasons map[string]int
@@ -100,6 +106,7 @@
 		result.SlotUse[index] += use
 	}
 	result.Bound += other.Bound
+	result.Opened += other.Opened
 }
 
 func (kindResult *KindResult) add(other *KindResult) {
@@ -173,8 +180,11 @@
 	for _, instance := range simulation.instances {
 		result.SlotUse = append(result.SlotUse, instance.capacity.busy.Seconds()/spec.Span.Seconds()/float64(instance.capacity.listedSlots()))
 	}
-	simulation.run(drainTime)
+	simulation.run(cmp.Or(spec.DrainTime, defaultDrainTime))
 	result.Reasons = simulation.refusals
+	for _, instance := range simulation.instances {
+		result.Opened += instance.capacity.opened
+	}
 	return result
 }
 
--- a/internal/proof/city/instance.go
+++ b/internal/proof/city/instance.go
@@ -155,6 +155,7 @@
 		proxy.post(2*networkDelay, event.NewConnFailed(action.Conn(), model.ConnFailureFull))
 	default:
 		capacity.conns++
+		capacity.opened++
 		proxy.conns[action.Conn()] = &conn{proxy: proxy, id: action.Conn(), instance: instance}
 		if capacity.handshake == 0 {
 			proxy.post(defaultConnectTime, event.NewConnOpened(action.Conn()))
--- a/internal/proof/city/load_test.go
+++ b/internal/proof/city/load_test.go
@@ -4,6 +4,7 @@
 	"reflect"
 	"strconv"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -102,3 +103,13 @@
 	}
 	is.True(10*inTarget >= 9*asked)
 }
+
+// Where more proxies than connections share a group, the proxies ask for marks only when a
+// read needs one: a second of traffic costs no connections in the seconds after it.
+func TestNoPingsWithoutReads(t *testing.T) {
+	is := is.New(t)
+	short, shorter := manyProxies(1), manyProxies(1)
+	short.Span, shorter.Span = time.Second, time.Second
+	short.DrainTime, shorter.DrainTime = 12*time.Second, 2*time.Second
+	is.Equal(Experiment(short).Opened, Experiment(shorter).Opened)
+}
--- a/internal/proof/city/loads.go
+++ b/internal/proof/city/loads.go
@@ -22,6 +22,7 @@
 		{"busy_primary", "both replicas lag, the primary gets what it can do", busyPrimary},
 		{"overloaded_group", "the replicas keep up, the group gets 1.3 times what it can do", overloadedGroup},
 		{"burst", "2.4 times the rate for 3 s", burst},
+		{"many_proxies", "64 proxies share 46 connections of an instance", manyProxies},
 		{"return_of_power", "all proxies lose power for 1 s, their old connections linger for 3 s", returnOfPower},
 	}
 }
@@ -85,6 +86,13 @@
 	return load
 }
 
+func manyProxies(seed uint64) Load {
+	load := RecallLoad(seed)
+	load.ProxiesByZone = []int{22, 21, 21}
+	load.Slots, load.MaxConns = 5, 46
+	return load
+}
+
 func returnOfPower(seed uint64) Load {
 	load := RecallLoad(seed)
 	load.RestartAt, load.RestartSpan, load.LingerSpan = 5*time.Second, time.Second, 3*time.Second
--- a/internal/stand/cmds/experiment.go
+++ b/internal/stand/cmds/experiment.go
@@ -120,8 +120,8 @@
 		total.Add(city.Experiment(load.Load(options.firstSeed + index).WithPolicy(variant.change)))
 	}
 	seeds := float64(options.seeds)
-	_, _ = fmt.Fprintf(output, "%s, %s: %.3f in target (of %.3f that the slots could serve), slots of the primary in use %.2f\n",
-		load.Name, variant.name, total.InTarget(), total.Bound/seeds, total.SlotUse[0]/seeds)
+	_, _ = fmt.Fprintf(output, "%s, %s: %.3f in target (of %.3f that the slots could serve), slots of the primary in use %.2f, %.1f connections opened a second\n",
+		load.Name, variant.name, total.InTarget(), total.Bound/seeds, total.SlotUse[0]/seeds, float64(total.Opened)/seeds/load.Load(options.firstSeed).Span.Seconds())
 	table := tabwriter.NewWriter(output, 0, 0, 2, ' ', tabwriter.AlignRight)
 	_, _ = fmt.Fprintln(table, "kind\tpriority\tasked\tin target\tlate\tunserved\tp50 ms\tp99 ms\t")
 	for _, kind := range total.Kinds {
