--- a/internal/plug/fleet/fleet.go
+++ b/internal/plug/fleet/fleet.go
@@ -181,11 +181,15 @@
 		fleet.finishUpdate()
 		return
 	}
-	fleet.recordRows(rows)
 	if fleet.leaving {
+		// These may be the rows of this proxy alone, so they do not tell who is live.
+		if own, ok := table.Find(rows, fleet.ownKey()); ok {
+			fleet.version = own.Version()
+		}
 		fleet.removeOwnRow()
 		return
 	}
+	fleet.recordRows(rows)
 	fleet.beat++
 	value, err := json.Marshal(row{
 		Beat:              fleet.beat,
--- a/internal/proof/city/city_test.go
+++ b/internal/proof/city/city_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"almondway.dev/almondway/internal/core/event"
 	"almondway.dev/almondway/internal/core/model"
 )
 
@@ -396,6 +397,21 @@
 	}
 }
 
+// A proxy that drains still counts the others as live, so that it does not take their share
+// of the connections while it finishes.
+func TestDrainingProxyKeepsItsShare(t *testing.T) {
+	is := is.New(t)
+	simulation := newBusySimulation(t, 5, 20*time.Second)
+	simulation.run(3 * time.Second)
+	draining := simulation.proxies[0]
+	is.Equal(len(draining.kernel.State().Proxies()), proxyCount)
+	draining.post(networkDelay, event.NewShutdownRequested())
+	simulation.run(100 * time.Millisecond)
+	is.Equal(len(draining.kernel.State().Proxies()), proxyCount)
+	_, exists := simulation.rows["almondway/proxy/"+draining.name]
+	is.True(!exists) // the others divide its share
+}
+
 // Requests that find no free slot are refused at once and do not wait.
 func TestNoFreeSlotIsRefused(t *testing.T) {
 	is := is.New(t)
