--- a/internal/plug/limit/limit_test.go
+++ b/internal/plug/limit/limit_test.go
@@ -258,3 +258,46 @@
 	limits.context.Timers().Advance(refillInterval)
 	is.True(limits.TakeRetry("katalog-1"))
 }
+
+// Whatever an instance lists, at least one statement may run on it.
+func TestBoundsOfListing(t *testing.T) {
+	tests := []struct {
+		name    string
+		slots   int
+		conns   int
+		proxies int
+		lower   int
+		upper   int
+	}{
+		{"no slots and no connections listed", 0, 0, 1, 1, 35},
+		{"no slots listed", 0, 10, 1, 1, 35},
+		{"no connections listed", 3, 0, 1, 3, 3},
+		{"a proxy alone", 3, 21, 1, 3, 9},
+		{"more proxies than connections", 3, 21, 64, 1, 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			limits := newLimits(35)
+			state := limits.context.State()
+			listed := model.NewInstance(instance, "127.0.0.1:1", "").WithCapacity(test.slots, test.conns)
+			state.SetGroups([]model.Group{model.NewGroup("katalog-1", []model.Instance{listed})})
+			state.SetProxies(make([]model.ProxyView, test.proxies))
+			is.Equal(limits.lowerBound(instance), test.lower)
+			is.Equal(limits.upperBound(instance), test.upper)
+		})
+	}
+}
+
+// A kind without a target latency is denied only by its deadline.
+func TestNoTarget(t *testing.T) {
+	is := is.New(t)
+	limits := newLimits(1)
+	for range 40 {
+		limits.Acquire(flowSpec{}.newWaiter())
+	}
+	limits.context.Timers().Advance(DefaultPolicy().BurstTolerance)
+	added := flowSpec{target: 0}.newWaiter()
+	limits.Acquire(added)
+	is.Equal(added.code, codes.OK)
+}
