--- a/internal/plug/conns/conns.go
+++ b/internal/plug/conns/conns.go
@@ -66,7 +66,7 @@
 func (pools *Pools) Acquire(request route.SlotRequest, user route.ConnUser) route.WaitID {
 	pool := pools.pool(request.Instance)
 	if pool == nil {
-		user.ConnDenied(unreachable)
+		user.ConnDenied(unreachable())
 		return 0
 	}
 	if request.Job != nil && request.Job.Tx() != nil && pool.txConns >= pool.maxTxConns() {
--- a/internal/plug/conns/pool.go
+++ b/internal/plug/conns/pool.go
@@ -40,9 +40,6 @@
 	maxBackoff           = time.Second
 )
 
-// unreachable is the denial because no connection to the instance can be opened.
-var unreachable = route.Denial{Code: codes.NoReplica, Reason: "instance cannot be reached"}
-
 type connState int
 
 const (
@@ -286,6 +283,11 @@
 	}
 }
 
+// unreachable returns the denial because no connection to the instance can be opened.
+func unreachable() route.Denial {
+	return route.Denial{Code: codes.NoReplica, Reason: "instance cannot be reached"}
+}
+
 // denyWaiting denies all requests that wait for a connection, because the instance is
 // unreachable.
 func (pool *pool) denyWaiting() {
@@ -294,6 +296,6 @@
 	for _, waiter := range waiting {
 		waiter.end()
 		pool.pools.admission.Release(waiter.request, 0, true)
-		waiter.user.ConnDenied(unreachable)
+		waiter.user.ConnDenied(unreachable())
 	}
 }
