--- /dev/null
+++ b/internal/proof/city/proxy.go
@@ -0,0 +1,264 @@
+package city
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"almondway.dev/almondway/internal/core/codes"
+	"almondway.dev/almondway/internal/core/event"
+	"almondway.dev/almondway/internal/core/kern"
+	"almondway.dev/almondway/internal/core/model"
+	"almondway.dev/almondway/internal/core/tune"
+)
+
+// proxy runs the kernel of one proxy and simulates its adapters.
+type proxy struct {
+	simulation       *simulation
+	name             string
+	dataCenter       model.DataCenter
+	kernel           *kern.Kernel
+	started          time.Duration
+	frozen           bool          // the process is suspended
+	down             bool          // the process does not run
+	storeUnreachable bool          // the store is unavailable to this proxy only
+	queuedEvents     []event.Event // received while frozen
+	conns            map[model.ConnID]*conn
+	pendingReplies   map[model.RequestSeq]func(reply *model.Reply)
+	lastSeq          model.RequestSeq
+	nextTick         time.Duration // the time of the scheduled tick, or 0
+}
+
+// reset replaces the process by a new one without state.
+func (proxy *proxy) reset() {
+	self := model.NewProxyView(model.ProxyID(proxy.name), "", proxy.dataCenter, 0, false, 0)
+	settings, started, seed := tune.New(tune.Default()), time.Unix(0, 0), proxy.simulation.random.Uint64()
+	if proxy.simulation.factories == nil {
+		proxy.kernel = kern.NewWithProfile(kern.ProfileHosted, self, settings, started, seed)
+	} else {
+		proxy.kernel = kern.NewWithFactories(self, settings, started, seed, proxy.simulation.factories...)
+	}
+	proxy.started = proxy.simulation.now
+	proxy.conns = make(map[model.ConnID]*conn)
+	proxy.pendingReplies = make(map[model.RequestSeq]func(reply *model.Reply))
+	proxy.queuedEvents = nil
+	proxy.nextTick = 0
+}
+
+func (proxy *proxy) start() {
+	proxy.post(networkDelay, proxy.simulation.catalog)
+	proxy.tick()
+	proxy.simulation.runAfter(networkDelay, proxy.simulation.publishListings)
+}
+
+// kill ends the process. Its connections are lost and their transactions rolled back.
+func (proxy *proxy) kill() {
+	for _, conn := range proxy.conns {
+		conn.closed = true
+		conn.end()
+	}
+	proxy.reset()
+}
+
+// losePower ends the process like kill, but the instances notice the loss of its
+// connections only after a time.
+func (proxy *proxy) losePower(noticed time.Duration) {
+	for _, conn := range proxy.conns {
+		conn.closed = true
+		proxy.simulation.runAfter(noticed, conn.end)
+	}
+	proxy.reset()
+}
+
+// newCatalog returns one deployment per kind of session, all for the same group.
+func newCatalog() event.CatalogListed {
+	kinds := []model.KindSpec{
+		{Name: "primary"},
+		{Name: "bounded", Staleness: maxStaleness},
+		{Name: "own", Staleness: maxStaleness, SeesOwnWrites: true},
+	}
+	var deployments []*model.Deployment
+	for _, spec := range kinds {
+		spec.Access, spec.Group, spec.Timeout = model.AccessEither, groupID, requestTimeout
+		deployments = append(deployments, model.NewDeployment(model.DeploymentSpec{
+			Name:        spec.Name,
+			Groups:      []model.GroupID{groupID},
+			Kinds:       []model.Kind{model.NewKind(spec)},
+			Classes:     []model.CallerClass{model.NewCallerClass(model.CallerClassSpec{})},
+			DefaultKind: spec.Name,
+		}))
+	}
+	listed := model.NewGroup(groupID, nil).WithReplication(model.NewPrimaryAcknowledged(1)).WithMaxConns(34)
+	return event.NewCatalogListed(1, deployments, []model.Group{listed})
+}
+
+// post delivers an event to the kernel after a delay, unless the process was killed before.
+func (proxy *proxy) post(delay time.Duration, received event.Event) {
+	kernel := proxy.kernel
+	proxy.simulation.runAfter(delay, func() {
+		if proxy.kernel != kernel || proxy.down {
+			return
+		}
+		if proxy.frozen {
+			proxy.queuedEvents = append(proxy.queuedEvents, received)
+			return
+		}
+		proxy.runActions(kernel.Handle(proxy.simulation.now-proxy.started, received))
+	})
+}
+
+// freeze suspends the process. Events received meanwhile are delivered when it resumes.
+func (proxy *proxy) freeze(span time.Duration) {
+	proxy.frozen = true
+	proxy.simulation.runAfter(span, func() {
+		proxy.frozen = false
+		queued := proxy.queuedEvents
+		proxy.queuedEvents = nil
+		for _, received := range queued {
+			proxy.runActions(proxy.kernel.Handle(proxy.simulation.now-proxy.started, received))
+		}
+		proxy.tick()
+	})
+}
+
+// tick runs the kernel's due timers.
+func (proxy *proxy) tick() {
+	if proxy.frozen {
+		return
+	}
+	proxy.runActions(proxy.kernel.Tick(proxy.simulation.now - proxy.started))
+}
+
+// scheduleTick schedules a tick for the kernel's next timer unless an earlier one is scheduled.
+func (proxy *proxy) scheduleTick() {
+	next, ok := proxy.kernel.Next()
+	if !ok {
+		return
+	}
+	at := max(proxy.simulation.now, next+proxy.started)
+	if proxy.nextTick > proxy.simulation.now && proxy.nextTick <= at {
+		return
+	}
+	proxy.nextTick = at
+	kernel := proxy.kernel
+	proxy.simulation.runAfter(at-proxy.simulation.now, func() {
+		if proxy.kernel == kernel && proxy.nextTick == at {
+			proxy.nextTick = 0
+			proxy.tick()
+		}
+	})
+}
+
+func (proxy *proxy) runActions(actions []event.Action) {
+	for _, action := range actions {
+		proxy.runAction(action)
+	}
+	proxy.scheduleTick()
+}
+
+func (proxy *proxy) runAction(action event.Action) {
+	switch action := action.(type) {
+	case event.OpenConn:
+		proxy.openConn(action)
+	case event.CloseConn:
+		if conn, ok := proxy.conns[action.Conn()]; ok {
+			conn.closed = true
+			proxy.simulation.runAfter(networkDelay, conn.end)
+			delete(proxy.conns, action.Conn())
+		}
+	case event.ResetConn:
+		if conn, ok := proxy.conns[action.Conn()]; ok {
+			proxy.simulation.runAfter(networkDelay, conn.rollBack)
+			proxy.post(2*networkDelay, event.NewResetDone(action.Conn(), true))
+		}
+	case event.Execute:
+		if conn, ok := proxy.conns[action.Conn()]; ok {
+			conn.execute(action)
+		}
+	case event.Probe:
+		proxy.probe(action)
+	case event.SendOrder:
+		proxy.sendOrder(action)
+	case event.ReadStore:
+		proxy.readStore(action)
+	case event.WriteStore:
+		proxy.writeStore(action)
+	case event.PromoteInstance:
+		proxy.callPromotion(action)
+	case event.LogDecision:
+		proxy.countRefusal(action.Decision())
+		if decision := action.Decision(); !decision.IsRouting() && decision.Name != "conn_spoiled" {
+			proxy.simulation.logLines = append(proxy.simulation.logLines, fmt.Sprintf("%v %s %s %s %s", proxy.simulation.now, proxy.name, decision.Name, decision.Instance, decision.Reason))
+		}
+	case event.AnswerCaller:
+		reply := action.Reply()
+		if done, ok := proxy.pendingReplies[reply.Seq()]; ok {
+			delete(proxy.pendingReplies, reply.Seq())
+			done(reply)
+		}
+	}
+}
+
+func (proxy *proxy) countRefusal(decision model.Decision) {
+	if decision.IsRouting() && decision.Outcome == model.OutcomeNotRun && decision.Code != codes.OK {
+		proxy.simulation.refusals[decision.Reason]++
+	}
+}
+
+// callPromotion sends a promotion order to the platform.
+func (proxy *proxy) callPromotion(action event.PromoteInstance) {
+	simulation := proxy.simulation
+	if simulation.random.Float64() < simulation.latePromotionShare {
+		delay := 2*time.Second + time.Duration(simulation.random.Int64N(int64(8*time.Second)))
+		simulation.runAfter(delay, func() { simulation.handlePromotion(action) })
+		proxy.post(action.Timeout(), event.NewPromotionAnswered(action.CallID(), model.PromotionUnanswered))
+		return
+	}
+	simulation.runAfter(networkDelay, func() {
+		proxy.post(networkDelay, event.NewPromotionAnswered(action.CallID(), simulation.handlePromotion(action)))
+	})
+}
+
+func (proxy *proxy) readStore(action event.ReadStore) {
+	if proxy.simulation.storeDown || proxy.storeUnreachable {
+		proxy.post(100*time.Millisecond, event.NewStoreFailed(action.CallID()))
+		return
+	}
+	proxy.simulation.runAfter(storeLatency/2, func() {
+		var rows []model.Row
+		for _, key := range slices.Sorted(maps.Keys(proxy.simulation.rows)) {
+			if row := proxy.simulation.rows[key]; strings.HasPrefix(key, action.Table()+"/"+action.Prefix()) {
+				rows = append(rows, model.NewRow(strings.TrimPrefix(key, action.Table()+"/"), row.version, row.value))
+			}
+		}
+		proxy.post(storeLatency/2, event.NewStoreRead(action.CallID(), rows))
+	})
+}
+
+func (proxy *proxy) writeStore(action event.WriteStore) {
+	simulation := proxy.simulation
+	if simulation.storeDown || proxy.storeUnreachable {
+		proxy.post(100*time.Millisecond, event.NewStoreFailed(action.CallID()))
+		return
+	}
+	simulation.runAfter(storeLatency/2, func() {
+		for _, write := range action.Writes() {
+			if simulation.rows[write.Table()+"/"+write.Key()].version != write.ExpectedVersion() {
+				proxy.post(storeLatency/2, event.NewStoreConflict(action.CallID()))
+				return
+			}
+		}
+		simulation.storeVersion++
+		for _, write := range action.Writes() {
+			key := write.Table() + "/" + write.Key()
+			if write.Value() == nil {
+				delete(simulation.rows, key)
+				continue
+			}
+			simulation.rows[key] = storedRow{value: write.Value(), version: simulation.storeVersion}
+		}
+		proxy.post(storeLatency/2, event.NewStoreWritten(action.CallID()))
+	})
+}
