--- a/internal/app/hosted/hosted.go
+++ b/internal/app/hosted/hosted.go
@@ -191,15 +191,16 @@
 	proxy.logEvent("shutdown asked")
 	proxy.shuttingDown.Store(true)
 	proxy.adapters.Callers.CloseWhenIdle()
-	end := time.After(proxy.spec.ShutdownGrace - killMargin)
-	proxy.wait(balancerNoticeTime, end)
+	ctx, cancel := context.WithTimeout(context.Background(), proxy.spec.ShutdownGrace-killMargin)
+	defer cancel()
+	proxy.wait(ctx, balancerNoticeTime)
 	proxy.adapters.Callers.Stop()
 	proxy.loop.Post(event.NewShutdownRequested())
 	select {
 	case <-proxy.stopped:
-	case <-end:
+	case <-ctx.Done():
 	}
-	proxy.awaitCallersGone(end)
+	proxy.awaitCallersGone(ctx)
 }
 
 // reloadUntilSignal reloads the settings on SIGHUP and every reloadInterval, since they
@@ -221,23 +222,23 @@
 	}
 }
 
-// wait returns after the duration, or earlier when end fires.
-func (proxy *Proxy) wait(duration time.Duration, end <-chan time.Time) {
+// wait returns after the duration, or earlier when ctx is done.
+func (proxy *Proxy) wait(ctx context.Context, duration time.Duration) {
 	select {
 	case <-time.After(duration):
-	case <-end:
+	case <-ctx.Done():
 	}
 }
 
 // awaitCallersGone waits until all callers have received their last answers and
-// disconnected, or until end fires.
-func (proxy *Proxy) awaitCallersGone(end <-chan time.Time) {
+// disconnected, or until ctx is done.
+func (proxy *Proxy) awaitCallersGone(ctx context.Context) {
 	tick := time.NewTicker(callerPollInterval)
 	defer tick.Stop()
 	for proxy.adapters.Callers.Count() > 0 {
 		select {
 		case <-tick.C:
-		case <-end:
+		case <-ctx.Done():
 			return
 		}
 	}
