--- a/internal/plug/conns/upkeep.go
+++ b/internal/plug/conns/upkeep.go
@@ -76,9 +76,9 @@
 	idle := context.Settings().ConnIdle()
 	if pool.instance.MaxConns() > 0 {
 		idle = min(idle, surplusIdleTimeout)
-	}
-	if pool.instance.MaxConns() > 0 && pool.total > pool.share() {
-		idle = min(idle, excessIdleTimeout)
+		if pool.total > pool.share() {
+			idle = min(idle, excessIdleTimeout)
+		}
 	}
 	oldest := context.Now() - idle
 	for len(pool.idle) > 0 && (pool.total > pool.maxOpen() || pool.total > pool.minOpen() && pool.idle[0].since < oldest) {
--- a/internal/plug/limit/lanes.go
+++ b/internal/plug/limit/lanes.go
@@ -51,12 +51,12 @@
 }
 
 // push adds a waiter. ranked describes its lane.
-func (lanes *lanes) push(ranked lane, path []pathStep, waiter route.SlotWaiter) {
+func (lanes *lanes) push(ranked lane, path []string, waiter route.SlotWaiter) {
 	found := lanes.find(ranked.key)
 	if found == nil {
 		found = &ranked
 		found.credit = found.weight
-		found.flows = newQueue(pathStep{})
+		found.flows = newQueue("")
 		lanes.list = append(lanes.list, found)
 	}
 	found.priority, found.weight, found.work = ranked.priority, ranked.weight, ranked.work
@@ -96,7 +96,7 @@
 }
 
 // remove removes a waiter. It reports false if the waiter is not in the queue.
-func (lanes *lanes) remove(key laneKey, path []pathStep, waiter route.SlotWaiter) bool {
+func (lanes *lanes) remove(key laneKey, path []string, waiter route.SlotWaiter) bool {
 	found := lanes.find(key)
 	if found == nil || !found.flows.remove(path, waiter) {
 		return false
--- a/internal/plug/limit/lanes_test.go
+++ b/internal/plug/limit/lanes_test.go
@@ -27,7 +27,7 @@
 	lanes := &lanes{turnInterval: turnInterval}
 	for _, spec := range specs {
 		for range spec.waiters {
-			lanes.push(spec.lane(), []pathStep{{spec.name, 1}}, flowSpec{deployment: spec.name}.newWaiter())
+			lanes.push(spec.lane(), []string{spec.name}, flowSpec{deployment: spec.name}.newWaiter())
 		}
 	}
 	return lanes
@@ -92,7 +92,7 @@
 			lanes := newLanes(DefaultPolicy().TurnInterval, test.lanes)
 			place := lanes.place(test.added.lane())
 			added := flowSpec{deployment: "last"}.newWaiter()
-			lanes.push(test.added.lane(), []pathStep{{test.added.name, 1}}, added)
+			lanes.push(test.added.lane(), []string{test.added.name}, added)
 			popped := 1
 			for lanes.pop() != added {
 				popped++
@@ -106,7 +106,7 @@
 func TestRemoveFromLane(t *testing.T) {
 	is := is.New(t)
 	lanes := newLanes(8, []rankedSpec{{name: "a", waiters: 1}})
-	path, key := []pathStep{{"b", 1}}, laneKey{deployment: "b"}
+	path, key := []string{"b"}, laneKey{deployment: "b"}
 	waiter := flowSpec{deployment: "b"}.newWaiter()
 	is.True(!lanes.remove(key, path, waiter))
 	lanes.push(lane{key: key, weight: 1}, path, waiter)
--- a/internal/plug/limit/limit.go
+++ b/internal/plug/limit/limit.go
@@ -1,5 +1,5 @@
 // Package limit implements admission control. It limits the concurrent requests per
-// instance and per caller class, queues waiting requests in weighted round-robin order,
+// instance and per caller class, queues waiting requests by priority and expected work,
 // and denies a request a slot immediately if the slot would be granted too late.
 package limit
 
@@ -206,13 +206,13 @@
 
 // flowPath returns the path of a request in the tree of flows of its lane: its caller
 // class and its key, or the caller if it has no key.
-func flowPath(request route.SlotRequest) []pathStep {
+func flowPath(request route.SlotRequest) []string {
 	if request.Job == nil {
-		return []pathStep{{"", 1}, {"", 1}}
+		return []string{"", ""}
 	}
 	flow := request.Job.Request().Key()
 	if flow == "" {
 		flow = "#" + strconv.FormatUint(uint64(request.Job.Request().Caller()), 10)
 	}
-	return []pathStep{{request.Job.Class().Name(), 1}, {flow, 1}}
+	return []string{request.Job.Class().Name(), flow}
 }
--- a/internal/plug/limit/queue.go
+++ b/internal/plug/limit/queue.go
@@ -6,29 +6,19 @@
 	"almondway.dev/almondway/internal/core/route"
 )
 
-// queue orders waiters by weighted round-robin over a tree of flows. In each round, a
-// child is served as many times in a row as its weight. A leaf serves its waiters in the
-// order of their arrival.
+// queue orders waiters by round-robin over a tree of flows. A leaf serves its waiters in
+// the order of their arrival.
 type queue struct {
 	name     string
-	weight   int
-	credit   int
 	size     int
 	children []*queue
 	waiters  []route.SlotWaiter
 }
 
-// pathStep is one step of the path to the leaf of a waiter.
-type pathStep struct {
-	name   string
-	weight int
-}
-
-func newQueue(step pathStep) *queue {
-	return &queue{name: step.name, weight: step.weight, credit: step.weight}
-}
+func newQueue(name string) *queue { return &queue{name: name} }
 
-func (queue *queue) push(path []pathStep, waiter route.SlotWaiter) {
+// push adds a waiter. path holds the names of the children from the root to its leaf.
+func (queue *queue) push(path []string, waiter route.SlotWaiter) {
 	queue.size++
 	if len(path) == 0 {
 		queue.waiters = append(queue.waiters, waiter)
@@ -38,13 +28,13 @@
 }
 
 // child returns the child of the given name. A new child is added at the end of the round.
-func (queue *queue) child(step pathStep) *queue {
+func (queue *queue) child(name string) *queue {
 	for _, child := range queue.children {
-		if child.name == step.name {
+		if child.name == name {
 			return child
 		}
 	}
-	added := newQueue(step)
+	added := newQueue(name)
 	queue.children = append(queue.children, added)
 	return added
 }
@@ -58,20 +48,16 @@
 		return first
 	}
 	child := queue.children[0]
+	queue.children = slices.Delete(queue.children, 0, 1)
 	first := child.pop()
-	child.credit--
-	switch {
-	case child.size == 0:
-		queue.children = slices.Delete(queue.children, 0, 1)
-	case child.credit == 0:
-		child.credit = child.weight
-		queue.children = append(slices.Delete(queue.children, 0, 1), child)
+	if child.size > 0 {
+		queue.children = append(queue.children, child)
 	}
 	return first
 }
 
 // remove removes a waiter. It reports false if the waiter is not in the queue.
-func (queue *queue) remove(path []pathStep, waiter route.SlotWaiter) bool {
+func (queue *queue) remove(path []string, waiter route.SlotWaiter) bool {
 	if len(path) == 0 {
 		index := slices.Index(queue.waiters, waiter)
 		if index < 0 {
@@ -82,7 +68,7 @@
 		return true
 	}
 	for index, child := range queue.children {
-		if child.name != path[0].name || !child.remove(path[1:], waiter) {
+		if child.name != path[0] || !child.remove(path[1:], waiter) {
 			continue
 		}
 		queue.size--
--- a/internal/proof/city/experiment.go
+++ b/internal/proof/city/experiment.go
@@ -130,21 +130,13 @@
 	return float64(inTarget) / float64(max(1, asked))
 }
 
-// Kind returns the result of the kind with the given name, or nil.
-func (result Result) Kind(name string) *KindResult {
-	for _, kind := range result.Kinds {
-		if kind.Name == name {
-			return kind
-		}
-	}
-	return nil
-}
-
 // Experiment plays a load and returns what the callers got. The result depends on the load
 // and its seed only.
 func Experiment(spec Load) Result {
 	simulation := newEmptySimulation(spec.Seed, spec.catalog())
-	simulation.factories = spec.Factories
+	if spec.Factories != nil {
+		simulation.factories = spec.Factories
+	}
 	for zone, count := range spec.ProxiesByZone {
 		for range count {
 			simulation.addProxy("proxy-"+strconv.Itoa(len(simulation.proxies)), zoneName(zone))
