--- a/internal/proof/city/city_test.go
+++ b/internal/proof/city/city_test.go
@@ -145,6 +145,19 @@
 	return simulation
 }
 
+// checkRecovery checks that no guarantee was violated and that the group serves requests
+// after all faults have ended.
+func checkRecovery(is *is.I, simulation *simulation) {
+	is.Helper()
+	is.Equal(simulation.oracle.violations, nil)
+	served, requested := simulation.oracle.served, simulation.oracle.requested
+	startTraffic(simulation, 2*time.Second)
+	simulation.run(4 * time.Second)
+	// At least 95 % of the requests succeed.
+	is.True(100*(simulation.oracle.served-served) >= 95*(simulation.oracle.requested-requested))
+	is.Equal(simulation.oracle.violations, nil)
+}
+
 // Each pair of faults, including a fault repeated: the second one is injected 400 ms after
 // the first one. No guarantee is violated, and the group serves requests again afterwards.
 func TestFaults(t *testing.T) {
@@ -158,13 +171,7 @@
 				simulation.run(400 * time.Millisecond)
 				faults[second].inject(simulation)
 				simulation.run(14 * time.Second)
-				is.Equal(simulation.oracle.violations, nil)
-				served, requested := simulation.oracle.served, simulation.oracle.requested
-				startTraffic(simulation, 2*time.Second)
-				simulation.run(4 * time.Second)
-				// After recovery at least 95 % of the requests succeed.
-				is.True(100*(simulation.oracle.served-served) >= 95*(simulation.oracle.requested-requested))
-				is.Equal(simulation.oracle.violations, nil)
+				checkRecovery(is, simulation)
 			})
 		}
 	}
@@ -214,12 +221,7 @@
 				chosen.inject(simulation)
 			}
 			simulation.run(20 * time.Second)
-			is.Equal(simulation.oracle.violations, nil)
-			served, requested := simulation.oracle.served, simulation.oracle.requested
-			startTraffic(simulation, 2*time.Second)
-			simulation.run(4 * time.Second)
-			is.True(100*(simulation.oracle.served-served) >= 95*(simulation.oracle.requested-requested))
-			is.Equal(simulation.oracle.violations, nil)
+			checkRecovery(is, simulation)
 		})
 	}
 }
--- a/internal/proof/city/experiment.go
+++ b/internal/proof/city/experiment.go
@@ -11,6 +11,7 @@
 	"almondway.dev/almondway/internal/core/event"
 	"almondway.dev/almondway/internal/core/kern"
 	"almondway.dev/almondway/internal/core/model"
+	"almondway.dev/almondway/internal/plug/limit"
 )
 
 const (
@@ -56,8 +57,8 @@
 	// The results count the operations that arrive from CountFrom to CountUntil after the
 	// first arrival; a CountUntil of 0 counts all.
 	CountFrom, CountUntil time.Duration
-	// Factories are the plug-ins of each proxy; nil selects those of the hosted profile.
-	Factories []kern.Factory
+	// Policy holds the parameters of the admission of each proxy.
+	Policy limit.Policy
 }
 
 // KindResult is what the callers of one kind got.
@@ -133,10 +134,7 @@
 // Experiment plays a load and returns what the callers got. The result depends on the load
 // and its seed only.
 func Experiment(spec Load) Result {
-	simulation := newEmptySimulation(spec.Seed, spec.catalog())
-	if spec.Factories != nil {
-		simulation.factories = spec.Factories
-	}
+	simulation := newEmptySimulation(spec.Seed, spec.catalog(), spec.factories())
 	for zone, count := range spec.ProxiesByZone {
 		for range count {
 			simulation.addProxy("proxy-"+strconv.Itoa(len(simulation.proxies)), zoneName(zone))
@@ -206,23 +204,20 @@
 func (spec Load) catalog() event.CatalogListed {
 	var deployments []*model.Deployment
 	for _, kind := range spec.Kinds {
-		deployments = append(deployments, model.NewDeployment(model.DeploymentSpec{
-			Name:     kind.Name,
-			Groups:   []model.GroupID{groupID},
-			Priority: kind.Priority,
-			Kinds: []model.Kind{model.NewKind(model.KindSpec{
-				Name:          kind.Name,
-				Access:        model.AccessEither,
-				Group:         groupID,
-				Timeout:       kind.Timeout,
-				TargetLatency: kind.Target,
-				Staleness:     kind.Staleness,
-				SeesOwnWrites: kind.SeesOwnWrites,
-			})},
-			Classes:     []model.CallerClass{model.NewCallerClass(model.CallerClassSpec{})},
-			DefaultKind: kind.Name,
+		deployments = append(deployments, newDeployment(kind.Priority, model.KindSpec{
+			Name:          kind.Name,
+			Timeout:       kind.Timeout,
+			TargetLatency: kind.Target,
+			Staleness:     kind.Staleness,
+			SeesOwnWrites: kind.SeesOwnWrites,
 		}))
 	}
-	listed := model.NewGroup(groupID, nil).WithReplication(model.NewPrimaryAcknowledged(1)).WithMaxConns(spec.MaxConns)
-	return event.NewCatalogListed(1, deployments, []model.Group{listed})
+	return newCatalog(deployments, spec.MaxConns)
+}
+
+// factories returns the plug-ins of each proxy.
+func (spec Load) factories() []kern.Factory {
+	return kern.Factories(kern.ProfileHosted, map[string]kern.Factory{
+		"limit": func(context *kern.Context) kern.Plugin { return limit.NewWithPolicy(context, spec.Policy) },
+	})
 }
--- a/internal/proof/city/loads.go
+++ b/internal/proof/city/loads.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"almondway.dev/almondway/internal/core/kern"
 	"almondway.dev/almondway/internal/plug/limit"
 )
 
@@ -57,6 +56,7 @@
 		Handshake:     12 * time.Millisecond,
 		ApplyDelay:    60 * time.Millisecond,
 		LagUntil:      20 * time.Second,
+		Policy:        limit.DefaultPolicy(),
 	}
 }
 
@@ -121,12 +121,8 @@
 	}
 }
 
-// WithPolicy returns the load with another policy of the admission.
+// WithPolicy returns the load with a changed policy of the admission.
 func (load Load) WithPolicy(change func(policy *limit.Policy)) Load {
-	policy := limit.DefaultPolicy()
-	change(&policy)
-	load.Factories = kern.Factories(kern.ProfileHosted, map[string]kern.Factory{
-		"limit": func(context *kern.Context) kern.Plugin { return limit.NewWithPolicy(context, policy) },
-	})
+	change(&load.Policy)
 	return load
 }
--- a/internal/proof/city/promote_test.go
+++ b/internal/proof/city/promote_test.go
@@ -10,6 +10,29 @@
 	"almondway.dev/almondway/internal/core/model"
 )
 
+// runUntilReplaced runs until another instance is the primary, for 10 s at most, and
+// returns the time that this took.
+func (simulation *simulation) runUntilReplaced(former *instance) time.Duration {
+	began := simulation.now
+	for simulation.primary == former && simulation.now < began+10*time.Second {
+		simulation.run(50 * time.Millisecond)
+	}
+	return simulation.now - began
+}
+
+// losePromoter ends the proxy that took the lease first for good.
+func (simulation *simulation) losePromoter() {
+	simulation.proxies[0].kill()
+	simulation.proxies[0].down = true
+}
+
+// goSilent makes the instance unreachable from all proxies.
+func (instance *instance) goSilent() {
+	for _, proxy := range instance.simulation.proxies {
+		instance.unreachableFrom[proxy] = true
+	}
+}
+
 // The primary is lost while the promoter, which is the proxy that orders promotions, and one
 // more proxy cannot reach the store. Only one proxy can publish that the primary is unusable.
 // The primary is replaced once its entry has disappeared, a few seconds later.
@@ -38,16 +61,12 @@
 			simulation.run(time.Second + time.Duration(index)*250*time.Millisecond)
 			former := simulation.primary
 			former.up = false
-			simulation.proxies[0].kill() // it took the lease first
-			simulation.proxies[0].down = true
+			simulation.losePromoter()
 			simulation.publishListings()
-			lostAt := simulation.now
-			for simulation.primary == former && simulation.now < lostAt+10*time.Second {
-				simulation.run(50 * time.Millisecond)
-			}
+			replacedAfter := simulation.runUntilReplaced(former)
 			// 3 s of lease, 0.4 s until it is read again, 0.2 s of probes, 0.3 s of the promotion and
 			// 0.1 s of calls.
-			is.True(simulation.now-lostAt <= 4*time.Second)
+			is.True(replacedAfter <= 4*time.Second)
 			is.Equal(simulation.oracle.violations, nil)
 		})
 	}
@@ -62,16 +81,11 @@
 			simulation := newBusySimulation(t, uint64(index), 14*time.Second)
 			simulation.run(time.Second + time.Duration(index)*250*time.Millisecond)
 			former := simulation.primary
-			for _, proxy := range simulation.proxies {
-				former.unreachableFrom[proxy] = true
-			}
-			silentAt := simulation.now
-			for simulation.primary == former && simulation.now < silentAt+10*time.Second {
-				simulation.run(50 * time.Millisecond)
-			}
+			former.goSilent()
+			replacedAfter := simulation.runUntilReplaced(former)
 			// 0.4 s until the first ping, 1 s of two pings, 0.3 s until the complaints are read and
 			// 0.3 s of the promotion.
-			is.True(simulation.now-silentAt <= 2*time.Second)
+			is.True(replacedAfter <= 2*time.Second)
 			is.Equal(simulation.oracle.violations, nil)
 		})
 	}
@@ -86,20 +100,14 @@
 			is := is.New(t)
 			simulation := newBusySimulation(t, uint64(index), 14*time.Second)
 			simulation.run(time.Second + time.Duration(index)*250*time.Millisecond)
-			simulation.proxies[0].kill() // it took the lease first
-			simulation.proxies[0].down = true
+			simulation.losePromoter()
 			simulation.run(2800 * time.Millisecond)
 			former := simulation.primary
-			for _, proxy := range simulation.proxies {
-				former.unreachableFrom[proxy] = true
-			}
-			silentAt := simulation.now
-			for simulation.primary == former && simulation.now < silentAt+10*time.Second {
-				simulation.run(50 * time.Millisecond)
-			}
+			former.goSilent()
+			replacedAfter := simulation.runUntilReplaced(former)
 			// 2 s until most proxies complain, 0.4 s until the complaints are read, 0.3 s for the
 			// step-down that is not answered and 0.3 s of the promotion.
-			is.True(simulation.now-silentAt <= 3*time.Second)
+			is.True(replacedAfter <= 3*time.Second)
 			is.Equal(simulation.oracle.violations, nil)
 		})
 	}
--- a/internal/proof/city/proxy.go
+++ b/internal/proof/city/proxy.go
@@ -35,11 +35,7 @@
 func (proxy *proxy) reset() {
 	self := model.NewProxyView(model.ProxyID(proxy.name), "", proxy.dataCenter, 0, false, 0)
 	settings, started, seed := tune.New(tune.Default()), time.Unix(0, 0), proxy.simulation.random.Uint64()
-	if proxy.simulation.factories == nil {
-		proxy.kernel = kern.NewWithProfile(kern.ProfileHosted, self, settings, started, seed)
-	} else {
-		proxy.kernel = kern.NewWithFactories(self, settings, started, seed, proxy.simulation.factories...)
-	}
+	proxy.kernel = kern.NewWithFactories(self, settings, started, seed, proxy.simulation.factories...)
 	proxy.started = proxy.simulation.now
 	proxy.conns = make(map[model.ConnID]*conn)
 	proxy.pendingReplies = make(map[model.RequestSeq]func(reply *model.Reply))
@@ -72,8 +68,8 @@
 	proxy.reset()
 }
 
-// newCatalog returns one deployment per kind of session, all for the same group.
-func newCatalog() event.CatalogListed {
+// newSessionCatalog returns one deployment per kind of session.
+func newSessionCatalog() event.CatalogListed {
 	kinds := []model.KindSpec{
 		{Name: "primary"},
 		{Name: "bounded", Staleness: maxStaleness},
@@ -81,16 +77,29 @@
 	}
 	var deployments []*model.Deployment
 	for _, spec := range kinds {
-		spec.Access, spec.Group, spec.Timeout = model.AccessEither, groupID, requestTimeout
-		deployments = append(deployments, model.NewDeployment(model.DeploymentSpec{
-			Name:        spec.Name,
-			Groups:      []model.GroupID{groupID},
-			Kinds:       []model.Kind{model.NewKind(spec)},
-			Classes:     []model.CallerClass{model.NewCallerClass(model.CallerClassSpec{})},
-			DefaultKind: spec.Name,
-		}))
+		spec.Timeout = requestTimeout
+		deployments = append(deployments, newDeployment(0, spec))
 	}
-	listed := model.NewGroup(groupID, nil).WithReplication(model.NewPrimaryAcknowledged(1)).WithMaxConns(34)
+	return newCatalog(deployments, 34)
+}
+
+// newDeployment returns a deployment of one kind, for the group of the simulation.
+func newDeployment(priority int, spec model.KindSpec) *model.Deployment {
+	spec.Access, spec.Group = model.AccessEither, groupID
+	return model.NewDeployment(model.DeploymentSpec{
+		Name:        spec.Name,
+		Groups:      []model.GroupID{groupID},
+		Priority:    priority,
+		Kinds:       []model.Kind{model.NewKind(spec)},
+		Classes:     []model.CallerClass{model.NewCallerClass(model.CallerClassSpec{})},
+		DefaultKind: spec.Name,
+	})
+}
+
+// newCatalog returns a configuration of the given deployments and the group of the
+// simulation.
+func newCatalog(deployments []*model.Deployment, maxConns int) event.CatalogListed {
+	listed := model.NewGroup(groupID, nil).WithReplication(model.NewPrimaryAcknowledged(1)).WithMaxConns(maxConns)
 	return event.NewCatalogListed(1, deployments, []model.Group{listed})
 }
 
--- a/internal/proof/city/simulation.go
+++ b/internal/proof/city/simulation.go
@@ -82,7 +82,7 @@
 	staleOrdersAnswered bool
 	// catalog is the operator's configuration.
 	catalog event.CatalogListed
-	// factories are the plug-ins of each kernel; nil selects those of the hosted profile.
+	// factories are the plug-ins of each kernel.
 	factories []kern.Factory
 	oracle    *oracle
 	logLines  []string       // the decisions that the proxies logged, except those about single requests
@@ -91,7 +91,7 @@
 
 // newSimulation returns a simulation of the given number of proxies.
 func newSimulation(seed uint64) *simulation {
-	simulation := newEmptySimulation(seed, newCatalog())
+	simulation := newEmptySimulation(seed, newSessionCatalog(), kern.Factories(kern.ProfileHosted, nil))
 	for index := range proxyCount {
 		simulation.addProxy(fmt.Sprintf("proxy-%d", index), "trnje-hall")
 	}
@@ -100,8 +100,15 @@
 }
 
 // newEmptySimulation returns a simulation without proxies.
-func newEmptySimulation(seed uint64, catalog event.CatalogListed) *simulation {
-	simulation := &simulation{random: rand.New(rand.NewPCG(seed, seed)), rows: make(map[string]storedRow), refusals: make(map[string]int), term: 1, catalog: catalog}
+func newEmptySimulation(seed uint64, catalog event.CatalogListed, factories []kern.Factory) *simulation {
+	simulation := &simulation{
+		random:    rand.New(rand.NewPCG(seed, seed)),
+		rows:      make(map[string]storedRow),
+		refusals:  make(map[string]int),
+		term:      1,
+		catalog:   catalog,
+		factories: factories,
+	}
 	simulation.oracle = &oracle{simulation: simulation, reported: make(map[int]string), acked: make(map[int]int)}
 	for _, name := range []model.InstanceID{"i-a", "i-b", "i-c"} {
 		simulation.instances = append(simulation.instances, &instance{simulation: simulation, id: name, dataCenter: "trnje-hall", up: true, unreachableFrom: make(map[*proxy]bool)})
