--- a/internal/proof/check/promote_test.go
+++ b/internal/proof/check/promote_test.go
@@ -17,8 +17,9 @@
 	maxAttempts        = 3
 	maxCrashes         = 1
 	maxOrders          = 2
+	maxRestores        = 1
 	noInstance         = -1
-	maxPromotionStates = 6_000_000
+	maxPromotionStates = 8_000_000
 )
 
 // commitEntry is a log entry: the number of a commit and the term in which it was written.
@@ -59,6 +60,9 @@
 	// pendingCandidate is the candidate of an earlier order that could still be executed when
 	// the attempt began.
 	pendingCandidate int8
+	// unaware is set if the store was restored since the attempt began. Its promoter orders
+	// as before until its lease ends.
+	unaware bool
 }
 
 // promotionState is a state of the model: the group, its promoters and the platform.
@@ -70,13 +74,20 @@
 	replicated   uint8 // bit set of the commits of the current primary that a replica has
 	acked        uint8 // bit set of the acknowledged commits
 	attempt      promotionAttempt
-	lastOrdered  int8 // the candidate of the last order, as recorded in the lease row
-	tokenCount   uint8
+	lastOrdered  int8  // the candidate of the last order, as recorded in the lease row
+	tokenCount   uint8 // the highest token that the lease row has given out
 	highestToken uint8 // the highest token of an order that the platform executed
 	orders       [maxOrders]promotionOrder
 	orderCount   uint8
 	crashCount   uint8
-	ackedLost    bool // the log of a promoted instance lacked an acknowledged commit
+	restoreCount uint8
+	attemptCount uint8
+	usedTokens   uint8 // bit set of the tokens of all orders
+	// orderForgotten is set from a restore of the store until every earlier order can no
+	// longer be executed.
+	orderForgotten bool
+	ackedLost      bool // the log of a promoted instance lacked an acknowledged commit
+	tokenReused    bool // two attempts have ordered with the same token
 }
 
 // promoter is the product's promotion rule or a variant of it.
@@ -92,6 +103,18 @@
 	losesCommits bool
 	// ignoresPendingOrder hides the pending order of an earlier promoter.
 	ignoresPendingOrder bool
+	// storeRestored lets the store come back from a copy that lacks the last order and the
+	// last token.
+	storeRestored bool
+	// stopsBeforeOrdersEnd lets an attempt stop the commits, though not order a promotion,
+	// while an earlier order that the copy lacks could still be executed.
+	stopsBeforeOrdersEnd bool
+	// trustsCopy takes the lease row of a restored store for complete.
+	trustsCopy bool
+	// tokensWithoutEra takes the tokens from the lease row alone.
+	tokensWithoutEra bool
+	// reusesTokens is set if the search must find a token that was used twice.
+	reusesTokens bool
 }
 
 func chooseByProduct(candidates []heir.Candidate) model.InstanceID {
@@ -126,21 +149,27 @@
 		{name: "promotes the most advanced known log", pausesReplicas: true, choose: chooseAnyKnown, losesCommits: true},
 		{name: "does not stop commits", choose: chooseAnyKnown, losesCommits: true},
 		{name: "trusts an instance that lost its log", pausesReplicas: true, choose: chooseIgnoringLogLoss, losesLogs: true, losesCommits: true},
+		{name: "product, restored store", pausesReplicas: true, choose: chooseByProduct, storeRestored: true},
+		{name: "stops commits before forgotten orders end", pausesReplicas: true, choose: chooseByProduct, storeRestored: true, stopsBeforeOrdersEnd: true, losesCommits: true},
+		{name: "trusts the copy of a restored store", pausesReplicas: true, choose: chooseByProduct, storeRestored: true, trustsCopy: true, losesCommits: true},
+		{name: "takes tokens from a restored store alone", pausesReplicas: true, choose: chooseByProduct, storeRestored: true, tokensWithoutEra: true, reusesTokens: true},
 	}
 	for _, promoter := range promoters {
 		t.Run(promoter.name, func(t *testing.T) {
 			is := is.New(t)
-			lost, states := searchPromotions(promoter)
+			found, states := searchPromotions(promoter)
 			t.Logf("%d states", states)
-			is.Equal(lost, promoter.losesCommits)
+			is.Equal(found.ackedLost, promoter.losesCommits)
+			is.Equal(found.tokenReused, promoter.reusesTokens)
 			is.True(states < maxPromotionStates) // the search was exhaustive or found a lost commit
 		})
 	}
 }
 
-// searchPromotions visits every reachable state, breadth first. It returns whether an
-// acknowledged commit was lost and the number of visited states.
-func searchPromotions(promoter promoter) (bool, int) {
+// searchPromotions visits every reachable state, breadth first. It returns the first state in
+// which an acknowledged commit was lost or a token reused, or a state without either, and the
+// number of visited states.
+func searchPromotions(promoter promoter) (promotionState, int) {
 	start := promotionState{term: 1, lastOrdered: noInstance}
 	seen := map[promotionState]bool{start: true}
 	queue := []promotionState{start}
@@ -148,8 +177,8 @@
 		current := queue[0]
 		queue = queue[1:]
 		for _, next := range current.successors(promoter) {
-			if next.ackedLost {
-				return true, len(seen)
+			if next.ackedLost || next.tokenReused {
+				return next, len(seen)
 			}
 			if !seen[next] {
 				seen[next] = true
@@ -157,7 +186,7 @@
 			}
 		}
 	}
-	return false, len(seen)
+	return start, len(seen)
 }
 
 func (current promotionState) successors(promoter promoter) []promotionState {
@@ -165,9 +194,28 @@
 	all = append(all, current.writeSteps()...)
 	all = append(all, current.faultSteps(promoter)...)
 	all = append(all, current.attemptSteps(promoter)...)
+	all = append(all, current.restoreSteps(promoter)...)
 	return append(all, current.deliverySteps()...)
 }
 
+// restoreSteps returns the state after the store has come back from a copy that was taken
+// before the last order was recorded and the last token was reserved. An attempt in progress
+// goes on: the promoter has not noticed yet, and its lease has not ended.
+func (current promotionState) restoreSteps(promoter promoter) []promotionState {
+	if !promoter.storeRestored || current.restoreCount == maxRestores || current.tokenCount == 0 {
+		return nil
+	}
+	next := current
+	next.restoreCount++
+	next.lastOrdered = noInstance
+	next.orderForgotten = !promoter.trustsCopy
+	next.attempt.unaware = next.attempt.active
+	if promoter.tokensWithoutEra {
+		next.tokenCount--
+	}
+	return []promotionState{next}
+}
+
 // writeSteps returns the states after a commit is written, replicated or acknowledged.
 func (current promotionState) writeSteps() []promotionState {
 	var all []promotionState
@@ -247,8 +295,9 @@
 func (current promotionState) attemptSteps(promoter promoter) []promotionState {
 	var all []promotionState
 	if !current.attempt.active {
-		if current.tokenCount < maxAttempts {
+		if current.attemptCount < maxAttempts && (!current.orderForgotten || promoter.stopsBeforeOrdersEnd) {
 			next := current
+			next.attemptCount++
 			next.tokenCount++
 			next.attempt = promotionAttempt{active: true, formerPrimary: current.primary, token: next.tokenCount, pendingCandidate: current.lastOrdered}
 			all = append(all, next)
@@ -256,7 +305,7 @@
 		return all
 	}
 	abandoned := current
-	abandoned.attempt = promotionAttempt{}
+	abandoned.endAttempt()
 	all = append(all, abandoned)
 	for index := range current.members {
 		if !current.members[index].down {
@@ -289,7 +338,7 @@
 // withOrder returns the state after the promotion order is sent. It returns false if no order can
 // be sent, for instance because the rule chooses no candidate.
 func (current promotionState) withOrder(promoter promoter) (promotionState, bool) {
-	if current.orderCount == maxOrders {
+	if current.orderCount == maxOrders || current.orderForgotten && !current.attempt.unaware {
 		return promotionState{}, false
 	}
 	var candidates []heir.Candidate
@@ -320,13 +369,23 @@
 		next := current
 		next.orders[next.orderCount] = promotionOrder{candidate: int8(index), token: current.attempt.token}
 		next.orderCount++
-		next.lastOrdered = int8(index)
-		next.attempt = promotionAttempt{}
+		next.tokenReused = next.usedTokens&commitBit(current.attempt.token) != 0
+		next.usedTokens |= commitBit(current.attempt.token)
+		if !current.attempt.unaware {
+			next.lastOrdered = int8(index)
+		}
+		next.endAttempt()
 		return next, true
 	}
 	return promotionState{}, false
 }
 
+// endAttempt ends an attempt. Once no earlier order is left either, none is forgotten.
+func (current *promotionState) endAttempt() {
+	current.attempt = promotionAttempt{}
+	current.orderForgotten = current.orderForgotten && current.orderCount > 0
+}
+
 var instanceIDs = [instanceCount]model.InstanceID{"a", "b", "c"}
 
 // deliverySteps returns the states after an order reaches the platform. Orders arrive in any
@@ -342,6 +401,7 @@
 		next.orders[next.orderCount] = promotionOrder{}
 		if next.orderCount == 0 {
 			next.lastOrdered = noInstance
+			next.orderForgotten = next.orderForgotten && next.attempt.unaware
 		}
 		if order.token >= current.highestToken && !current.members[order.candidate].down {
 			next.highestToken = order.token
@@ -405,4 +465,4 @@
 	}
 }
 
-func commitBit(commit uint8) uint8 { return 1 << commit }
+func commitBit(number uint8) uint8 { return 1 << number }
