platform: calls to the store are counted by purpose

Change: store_calls_total counts them by purpose and outcome: tables and feeds of the two lists, reads and writes of the proxies' rows and of the promoter's row.

--- a/internal/app/hosted/hosted.go
+++ b/internal/app/hosted/hosted.go
@@ -88,6 +88,8 @@
 	FollowLists func(ctx context.Context)
 	// ListStatus returns the age and the call counts of these lists.
 	ListStatus func() []port.ListStatus
+	// CallCounts returns the numbers of calls to the platform's store.
+	CallCounts func() []port.CallCount
 }
 
 // Proxy is a proxy process on a hosting platform.
@@ -293,6 +295,7 @@
 			return
 		}
 		metric.ObserveLists(proxy.registry, proxy.adapters.ListStatus())
+		metric.ObserveCalls(proxy.registry, proxy.adapters.CallCounts())
 		metric.ObserveRuntime(proxy.registry, time.Since(proxy.started))
 		if err := proxy.registry.WriteText(writer); err != nil {
 			proxy.spec.Log.Logger().WithError(err).Debug("failed to send metrics")
--- a/internal/app/metric/observe.go
+++ b/internal/app/metric/observe.go
@@ -43,10 +43,23 @@
 	for _, list := range lists {
 		label := NewLabel("list", list.Name)
 		registry.FloatGauge("list_age_seconds", label).Update(list.Age.Seconds())
-		for outcome, value := range map[string]uint64{"answered": list.Answered, "failed": list.Failed} {
-			counter := registry.Counter("list_calls_total", label, NewLabel("outcome", outcome))
-			counter.Inc(int64(value) - counter.Count())
-		}
+		observeOutcomes(registry, "list_calls_total", label, list.Answered, list.Failed)
+	}
+}
+
+// ObserveCalls updates the counters of the calls to the platform's store.
+func ObserveCalls(registry *Registry, calls []port.CallCount) {
+	for _, call := range calls {
+		label := NewLabel("purpose", call.Purpose)
+		observeOutcomes(registry, "store_calls_total", label, call.Answered, call.Failed)
+	}
+}
+
+// observeOutcomes sets the counters of answered and failed calls.
+func observeOutcomes(registry *Registry, name string, label Label, answered, failed uint64) {
+	for outcome, value := range map[string]uint64{"answered": answered, "failed": failed} {
+		counter := registry.Counter(name, label, NewLabel("outcome", outcome))
+		counter.Inc(int64(value) - counter.Count())
 	}
 }
 
--- a/internal/core/port/port.go
+++ b/internal/core/port/port.go
@@ -54,6 +54,13 @@
 	Failed   uint64 // number of calls that failed
 }
 
+// CallCount counts the calls to the platform's store for one purpose.
+type CallCount struct {
+	Purpose  string // in snake case
+	Answered uint64
+	Failed   uint64
+}
+
 // Promoter orders promotions from a platform that carries them out itself.
 type Promoter interface {
 	Promote(action event.PromoteInstance)
