elect: the reads of the lease row do not grow with the proxies

Change: the first standbys read it as often as before, the others together four times a second, twenty while a group needs a promoter.

--- a/internal/plug/elect/lease.go
+++ b/internal/plug/elect/lease.go
@@ -37,8 +37,15 @@
 	// maxFrequentStandbys is the number of standby proxies that read the lease row every
 	// standbyPollInterval. The others read it less often.
 	maxFrequentStandbys = 2
-	// otherStandbyFactor multiplies standbyPollInterval for the other proxies.
-	otherStandbyFactor = 4
+	// maxUrgentStandbys is the number of standby proxies that read the lease row every
+	// urgentPollInterval while a group needs a promoter.
+	maxUrgentStandbys = 4
+	// otherPollInterval is the time between two reads by the other proxies, of each and of all
+	// of them together, so that their number costs the store nothing.
+	otherPollInterval = 8 * time.Second
+	sharedPollSpacing = 250 * time.Millisecond
+	// urgentPollSpacing replaces sharedPollSpacing while a group needs a promoter.
+	urgentPollSpacing = 50 * time.Millisecond
 	// reservedTokens is the number of fencing tokens that a holder reserves at once, so
 	// that it can order promotions while the store is unavailable.
 	reservedTokens = 32
@@ -176,7 +183,7 @@
 func (lease *lease) tick() {
 	now := lease.context.Now()
 	if lease.rowKnown && lease.needsPromoter() {
-		lease.nextPollAt = min(lease.nextPollAt, lease.lastPollAt+urgentPollInterval)
+		lease.nextPollAt = min(lease.nextPollAt, lease.lastPollAt+lease.pollInterval())
 	}
 	if lease.callPending || now < lease.nextPollAt || lease.resigning {
 		return
@@ -195,19 +202,21 @@
 
 // pollInterval returns the time until the next read of the row.
 func (lease *lease) pollInterval() time.Duration {
-	state := lease.context.State()
-	ownRank := rank.Of(leaseKey, lease.self(), state.Proxies())
+	proxies := lease.context.State().Proxies()
+	ownRank := rank.Of(leaseKey, lease.self(), proxies)
 	switch {
 	case lease.row.Holder == lease.self():
 		return renewInterval
 	case !lease.rowKnown:
 		return time.Duration(ownRank+1) * firstPollStagger
-	case lease.needsPromoter():
+	case lease.needsPromoter() && ownRank <= maxUrgentStandbys:
 		return urgentPollInterval
-	case ownRank < maxFrequentStandbys+1:
+	case lease.needsPromoter():
+		return max(urgentPollInterval, time.Duration(len(proxies))*urgentPollSpacing)
+	case ownRank <= maxFrequentStandbys:
 		return standbyPollInterval
 	default:
-		return otherStandbyFactor * standbyPollInterval
+		return max(otherPollInterval, time.Duration(len(proxies))*sharedPollSpacing)
 	}
 }
 
--- a/internal/plug/elect/lease_test.go
+++ b/internal/plug/elect/lease_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"slices"
 	"strings"
 	"testing"
@@ -44,6 +45,8 @@
 	era     model.StoreEra
 	version uint64
 	rows    map[string]model.Row
+	reads   int      // of the lease row
+	others  int      // live proxies besides this one
 	tokens  []uint64 // of the promotion orders
 }
 
@@ -106,6 +109,11 @@
 					rows = append(rows, row)
 				}
 			}
+			if strings.HasPrefix(action.Prefix(), "promoter") {
+				fixture.reads++
+			} else {
+				rows = append(rows, fixture.otherProxies()...)
+			}
 			fixture.answer(fixture.kernel.Handle(fixture.now, event.NewStoreRead(action.CallID(), rows).WithEra(fixture.era)))
 		case event.WriteStore:
 			fixture.answer(fixture.kernel.Handle(fixture.now, fixture.write(action)))
@@ -115,6 +123,17 @@
 	}
 }
 
+// otherProxies returns the rows of the other proxies, each with a new sign of life.
+func (fixture *fixture) otherProxies() []model.Row {
+	var rows []model.Row
+	for index := range fixture.others {
+		fixture.version++
+		value := fmt.Sprintf(`{"process":1,"beat":%d,"data_center":"trnje-hall"}`, fixture.version)
+		rows = append(rows, model.NewRow(fmt.Sprintf("proxy/other-%d", index), fixture.version, []byte(value)))
+	}
+	return rows
+}
+
 func (fixture *fixture) write(action event.WriteStore) event.Event {
 	for _, write := range action.Writes() {
 		if fixture.rows[write.Key()].Version() != write.ExpectedVersion() {
@@ -206,3 +225,45 @@
 	fixture.run(2900 * time.Millisecond)
 	is.Equal(fixture.lease("promoter/5").Holder, "")
 }
+
+// All proxies together read the lease row a few times a second, however many they are, also
+// while a group needs a promoter. Among few proxies each of them reads it often enough to take
+// the lease right after it has ended.
+func TestReadsOfLeaseRow(t *testing.T) {
+	tests := []struct {
+		name        string
+		others      int
+		withoutLead bool
+		wantAtMost  int // reads in a minute by a proxy that is not among the first standbys
+		wantAtLeast int
+	}{
+		{name: "many proxies", others: 194, wantAtMost: 3, wantAtLeast: 1},
+		{name: "many proxies, a group without a primary", others: 194, withoutLead: true, wantAtMost: 8, wantAtLeast: 4},
+		{name: "few proxies", others: 7, wantAtMost: 31, wantAtLeast: 6},
+		{name: "few proxies, a group without a primary", others: 7, withoutLead: true, wantAtMost: 160, wantAtLeast: 120},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			fixture := newFixture(true)
+			fixture.others = test.others
+			fixture.put("promoter", storedLease{Holder: "other-0", Token: 32, Beat: 1})
+			beat := uint64(1)
+			run := func(span time.Duration) {
+				for range span / time.Second {
+					beat++
+					fixture.put("promoter", storedLease{Holder: "other-0", Token: 32, Beat: beat})
+					fixture.run(time.Second)
+				}
+			}
+			run(40 * time.Second)
+			if test.withoutLead {
+				fixture.kernel.State().Group(group).RefutePrimary("i-1", fixture.now)
+			}
+			fixture.reads = 0
+			run(time.Minute)
+			is.True(fixture.reads <= test.wantAtMost)
+			is.True(fixture.reads >= test.wantAtLeast)
+		})
+	}
+}
