mirror: the lists are followed in the kernel

Cause: when a list is read again, when a call is given up and how failures back off was decided in goroutines of the adapter, where no other source than the store can be chosen and nothing can be tested without a network.

Change: the plug-in mirror keeps the rows of both lists with their era and version and makes the calls; the adapter executes them and decodes rows. A call that hangs is given up at once when another answer shows a restore.

--- a/internal/app/daemon/daemon.go
+++ b/internal/app/daemon/daemon.go
@@ -25,6 +25,7 @@
 	Callers     port.Callers
 	Backend     port.Backend
 	Platform    port.Platform
+	Lists       port.Lists
 	Promoter    port.Promoter
 	Peers       port.Peers
 	Operators   port.Operators
@@ -138,6 +139,23 @@
 		ports.Backend.Probe(action)
 	case event.SendOrder:
 		ports.Backend.Order(action)
+	case event.SendPeerMessage:
+		ports.Peers.Send(action)
+	case event.AnswerOperator:
+		ports.Operators.Answer(action)
+	case event.LogDecision:
+		ports.DecisionLog.Record(action.Decision())
+	case event.StopProxy:
+		ports.Process.Stop()
+	default:
+		loop.dispatchToPlatform(action)
+	}
+}
+
+// dispatchToPlatform dispatches the actions that the platform's services execute.
+func (loop *Loop) dispatchToPlatform(action event.Action) {
+	ports := &loop.ports
+	switch action := action.(type) {
 	case event.ReadStore:
 		ports.Platform.Read(action)
 	case event.WriteStore:
@@ -146,15 +164,13 @@
 		ports.Platform.ListGroups(action)
 	case event.ListHosts:
 		ports.Platform.ListHosts(action)
+	case event.ReadList:
+		ports.Lists.Read(action)
+	case event.AwaitChanges:
+		ports.Lists.Await(action)
+	case event.ApplyList:
+		ports.Lists.Apply(action)
 	case event.PromoteInstance:
 		ports.Promoter.Promote(action)
-	case event.SendPeerMessage:
-		ports.Peers.Send(action)
-	case event.AnswerOperator:
-		ports.Operators.Answer(action)
-	case event.LogDecision:
-		ports.DecisionLog.Record(action.Decision())
-	case event.StopProxy:
-		ports.Process.Stop()
 	}
 }
--- a/internal/app/hosted/hosted.go
+++ b/internal/app/hosted/hosted.go
@@ -83,10 +83,8 @@
 	Backend  port.Backend
 	Platform port.Platform
 	Promoter port.Promoter
-	// FollowLists starts to post the platform's lists to the kernel. It returns at once;
-	// the updates end with the context.
-	FollowLists func(ctx context.Context)
-	// ListStatus returns the age and the call counts of these lists.
+	Lists    port.Lists
+	// ListStatus returns the numbers of calls for the lists.
 	ListStatus func() []port.ListStatus
 	// CallCounts returns the numbers of calls to the platform's store.
 	CallCounts func() []port.CallCount
@@ -151,6 +149,7 @@
 		Callers:     adapters.Callers,
 		Backend:     metric.NewBackend(proxy.registry, adapters.Backend),
 		Platform:    metric.NewPlatform(proxy.registry, adapters.Platform),
+		Lists:       adapters.Lists,
 		Promoter:    adapters.Promoter,
 		Peers:       proxy,
 		Operators:   noOperators{},
@@ -169,7 +168,6 @@
 		defer close(loopDone)
 		proxy.spec.Log.Guard("kernel", os.Exit, func() { proxy.loop.Run(ctx) })
 	}()
-	adapters.FollowLists(ctx)
 	proxy.logEvent("started")
 	proxy.awaitShutdown(signals)
 	adapters.Callers.Shutdown()
--- a/internal/app/logs/format.go
+++ b/internal/app/logs/format.go
@@ -61,6 +61,7 @@
 	line = appendText(line, "group", string(decision.Group))
 	line = appendText(line, "instance", string(decision.Instance))
 	line = appendText(line, "proxy", string(decision.Proxy))
+	line = appendText(line, "list", string(decision.List))
 	line = appendNumber(line, "term", uint64(decision.Term))
 	line = appendNumber(line, "revision", decision.Revision)
 	if !decision.After.IsZero() {
--- a/internal/app/metric/metric_test.go
+++ b/internal/app/metric/metric_test.go
@@ -131,13 +131,11 @@
 	is := is.New(t)
 	registry := metric.NewRegistry()
 	for range 2 { // the second call must not count anything twice
-		metric.ObserveLists(registry, []port.ListStatus{{Name: "instances", Age: 1500 * time.Millisecond, Answered: 3, Failed: 1}})
+		metric.ObserveLists(registry, []port.ListStatus{{Name: "instances", Answered: 3, Failed: 1}})
 	}
 	var output bytes.Buffer
 	is.NoErr(registry.WriteText(&output))
 	is.Equal(output.String(), strings.Join([]string{
-		"# TYPE almondway_list_age_seconds gauge",
-		`almondway_list_age_seconds{list="instances"} 1.5`,
 		"# TYPE almondway_list_calls_total counter",
 		`almondway_list_calls_total{list="instances",outcome="answered"} 3`,
 		`almondway_list_calls_total{list="instances",outcome="failed"} 1`,
--- a/internal/app/metric/observe.go
+++ b/internal/app/metric/observe.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"almondway.dev/almondway/internal/core/count"
+	"almondway.dev/almondway/internal/core/model"
 	"almondway.dev/almondway/internal/core/port"
 	"almondway.dev/almondway/internal/core/state"
 )
@@ -32,17 +33,21 @@
 			leaving += boolToInt(member.Leaving())
 		}
 	}
+	for _, list := range model.ListNames() {
+		if checkedAt, ok := shared.ListCheckedAt(list); ok {
+			registry.FloatGauge("list_age_seconds", NewLabel("list", string(list))).Update((now - checkedAt).Seconds())
+		}
+	}
 	registry.Gauge("groups_without_primary").Update(withoutPrimary)
 	registry.Gauge("instances_unreachable").Update(unreachable)
 	registry.Gauge("instances_leaving").Update(leaving)
 	observeCounts(registry, shared.Counts())
 }
 
-// ObserveLists updates the metrics of the platform's lists that the process follows.
+// ObserveLists updates the counters of the calls for the platform's lists.
 func ObserveLists(registry *Registry, lists []port.ListStatus) {
 	for _, list := range lists {
 		label := NewLabel("list", list.Name)
-		registry.FloatGauge("list_age_seconds", label).Update(list.Age.Seconds())
 		observeOutcomes(registry, "list_calls_total", label, list.Answered, list.Failed)
 	}
 }
--- a/internal/core/model/decision.go
+++ b/internal/core/model/decision.go
@@ -20,6 +20,7 @@
 	Group      GroupID
 	Instance   InstanceID
 	Proxy      ProxyID
+	List       ListName
 	Term       Term
 	Revision   uint64
 	// Outcome is the known effect of a request that did not complete.
--- a/internal/core/port/port.go
+++ b/internal/core/port/port.go
@@ -4,8 +4,6 @@
 package port
 
 import (
-	"time"
-
 	"almondway.dev/almondway/internal/core/event"
 	"almondway.dev/almondway/internal/core/model"
 )
@@ -44,14 +42,19 @@
 	ListHosts(action event.ListHosts)
 }
 
-// ListStatus is the state of an adapter's copy of one of the platform's lists.
+// Lists gives access to the lists that the platform keeps as tables of its store.
+type Lists interface {
+	Read(action event.ReadList)
+	Await(action event.AwaitChanges)
+	// Apply decodes rows and posts what they say.
+	Apply(action event.ApplyList)
+}
+
+// ListStatus counts the calls to the platform's store for one of its lists.
 type ListStatus struct {
-	Name string
-	// Age is the time since the list was last known to be up to date, or since the
-	// start of the process if it never was.
-	Age      time.Duration
-	Answered uint64 // number of calls that were answered
-	Failed   uint64 // number of calls that failed
+	Name     string
+	Answered uint64
+	Failed   uint64
 }
 
 // CallCount counts the calls to the platform's store for one purpose.
--- a/internal/core/state/state.go
+++ b/internal/core/state/state.go
@@ -5,6 +5,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"almondway.dev/almondway/internal/core/count"
 	"almondway.dev/almondway/internal/core/model"
@@ -26,6 +27,7 @@
 	draining      bool
 	promoter      uint32
 	storeEra      model.StoreEra
+	listCheckedAt map[model.ListName]time.Duration
 	counts        *count.Counts
 }
 
@@ -37,6 +39,8 @@
 		byInstance:  make(map[model.InstanceID]*Group),
 		deployments: make(map[string]*model.Deployment),
 		counts:      count.New(),
+
+		listCheckedAt: make(map[model.ListName]time.Duration),
 	}
 }
 
@@ -234,6 +238,18 @@
 	return true
 }
 
+// ListCheckedAt returns the time at which a list was last known to be up to date. It returns
+// false if it never was.
+func (state *State) ListCheckedAt(list model.ListName) (time.Duration, bool) {
+	at, ok := state.listCheckedAt[list]
+	return at, ok
+}
+
+// SetListCheckedAt records the time at which a list was known to be up to date.
+func (state *State) SetListCheckedAt(list model.ListName, at time.Duration) {
+	state.listCheckedAt[list] = at
+}
+
 func sameInstances(group *Group, listed model.Group) bool {
 	instances := listed.Instances()
 	if len(group.members) != len(instances) {
--- a/internal/core/tune/tune.go
+++ b/internal/core/tune/tune.go
@@ -25,6 +25,7 @@
 	DrainLimit        time.Duration
 	LedgerRetention   time.Duration
 	FirstStart        bool
+	ListWait          time.Duration
 	PeerSeeds         []string
 }
 
@@ -157,3 +158,7 @@
 // FirstStart reports whether the whole system starts for the first time, so that no other
 // proxy can have used the platform's store before.
 func (settings *Settings) FirstStart() bool { return settings.spec.FirstStart }
+
+// ListWait returns how long the platform's store holds a call open that waits for changes of a
+// list. It is 0 if the proxy follows no lists.
+func (settings *Settings) ListWait() time.Duration { return settings.spec.ListWait }
--- /dev/null
+++ b/internal/plug/mirror/list.go
@@ -0,0 +1,161 @@
+package mirror
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+	"time"
+
+	"almondway.dev/almondway/internal/core/event"
+	"almondway.dev/almondway/internal/core/kern"
+	"almondway.dev/almondway/internal/core/model"
+	"almondway.dev/almondway/internal/core/timer"
+)
+
+const (
+	// answerMargin is the time that an answer may take beyond the wait at the store.
+	answerMargin = 700 * time.Millisecond
+	// readTimeout is the timeout of reading a whole list, all pages together.
+	readTimeout = 2 * time.Second
+	// changeBatchDelay is the delay after an answer with changes, so that the next answer
+	// holds several changes. The platform charges for each call.
+	changeBatchDelay = 120 * time.Millisecond
+	// initialRetryDelay and maxRetryDelay bound the exponential back-off after a failed call.
+	initialRetryDelay = 100 * time.Millisecond
+	maxRetryDelay     = time.Second
+)
+
+// list is the copy of a list. Its rows are those of a version within an era of the store.
+type list struct {
+	mirror  *Mirror
+	name    model.ListName
+	known   bool // the list was read
+	stale   bool // the whole list has to be read
+	era     model.StoreEra
+	version uint64
+	rows    map[string]model.ListRow
+
+	call       model.PlatformCallID // the pending call, or 0
+	timeout    timer.ID             // of the pending call
+	next       timer.ID             // of the next call, while none is pending
+	waitBegan  time.Duration        // when the pending wait for changes began
+	wait       time.Duration        // for which the store holds it open
+	retryDelay time.Duration
+	storeLost  bool
+}
+
+func newList(mirror *Mirror, name model.ListName) *list {
+	return &list{mirror: mirror, name: name, stale: true, rows: make(map[string]model.ListRow)}
+}
+
+func (list *list) context() *kern.Context { return list.mirror.context }
+
+// callStore makes the next call unless one is pending: it reads the whole list if the copy is
+// not one that changes can be applied to, and waits for changes else.
+func (list *list) callStore() {
+	if list.call != 0 {
+		return
+	}
+	context := list.context()
+	if list.stale {
+		context.Emit(event.NewReadList(list.mirror.beginCall(list, readTimeout), list.name))
+		return
+	}
+	list.waitBegan, list.wait = context.Now(), context.Settings().ListWait()
+	call := list.mirror.beginCall(list, list.wait+answerMargin)
+	context.Emit(event.NewAwaitChanges(call, list.name, list.version, list.wait))
+}
+
+// callStoreAfter makes the next call after a delay.
+func (list *list) callStoreAfter(delay time.Duration) {
+	list.context().Timers().Cancel(list.next)
+	list.next = list.context().Timers().After(delay, list.callStore)
+}
+
+// readAgain gives up the pending call and reads the whole list.
+func (list *list) readAgain(reason string) {
+	if list.call != 0 {
+		list.mirror.finishCall(list.call)
+	}
+	list.stale = true
+	list.log("list_reread", reason)
+	list.callStoreAfter(0)
+}
+
+// handleRead replaces the copy. An answer with a version older than the known one of the same
+// era counts as failed.
+func (list *list) handleRead(read event.ListRead) {
+	if list.known && read.Era() == list.era && read.Version() < list.version {
+		list.handleFailure("version " + strconv.FormatUint(read.Version(), 10) + " is older than " + strconv.FormatUint(list.version, 10))
+		return
+	}
+	restored := list.known && read.Era() != list.era
+	list.known, list.stale = true, false
+	list.era, list.version = read.Era(), read.Version()
+	clear(list.rows)
+	for _, row := range read.Rows() {
+		list.rows[row.Key()] = row
+	}
+	list.handleSuccess()
+	list.context().Emit(event.NewApplyList(list.name, read.Rows(), true).WithRestored(restored))
+	list.callStoreAfter(0)
+}
+
+// handleChanges applies changes to the copy. The store may have been restored since the call was
+// made, and may have given out the version again.
+func (list *list) handleChanges(changed event.ListChanged) {
+	if changed.Era() != list.era {
+		list.readAgain("the store was restored")
+		return
+	}
+	list.handleSuccess()
+	news := list.merge(changed.Rows())
+	list.version = max(list.version, changed.Version())
+	delay := time.Duration(0)
+	if len(news) > 0 {
+		list.context().Emit(event.NewApplyList(list.name, news, false))
+		delay = changeBatchDelay
+	}
+	list.callStoreAfter(delay)
+}
+
+// merge adds the rows that are newer than those of the copy, and returns them in the order of
+// their versions.
+func (list *list) merge(rows []model.ListRow) []model.ListRow {
+	var news []model.ListRow
+	for _, row := range rows {
+		if known, ok := list.rows[row.Key()]; ok && known.Version() >= row.Version() {
+			continue
+		}
+		list.rows[row.Key()] = row
+		news = append(news, row)
+	}
+	slices.SortStableFunc(news, func(left, right model.ListRow) int { return cmp.Compare(left.Version(), right.Version()) })
+	return news
+}
+
+// handleFailure makes the next call after a back-off and reads the whole list then.
+func (list *list) handleFailure(reason string) {
+	context := list.context()
+	list.stale = true
+	list.retryDelay = min(max(list.retryDelay*2, initialRetryDelay), maxRetryDelay)
+	if !list.storeLost {
+		list.storeLost = true
+		list.log("store lost", reason)
+	}
+	jitter := time.Duration(context.Random().Int64N(int64(list.retryDelay)))
+	list.callStoreAfter(list.retryDelay/2 + jitter)
+}
+
+func (list *list) handleSuccess() {
+	list.retryDelay = 0
+	list.context().State().SetListCheckedAt(list.name, list.context().Now())
+	if list.storeLost {
+		list.storeLost = false
+		list.log("store regained", "")
+	}
+}
+
+func (list *list) log(name, reason string) {
+	list.context().Emit(event.NewLogDecision(model.Decision{Name: name, List: list.name, Reason: reason}))
+}
