--- a/internal/app/daemon/daemon.go
+++ b/internal/app/daemon/daemon.go
@@ -26,6 +26,7 @@
 	Backend     port.Backend
 	Platform    port.Platform
 	Lists       port.Lists
+	Mesh        port.Mesh
 	Promoter    port.Promoter
 	Peers       port.Peers
 	Operators   port.Operators
@@ -147,6 +148,12 @@
 		ports.DecisionLog.Record(action.Decision())
 	case event.StopProxy:
 		ports.Process.Stop()
+	case event.SendPoll:
+		ports.Mesh.Poll(action)
+	case event.AnswerPoll:
+		ports.Mesh.AnswerPoll(action)
+	case event.RefusePoll:
+		ports.Mesh.RefusePoll(action)
 	default:
 		loop.dispatchToPlatform(action)
 	}
--- a/internal/app/hosted/hosted.go
+++ b/internal/app/hosted/hosted.go
@@ -24,6 +24,7 @@
 	"almondway.dev/almondway/internal/core/port"
 	"almondway.dev/almondway/internal/core/state"
 	"almondway.dev/almondway/internal/core/tune"
+	"almondway.dev/almondway/internal/edge/mesh"
 
 	_ "almondway.dev/almondway/internal/plug/bundle" // registers the plug-ins
 )
@@ -47,12 +48,19 @@
 
 // Spec holds the parameters of a Proxy.
 type Spec struct {
-	Name             string
-	DataCenter       string
-	Version          string
-	Kernel           tune.Spec
-	ShutdownGrace    time.Duration
-	MetricsAddress   string
+	Name           string
+	DataCenter     string
+	Version        string
+	Kernel         tune.Spec
+	ShutdownGrace  time.Duration
+	MetricsAddress string
+	// MeshAddress is the "ip:port" at which other proxies call this one, or empty if they
+	// cannot.
+	MeshAddress string
+	// System identifies the proxies that belong together.
+	System string
+	// Cores is the number of processor cores that the process may use.
+	Cores            float64
 	ReadinessAddress string
 	ReadinessPath    string
 	Log              *logs.Log
@@ -96,6 +104,7 @@
 	loop         *daemon.Loop
 	registry     *metric.Registry
 	kernel       *kern.Kernel
+	mesh         *mesh.Mesh
 	adapters     Adapters
 	started      time.Time
 	shuttingDown atomic.Bool
@@ -105,7 +114,7 @@
 // New returns a Proxy. Nothing listens before Run.
 func New(spec Spec) *Proxy {
 	spec.Kernel.DrainLimit = max(time.Millisecond, spec.ShutdownGrace-balancerNoticeTime-killMargin)
-	self := model.NewProxyView(model.ProxyID(spec.Name), "", model.DataCenter(spec.DataCenter), 0, false, 0)
+	self := model.NewProxyView(model.ProxyID(spec.Name), spec.MeshAddress, model.DataCenter(spec.DataCenter), 0, false, 0).WithCores(spec.Cores)
 	started := time.Now()
 	hostClock := clock.New()
 	kernel := kern.NewWithProfile(kern.ProfileHosted, self, tune.New(spec.Kernel), started, spec.Seed)
@@ -145,11 +154,14 @@
 // listened on.
 func (proxy *Proxy) Run(adapters Adapters, signals <-chan os.Signal) error {
 	proxy.adapters = adapters
+	proxy.mesh = mesh.New(mesh.Spec{Address: proxy.spec.MeshAddress, System: proxy.spec.System, Inbox: proxy.loop, Log: proxy.spec.Log.Logger()})
+	defer proxy.mesh.Shutdown()
 	proxy.loop.SetPorts(daemon.Ports{
 		Callers:     adapters.Callers,
 		Backend:     metric.NewBackend(proxy.registry, adapters.Backend),
 		Platform:    metric.NewPlatform(proxy.registry, adapters.Platform),
 		Lists:       adapters.Lists,
+		Mesh:        proxy.mesh,
 		Promoter:    adapters.Promoter,
 		Peers:       proxy,
 		Operators:   noOperators{},
@@ -158,7 +170,7 @@
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	for _, listen := range []func() error{proxy.listenReadiness, proxy.listenMetrics, adapters.Callers.Start} {
+	for _, listen := range []func() error{proxy.listenReadiness, proxy.listenMetrics, proxy.listenMesh, adapters.Callers.Start} {
 		if err := listen(); err != nil {
 			return err
 		}
@@ -302,6 +314,13 @@
 	return proxy.listen(proxy.spec.MetricsAddress, mux)
 }
 
+func (proxy *Proxy) listenMesh() error {
+	if proxy.spec.MeshAddress == "" {
+		return nil
+	}
+	return proxy.mesh.Start()
+}
+
 func (proxy *Proxy) listen(address string, handler http.Handler) error {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
--- a/internal/core/codes/codes.go
+++ b/internal/core/codes/codes.go
@@ -29,6 +29,7 @@
 	RequestIDMissing      Code = 115
 	Unsupported           Code = 116
 	RequestIDSettled      Code = 117
+	WrongProxy            Code = 118
 	Overloaded            Code = 201
 	NoPrimary             Code = 202
 	NoReplica             Code = 203
--- a/internal/core/codes/table.go
+++ b/internal/core/codes/table.go
@@ -43,6 +43,7 @@
 	{RequestIDMissing, "request_id_missing", sqlStateInvalidParameter, "A non-idempotent kind needs a request id.", "Send a version 7 UUID as request_id."},
 	{Unsupported, "unsupported", sqlStateFeatureNotSupported, "The proxy does not serve this form of request. It was not run.", "See the detail for the form to use instead."},
 	{RequestIDSettled, "request_id_settled", sqlStateSerializationFailure, "It was settled that no request of this id ever runs. The request was not run.", "Send the request again with a new id."},
+	{WrongProxy, "wrong_proxy", sqlStateInvalidParameter, "A call between proxies reached another proxy than the one it names, or came from another system. Nothing was run.", "None; the proxies look each other up again."},
 	{Overloaded, "overloaded", sqlStateInsufficientResources, "The request was refused because too much work is waiting. It was not run.", "Come back after the given time."},
 	{NoPrimary, "no_primary", sqlStateCannotConnectNow, "The group has no primary that may take the request. It was not run.", "Come back after the given time."},
 	{NoReplica, "no_replica", sqlStateCannotConnectNow, "No instance can serve the read within its staleness. It was not run.", "Come back after the given time."},
--- a/internal/core/event/list.go
+++ b/internal/core/event/list.go
@@ -96,6 +96,8 @@
 	era     model.StoreEra
 	version uint64
 	rows    []model.ListRow
+	// answeredAt is the time of the answer on the store's steady clock, or 0 if it is not known.
+	answeredAt time.Duration
 }
 
 // NewListRead returns a ListRead of the rows that the store had at a version of an era.
@@ -115,6 +117,16 @@
 // Rows returns the rows.
 func (listRead ListRead) Rows() []model.ListRow { return listRead.rows }
 
+// AnsweredAt returns the time of the answer on the store's steady clock, or 0 if it is not
+// known.
+func (listRead ListRead) AnsweredAt() time.Duration { return listRead.answeredAt }
+
+// WithAnsweredAt returns a copy with the time of the answer on the store's steady clock.
+func (listRead ListRead) WithAnsweredAt(at time.Duration) ListRead {
+	listRead.answeredAt = at
+	return listRead
+}
+
 func (ListRead) isEvent() {}
 
 // ListChanged reports the changes of a list, of which there may be none. It answers
@@ -124,6 +136,8 @@
 	era     model.StoreEra
 	version uint64
 	rows    []model.ListRow
+	// answeredAt is the time of the answer on the store's steady clock, or 0 if it is not known.
+	answeredAt time.Duration
 }
 
 // NewListChanged returns a ListChanged of the rows that had changed at a version of an era.
@@ -143,6 +157,16 @@
 // Rows returns the changed rows, in the order of their versions.
 func (listChanged ListChanged) Rows() []model.ListRow { return listChanged.rows }
 
+// AnsweredAt returns the time of the answer on the store's steady clock, or 0 if it is not
+// known.
+func (listChanged ListChanged) AnsweredAt() time.Duration { return listChanged.answeredAt }
+
+// WithAnsweredAt returns a copy with the time of the answer on the store's steady clock.
+func (listChanged ListChanged) WithAnsweredAt(at time.Duration) ListChanged {
+	listChanged.answeredAt = at
+	return listChanged
+}
+
 func (ListChanged) isEvent() {}
 
 // ListHistoryLost reports that the store no longer has the changes after the version that was
--- a/internal/core/event/listing.go
+++ b/internal/core/event/listing.go
@@ -15,6 +15,12 @@
 	return CatalogListed{revision: revision, deployments: deployments, groups: groups}
 }
 
+// WithRevision returns a copy of another revision.
+func (catalogListed CatalogListed) WithRevision(revision uint64) CatalogListed {
+	catalogListed.revision = revision
+	return catalogListed
+}
+
 // Revision returns the revision of the configuration.
 func (catalogListed CatalogListed) Revision() uint64 { return catalogListed.revision }
 
--- a/internal/core/model/ids.go
+++ b/internal/core/model/ids.go
@@ -41,5 +41,8 @@
 // is 0 for a store that does not report it.
 type StoreEra uint64
 
+// PollID identifies a poll that this proxy has sent or received.
+type PollID uint64
+
 // AdminCallID identifies an operator's call to the admin service and the answer to it.
 type AdminCallID uint64
--- a/internal/core/model/view.go
+++ b/internal/core/model/view.go
@@ -100,6 +100,7 @@
 	revision   uint64
 	draining   bool
 	age        time.Duration
+	cores      float64
 }
 
 // NewProxyView returns a ProxyView.
@@ -114,6 +115,15 @@
 	}
 }
 
+// WithCores returns a copy with the number of processor cores that the proxy may use.
+func (proxyView ProxyView) WithCores(cores float64) ProxyView {
+	proxyView.cores = cores
+	return proxyView
+}
+
+// Cores returns the number of processor cores that the proxy may use, or 0 if it is unknown.
+func (proxyView ProxyView) Cores() float64 { return proxyView.cores }
+
 // ID returns the ID of the proxy.
 func (proxyView ProxyView) ID() ProxyID { return proxyView.id }
 
--- a/internal/core/port/port.go
+++ b/internal/core/port/port.go
@@ -50,6 +50,13 @@
 	Apply(action event.ApplyList)
 }
 
+// Mesh exchanges polls with the other proxies.
+type Mesh interface {
+	Poll(action event.SendPoll)
+	AnswerPoll(action event.AnswerPoll)
+	RefusePoll(action event.RefusePoll)
+}
+
 // ListStatus counts the calls to the platform's store for one of its lists.
 type ListStatus struct {
 	Name     string
--- a/internal/core/route/fleet.go
+++ b/internal/core/route/fleet.go
@@ -1,12 +1,19 @@
 package route
 
-import "almondway.dev/almondway/internal/core/model"
+import (
+	"time"
+
+	"almondway.dev/almondway/internal/core/model"
+)
 
 // FleetTable is the table of the store that holds the state shared by the proxies.
 const FleetTable = "almondway"
 
-// FleetService is the name under which the Fleet is provided.
-const FleetService = "fleet"
+// The names under which Fleet and Mirror are provided.
+const (
+	FleetService  = "fleet"
+	MirrorService = "mirror"
+)
 
 // Fleet shares state about live proxies and unusable instances between the proxies.
 type Fleet interface {
@@ -20,3 +27,44 @@
 	// Refresh reads the state published by the other proxies, asynchronously.
 	Refresh()
 }
+
+// ListRole is how a proxy gets the changes of the platform's lists.
+type ListRole int
+
+const (
+	// ListAlone means that the proxy follows the lists in the store for itself.
+	ListAlone ListRole = iota
+	// ListReader means that it follows them for others, too, so that its copies have to be
+	// fresher.
+	ListReader
+	// ListFollower means that it gets the changes from a reader, and asks the store only when its copies
+	// may be out of date.
+	ListFollower
+)
+
+// String returns the name of the role in snake case.
+func (role ListRole) String() string {
+	switch role {
+	case ListReader:
+		return "reader"
+	case ListFollower:
+		return "follower"
+	default:
+		return "alone"
+	}
+}
+
+// Mirror keeps copies of the platform's lists.
+type Mirror interface {
+	// SetRole changes how the proxy gets the changes of the lists.
+	SetRole(role ListRole)
+	// Positions returns the states of the copies.
+	Positions() []model.ListPosition
+	// HasNews reports whether a proxy with copies at these positions lacks changes.
+	HasNews(positions []model.ListPosition) bool
+	// Updates returns the changes that a proxy with copies at these positions lacks. An update
+	// without rows says how fresh the copy is.
+	Updates(positions []model.ListPosition) []model.ListUpdate
+	// Apply adds changes that a reader has sent. The reader's answer was made at asOf or later.
+	Apply(updates []model.ListUpdate, asOf time.Duration)
+}
--- a/internal/core/state/state.go
+++ b/internal/core/state/state.go
@@ -196,6 +196,9 @@
 	return len(state.proxies)
 }
 
+// ProxiesKnown reports whether the live proxies are known.
+func (state *State) ProxiesKnown() bool { return len(state.proxies) > 0 }
+
 // Proxies returns the live proxies, this one included, in ascending order of
 // their names. It is empty until they are known. Callers must not change it.
 func (state *State) Proxies() []model.ProxyView { return state.proxies }
--- a/internal/core/tune/tune.go
+++ b/internal/core/tune/tune.go
@@ -26,6 +26,8 @@
 	LedgerRetention   time.Duration
 	FirstStart        bool
 	ListWait          time.Duration
+	SharedListWait    time.Duration
+	MaxListAge        time.Duration
 	PeerSeeds         []string
 }
 
@@ -162,3 +164,11 @@
 // ListWait returns how long the platform's store holds a call open that waits for changes of a
 // list. It is 0 if the proxy follows no lists.
 func (settings *Settings) ListWait() time.Duration { return settings.spec.ListWait }
+
+// SharedListWait replaces ListWait for a proxy that follows the lists for others, too. It is
+// shorter, since each answer shows how fresh the copies of all of them are.
+func (settings *Settings) SharedListWait() time.Duration { return settings.spec.SharedListWait }
+
+// MaxListAge returns the time since a list was last known to be up to date after which a proxy
+// that gets its changes from another one asks the platform's store itself.
+func (settings *Settings) MaxListAge() time.Duration { return settings.spec.MaxListAge }
--- /dev/null
+++ b/internal/edge/mesh/mesh_test.go
@@ -0,0 +1,197 @@
+package mesh
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"almondway.dev/almondway/internal/core/codes"
+	"almondway.dev/almondway/internal/core/event"
+	"almondway.dev/almondway/internal/core/model"
+	"almondway.dev/almondway/internal/proto/meshpb"
+)
+
+const pollTimeout = 300 * time.Millisecond
+
+// eventQueue is an inbox that a test reads.
+type eventQueue chan event.Event
+
+// Post implements port.Inbox.
+func (eventQueue eventQueue) Post(received event.Event) { eventQueue <- received }
+
+func (eventQueue eventQueue) next(t *testing.T) event.Event {
+	t.Helper()
+	select {
+	case received := <-eventQueue:
+		return received
+	case <-time.After(5 * time.Second):
+		t.Fatal("no event")
+		return nil
+	}
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close() //nolint:errcheck // frees the port for the test
+	return listener.Addr().String()
+}
+
+func startMesh(t *testing.T, system string) (*Mesh, eventQueue) {
+	t.Helper()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	inbox := make(eventQueue, 10)
+	mesh := New(Spec{Address: freeAddress(t), System: system, Inbox: inbox, Log: log})
+	if err := mesh.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(mesh.Shutdown)
+	return mesh, inbox
+}
+
+func newPoll() model.Poll {
+	return model.NewPoll(model.PollSpec{
+		From:      model.NewProxyView("caller", "10.0.0.1:1", "trnje-hall", 0, false, 0).WithCores(0.4),
+		Process:   7,
+		To:        "receiver",
+		Hold:      time.Second,
+		HeardOnly: true,
+		Members:   model.NewMembersVersion(8, 9),
+		Lists:     []model.ListPosition{model.NewListPosition(model.ListInstances, 2, 31)},
+	})
+}
+
+func TestPollAndReply(t *testing.T) {
+	is := is.New(t)
+	caller, callerInbox := startMesh(t, "10.0.0.9:80")
+	receiver, receiverInbox := startMesh(t, "10.0.0.9:80")
+	caller.Poll(event.NewSendPoll(3, receiver.spec.Address, newPoll(), 5*time.Second))
+	received := receiverInbox.next(t).(event.PollReceived)
+	is.Equal(received.Poll(), newPoll())
+	reply := model.NewPollReply(model.PollReplySpec{
+		Process: 8,
+		Held:    20 * time.Millisecond,
+		Version: model.NewMembersVersion(8, 10),
+		Changed: true,
+		Members: []model.ProxyView{model.NewProxyView("receiver", "10.0.0.2:1", "trnje-hall", 0, false, 0).WithCores(0.8)},
+		Lists: []model.ListUpdate{model.NewListUpdate(model.NewListPosition(model.ListInstances, 2, 33), true,
+			[]model.ListRow{model.NewListRow("i-1", 32, []byte("entry")), model.NewDeletedListRow("i-2", 33)}, 40*time.Millisecond)},
+	})
+	receiver.AnswerPoll(event.NewAnswerPoll(received.ID(), reply))
+	answered := callerInbox.next(t).(event.PollAnswered)
+	is.Equal(answered.ID(), model.PollID(3))
+	update := answered.Reply().Lists()[0]
+	is.Equal(answered.Reply().Members(), reply.Members())
+	is.Equal(answered.Reply().Version(), reply.Version())
+	is.Equal(answered.Reply().Held(), reply.Held())
+	is.Equal(update.Rows(), reply.Lists()[0].Rows())
+	is.Equal(update.Position(), reply.Lists()[0].Position())
+	is.True(update.Age() >= 40*time.Millisecond) // never younger than it was
+}
+
+// Calls that must not be answered, and what the caller learns.
+func TestPollIsRefused(t *testing.T) {
+	tests := []struct {
+		name     string
+		system   string
+		refused  bool // by the kernel of the receiver
+		wantGone bool
+	}{
+		{name: "of another system", system: "10.0.0.8:80", wantGone: true},
+		{name: "for another proxy", system: "10.0.0.9:80", refused: true, wantGone: true},
+		{name: "without an answer", system: "10.0.0.9:80"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			caller, callerInbox := startMesh(t, test.system)
+			receiver, receiverInbox := startMesh(t, "10.0.0.9:80")
+			caller.Poll(event.NewSendPoll(3, receiver.spec.Address, newPoll(), pollTimeout))
+			if test.refused {
+				received := receiverInbox.next(t).(event.PollReceived)
+				receiver.RefusePoll(event.NewRefusePoll(received.ID(), codes.WrongProxy))
+			}
+			failed := callerInbox.next(t).(event.PollFailed)
+			is.Equal(failed.Gone(), test.wantGone)
+			is.True(failed.Reason() != "")
+		})
+	}
+}
+
+func TestPollOfAbsentProxy(t *testing.T) {
+	is := is.New(t)
+	caller, inbox := startMesh(t, "10.0.0.9:80")
+	caller.Poll(event.NewSendPoll(3, freeAddress(t), newPoll(), pollTimeout))
+	is.True(inbox.next(t).(event.PollFailed).Gone())
+}
+
+// A connection that has gone silent is not used again: the next poll connects anew.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	is := is.New(t)
+	caller, inbox := startMesh(t, "10.0.0.9:80")
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer listener.Close() //nolint:errcheck // ends the test
+	accepted := make(chan net.Conn, 4)
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			accepted <- conn
+		}
+	}()
+	for range 2 {
+		caller.Poll(event.NewSendPoll(3, listener.Addr().String(), newPoll(), pollTimeout))
+		is.True(!inbox.next(t).(event.PollFailed).Gone())
+	}
+	is.Equal(len(accepted), 2)
+}
+
+// Bytes that are no call, and calls that are too large or name no caller, get an error. Nothing
+// reaches the kernel.
+func TestRubbishIsRefused(t *testing.T) {
+	is := is.New(t)
+	receiver, inbox := startMesh(t, "10.0.0.9:80")
+	url := "http://" + receiver.spec.Address + meshpb.MeshServicePollProcedure
+	for _, body := range [][]byte{nil, []byte("rubbish"), bytes.Repeat([]byte{0xff}, 1000), make([]byte, maxMessageBytes+1)} {
+		response, err := http.Post(url, "application/proto", bytes.NewReader(body))
+		if err != nil {
+			continue // the connection was closed before the whole body was sent
+		}
+		_ = response.Body.Close()
+		is.True(response.StatusCode != http.StatusOK)
+	}
+	client := meshpb.NewMeshServiceClient(http.DefaultClient, "http://"+receiver.spec.Address)
+	_, err := client.Poll(context.Background(), connect.NewRequest(&meshpb.PollRequest{}))
+	is.Equal(connect.CodeOf(err), connect.CodeFailedPrecondition)
+	is.Equal(len(inbox), 0)
+}
+
+// Polls that are held are bounded.
+func TestHeldPollsAreBounded(t *testing.T) {
+	is := is.New(t)
+	receiver, _ := startMesh(t, "10.0.0.9:80")
+	for range maxPollsInFlight {
+		_, ok := receiver.addPoll(make(chan pollAnswer, 1))
+		is.True(ok)
+	}
+	_, ok := receiver.addPoll(make(chan pollAnswer, 1))
+	is.True(!ok)
+	receiver.removePoll(1)
+	_, ok = receiver.addPoll(make(chan pollAnswer, 1))
+	is.True(ok)
+}
--- /dev/null
+++ b/internal/edge/mesh/poll.go
@@ -0,0 +1,130 @@
+package mesh
+
+import (
+	"context"
+	"syscall"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+
+	"almondway.dev/almondway/internal/core/codes"
+	"almondway.dev/almondway/internal/core/event"
+	"almondway.dev/almondway/internal/core/model"
+	"almondway.dev/almondway/internal/proto/meshpb"
+)
+
+// pollAnswer is the kernel's answer to a poll: a response or, if it is nil, a refusal.
+type pollAnswer struct {
+	response *meshpb.PollResponse
+	code     codes.Code
+}
+
+// Poll implements port.Mesh.
+func (mesh *Mesh) Poll(action event.SendPoll) { go mesh.poll(action) }
+
+func (mesh *Mesh) poll(action event.SendPoll) {
+	ctx, cancel := context.WithTimeout(context.Background(), action.Timeout())
+	defer cancel()
+	used := mesh.client(action.Address())
+	client := meshpb.NewMeshServiceClient(used, "http://"+action.Address(), connect.WithReadMaxBytes(maxMessageBytes))
+	response, err := client.Poll(ctx, connect.NewRequest(encodePoll(action.Poll(), mesh.spec.System)))
+	if err != nil {
+		mesh.dropClient(action.Address(), used)
+		mesh.spec.Inbox.Post(event.NewPollFailed(action.ID(), isGone(err), err.Error()))
+		return
+	}
+	mesh.spec.Inbox.Post(event.NewPollAnswered(action.ID(), decodeReply(response.Msg)))
+}
+
+// isGone reports whether an error shows that the proxy that was called does not run at the
+// address.
+func isGone(err error) bool {
+	return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET) || connect.CodeOf(err) == connect.CodeFailedPrecondition
+}
+
+// pollServer serves MeshService.
+type pollServer struct{ *Mesh }
+
+// Poll implements meshpb.MeshServiceHandler.
+func (server pollServer) Poll(ctx context.Context, request *connect.Request[meshpb.PollRequest]) (*connect.Response[meshpb.PollResponse], error) {
+	mesh := server.Mesh
+	if err := mesh.checkCaller(request.Msg.GetCaller()); err != nil {
+		return nil, err
+	}
+	answers := make(chan pollAnswer, 1)
+	id, ok := mesh.addPoll(answers)
+	if !ok {
+		return nil, connect.NewError(connect.CodeResourceExhausted, errors.New("too many polls are held"))
+	}
+	defer mesh.removePoll(id)
+	mesh.spec.Inbox.Post(event.NewPollReceived(id, decodePoll(request.Msg)))
+	select {
+	case answer := <-answers:
+		if answer.response == nil {
+			return nil, connect.NewError(connect.CodeFailedPrecondition, errors.New(answer.code.String()))
+		}
+		return connect.NewResponse(answer.response), nil
+	case <-ctx.Done():
+		return nil, connect.NewError(connect.CodeCanceled, errors.Wrap(ctx.Err(), "wait for the answer to a poll"))
+	}
+}
+
+// checkCaller returns an error if a call does not come from a proxy of this system.
+func (mesh *Mesh) checkCaller(caller *meshpb.Caller) error {
+	switch {
+	case caller.GetProxy().GetId() == "" || caller.GetProxy().GetAddress() == "":
+		return mesh.refuse("the call names no proxy")
+	case caller.GetSystem() != mesh.spec.System:
+		return mesh.refuse("the call is of the system " + caller.GetSystem() + ", not of " + mesh.spec.System)
+	}
+	return nil
+}
+
+func (mesh *Mesh) refuse(reason string) error {
+	mesh.spec.Log.WithField("reason", reason).Warn("call of a proxy refused")
+	return connect.NewError(connect.CodeFailedPrecondition, errors.Errorf("%s: %s", codes.WrongProxy, reason))
+}
+
+func (mesh *Mesh) addPoll(answers chan<- pollAnswer) (model.PollID, bool) {
+	mesh.mutex.Lock()
+	defer mesh.mutex.Unlock()
+	if len(mesh.polls) >= maxPollsInFlight {
+		return 0, false
+	}
+	mesh.lastID++
+	mesh.polls[mesh.lastID] = answers
+	return mesh.lastID, true
+}
+
+func (mesh *Mesh) removePoll(id model.PollID) {
+	mesh.mutex.Lock()
+	defer mesh.mutex.Unlock()
+	delete(mesh.polls, id)
+}
+
+// AnswerPoll implements port.Mesh.
+func (mesh *Mesh) AnswerPoll(action event.AnswerPoll) {
+	mesh.answer(action.ID(), pollAnswer{response: encodeReply(action.Reply())})
+}
+
+// RefusePoll implements port.Mesh.
+func (mesh *Mesh) RefusePoll(action event.RefusePoll) {
+	mesh.answer(action.ID(), pollAnswer{code: action.Code()})
+}
+
+// answer passes the kernel's answer on to the call, unless its sender has given it up.
+func (mesh *Mesh) answer(id model.PollID, answer pollAnswer) {
+	mesh.mutex.Lock()
+	defer mesh.mutex.Unlock()
+	if answers, ok := mesh.polls[id]; ok {
+		delete(mesh.polls, id)
+		answers <- answer
+	}
+}
+
+func milliseconds(duration time.Duration) uint32 {
+	return uint32(max(0, duration/time.Millisecond))
+}
+
+func fromMilliseconds(count uint32) time.Duration { return time.Duration(count) * time.Millisecond }
--- a/internal/plug/conns/conns_test.go
+++ b/internal/plug/conns/conns_test.go
@@ -163,6 +163,29 @@
 	}
 }
 
+// A proxy that does not know how many others there are takes few of the connections of an
+// instance, however many it accepts.
+func TestConnectionsWhileProxiesAreUnknown(t *testing.T) {
+	is := is.New(t)
+	fixture := newFixture(0)
+	state := fixture.kernel.State()
+	listed := model.NewInstance(instance, "127.0.0.1:1", "").WithCapacity(0, 117)
+	state.SetGroups([]model.Group{model.NewGroup("katalog-1", []model.Instance{listed})})
+	var users []*fakeUser
+	for range 50 {
+		users = append(users, fixture.acquire())
+	}
+	fixture.completeOpenings()
+	is.Equal(len(fixture.pools.conns), borrowLimit)
+	for _, user := range users {
+		if user.conn != 0 {
+			fixture.release(user.conn, false)
+		}
+	}
+	fixture.tick(time.Second)
+	is.True(len(fixture.pools.conns) <= 1)
+}
+
 func TestReuse(t *testing.T) {
 	done := func(fixture *fixture, conn model.ConnID) {
 		fixture.handle(event.NewExecuteDone(fixture.lastExec(), conn, model.Mark{}, nil))
--- a/internal/plug/conns/pool.go
+++ b/internal/plug/conns/pool.go
@@ -97,10 +97,14 @@
 // since most proxies have none open; the instance refuses connections beyond its own
 // limit.
 func (pool *pool) maxOpen() int {
-	if pool.instance.MaxConns() == 0 {
+	switch {
+	case pool.instance.MaxConns() == 0:
 		return max(1, pool.share())
+	case !pool.pools.context.State().ProxiesKnown():
+		return borrowLimit
+	default:
+		return max(borrowLimit, pool.share())
 	}
-	return max(borrowLimit, pool.share())
 }
 
 // maxTxConns returns the maximum number of connections that transactions may hold at
@@ -122,9 +126,12 @@
 // connected reports whether any connection to the instance is open.
 func (pool *pool) connected() bool { return pool.total > pool.opening }
 
-// minOpen returns the number of connections that are kept open regardless of demand.
+// minOpen returns the number of connections that are kept open regardless of demand. A proxy
+// that does not know how many others there are keeps one, since each of them may not know it
+// either.
 func (pool *pool) minOpen() int {
-	if share := pool.share(); pool.instance.MaxConns() > 0 && share < borrowLimit {
+	known := pool.pools.context.State().ProxiesKnown()
+	if share := pool.share(); pool.instance.MaxConns() > 0 && (share < borrowLimit || !known) {
 		return min(share, 1)
 	}
 	return max(1, pool.share()/minOpenDivisor)
--- a/internal/plug/fleet/fleet_test.go
+++ b/internal/plug/fleet/fleet_test.go
@@ -23,6 +23,8 @@
 	now    time.Duration
 	era    model.StoreEra
 	rows   []model.Row
+	// storeAway is set while calls to the store fail.
+	storeAway bool
 }
 
 func newFixture() *fixture {
@@ -45,6 +47,10 @@
 
 func (fixture *fixture) answer(actions []event.Action) {
 	for _, action := range append([]event.Action(nil), actions...) {
+		if read, ok := action.(event.ReadStore); ok && fixture.storeAway {
+			fixture.answer(fixture.kernel.Handle(fixture.now, event.NewStoreFailed(read.CallID())))
+			continue
+		}
 		switch action := action.(type) {
 		case event.ReadStore:
 			fixture.answer(fixture.kernel.Handle(fixture.now, event.NewStoreRead(action.CallID(), fixture.rows).WithEra(fixture.era)))
@@ -96,3 +102,16 @@
 		})
 	}
 }
+
+// A proxy that starts while it cannot reach the store reads the rows soon after it can.
+func TestStoreAwayAtStart(t *testing.T) {
+	is := is.New(t)
+	fixture := newFixture()
+	fixture.storeAway = true
+	fixture.run(8 * time.Second)
+	is.True(!fixture.kernel.State().ProxiesKnown())
+	fixture.storeAway = false
+	fixture.rows = []model.Row{peerRow(9, 1, 7, 0, "i-2")}
+	fixture.run(2 * time.Second)
+	is.Equal(fixture.kernel.State().ProxyCount(), 2)
+}
--- /dev/null
+++ b/internal/plug/fleet/registry.go
@@ -0,0 +1,310 @@
+package fleet
+
+import (
+	"encoding/json"
+	"slices"
+	"strings"
+	"time"
+
+	"almondway.dev/almondway/internal/core/event"
+	"almondway.dev/almondway/internal/core/model"
+	"almondway.dev/almondway/internal/core/route"
+	"almondway.dev/almondway/internal/core/table"
+)
+
+const (
+	rowPrefix = "proxy/"
+
+	// minUpdateInterval is the time between two updates in a small fleet whose rows show which
+	// proxies live. An update reads all rows and writes the proxy's own one. The platform
+	// charges for both calls.
+	minUpdateInterval = 6 * time.Second
+	// maxUpdatesPerSecond limits the load on the store: the updates of all proxies together.
+	maxUpdatesPerSecond = 20
+	// maxMissedUpdates is the number of update intervals without a change of its row after
+	// which a proxy no longer counts as live.
+	maxMissedUpdates = 2
+	// unknownInterval is the mean time between two tries to read the rows until they were read
+	// once.
+	unknownInterval = 500 * time.Millisecond
+	// registryInterval is the time between two reads of all rows by a proxy that is polled. It
+	// joins proxies that have not found each other.
+	registryInterval = time.Minute
+	// isolatedInterval is the time between two reads of all rows by a proxy that gets no answer
+	// to its polls.
+	isolatedInterval = 5 * time.Second
+	// rowRetention is the time without a change after which another proxy's row is deleted.
+	rowRetention = 15 * time.Minute
+	// minUpdateSpacing is the minimum time between two updates that are caused by
+	// complaints.
+	minUpdateSpacing = 150 * time.Millisecond
+	// retryInterval is the mean time until a failed write of complaints is repeated.
+	retryInterval = 500 * time.Millisecond
+)
+
+// row is the value of a proxy's row in the store. Process identifies the proxy's process; it is
+// 0 in the rows of versions that do not know restored stores. Beat is incremented by each of
+// its updates. Era is that of the store at the update. Address is empty if the proxy cannot be
+// polled.
+type row struct {
+	Process           uint64             `json:"process,omitempty"`
+	Beat              uint64             `json:"beat"`
+	Era               model.StoreEra     `json:"era,omitempty"`
+	DataCenter        model.DataCenter   `json:"data_center"`
+	Address           string             `json:"address,omitempty"`
+	Cores             float64            `json:"cores,omitempty"`
+	UnusablePrimaries []model.InstanceID `json:"unusable_primaries,omitempty"`
+}
+
+// says reports whether a row in the store says the same of the proxy as a new one, whichever
+// process wrote it. Complaints of an earlier era of the store do not count.
+func (row row) says(next row) bool {
+	sameComplaints := slices.Equal(row.UnusablePrimaries, next.UnusablePrimaries) && (len(next.UnusablePrimaries) == 0 || row.Era == next.Era)
+	return row.DataCenter == next.DataCenter && row.Address == next.Address && row.Cores == next.Cores && sameComplaints
+}
+
+// registered is what the row of another proxy says.
+type registered struct {
+	version           uint64
+	process, beat     uint64
+	seenAt            time.Duration // when the row was first read with this beat
+	unusablePrimaries []model.InstanceID
+	view              model.ProxyView
+}
+
+// registry is what is known from the rows, and the state of the calls for them.
+type registry struct {
+	rows                map[model.ProxyID]*registered
+	unusablePrimaries   []model.InstanceID
+	beat                uint64
+	version             uint64 // of the own row, or 0 if there is none
+	written             row    // the own row as it was read last
+	known               bool   // the rows were read
+	updating            bool
+	updateRequested     bool // an update was requested while one is in progress
+	lastUpdateAt        time.Duration
+	started             bool // the second update is scheduled
+	complaintsUnwritten bool // the current complaints are not in the store yet
+	retryScheduled      bool
+}
+
+func newRegistry() registry { return registry{rows: make(map[model.ProxyID]*registered)} }
+
+// updateInterval returns the time between two updates, which grows with the number of
+// proxies.
+func (fleet *Fleet) updateInterval() time.Duration {
+	shared := time.Duration(len(fleet.context.State().Proxies())) * time.Second / maxUpdatesPerSecond
+	return max(minUpdateInterval, shared)
+}
+
+// tick starts an update if one is due and schedules the next check, with jitter, so that
+// proxies that started at the same time do not keep updating at the same time.
+func (fleet *Fleet) tick() {
+	if fleet.leaving {
+		return
+	}
+	interval := fleet.updateInterval()
+	switch {
+	case !fleet.started:
+		fleet.started = true
+		interval = firstUpdateInterval
+	case !fleet.known:
+		interval = unknownInterval
+	}
+	if fleet.updateDue() {
+		fleet.update()
+	}
+	jitter := time.Duration(fleet.context.Random().Int64N(int64(interval / 4)))
+	fleet.context.Timers().After(interval-jitter, fleet.tick)
+}
+
+// updateDue reports whether it is time to read all rows. Once the proxies know each other from
+// polls, only those that are polled read them, or one that nobody answers.
+func (fleet *Fleet) updateDue() bool {
+	now := fleet.context.Now()
+	switch {
+	case !fleet.known, fleet.usesRows(), now <= 2*firstUpdateInterval:
+		return true
+	case fleet.role != route.ListFollower:
+		return now-fleet.lastUpdateAt >= registryInterval
+	default:
+		return now-fleet.lastReplyAt >= isolatedInterval
+	}
+}
+
+// Refresh implements route.Fleet.
+func (fleet *Fleet) Refresh() {
+	if fleet.context.Now()-fleet.lastUpdateAt >= minUpdateSpacing {
+		fleet.update()
+	}
+}
+
+// update reads the rows of all proxies and then writes the row of this proxy, if it says
+// something else or shows that the proxy lives.
+func (fleet *Fleet) update() {
+	if fleet.updating || fleet.leaving {
+		fleet.updateRequested = fleet.updating
+		return
+	}
+	fleet.updating = true
+	fleet.lastUpdateAt = fleet.context.Now()
+	fleet.client.Read(route.FleetTable, rowPrefix, fleet.rowsRead)
+}
+
+func (fleet *Fleet) rowsRead(rows []model.Row, ok bool) {
+	if !ok {
+		fleet.finishUpdate()
+		return
+	}
+	if fleet.leaving {
+		// These may be the rows of this proxy alone, so they do not tell who is live.
+		if own, ok := table.Find(rows, fleet.ownKey()); ok {
+			fleet.version = own.Version()
+		}
+		fleet.removeOwnRow()
+		return
+	}
+	fleet.recordRows(rows)
+	next := row{
+		Process:           fleet.process,
+		Beat:              fleet.beat + 1,
+		Era:               fleet.context.State().StoreEra(),
+		DataCenter:        fleet.self().DataCenter(),
+		Address:           fleet.self().Address(),
+		Cores:             fleet.self().Cores(),
+		UnusablePrimaries: fleet.unusablePrimaries,
+	}
+	if fleet.version > 0 && fleet.written.says(next) && !fleet.usesRows() {
+		fleet.complaintsUnwritten = false
+		fleet.finishUpdate()
+		return
+	}
+	fleet.writeOwnRow(next)
+}
+
+func (fleet *Fleet) writeOwnRow(next row) {
+	fleet.beat = next.Beat
+	value, err := json.Marshal(next)
+	if err != nil {
+		fleet.context.Emit(event.NewLogDecision(model.Decision{Name: "row_not_written", Reason: err.Error()}))
+		fleet.finishUpdate()
+		return
+	}
+	fleet.complaintsUnwritten = false
+	fleet.client.Write([]model.RowWrite{model.NewRowWrite(route.FleetTable, fleet.ownKey(), fleet.version, value)}, func(outcome table.Outcome) {
+		fleet.complaintsUnwritten = fleet.complaintsUnwritten || outcome != table.Written && len(fleet.unusablePrimaries) > 0
+		fleet.finishUpdate()
+	})
+}
+
+// finishUpdate ends an update, successful or not. The next update reads the rows again.
+func (fleet *Fleet) finishUpdate() {
+	fleet.updating = false
+	if fleet.leaving {
+		fleet.removeOwnRow()
+		return
+	}
+	if fleet.updateRequested {
+		fleet.updateRequested = false
+		fleet.context.Timers().After(minUpdateSpacing, fleet.update)
+		return
+	}
+	fleet.scheduleRetry()
+}
+
+// scheduleRetry schedules another update if the last one failed to write the complaints.
+func (fleet *Fleet) scheduleRetry() {
+	if !fleet.complaintsUnwritten || fleet.retryScheduled {
+		return
+	}
+	fleet.retryScheduled = true
+	jitter := time.Duration(fleet.context.Random().Int64N(int64(retryInterval)))
+	fleet.context.Timers().After(retryInterval/2+jitter, func() {
+		fleet.retryScheduled = false
+		if fleet.complaintsUnwritten {
+			fleet.update()
+		}
+	})
+}
+
+// scheduleRestoredUpdate writes the row of this proxy again after the store was restored from
+// an older copy, with jitter, since all proxies do so.
+func (fleet *Fleet) scheduleRestoredUpdate() {
+	jitter := time.Duration(fleet.context.Random().Int64N(int64(retryInterval)))
+	fleet.context.Timers().After(jitter, fleet.update)
+}
+
+func (fleet *Fleet) ownKey() string { return rowPrefix + string(fleet.self().ID()) }
+
+// recordRows updates the registry and the list of live proxies from the rows of all proxies.
+func (fleet *Fleet) recordRows(rows []model.Row) {
+	now := fleet.context.Now()
+	fleet.known = true
+	fleet.version, fleet.written = 0, row{}
+	present := make(map[model.ProxyID]bool, len(rows))
+	for _, tableRow := range rows {
+		id := model.ProxyID(strings.TrimPrefix(tableRow.Key(), rowPrefix))
+		var decoded row
+		if err := json.Unmarshal(tableRow.Value(), &decoded); err != nil {
+			fleet.context.Emit(event.NewLogDecision(model.Decision{Name: "row_unreadable", Proxy: id, Reason: err.Error()}))
+			continue
+		}
+		if tableRow.Key() == fleet.ownKey() {
+			fleet.version, fleet.written = tableRow.Version(), decoded
+			continue
+		}
+		present[id] = true
+		fleet.recordRow(id, tableRow, decoded, now)
+	}
+	for id := range fleet.rows {
+		if !present[id] {
+			delete(fleet.rows, id)
+		}
+	}
+	fleet.updateMembers()
+}
+
+func (fleet *Fleet) recordRow(id model.ProxyID, tableRow model.Row, decoded row, now time.Duration) {
+	known, ok := fleet.rows[id]
+	if ok && known.version == tableRow.Version() {
+		if now-known.seenAt > rowRetention && !fleet.isMember(id) {
+			fleet.client.Write([]model.RowWrite{model.NewRowWrite(route.FleetTable, tableRow.Key(), tableRow.Version(), nil)}, func(table.Outcome) {})
+		}
+		return
+	}
+	if ok && decoded.Process != 0 && decoded.Process == known.process && decoded.Beat <= known.beat {
+		known.version = tableRow.Version() // an older row of a restored store
+		return
+	}
+	read := &registered{
+		version: tableRow.Version(),
+		process: decoded.Process,
+		beat:    decoded.Beat,
+		seenAt:  now,
+		view:    model.NewProxyView(id, decoded.Address, decoded.DataCenter, 0, false, 0).WithCores(decoded.Cores),
+	}
+	if decoded.Era == fleet.context.State().StoreEra() {
+		read.unusablePrimaries = decoded.UnusablePrimaries
+	}
+	fleet.rows[id] = read
+	if !ok || known.process != read.process {
+		fleet.assumeRegistered(read.view)
+	}
+}
+
+// startRemovingRow removes this proxy's row.
+func (fleet *Fleet) startRemovingRow() {
+	if !fleet.updating {
+		fleet.updating = true
+		fleet.client.Read(route.FleetTable, fleet.ownKey(), fleet.rowsRead)
+	}
+}
+
+func (fleet *Fleet) removeOwnRow() {
+	if fleet.version == 0 || !fleet.usesRows() {
+		return
+	}
+	version := fleet.version
+	fleet.version = 0
+	fleet.client.Write([]model.RowWrite{model.NewRowWrite(route.FleetTable, fleet.ownKey(), version, nil)}, func(table.Outcome) {})
+}
--- a/internal/plug/mirror/list.go
+++ b/internal/plug/mirror/list.go
@@ -1,14 +1,13 @@
 package mirror
 
 import (
-	"cmp"
-	"slices"
 	"strconv"
 	"time"
 
 	"almondway.dev/almondway/internal/core/event"
 	"almondway.dev/almondway/internal/core/kern"
 	"almondway.dev/almondway/internal/core/model"
+	"almondway.dev/almondway/internal/core/route"
 	"almondway.dev/almondway/internal/core/timer"
 )
 
@@ -33,13 +32,17 @@
 	stale   bool // the whole list has to be read
 	era     model.StoreEra
 	version uint64
-	rows    map[string]model.ListRow
+	// rows are the rows of the version, and the deletions since deletionsSince.
+	rows           map[string]model.ListRow
+	deletionsSince uint64
+	// currentAt is the last time of which the list is known to have been up to date.
+	currentAt time.Duration
 
 	call       model.PlatformCallID // the pending call, or 0
+	callBegan  time.Duration        // when the pending call was made
 	timeout    timer.ID             // of the pending call
 	next       timer.ID             // of the next call, while none is pending
-	waitBegan  time.Duration        // when the pending wait for changes began
-	wait       time.Duration        // for which the store holds it open
+	wait       time.Duration        // for which the store holds the pending wait for changes
 	retryDelay time.Duration
 	storeLost  bool
 }
@@ -51,21 +54,55 @@
 func (list *list) context() *kern.Context { return list.mirror.context }
 
 // callStore makes the next call unless one is pending: it reads the whole list if the copy is
-// not one that changes can be applied to, and waits for changes else.
+// not one that changes can be applied to, and waits for changes else. A follower makes none as
+// long as its copy is fresh enough.
 func (list *list) callStore() {
 	if list.call != 0 {
 		return
 	}
 	context := list.context()
+	if left := list.freshFor(); list.mirror.role == route.ListFollower && left > 0 {
+		list.callStoreAfter(left)
+		return
+	}
+	list.callBegan = context.Now()
 	if list.stale {
 		context.Emit(event.NewReadList(list.mirror.beginCall(list, readTimeout), list.name))
 		return
 	}
-	list.waitBegan, list.wait = context.Now(), context.Settings().ListWait()
+	list.wait = list.nextWait()
 	call := list.mirror.beginCall(list, list.wait+answerMargin)
 	context.Emit(event.NewAwaitChanges(call, list.name, list.version, list.wait))
 }
 
+// nextWait returns how long the store is to hold the next wait for changes open. A follower asks
+// only for what it lacks now.
+func (list *list) nextWait() time.Duration {
+	switch list.mirror.role {
+	case route.ListReader:
+		return list.context().Settings().SharedListWait()
+	case route.ListFollower:
+		return 0
+	default:
+		return list.context().Settings().ListWait()
+	}
+}
+
+// shortenWait gives up a pending wait for changes that would last longer than the next one.
+func (list *list) shortenWait() {
+	if list.call != 0 && !list.stale && list.wait > list.nextWait() && list.mirror.role == route.ListReader {
+		list.mirror.finishCall(list.call)
+	}
+}
+
+// freshFor returns for how much longer the copy of a follower is fresh enough.
+func (list *list) freshFor() time.Duration {
+	if !list.known {
+		return 0
+	}
+	return list.currentAt + list.context().Settings().MaxListAge() - list.context().Now()
+}
+
 // callStoreAfter makes the next call after a delay.
 func (list *list) callStoreAfter(delay time.Duration) {
 	list.context().Timers().Cancel(list.next)
@@ -82,9 +119,13 @@
 	list.callStoreAfter(0)
 }
 
-// handleRead replaces the copy. An answer with a version older than the known one of the same
-// era counts as failed.
+// handleRead replaces the copy. An answer of an earlier era, or with a version older than the
+// known one of the same era, counts as failed.
 func (list *list) handleRead(read event.ListRead) {
+	if read.Era() < list.context().State().StoreEra() {
+		list.handleFailure("the answer is of an earlier era of the store")
+		return
+	}
 	if list.known && read.Era() == list.era && read.Version() < list.version {
 		list.handleFailure("version " + strconv.FormatUint(read.Version(), 10) + " is older than " + strconv.FormatUint(list.version, 10))
 		return
@@ -92,15 +133,27 @@
 	restored := list.known && read.Era() != list.era
 	list.known, list.stale = true, false
 	list.era, list.version = read.Era(), read.Version()
-	clear(list.rows)
-	for _, row := range read.Rows() {
-		list.rows[row.Key()] = row
-	}
+	list.replaceRows(read.Rows())
+	list.setCurrentAt(list.mirror.clock.answeredAt(read.Era(), read.AnsweredAt(), list.callBegan, list.context().Now()))
 	list.handleSuccess()
 	list.context().Emit(event.NewApplyList(list.name, read.Rows(), true).WithRestored(restored))
 	list.callStoreAfter(0)
 }
 
+func (list *list) replaceRows(rows []model.ListRow) {
+	clear(list.rows)
+	for _, row := range rows {
+		list.rows[row.Key()] = row
+	}
+	list.deletionsSince = list.version
+}
+
+// setCurrentAt records that the list was up to date at a time.
+func (list *list) setCurrentAt(at time.Duration) {
+	list.currentAt = max(list.currentAt, at)
+	list.context().State().SetListCheckedAt(list.name, list.currentAt)
+}
+
 // handleChanges applies changes to the copy. The store may have been restored since the call was
 // made, and may have given out the version again.
 func (list *list) handleChanges(changed event.ListChanged) {
@@ -109,6 +162,7 @@
 		return
 	}
 	list.handleSuccess()
+	list.setCurrentAt(list.mirror.clock.answeredAt(changed.Era(), changed.AnsweredAt(), list.callBegan, list.context().Now()))
 	news := list.merge(changed.Rows())
 	list.version = max(list.version, changed.Version())
 	delay := time.Duration(0)
@@ -130,7 +184,7 @@
 		list.rows[row.Key()] = row
 		news = append(news, row)
 	}
-	slices.SortStableFunc(news, func(left, right model.ListRow) int { return cmp.Compare(left.Version(), right.Version()) })
+	sortByVersion(news)
 	return news
 }
 
@@ -149,7 +203,6 @@
 
 func (list *list) handleSuccess() {
 	list.retryDelay = 0
-	list.context().State().SetListCheckedAt(list.name, list.context().Now())
 	if list.storeLost {
 		list.storeLost = false
 		list.log("store regained", "")
--- a/internal/plug/mirror/mirror.go
+++ b/internal/plug/mirror/mirror.go
@@ -9,13 +9,16 @@
 	"almondway.dev/almondway/internal/core/event"
 	"almondway.dev/almondway/internal/core/kern"
 	"almondway.dev/almondway/internal/core/model"
+	"almondway.dev/almondway/internal/core/route"
 )
 
 func init() { kern.Register("mirror", kern.RankDeployments, New, kern.ProfileHosted) }
 
-// Mirror is the plug-in.
+// Mirror is the plug-in. It implements route.Mirror.
 type Mirror struct {
 	context *kern.Context
+	role    route.ListRole
+	clock   storeClock
 	lists   []*list
 	calls   map[model.PlatformCallID]*list
 }
@@ -24,6 +27,7 @@
 // holds a call open.
 func New(context *kern.Context) kern.Plugin {
 	mirror := &Mirror{context: context, calls: make(map[model.PlatformCallID]*list)}
+	context.ProvideService(route.MirrorService, mirror)
 	if context.Settings().ListWait() == 0 {
 		return mirror
 	}
@@ -56,11 +60,74 @@
 		}
 	case event.StoreRestored:
 		for _, list := range mirror.lists {
-			list.readAgain("the store was restored")
+			if list.era < received.Era() {
+				list.readAgain("the store was restored")
+			}
 		}
 	}
 }
 
+// SetRole implements route.Mirror.
+func (mirror *Mirror) SetRole(role route.ListRole) {
+	if role == mirror.role {
+		return
+	}
+	mirror.role = role
+	for _, list := range mirror.lists {
+		list.shortenWait()
+		list.callStoreAfter(0)
+	}
+}
+
+// Positions implements route.Mirror.
+func (mirror *Mirror) Positions() []model.ListPosition {
+	positions := make([]model.ListPosition, 0, len(mirror.lists))
+	for _, list := range mirror.lists {
+		positions = append(positions, list.position())
+	}
+	return positions
+}
+
+// HasNews implements route.Mirror.
+func (mirror *Mirror) HasNews(positions []model.ListPosition) bool {
+	for _, position := range positions {
+		if list := mirror.list(position.List()); list != nil && list.hasNews(position) {
+			return true
+		}
+	}
+	return false
+}
+
+// Updates implements route.Mirror.
+func (mirror *Mirror) Updates(positions []model.ListPosition) []model.ListUpdate {
+	var updates []model.ListUpdate
+	for _, position := range positions {
+		if list := mirror.list(position.List()); list != nil && list.known {
+			updates = append(updates, list.updateFor(position))
+		}
+	}
+	return updates
+}
+
+// Apply implements route.Mirror.
+func (mirror *Mirror) Apply(updates []model.ListUpdate, asOf time.Duration) {
+	for _, update := range updates {
+		if list := mirror.list(update.Position().List()); list != nil {
+			list.apply(update, asOf)
+		}
+	}
+}
+
+// list returns the copy of a list, or nil if this proxy does not follow it.
+func (mirror *Mirror) list(name model.ListName) *list {
+	for _, list := range mirror.lists {
+		if list.name == name {
+			return list
+		}
+	}
+	return nil
+}
+
 // finishCall ends a call and returns its list. It returns nil if the call was given up.
 func (mirror *Mirror) finishCall(id model.PlatformCallID) *list {
 	found := mirror.calls[id]
--- a/internal/plug/mirror/mirror_test.go
+++ b/internal/plug/mirror/mirror_test.go
@@ -10,16 +10,23 @@
 	"almondway.dev/almondway/internal/core/event"
 	"almondway.dev/almondway/internal/core/kern"
 	"almondway.dev/almondway/internal/core/model"
+	"almondway.dev/almondway/internal/core/route"
 	"almondway.dev/almondway/internal/core/tune"
 	"almondway.dev/almondway/internal/plug/eras"
 	"almondway.dev/almondway/internal/plug/mirror"
 )
 
-const listWait = 5 * time.Second
+const (
+	listWait       = 5 * time.Second
+	sharedListWait = time.Second
+	maxListAge     = 2 * time.Second
+)
 
 // fixture is a kernel with the plug-in. Only the calls for the instances are looked at.
 type fixture struct {
 	kernel  *kern.Kernel
+	context *kern.Context
+	mirror  route.Mirror
 	now     time.Duration
 	reads   []model.PlatformCallID
 	waits   []event.AwaitChanges
@@ -30,9 +37,14 @@
 func newFixture() *fixture {
 	fixture := &fixture{}
 	settings := tune.Default()
-	settings.ListWait = listWait
+	settings.ListWait, settings.SharedListWait, settings.MaxListAge = listWait, sharedListWait, maxListAge
 	self := model.NewProxyView("self", "", "trnje-hall", 0, false, 0)
-	fixture.kernel = kern.NewWithFactories(self, tune.New(settings), time.Unix(0, 0), 1, eras.New, mirror.New)
+	fixture.kernel = kern.NewWithFactories(self, tune.New(settings), time.Unix(0, 0), 1, eras.New, func(context *kern.Context) kern.Plugin {
+		plugin := mirror.New(context)
+		fixture.context = context
+		fixture.mirror = context.Service(route.MirrorService).(route.Mirror)
+		return plugin
+	})
 	fixture.run(0)
 	return fixture
 }
@@ -47,6 +59,12 @@
 	}
 }
 
+// do runs a call to the plug-in within the kernel.
+func (fixture *fixture) do(call func()) {
+	fixture.context.Timers().After(0, call)
+	fixture.run(0)
+}
+
 func (fixture *fixture) handle(received event.Event) {
 	fixture.record(fixture.kernel.Handle(fixture.now, received))
 	fixture.run(0)
--- a/internal/proof/city/proxy.go
+++ b/internal/proof/city/proxy.go
@@ -28,13 +28,27 @@
 	nextTick         time.Duration // the time of the scheduled tick, or 0
 	storeEra         model.StoreEra
 	storeEraKnown    bool
+	cores            float64
+	cutFrom          map[*proxy]bool // proxies that this one cannot reach
+	pendingPolls     map[model.PollID]bool
+	receivedPolls    map[model.PollID]receivedPoll
+	lastPoll         model.PollID
 }
 
 // reset replaces the process by a new one without state.
 func (proxy *proxy) reset() {
-	self := model.NewProxyView(model.ProxyID(proxy.name), "", proxy.dataCenter, 0, false, 0)
-	settings, started, seed := tune.New(tune.Default()), time.Unix(0, 0), proxy.simulation.random.Uint64()
-	proxy.kernel = kern.NewWithFactories(self, settings, started, seed, proxy.simulation.factories...)
+	address, spec := "", tune.Default()
+	if proxy.simulation.meshed {
+		address = proxy.name
+	}
+	if lists := proxy.simulation.listSettings; lists != nil {
+		spec.ListWait, spec.SharedListWait, spec.MaxListAge = lists.wait, lists.sharedWait, lists.maxAge
+	}
+	self := model.NewProxyView(model.ProxyID(proxy.name), address, proxy.dataCenter, 0, false, 0).WithCores(proxy.cores)
+	seed := proxy.simulation.random.Uint64()
+	proxy.kernel = kern.NewWithFactories(self, tune.New(spec), time.Unix(0, 0), seed, proxy.simulation.factories...)
+	proxy.pendingPolls = make(map[model.PollID]bool)
+	proxy.receivedPolls = make(map[model.PollID]receivedPoll)
 	proxy.started = proxy.simulation.now
 	proxy.conns = make(map[model.ConnID]*conn)
 	proxy.pendingReplies = make(map[model.RequestSeq]func(reply *model.Reply))
@@ -44,6 +58,10 @@
 }
 
 func (proxy *proxy) start() {
+	if proxy.simulation.listSettings != nil {
+		proxy.tick()
+		return
+	}
 	proxy.post(networkDelay, proxy.simulation.catalog)
 	proxy.tick()
 	proxy.simulation.runAfter(networkDelay, proxy.simulation.publishListings)
@@ -190,12 +208,6 @@
 		proxy.probe(action)
 	case event.SendOrder:
 		proxy.sendOrder(action)
-	case event.ReadStore:
-		proxy.simulation.store.read(proxy, action)
-	case event.WriteStore:
-		proxy.simulation.store.write(proxy, action)
-	case event.PromoteInstance:
-		proxy.callPromotion(action)
 	case event.LogDecision:
 		proxy.countRefusal(action.Decision())
 		if decision := action.Decision(); !decision.IsRouting() && decision.Name != "conn_spoiled" {
@@ -207,6 +219,32 @@
 			delete(proxy.pendingReplies, reply.Seq())
 			done(reply)
 		}
+	default:
+		proxy.runCall(action)
+	}
+}
+
+// runCall makes a call to the platform or to another proxy.
+func (proxy *proxy) runCall(action event.Action) {
+	switch action := action.(type) {
+	case event.ReadStore:
+		proxy.simulation.store.read(proxy, action)
+	case event.WriteStore:
+		proxy.simulation.store.write(proxy, action)
+	case event.PromoteInstance:
+		proxy.callPromotion(action)
+	case event.ReadList:
+		proxy.simulation.store.readList(proxy, action)
+	case event.AwaitChanges:
+		proxy.simulation.store.awaitChanges(proxy, action)
+	case event.ApplyList:
+		proxy.applyList(action)
+	case event.SendPoll:
+		proxy.sendPoll(action)
+	case event.AnswerPoll:
+		proxy.returnPoll(action.ID(), func(id model.PollID) event.Event { return event.NewPollAnswered(id, action.Reply()) })
+	case event.RefusePoll:
+		proxy.returnPoll(action.ID(), func(id model.PollID) event.Event { return event.NewPollFailed(id, true, action.Code().String()) })
 	}
 }
 
--- a/internal/proof/city/restore_test.go
+++ b/internal/proof/city/restore_test.go
@@ -117,6 +117,7 @@
 		for index, other := range faults {
 			for _, order := range [][]fault{{restore, other}, {other, restore}} {
 				t.Run(order[0].name+", "+order[1].name, func(t *testing.T) {
+					t.Parallel()
 					is := is.New(t)
 					simulation := newBusySimulation(t, uint64(index), 14*time.Second)
 					simulation.run(5 * time.Second)
--- a/internal/proof/city/simulation.go
+++ b/internal/proof/city/simulation.go
@@ -66,6 +66,8 @@
 	primary        *instance
 	term           model.Term
 	store          *store
+	meshed         bool          // proxies can call each other
+	listSettings   *listSettings // of proxies that follow the lists in the store, or nil
 	// latePromotionShare is the share of promotion calls that time out and are executed seconds later.
 	latePromotionShare float64
 	highestToken       uint64 // of the promotion orders that were accepted
@@ -99,7 +101,7 @@
 		catalog:   catalog,
 		factories: factories,
 	}
-	simulation.store = &store{simulation: simulation, rows: make(map[string]storedRow)}
+	simulation.store = &store{simulation: simulation, rows: make(map[string]storedRow), lists: make(map[model.ListName][]model.ListRow)}
 	simulation.oracle = &oracle{simulation: simulation, reported: make(map[int]string), acked: make(map[int]int)}
 	for _, name := range []model.InstanceID{"i-a", "i-b", "i-c"} {
 		simulation.instances = append(simulation.instances, &instance{simulation: simulation, id: name, dataCenter: "trnje-hall", up: true, unreachableFrom: make(map[*proxy]bool)})
@@ -109,7 +111,7 @@
 }
 
 func (simulation *simulation) addProxy(name string, dataCenter model.DataCenter) {
-	added := &proxy{simulation: simulation, name: name, dataCenter: dataCenter}
+	added := &proxy{simulation: simulation, name: name, dataCenter: dataCenter, cutFrom: make(map[*proxy]bool)}
 	added.reset()
 	simulation.proxies = append(simulation.proxies, added)
 }
--- a/internal/proof/city/store.go
+++ b/internal/proof/city/store.go
@@ -34,6 +34,11 @@
 	// writesLate executes writes without an answer after lateWriteDelay.
 	writesLate bool
 	copies     []storeCopy // one before each transaction
+
+	lists        map[model.ListName][]model.ListRow // the history of each list
+	historyStart uint64                             // changes before this version are forgotten
+	feeds        []*waitingFeed
+	listCalls    int // for the lists, since the start
 }
 
 // storeCopy is a copy from which the store can be restored.
@@ -41,18 +46,29 @@
 	until   time.Duration // the time of the next transaction
 	rows    map[string]storedRow
 	version uint64
+	lists   map[model.ListName][]model.ListRow
+}
+
+// saveCopy keeps a copy of the store before a transaction.
+func (store *store) saveCopy() {
+	lists := make(map[model.ListName][]model.ListRow, len(store.lists))
+	for name, rows := range store.lists {
+		lists[name] = slices.Clip(rows)
+	}
+	store.copies = append(store.copies, storeCopy{until: store.simulation.now, rows: maps.Clone(store.rows), version: store.version, lists: lists})
 }
 
 // restore replaces the content of the store by that of a copy of the given age.
 func (store *store) restore(age time.Duration) {
 	for _, taken := range store.copies {
 		if taken.until > store.simulation.now-age {
-			store.rows, store.version = maps.Clone(taken.rows), taken.version
+			store.rows, store.version, store.lists = maps.Clone(taken.rows), taken.version, taken.lists
 			break
 		}
 	}
 	store.copies = nil
 	store.era++
+	store.wakeFeeds()
 }
 
 // reachableFrom reports whether a call of a proxy is executed. If not, the call fails later.
@@ -113,7 +129,7 @@
 			return false
 		}
 	}
-	store.copies = append(store.copies, storeCopy{until: store.simulation.now, rows: maps.Clone(store.rows), version: store.version})
+	store.saveCopy()
 	store.version++
 	for _, write := range action.Writes() {
 		key := write.Table() + "/" + write.Key()
--- a/internal/stand/procs/ports.go
+++ b/internal/stand/procs/ports.go
@@ -33,21 +33,30 @@
 // exhausted. The range is below the ephemeral ports of the operating system: an
 // outgoing connection could otherwise take the port before the intended process
 // listens on it.
-func (portAllocator *PortAllocator) Port() int {
+func (portAllocator *PortAllocator) Port() int { return portAllocator.Ports(1) }
+
+// Ports returns the first of count consecutive ports, each like one of Port.
+func (portAllocator *PortAllocator) Ports(count int) int {
 	portAllocator.mu.Lock()
 	defer portAllocator.mu.Unlock()
-	for {
+	for found := 0; ; {
 		port := portAllocator.next
 		portAllocator.next++
 		if portAllocator.next == endPort {
 			portAllocator.next = firstPort
 		}
+		if port == firstPort {
+			found = 0
+		}
 		listener, err := net.Listen("tcp", net.JoinHostPort("127.0.0.1", strconv.Itoa(port)))
 		if err != nil {
+			found = 0
 			continue
 		}
 		_ = listener.Close()
-		return port
+		if found++; found == count {
+			return port - count + 1
+		}
 	}
 }
 
