teams: callers are known by their keys, and connections belong to teams

Cause: the key in a caller's start-up was thrown away, so every statement ran under the proxy's name, unknown and withdrawn keys were served, and a proxy that could not know of a withdrawal went on. Change: teams are part of the catalog; a session's key, kept as a digest, names its team for every statement. A connection is opened for a team and runs its statements only. Withdrawn keys end sessions and waiting requests. Where withdrawals bind every proxy, requests with a key are refused once the configuration in force may be too old, also at the moment of the sending. A list counts as fresh only when its changes are in force. What is lost is connections that teams do not share.

--- a/internal/app/hosted/hosted.go
+++ b/internal/app/hosted/hosted.go
@@ -131,6 +131,9 @@
 // Inbox returns the inbox to which the adapters post their events.
 func (proxy *Proxy) Inbox() port.Inbox { return proxy.loop }
 
+// Now returns the time on the kernel's clock. It is safe for concurrent use.
+func (proxy *Proxy) Now() time.Duration { return proxy.loop.Now() }
+
 // Stop implements port.Process.
 func (proxy *Proxy) Stop() {
 	select {
--- a/internal/app/logs/format.go
+++ b/internal/app/logs/format.go
@@ -57,6 +57,7 @@
 	line = appendText(line, "request_id", decision.RequestID)
 	line = appendText(line, "session", decision.Session)
 	line = appendText(line, "deployment", decision.Deployment)
+	line = appendText(line, "team", string(decision.Team))
 	line = appendText(line, "kind", decision.Kind)
 	line = appendText(line, "group", string(decision.Group))
 	line = appendText(line, "instance", string(decision.Instance))
--- a/internal/core/codes/codes.go
+++ b/internal/core/codes/codes.go
@@ -30,6 +30,7 @@
 	Unsupported           Code = 116
 	RequestIDSettled      Code = 117
 	WrongProxy            Code = 118
+	UnknownKey            Code = 119
 	Overloaded            Code = 201
 	NoPrimary             Code = 202
 	NoReplica             Code = 203
@@ -40,6 +41,7 @@
 	StartupTimeout        Code = 208
 	PrimaryChanged        Code = 209
 	Canceled              Code = 210
+	TeamLimit             Code = 211
 	OutcomeUnknown        Code = 301
 	TransactionLost       Code = 302
 	AnswerTooLarge        Code = 303
--- a/internal/core/codes/table.go
+++ b/internal/core/codes/table.go
@@ -10,6 +10,7 @@
 	sqlStateLimitExceeded         = "54000"
 	sqlStateTooManyConnections    = "53300"
 	sqlStateInsufficientResources = "53000"
+	sqlStateConfigurationLimit    = "53400"
 	sqlStateSerializationFailure  = "40001"
 	sqlStateCompletionUnknown     = "40003"
 	sqlStateReadOnlyTransaction   = "25006"
@@ -44,6 +45,7 @@
 	{Unsupported, "unsupported", sqlStateFeatureNotSupported, "The proxy does not serve this form of request. It was not run.", "See the detail for the form to use instead."},
 	{RequestIDSettled, "request_id_settled", sqlStateSerializationFailure, "It was settled that no request of this id ever runs. The request was not run.", "Send the request again with a new id."},
 	{WrongProxy, "wrong_proxy", sqlStateInvalidParameter, "A call between proxies reached another proxy than the one it names, or came from another system. Nothing was run.", "None; the proxies look each other up again."},
+	{UnknownKey, "unknown_key", sqlStateInvalidAuthorization, "No team holds the key of the caller. The request was not run.", "Use a key of the team; one that was withdrawn does not come back."},
 	{Overloaded, "overloaded", sqlStateInsufficientResources, "The request was refused because too much work is waiting. It was not run.", "Come back after the given time."},
 	{NoPrimary, "no_primary", sqlStateCannotConnectNow, "The group has no primary that may take the request. It was not run.", "Come back after the given time."},
 	{NoReplica, "no_replica", sqlStateCannotConnectNow, "No instance can serve the read within its staleness. It was not run.", "Come back after the given time."},
@@ -54,6 +56,7 @@
 	{StartupTimeout, "startup_timeout", sqlStateProtocolViolation, "The caller did not finish the start-up in time.", "Connect again."},
 	{PrimaryChanged, "primary_changed", sqlStateSerializationFailure, "The primary was replaced before the request ran. It was not run.", "Send the request again."},
 	{Canceled, "canceled", sqlStateQueryCanceled, "The caller canceled the request.", "None."},
+	{TeamLimit, "team_limit", sqlStateConfigurationLimit, "The team sends more than its limit allows. The request was not run.", "Come back after the given time."},
 	{OutcomeUnknown, "outcome_unknown", sqlStateCompletionUnknown, "It could not be proved in time whether the request ran.", "Send the request again with the same request id."},
 	{TransactionLost, "transaction_lost", sqlStateSerializationFailure, "The transaction was lost before its commit. It was rolled back.", "Start the transaction again."},
 	{AnswerTooLarge, "answer_too_large", sqlStateLimitExceeded, "The answer is larger than the limit.", "Ask for fewer rows."},
--- a/internal/core/event/backendaction.go
+++ b/internal/core/event/backendaction.go
@@ -11,6 +11,7 @@
 	conn     model.ConnID
 	instance model.InstanceID
 	address  string
+	team     model.TeamName
 }
 
 // NewOpenConn returns an OpenConn.
@@ -18,6 +19,16 @@
 	return OpenConn{conn: conn, instance: instance, address: address}
 }
 
+// WithTeam returns a copy for a connection that runs the statements of a team.
+func (openConn OpenConn) WithTeam(team model.TeamName) OpenConn {
+	openConn.team = team
+	return openConn
+}
+
+// Team returns the team whose statements the connection runs. It is empty if the connection
+// runs statements of callers without a team, or of the proxy itself.
+func (openConn OpenConn) Team() model.TeamName { return openConn.team }
+
 // Conn returns the identifier of the new connection.
 func (openConn OpenConn) Conn() model.ConnID { return openConn.conn }
 
--- a/internal/core/event/caller.go
+++ b/internal/core/event/caller.go
@@ -10,6 +10,7 @@
 	caller     model.CallerID
 	deployment string
 	class      string
+	key        model.KeyDigest
 }
 
 // NewCallerOpened returns a CallerOpened. deployment is the requested database name and
@@ -18,6 +19,15 @@
 	return CallerOpened{caller: caller, deployment: deployment, class: class}
 }
 
+// WithKey returns a copy with the digest of the key that the caller showed.
+func (callerOpened CallerOpened) WithKey(key model.KeyDigest) CallerOpened {
+	callerOpened.key = key
+	return callerOpened
+}
+
+// Key returns the digest of the key that the caller showed.
+func (callerOpened CallerOpened) Key() model.KeyDigest { return callerOpened.key }
+
 // Caller returns the identifier of the caller's connection.
 func (callerOpened CallerOpened) Caller() model.CallerID { return callerOpened.caller }
 
--- a/internal/core/event/list.go
+++ b/internal/core/event/list.go
@@ -55,7 +55,8 @@
 func (AwaitChanges) isAction() {}
 
 // ApplyList passes the rows of a list on to the adapter that decodes them. It posts what they
-// say as CatalogListed, InstancesListed, InstanceListed and InstanceUnlisted.
+// say as CatalogListed, InstancesListed, InstanceListed and InstanceUnlisted, and ListApplied
+// after that.
 type ApplyList struct {
 	list     model.ListName
 	rows     []model.ListRow
@@ -203,3 +204,24 @@
 func (listFailed ListFailed) Reason() string { return listFailed.reason }
 
 func (ListFailed) isEvent() {}
+
+// ListApplied reports that the rows of an ApplyList were decoded and what they say was posted.
+// It answers ApplyList.
+type ListApplied struct {
+	list     model.ListName
+	rejected bool
+}
+
+// NewListApplied returns a ListApplied. rejected reports that rows could not be decoded, so that
+// what was in force before stays in force.
+func NewListApplied(list model.ListName, rejected bool) ListApplied {
+	return ListApplied{list: list, rejected: rejected}
+}
+
+// List returns the name of the list.
+func (listApplied ListApplied) List() model.ListName { return listApplied.list }
+
+// Rejected reports whether rows could not be decoded.
+func (listApplied ListApplied) Rejected() bool { return listApplied.rejected }
+
+func (ListApplied) isEvent() {}
--- a/internal/core/event/listing.go
+++ b/internal/core/event/listing.go
@@ -7,6 +7,7 @@
 	revision    uint64
 	deployments []*model.Deployment
 	groups      []model.Group
+	teams       *model.Teams
 }
 
 // NewCatalogListed returns a CatalogListed. The groups are given without their
@@ -15,6 +16,15 @@
 	return CatalogListed{revision: revision, deployments: deployments, groups: groups}
 }
 
+// WithTeams returns a copy with the teams of the revision, which are nil if callers need no keys.
+func (catalogListed CatalogListed) WithTeams(teams *model.Teams) CatalogListed {
+	catalogListed.teams = teams
+	return catalogListed
+}
+
+// Teams returns all teams of the revision, or nil if callers need no keys.
+func (catalogListed CatalogListed) Teams() *model.Teams { return catalogListed.teams }
+
 // WithRevision returns a copy of another revision.
 func (catalogListed CatalogListed) WithRevision(revision uint64) CatalogListed {
 	catalogListed.revision = revision
--- a/internal/core/model/decision.go
+++ b/internal/core/model/decision.go
@@ -16,6 +16,7 @@
 	RequestID  string
 	Session    string
 	Deployment string
+	Team       TeamName
 	Kind       string
 	Group      GroupID
 	Instance   InstanceID
--- a/internal/core/model/deployment.go
+++ b/internal/core/model/deployment.go
@@ -114,6 +114,7 @@
 	Weight      int
 	Priority    int
 	MaxWaiting  int
+	Public      bool
 }
 
 // Deployment is the configuration of one team: its database groups, kinds of
@@ -147,6 +148,9 @@
 // Revision returns the revision of the change that created this version of the Deployment.
 func (deployment *Deployment) Revision() uint64 { return deployment.spec.Revision }
 
+// Public reports whether callers need no key.
+func (deployment *Deployment) Public() bool { return deployment.spec.Public }
+
 // Groups returns the groups over which keys are distributed. The slice must not be modified.
 func (deployment *Deployment) Groups() []GroupID { return deployment.spec.Groups }
 
--- a/internal/core/model/work.go
+++ b/internal/core/model/work.go
@@ -38,6 +38,8 @@
 	Digest      uint64
 	Statement   Payload
 	Timeout     time.Duration
+	// SendBefore is the time on the kernel's clock by which the statement must be sent, or 0.
+	SendBefore time.Duration
 }
 
 // Work is a unit of execution on a backend connection. It is immutable.
@@ -48,6 +50,9 @@
 // NewWork returns the Work that spec describes.
 func NewWork(spec WorkSpec) *Work { return &Work{spec: spec} }
 
+// SendBefore returns the time on the kernel's clock by which the statement must be sent, or 0.
+func (work *Work) SendBefore() time.Duration { return work.spec.SendBefore }
+
 // Step returns the transaction step.
 func (work *Work) Step() Step { return work.spec.Step }
 
--- a/internal/core/route/job.go
+++ b/internal/core/route/job.go
@@ -17,6 +17,8 @@
 	GeneratedID bool
 	Seen        model.Mark
 	Tx          *Tx
+	Team        *model.Team
+	Key         model.KeyDigest
 	Arrived     time.Duration
 	Deadline    time.Duration
 }
@@ -60,6 +62,12 @@
 // Tx returns the transaction that the request belongs to, or nil.
 func (job *Job) Tx() *Tx { return job.spec.Tx }
 
+// Team returns the team of the caller, or nil.
+func (job *Job) Team() *model.Team { return job.spec.Team }
+
+// Key returns the digest of the caller's key.
+func (job *Job) Key() model.KeyDigest { return job.spec.Key }
+
 // Arrived returns the arrival time of the request on the kernel's clock.
 func (job *Job) Arrived() time.Duration { return job.spec.Arrived }
 
--- a/internal/core/route/tx.go
+++ b/internal/core/route/tx.go
@@ -11,6 +11,7 @@
 	GeneratedID bool
 	Digest      uint64
 	ReadOnly    bool
+	Team        model.TeamName
 }
 
 // Tx is a caller's transaction whose first statement has arrived. It owns its backend
@@ -48,6 +49,9 @@
 // ReadOnly reports whether the caller opened the transaction for reading only.
 func (tx *Tx) ReadOnly() bool { return tx.spec.ReadOnly }
 
+// Team returns the team of the connection, which all statements of the transaction need.
+func (tx *Tx) Team() model.TeamName { return tx.spec.Team }
+
 // Wrote reports whether a writing statement of the transaction has been sent.
 func (tx *Tx) Wrote() bool { return tx.wrote }
 
--- a/internal/core/state/state.go
+++ b/internal/core/state/state.go
@@ -22,6 +22,7 @@
 	revisionKnown bool
 	confirmed     bool
 	deployments   map[string]*model.Deployment
+	teams         *model.Teams
 	proxies       []model.ProxyView
 	registered    []model.ProxyID
 	draining      bool
--- a/internal/core/tune/tune.go
+++ b/internal/core/tune/tune.go
@@ -28,6 +28,7 @@
 	ListWait          time.Duration
 	SharedListWait    time.Duration
 	MaxListAge        time.Duration
+	MaxKeyAge         time.Duration
 	PeerSeeds         []string
 }
 
@@ -172,3 +173,8 @@
 // MaxListAge returns the time since a list was last known to be up to date after which a proxy
 // that gets its changes from another one asks the platform's store itself.
 func (settings *Settings) MaxListAge() time.Duration { return settings.spec.MaxListAge }
+
+// MaxKeyAge returns the time since the configuration was last known to be current after which
+// requests with a key are refused, since the key may have been withdrawn. It is 0 if withdrawn
+// keys may be used for longer.
+func (settings *Settings) MaxKeyAge() time.Duration { return settings.spec.MaxKeyAge }
--- a/internal/plug/catlog/catlog.go
+++ b/internal/plug/catlog/catlog.go
@@ -70,6 +70,7 @@
 	if !state.SetDeployments(listed.Revision(), listed.Deployments()) {
 		return
 	}
+	state.SetTeams(listed.Teams())
 	for _, group := range listed.Groups() {
 		state.PutGroup(group)
 	}
@@ -84,7 +85,7 @@
 	state.SetConfirmed(true)
 	catalog.log("catalog_applied", model.Decision{
 		Revision: listed.Revision(),
-		Reason:   strconv.Itoa(len(listed.Deployments())) + " deployments",
+		Reason:   strconv.Itoa(len(listed.Deployments())) + " deployments, " + strconv.Itoa(listed.Teams().Count()) + " teams",
 	})
 	catalog.context.Publish(event.NewCatalogChanged(listed.Revision()))
 }
--- a/internal/plug/conns/answer.go
+++ b/internal/plug/conns/answer.go
@@ -11,7 +11,7 @@
 		return
 	}
 	pool := conn.pool
-	pool.opening--
+	pool.endOpening(conn)
 	if pool.failures > 0 {
 		pool.log("instance_reached", "a connection was opened")
 	}
--- a/internal/plug/conns/conns.go
+++ b/internal/plug/conns/conns.go
@@ -207,7 +207,7 @@
 	if group == nil {
 		return nil
 	}
-	added := &pool{pools: pools, instance: group.Member(id).Instance(), connectTime: initialConnectTime}
+	added := &pool{pools: pools, instance: group.Member(id).Instance(), connectTime: initialConnectTime, openingByTeam: make(map[model.TeamName]int)}
 	pools.pools[id] = added
 	return added
 }
--- a/internal/plug/conns/pool.go
+++ b/internal/plug/conns/pool.go
@@ -1,6 +1,7 @@
 package conns
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -54,6 +55,7 @@
 type conn struct {
 	id      model.ConnID
 	pool    *pool
+	team    model.TeamName // whose statements the connection runs
 	state   connState
 	user    route.ConnUser
 	request route.SlotRequest
@@ -65,18 +67,20 @@
 
 // pool contains the connections to one instance.
 type pool struct {
-	pools        *Pools
-	instance     model.Instance
-	idle         []*conn
-	waiting      []*waiter
-	total        int
-	opening      int
-	txConns      int // connections granted to transactions
-	failures     int
-	failedAt     time.Duration
-	lastFailure  model.ConnFailure
-	blockedUntil time.Duration
-	retryTimer   timer.ID
+	pools    *Pools
+	instance model.Instance
+	idle     []*conn
+	waiting  []*waiter
+	total    int
+	opening  int
+	// openingByTeam counts the connections that are being opened by their teams.
+	openingByTeam map[model.TeamName]int
+	txConns       int // connections granted to transactions
+	failures      int
+	failedAt      time.Duration
+	lastFailure   model.ConnFailure
+	blockedUntil  time.Duration
+	retryTimer    timer.ID
 	// connectTime is the moving average of the time to open a connection.
 	connectTime time.Duration
 }
@@ -130,6 +134,9 @@
 // that does not know how many others there are keeps one, since each of them may not know it
 // either.
 func (pool *pool) minOpen() int {
+	if pool.pools.context.State().Teams() != nil {
+		return 0 // a connection that belongs to no team serves nobody
+	}
 	known := pool.pools.context.State().ProxiesKnown()
 	if share := pool.share(); pool.instance.MaxConns() > 0 && (share < borrowLimit || !known) {
 		return min(share, 1)
@@ -137,21 +144,57 @@
 	return max(1, pool.share()/minOpenDivisor)
 }
 
-// grantWaiting grants idle connections to waiters in the order of their arrival.
+// grantWaiting grants idle connections to waiters in the order of their arrival, and opens
+// connections for the teams that have none.
 func (pool *pool) grantWaiting() {
-	for len(pool.waiting) > 0 && len(pool.idle) > 0 {
-		first := pool.waiting[0]
-		pool.waiting = slices.Delete(pool.waiting, 0, 1)
-		pool.grant(first)
+	for waiter, conn := pool.nextGrant(); conn != nil; waiter, conn = pool.nextGrant() {
+		pool.removeWaiter(waiter)
+		pool.grant(waiter, conn)
+	}
+	if len(pool.waiting) > 0 {
+		pool.fill()
 	}
 }
 
+// nextGrant returns the first waiter for which a connection is idle, and the connection. It
+// returns nil if there is none, or if an earlier waiter needs the place of an idle connection.
+func (pool *pool) nextGrant() (*waiter, *conn) {
+	if len(pool.idle) == 0 {
+		return nil, nil
+	}
+	opening := maps.Clone(pool.openingByTeam)
+	for _, waiter := range pool.waiting {
+		if conn := pool.idleFor(waiter); conn != nil {
+			return waiter, conn
+		}
+		if opening[waiter.team()] > 0 {
+			opening[waiter.team()]--
+			continue
+		}
+		if pool.total >= pool.maxOpen() && pool.mayOpen() {
+			return nil, nil
+		}
+	}
+	return nil, nil
+}
+
+// idleFor returns the idle connection for a waiter that was used last, or nil. A connection runs
+// the statements of one team only. What the proxy sends itself may use any connection.
+func (pool *pool) idleFor(waiter *waiter) *conn {
+	for index := len(pool.idle) - 1; index >= 0; index-- {
+		if conn := pool.idle[index]; waiter.request.Job == nil || conn.team == waiter.team() {
+			return conn
+		}
+	}
+	return nil
+}
+
 // grantOrQueue grants a connection to a waiter that has a slot, or queues the waiter. The
 // waiter is denied if no connection is open or being opened, unless the last
 // attempt to open one failed because the instance is full.
 func (pool *pool) grantOrQueue(waiter *waiter) {
-	if len(pool.idle) > 0 && len(pool.waiting) == 0 {
-		pool.grant(waiter)
+	if conn := pool.idleFor(waiter); conn != nil && !pool.isAwaited(conn) {
+		pool.grant(waiter, conn)
 		return
 	}
 	pool.waiting = append(pool.waiting, waiter)
@@ -161,11 +204,16 @@
 	}
 }
 
-func (pool *pool) grant(waiter *waiter) {
-	last := len(pool.idle) - 1
-	conn := pool.idle[last]
-	pool.idle[last] = nil
-	pool.idle = pool.idle[:last]
+// isAwaited reports whether a waiter in the queue can use an idle connection.
+func (pool *pool) isAwaited(conn *conn) bool {
+	return slices.ContainsFunc(pool.waiting, func(waiter *waiter) bool {
+		return waiter.request.Job == nil || waiter.team() == conn.team
+	})
+}
+
+func (pool *pool) grant(waiter *waiter, conn *conn) {
+	index := slices.Index(pool.idle, conn)
+	pool.idle = slices.Delete(pool.idle, index, index+1)
 	conn.state = connBusy
 	conn.hasSlot = true
 	conn.since = pool.pools.context.Now()
@@ -200,25 +248,74 @@
 // fill opens the connections that the waiters and the minimum require, except during
 // back-off.
 func (pool *pool) fill() {
-	if pool.pools.context.Now() < pool.blockedUntil {
-		return
+	for pool.mayOpen() {
+		team, needed := pool.neededTeam()
+		if !needed {
+			return
+		}
+		if pool.total >= pool.maxOpen() && !pool.closeIdleOfOthers(team) {
+			return
+		}
+		pool.open(team)
 	}
-	for pool.opening < maxOpening && pool.total < pool.maxOpen() && pool.needsConn() {
-		pool.open()
+}
+
+// mayOpen reports whether a connection may be opened now.
+func (pool *pool) mayOpen() bool {
+	return pool.opening < maxOpening && pool.pools.context.Now() >= pool.blockedUntil
+}
+
+// neededTeam returns the team for which the next connection is opened: that of the first waiter
+// for which none is being opened, or no team if the minimum is not reached. It returns false if
+// no connection is needed.
+func (pool *pool) neededTeam() (model.TeamName, bool) {
+	if pool.opening < len(pool.waiting) {
+		opening := maps.Clone(pool.openingByTeam)
+		for _, waiter := range pool.waiting {
+			if opening[waiter.team()] == 0 {
+				return waiter.team(), true
+			}
+			opening[waiter.team()]--
+		}
 	}
+	return "", pool.total < pool.minOpen()
 }
 
-func (pool *pool) needsConn() bool {
-	return pool.opening < len(pool.waiting) || pool.total < pool.minOpen()
+// closeIdleOfOthers closes the connection of another team that has been idle for longest, to
+// make room. It reports false if there is none.
+func (pool *pool) closeIdleOfOthers(team model.TeamName) bool {
+	for _, idle := range pool.idle {
+		if idle.team != team {
+			pool.closeIdle(idle)
+			return true
+		}
+	}
+	return false
+}
+
+func (pool *pool) closeIdle(idle *conn) {
+	pool.pools.context.Emit(event.NewCloseConn(idle.id))
+	delete(pool.pools.conns, idle.id)
+	pool.remove(idle)
+	idle.state = connClosed
 }
 
-func (pool *pool) open() {
+func (pool *pool) open(team model.TeamName) {
 	context := pool.pools.context
-	added := &conn{id: model.ConnID(context.NextID()), pool: pool, state: connOpening, since: context.Now()}
+	added := &conn{id: model.ConnID(context.NextID()), pool: pool, team: team, state: connOpening, since: context.Now()}
 	pool.pools.conns[added.id] = added
 	pool.total++
 	pool.opening++
-	context.Emit(event.NewOpenConn(added.id, pool.instance.ID(), pool.instance.Address()))
+	pool.openingByTeam[team]++
+	context.Emit(event.NewOpenConn(added.id, pool.instance.ID(), pool.instance.Address()).WithTeam(team))
+}
+
+// endOpening records that a connection is open, or could not be opened.
+func (pool *pool) endOpening(conn *conn) {
+	pool.opening--
+	if pool.openingByTeam[conn.team]--; pool.openingByTeam[conn.team] == 0 {
+		delete(pool.openingByTeam, conn.team)
+	}
 }
 
 // openFailed starts an exponential back-off for opening connections. If no connection to
@@ -227,7 +324,7 @@
 func (pool *pool) openFailed(failed *conn, reason model.ConnFailure) {
 	failed.state = connClosed
 	pool.total--
-	pool.opening--
+	pool.endOpening(failed)
 	if pool.failures == 0 {
 		pool.log("instance_unreachable", reason.String())
 	}
--- a/internal/plug/conns/waiter.go
+++ b/internal/plug/conns/waiter.go
@@ -1,6 +1,9 @@
 package conns
 
-import "almondway.dev/almondway/internal/core/route"
+import (
+	"almondway.dev/almondway/internal/core/model"
+	"almondway.dev/almondway/internal/core/route"
+)
 
 type waiterState int
 
@@ -39,3 +42,11 @@
 	waiter.state = waiterEnded
 	delete(waiter.pool.pools.waiters, waiter.id)
 }
+
+// team returns the team whose connection the request needs. It is empty if the request has none.
+func (waiter *waiter) team() model.TeamName {
+	if waiter.request.Job == nil {
+		return ""
+	}
+	return waiter.request.Job.Team().Name()
+}
--- a/internal/plug/limit/limit.go
+++ b/internal/plug/limit/limit.go
@@ -204,15 +204,15 @@
 	}
 }
 
-// flowPath returns the path of a request in the tree of flows of its lane: its caller
+// flowPath returns the path of a request in the tree of flows of its lane: its team, its caller
 // class and its key, or the caller if it has no key.
 func flowPath(request route.SlotRequest) []string {
 	if request.Job == nil {
-		return []string{"", ""}
+		return []string{"", "", ""}
 	}
 	flow := request.Job.Request().Key()
 	if flow == "" {
 		flow = "#" + strconv.FormatUint(uint64(request.Job.Request().Caller()), 10)
 	}
-	return []string{request.Job.Class().Name(), flow}
+	return []string{string(request.Job.Team().Name()), request.Job.Class().Name(), flow}
 }
--- a/internal/plug/mirror/list.go
+++ b/internal/plug/mirror/list.go
@@ -37,6 +37,10 @@
 	deletionsSince uint64
 	// currentAt is the last time of which the list is known to have been up to date.
 	currentAt time.Duration
+	// applying is the number of changes that are not in force yet, and rejected is set while
+	// the newest one could not be decoded.
+	applying int
+	rejected bool
 
 	call       model.PlatformCallID // the pending call, or 0
 	callBegan  time.Duration        // when the pending call was made
@@ -134,9 +138,9 @@
 	list.known, list.stale = true, false
 	list.era, list.version = read.Era(), read.Version()
 	list.replaceRows(read.Rows())
+	list.passOn(read.Rows(), true, restored)
 	list.setCurrentAt(list.mirror.clock.answeredAt(read.Era(), read.AnsweredAt(), list.callBegan, list.context().Now()))
 	list.handleSuccess()
-	list.context().Emit(event.NewApplyList(list.name, read.Rows(), true).WithRestored(restored))
 	list.callStoreAfter(0)
 }
 
@@ -151,7 +155,28 @@
 // setCurrentAt records that the list was up to date at a time.
 func (list *list) setCurrentAt(at time.Duration) {
 	list.currentAt = max(list.currentAt, at)
-	list.context().State().SetListCheckedAt(list.name, list.currentAt)
+	list.recordChecked()
+}
+
+// recordChecked records how fresh what is in force is: as fresh as the copy, unless there are
+// changes that are not in force yet.
+func (list *list) recordChecked() {
+	if list.applying == 0 && !list.rejected {
+		list.context().State().SetListCheckedAt(list.name, list.currentAt)
+	}
+}
+
+// passOn passes changed rows on to the adapter that decodes them. ListApplied is the answer.
+func (list *list) passOn(rows []model.ListRow, whole, restored bool) {
+	list.applying++
+	list.context().Emit(event.NewApplyList(list.name, rows, whole).WithRestored(restored))
+}
+
+// handleApplied records that the changes of a passOn are in force, or could not be decoded.
+func (list *list) handleApplied(applied event.ListApplied) {
+	list.applying--
+	list.rejected = applied.Rejected()
+	list.recordChecked()
 }
 
 // handleChanges applies changes to the copy. The store may have been restored since the call was
@@ -162,14 +187,14 @@
 		return
 	}
 	list.handleSuccess()
-	list.setCurrentAt(list.mirror.clock.answeredAt(changed.Era(), changed.AnsweredAt(), list.callBegan, list.context().Now()))
 	news := list.merge(changed.Rows())
 	list.version = max(list.version, changed.Version())
 	delay := time.Duration(0)
 	if len(news) > 0 {
-		list.context().Emit(event.NewApplyList(list.name, news, false))
+		list.passOn(news, false, false)
 		delay = changeBatchDelay
 	}
+	list.setCurrentAt(list.mirror.clock.answeredAt(changed.Era(), changed.AnsweredAt(), list.callBegan, list.context().Now()))
 	list.callStoreAfter(delay)
 }
 
--- a/internal/plug/mirror/mirror.go
+++ b/internal/plug/mirror/mirror.go
@@ -54,6 +54,10 @@
 		if list := mirror.finishCall(received.CallID()); list != nil {
 			list.readAgain("the store lacks the history")
 		}
+	case event.ListApplied:
+		if list := mirror.list(received.List()); list != nil {
+			list.handleApplied(received)
+		}
 	case event.ListFailed:
 		if list := mirror.finishCall(received.CallID()); list != nil {
 			list.handleFailure(received.Reason())
--- a/internal/plug/mirror/mirror_test.go
+++ b/internal/plug/mirror/mirror_test.go
@@ -31,7 +31,10 @@
 	reads   []model.PlatformCallID
 	waits   []event.AwaitChanges
 	applied []event.ApplyList
-	logged  []string
+	pending []event.Event // answers to ApplyList
+	// holdApplied leaves ApplyList without an answer.
+	holdApplied bool
+	logged      []string
 }
 
 func newFixture() *fixture {
@@ -53,6 +56,7 @@
 func (fixture *fixture) run(span time.Duration) {
 	for until := fixture.now + span; ; fixture.now += 10 * time.Millisecond {
 		fixture.record(fixture.kernel.Tick(fixture.now))
+		fixture.answerPending()
 		if fixture.now >= until {
 			return
 		}
@@ -70,6 +74,15 @@
 	fixture.run(0)
 }
 
+// answerPending answers the pending ApplyList actions.
+func (fixture *fixture) answerPending() {
+	for len(fixture.pending) > 0 {
+		answer := fixture.pending[0]
+		fixture.pending = fixture.pending[1:]
+		fixture.record(fixture.kernel.Handle(fixture.now, answer))
+	}
+}
+
 func (fixture *fixture) record(actions []event.Action) {
 	for _, action := range actions {
 		switch action := action.(type) {
@@ -85,6 +98,9 @@
 			if action.List() == model.ListInstances {
 				fixture.applied = append(fixture.applied, action)
 			}
+			if !fixture.holdApplied {
+				fixture.pending = append(fixture.pending, event.NewListApplied(action.List(), false))
+			}
 		case event.LogDecision:
 			if action.Decision().List == model.ListInstances {
 				fixture.logged = append(fixture.logged, action.Decision().Name)
--- a/internal/plug/mirror/share.go
+++ b/internal/plug/mirror/share.go
@@ -92,7 +92,7 @@
 		rows = list.merge(rows)
 	}
 	if update.Whole() || len(rows) > 0 {
-		list.context().Emit(event.NewApplyList(list.name, rows, update.Whole()).WithRestored(restored))
+		list.passOn(rows, update.Whole(), restored)
 	}
 	list.setCurrentAt(asOf - update.Age())
 }
--- a/internal/plug/mirror/share_test.go
+++ b/internal/plug/mirror/share_test.go
@@ -153,3 +153,36 @@
 	fixture.handle(event.NewListChanged(fixture.lastWait().CallID(), 0, 11, nil)) // without the time
 	is.True(age() >= 800*time.Millisecond && age() <= time.Second)                // it counts from the call
 }
+
+// A list is as fresh as its copy only once the changes of the copy are in force. One that cannot
+// be decoded leaves the list as old as it was.
+func TestAgeOfListInForce(t *testing.T) {
+	tests := []struct {
+		name     string
+		rejected bool
+		want     time.Duration // age when the next answer without changes has come
+	}{
+		{name: "in force", want: 0},
+		{name: "not decoded", rejected: true, want: 2 * time.Second},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			fixture := newFixture()
+			age := func() time.Duration {
+				checkedAt, _ := fixture.kernel.State().ListCheckedAt(model.ListInstances)
+				return (fixture.now - checkedAt).Round(time.Second)
+			}
+			fixture.handle(event.NewListRead(fixture.lastRead(), 0, 10, nil).WithAnsweredAt(fixture.now + time.Hour))
+			fixture.run(time.Second)
+			fixture.holdApplied = true
+			fixture.handle(event.NewListChanged(fixture.lastWait().CallID(), 0, 11, []model.ListRow{row("i-1", 11)}).WithAnsweredAt(fixture.now + time.Hour))
+			is.Equal(age(), time.Second) // decoding has not ended
+			fixture.run(time.Second)
+			is.Equal(age(), 2*time.Second)
+			fixture.handle(event.NewListApplied(model.ListInstances, test.rejected))
+			fixture.handle(event.NewListChanged(fixture.lastWait().CallID(), 0, 11, nil).WithAnsweredAt(fixture.now + time.Hour))
+			is.Equal(age(), test.want)
+		})
+	}
+}
--- a/internal/plug/relay/relay.go
+++ b/internal/plug/relay/relay.go
@@ -64,6 +64,8 @@
 		relay.recheckGroup(received.Group())
 	case event.TermChanged:
 		relay.recheckGroup(received.Group())
+	case event.CatalogChanged:
+		relay.refuseWithdrawn()
 	}
 }
 
--- a/internal/plug/relay/task.go
+++ b/internal/plug/relay/task.go
@@ -177,8 +177,15 @@
 	task.executeFirst()
 }
 
-// executeFirst sends the first statement of a transaction or a single statement.
+// executeFirst sends the first statement of a transaction or a single statement, unless the key
+// of the caller no longer allows it.
 func (task *task) executeFirst() {
+	if code, reason := task.checkKey(); code != codes.OK {
+		task.relay.conns.Release(task.conn, false)
+		task.conn, task.state = 0, taskEnded
+		task.refuseKey(code, reason)
+		return
+	}
 	if tx := task.job.Tx(); tx != nil {
 		tx.Open(task.conn, task.instance, task.groupTerm())
 		task.execute(model.StepFirst)
@@ -211,6 +218,9 @@
 		Statement: statement,
 		Timeout:   max(minTimeout, task.job.Deadline()-task.sentAt),
 	}
+	if step != model.StepConfirmPrimary {
+		spec.SendBefore = task.sendBefore()
+	}
 	if task.requirement == requireMark && !task.resumed {
 		spec.After = task.after
 	}
--- a/internal/plug/sessn/caller.go
+++ b/internal/plug/sessn/caller.go
@@ -13,6 +13,7 @@
 	id             model.CallerID
 	deployment     string
 	class          string
+	key            model.KeyDigest
 	lastDeployment *model.Deployment
 	lastClass      model.CallerClass
 	lastKind       model.Kind
@@ -28,6 +29,7 @@
 	tx             *route.Tx
 	txRequestID    string
 	txReadOnly     bool
+	closing        bool // the key was withdrawn and the session is being closed
 }
 
 // txState returns the transaction state for the next reply.
--- a/internal/plug/sessn/finish.go
+++ b/internal/plug/sessn/finish.go
@@ -24,6 +24,7 @@
 	sessions.updateTx(caller, job, result)
 	sessions.log(caller, job, result)
 	sessions.answer(caller, job.Request(), result)
+	sessions.closeIfWithdrawn(caller)
 	sessions.startNext(caller)
 }
 
@@ -53,6 +54,7 @@
 			Name:       "end_idle_transaction",
 			Caller:     caller.id,
 			Deployment: caller.deployment,
+			Team:       caller.tx.Team(),
 			Group:      caller.tx.Group(),
 			Instance:   caller.tx.Instance(),
 			Reason:     "no statement for " + limit.String(),
@@ -119,6 +121,7 @@
 		RequestID:  requestID(job),
 		Session:    job.Request().Session(),
 		Deployment: caller.deployment,
+		Team:       job.Team().Name(),
 		Kind:       job.Kind().Name(),
 		Group:      job.Group(),
 		Instance:   result.Instance,
--- a/internal/plug/sessn/sessn.go
+++ b/internal/plug/sessn/sessn.go
@@ -43,6 +43,8 @@
 		sessions.cancel(received.Caller())
 	case event.CallerClosed:
 		sessions.callerClosed(received.Caller())
+	case event.CatalogChanged:
+		sessions.closeWithdrawn()
 	}
 }
 
@@ -80,6 +82,7 @@
 		id:         opened.Caller(),
 		deployment: opened.Deployment(),
 		class:      opened.Class(),
+		key:        opened.Key(),
 	}
 	added.expire = func() { sessions.expire(added) }
 	sessions.callers[added.id] = added
@@ -95,6 +98,9 @@
 		return codes.RevisionUnconfirmed, ""
 	}
 	deployment, ok := state.Deployment(opened.Deployment())
+	if _, refused := sessions.identify(deployment, opened.Key()); refused.code != codes.OK {
+		return refused.code, refused.detail
+	}
 	if !ok {
 		return codes.UnknownDeployment, opened.Deployment()
 	}
--- a/internal/plug/sessn/start.go
+++ b/internal/plug/sessn/start.go
@@ -55,10 +55,26 @@
 		caller.endTx()
 		sessions.reply(caller, request, route.ResultSpec{Reason: "empty commit"})
 	default:
-		sessions.startJob(caller, sessions.commitJob(caller, request), caller.tx.Access())
+		sessions.commitTx(caller, request)
 	}
 }
 
+// commitTx commits the caller's transaction unless its key does not allow that any more.
+func (sessions *Sessions) commitTx(caller *caller, request *model.Request) {
+	deployment, _ := sessions.context.State().Deployment(caller.deployment)
+	team, refused := sessions.identify(deployment, caller.key)
+	if refused.code == codes.OK && team.Name() != caller.tx.Team() {
+		refused = refusal{codes.TransactionLost, keyMoved}
+	}
+	if refused.code != codes.OK {
+		sessions.rollbackTx(caller)
+		caller.endTx()
+		sessions.refuse(caller, request, refused)
+		return
+	}
+	sessions.startJob(caller, sessions.commitJob(caller, team, request), caller.tx.Access())
+}
+
 // commitEmpty sends a transaction without statements to an instance, for callers that
 // need the answer of an instance to their commit.
 func (sessions *Sessions) commitEmpty(caller *caller, request *model.Request) {
@@ -131,7 +147,7 @@
 }
 
 // commitJob returns the Job that commits the caller's transaction.
-func (sessions *Sessions) commitJob(caller *caller, request *model.Request) *route.Job {
+func (sessions *Sessions) commitJob(caller *caller, team *model.Team, request *model.Request) *route.Job {
 	now := sessions.context.Now()
 	kind := model.Kind{}
 	if caller.tx.Access() == model.AccessEither {
@@ -147,6 +163,8 @@
 		GeneratedID: caller.tx.HasGeneratedID(),
 		Seen:        caller.token.Mark(caller.tx.Group()),
 		Tx:          caller.tx,
+		Team:        team,
+		Key:         caller.key,
 		Arrived:     now,
 		Deadline:    now + sessions.timeout(request, kind),
 	})
--- a/internal/plug/sessn/validate.go
+++ b/internal/plug/sessn/validate.go
@@ -26,7 +26,11 @@
 	if !state.Confirmed() {
 		return refusal{code: codes.RevisionUnconfirmed}
 	}
-	if _, ok := state.Deployment(caller.deployment); !ok {
+	deployment, ok := state.Deployment(caller.deployment)
+	if _, refused := sessions.identify(deployment, caller.key); refused.code != codes.OK {
+		return refused
+	}
+	if !ok {
 		return refusal{codes.UnknownDeployment, caller.deployment}
 	}
 	return refusal{}
@@ -59,8 +63,10 @@
 		Class:      class,
 		Kind:       kind,
 		Group:      group,
+		Key:        caller.key,
 		Arrived:    sessions.context.Now(),
 	}
+	spec.Team, _ = sessions.identify(deployment, caller.key)
 	spec.Deadline = spec.Arrived + sessions.timeout(request, kind)
 	caller.token = caller.token.Merge(request.Token())
 	spec.Seen = caller.token.Mark(group)
@@ -94,6 +100,9 @@
 		return refusal{}
 	}
 	if caller.tx != nil {
+		if caller.tx.Team() != spec.Team.Name() {
+			return refusal{codes.TransactionLost, keyMoved}
+		}
 		return continueTx(caller.tx, spec)
 	}
 	if spec.Kind.Access() == model.AccessWrite {
@@ -110,6 +119,7 @@
 			GeneratedID: spec.GeneratedID,
 			Digest:      spec.Request.Digest(),
 			ReadOnly:    caller.txReadOnly,
+			Team:        spec.Team.Name(),
 		})
 	}
 	return refusal{}
--- a/internal/proof/city/lists.go
+++ b/internal/proof/city/lists.go
@@ -118,6 +118,7 @@
 
 // applyList decodes rows as the adapter does.
 func (proxy *proxy) applyList(action event.ApplyList) {
+	defer proxy.post(0, event.NewListApplied(action.List(), false))
 	if action.List() == model.ListConfiguration {
 		for _, row := range action.Rows() {
 			var revision uint64
