quota: teams borrow tokens for their operations from one proxy each

Change: each operation needs a token. A row of the store lists the lenders, and rendezvous hashing chooses one for each team. Lent tokens expire, and with those in the bucket are never more than the capacity, so that a window holds by construction. A lender works only while its copy of the row is young; a change of the row settles first.

--- a/internal/app/daemon/daemon.go
+++ b/internal/app/daemon/daemon.go
@@ -154,6 +154,12 @@
 		ports.Mesh.AnswerPoll(action)
 	case event.RefusePoll:
 		ports.Mesh.RefusePoll(action)
+	case event.Borrow:
+		ports.Mesh.Borrow(action)
+	case event.AnswerBorrow:
+		ports.Mesh.AnswerBorrow(action)
+	case event.RefuseBorrow:
+		ports.Mesh.RefuseBorrow(action)
 	default:
 		loop.dispatchToPlatform(action)
 	}
--- a/internal/core/model/list.go
+++ b/internal/core/model/list.go
@@ -7,10 +7,12 @@
 const (
 	ListConfiguration ListName = "configuration"
 	ListInstances     ListName = "instances"
+	// ListLenders is kept by the proxies themselves: which of them lend the tokens of the teams.
+	ListLenders ListName = "lenders"
 )
 
 // ListNames returns the names of all lists.
-func ListNames() []ListName { return []ListName{ListConfiguration, ListInstances} }
+func ListNames() []ListName { return []ListName{ListConfiguration, ListInstances, ListLenders} }
 
 // ListRow is a row of a list, with a value in the format of the platform. It is immutable.
 type ListRow struct {
--- a/internal/core/model/team.go
+++ b/internal/core/model/team.go
@@ -106,6 +106,11 @@
 	return nil
 }
 
+// Limited reports whether any team is limited.
+func (teams *Teams) Limited() bool {
+	return teams != nil && slices.ContainsFunc(teams.list, (*Team).Limited)
+}
+
 // Count returns the number of teams.
 func (teams *Teams) Count() int {
 	if teams == nil {
--- a/internal/core/port/port.go
+++ b/internal/core/port/port.go
@@ -50,11 +50,14 @@
 	Apply(action event.ApplyList)
 }
 
-// Mesh exchanges polls with the other proxies.
+// Mesh exchanges polls and loans of tokens with the other proxies.
 type Mesh interface {
 	Poll(action event.SendPoll)
 	AnswerPoll(action event.AnswerPoll)
 	RefusePoll(action event.RefusePoll)
+	Borrow(action event.Borrow)
+	AnswerBorrow(action event.AnswerBorrow)
+	RefuseBorrow(action event.RefuseBorrow)
 }
 
 // ListStatus counts the calls to the platform's store for one of its lists.
--- a/internal/core/route/fleet.go
+++ b/internal/core/route/fleet.go
@@ -6,6 +6,12 @@
 	"almondway.dev/almondway/internal/core/model"
 )
 
+// LendersTable is the table of the store that holds the list of lenders, in the row LendersKey.
+const (
+	LendersTable = "almondway_lenders"
+	LendersKey   = "lenders"
+)
+
 // FleetTable is the table of the store that holds the state shared by the proxies.
 const FleetTable = "almondway"
 
@@ -13,6 +19,7 @@
 const (
 	FleetService  = "fleet"
 	MirrorService = "mirror"
+	QuotaService  = "quota"
 )
 
 // Fleet shares state about live proxies and unusable instances between the proxies.
--- a/internal/core/route/tx.go
+++ b/internal/core/route/tx.go
@@ -23,6 +23,7 @@
 	term     model.Term
 	opened   bool
 	wrote    bool
+	counted  bool
 }
 
 // NewTx returns the Tx that spec describes. It has no connection yet.
@@ -58,6 +59,12 @@
 // SetWrote records that a writing statement is sent.
 func (tx *Tx) SetWrote() { tx.wrote = true }
 
+// Counted reports whether the transaction was counted as an operation of its team.
+func (tx *Tx) Counted() bool { return tx.counted }
+
+// SetCounted records that the transaction was counted as an operation of its team.
+func (tx *Tx) SetCounted() { tx.counted = true }
+
 // Open records the connection of the transaction, its instance and its term.
 func (tx *Tx) Open(conn model.ConnID, instance model.InstanceID, term model.Term) {
 	tx.conn = conn
--- a/internal/core/tune/tune.go
+++ b/internal/core/tune/tune.go
@@ -29,6 +29,9 @@
 	SharedListWait    time.Duration
 	MaxListAge        time.Duration
 	MaxKeyAge         time.Duration
+	QuotaWindow       time.Duration
+	QuotaOverage      float64
+	QuotaSlack        float64
 	PeerSeeds         []string
 }
 
@@ -178,3 +181,14 @@
 // requests with a key are refused, since the key may have been withdrawn. It is 0 if withdrawn
 // keys may be used for longer.
 func (settings *Settings) MaxKeyAge() time.Duration { return settings.spec.MaxKeyAge }
+
+// QuotaWindow returns the span in which the operations of a team are counted: its rate times the
+// span and its burst, exceeded by QuotaOverage as a share and by QuotaSlack operations at most.
+func (settings *Settings) QuotaWindow() time.Duration { return settings.spec.QuotaWindow }
+
+// QuotaOverage returns the share by which a team may exceed its limit in a QuotaWindow.
+func (settings *Settings) QuotaOverage() float64 { return settings.spec.QuotaOverage }
+
+// QuotaSlack returns the operations by which a team may exceed its limit in a QuotaWindow, beyond
+// QuotaOverage.
+func (settings *Settings) QuotaSlack() float64 { return settings.spec.QuotaSlack }
--- /dev/null
+++ b/internal/edge/mesh/borrow.go
@@ -0,0 +1,125 @@
+package mesh
+
+import (
+	"context"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+
+	"almondway.dev/almondway/internal/core/codes"
+	"almondway.dev/almondway/internal/core/event"
+	"almondway.dev/almondway/internal/core/model"
+	"almondway.dev/almondway/internal/proto/meshpb"
+)
+
+// borrowAnswer is the kernel's answer to a call for tokens: a response or, if it is nil, a
+// refusal.
+type borrowAnswer struct {
+	response *meshpb.BorrowResponse
+	code     codes.Code
+}
+
+// Borrow implements port.Mesh.
+func (mesh *Mesh) Borrow(action event.Borrow) { go mesh.borrow(action) }
+
+func (mesh *Mesh) borrow(action event.Borrow) {
+	ctx, cancel := context.WithTimeout(context.Background(), action.Timeout())
+	defer cancel()
+	address := action.Lender().Address()
+	used := mesh.client(address)
+	client := meshpb.NewMeshServiceClient(used, "http://"+address, connect.WithReadMaxBytes(maxMessageBytes))
+	request := &meshpb.BorrowRequest{Caller: &meshpb.Caller{
+		Proxy:      encodeProxy(action.From()),
+		ReceiverId: string(action.Lender().ID()),
+		System:     mesh.spec.System,
+	}}
+	for _, demand := range action.Demands() {
+		request.Demands = append(request.Demands, &meshpb.TokenDemand{Team: string(demand.Team()), Tokens: uint32(demand.Tokens())})
+	}
+	response, err := client.Borrow(ctx, connect.NewRequest(request))
+	if err != nil {
+		mesh.dropClient(address, used)
+		mesh.spec.Inbox.Post(event.NewBorrowFailed(action.ID(), err.Error()))
+		return
+	}
+	var loans []model.Loan
+	for _, loan := range response.Msg.GetLoans() {
+		loans = append(loans, model.NewLoan(model.TeamName(loan.GetTeam()), int(loan.GetTokens()), fromMilliseconds(loan.GetLifetimeMs()), fromMilliseconds(loan.GetRetryAfterMs())))
+	}
+	mesh.spec.Inbox.Post(event.NewBorrowAnswered(action.ID(), loans))
+}
+
+// Borrow implements meshpb.MeshServiceHandler.
+func (server callServer) Borrow(ctx context.Context, request *connect.Request[meshpb.BorrowRequest]) (*connect.Response[meshpb.BorrowResponse], error) {
+	mesh := server.Mesh
+	if err := mesh.checkCaller(request.Msg.GetCaller()); err != nil {
+		return nil, err
+	}
+	answers := make(chan borrowAnswer, 1)
+	id, ok := mesh.addBorrow(answers)
+	if !ok {
+		return nil, connect.NewError(connect.CodeResourceExhausted, errors.New("too many calls for tokens wait"))
+	}
+	defer mesh.removeBorrow(id)
+	var demands []model.TokenDemand
+	for _, demand := range request.Msg.GetDemands() {
+		demands = append(demands, model.NewTokenDemand(model.TeamName(demand.GetTeam()), int(demand.GetTokens())))
+	}
+	mesh.spec.Inbox.Post(event.NewBorrowReceived(id, model.ProxyID(request.Msg.GetCaller().GetReceiverId()), demands))
+	select {
+	case answer := <-answers:
+		if answer.response == nil {
+			return nil, connect.NewError(connect.CodeFailedPrecondition, errors.New(answer.code.String()))
+		}
+		return connect.NewResponse(answer.response), nil
+	case <-ctx.Done():
+		return nil, connect.NewError(connect.CodeCanceled, errors.Wrap(ctx.Err(), "wait for the answer to a call for tokens"))
+	}
+}
+
+func (mesh *Mesh) addBorrow(answers chan<- borrowAnswer) (model.BorrowID, bool) {
+	mesh.mutex.Lock()
+	defer mesh.mutex.Unlock()
+	if len(mesh.borrows) >= maxBorrowsInFlight {
+		return 0, false
+	}
+	mesh.lastID++
+	id := model.BorrowID(mesh.lastID)
+	mesh.borrows[id] = answers
+	return id, true
+}
+
+func (mesh *Mesh) removeBorrow(id model.BorrowID) {
+	mesh.mutex.Lock()
+	defer mesh.mutex.Unlock()
+	delete(mesh.borrows, id)
+}
+
+// AnswerBorrow implements port.Mesh.
+func (mesh *Mesh) AnswerBorrow(action event.AnswerBorrow) {
+	response := &meshpb.BorrowResponse{}
+	for _, loan := range action.Loans() {
+		response.Loans = append(response.Loans, &meshpb.Loan{
+			Team:         string(loan.Team()),
+			Tokens:       uint32(loan.Tokens()),
+			LifetimeMs:   milliseconds(loan.Lifetime()),
+			RetryAfterMs: milliseconds(loan.RetryAfter()),
+		})
+	}
+	mesh.finishBorrow(action.ID(), borrowAnswer{response: response})
+}
+
+// RefuseBorrow implements port.Mesh.
+func (mesh *Mesh) RefuseBorrow(action event.RefuseBorrow) {
+	mesh.finishBorrow(action.ID(), borrowAnswer{code: action.Code()})
+}
+
+// finishBorrow passes the kernel's answer on to the call, unless its sender has given it up.
+func (mesh *Mesh) finishBorrow(id model.BorrowID, answer borrowAnswer) {
+	mesh.mutex.Lock()
+	defer mesh.mutex.Unlock()
+	if answers, ok := mesh.borrows[id]; ok {
+		delete(mesh.borrows, id)
+		answers <- answer
+	}
+}
--- a/internal/edge/mesh/mesh.go
+++ b/internal/edge/mesh/mesh.go
@@ -28,6 +28,8 @@
 	idleTimeout = 10 * time.Second
 	// maxPollsInFlight limits the polls of other proxies that are held. Further ones are refused.
 	maxPollsInFlight = 1024
+	// maxBorrowsInFlight limits the calls for tokens that wait for the kernel.
+	maxBorrowsInFlight = 1024
 )
 
 // Spec holds the parameters of a Mesh.
@@ -47,7 +49,8 @@
 	mutex   sync.Mutex
 	clients map[string]*http.Client // by address
 	polls   map[model.PollID]chan<- pollAnswer
-	lastID  model.PollID
+	borrows map[model.BorrowID]chan<- borrowAnswer
+	lastID  uint64
 	server  *http.Server
 }
 
@@ -59,6 +62,7 @@
 		spec:    spec,
 		clients: make(map[string]*http.Client),
 		polls:   make(map[model.PollID]chan<- pollAnswer),
+		borrows: make(map[model.BorrowID]chan<- borrowAnswer),
 	}
 }
 
@@ -72,7 +76,7 @@
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
 	mux := http.NewServeMux()
-	mux.Handle(meshpb.NewMeshServiceHandler(pollServer{mesh}, connect.WithReadMaxBytes(maxMessageBytes)))
+	mux.Handle(meshpb.NewMeshServiceHandler(callServer{mesh}, connect.WithReadMaxBytes(maxMessageBytes)))
 	mesh.server = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, Protocols: protocols}
 	go func() {
 		if err := mesh.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
--- a/internal/edge/mesh/poll.go
+++ b/internal/edge/mesh/poll.go
@@ -43,11 +43,11 @@
 	return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET) || connect.CodeOf(err) == connect.CodeFailedPrecondition
 }
 
-// pollServer serves MeshService.
-type pollServer struct{ *Mesh }
+// callServer serves MeshService.
+type callServer struct{ *Mesh }
 
 // Poll implements meshpb.MeshServiceHandler.
-func (server pollServer) Poll(ctx context.Context, request *connect.Request[meshpb.PollRequest]) (*connect.Response[meshpb.PollResponse], error) {
+func (server callServer) Poll(ctx context.Context, request *connect.Request[meshpb.PollRequest]) (*connect.Response[meshpb.PollResponse], error) {
 	mesh := server.Mesh
 	if err := mesh.checkCaller(request.Msg.GetCaller()); err != nil {
 		return nil, err
@@ -93,8 +93,9 @@
 		return 0, false
 	}
 	mesh.lastID++
-	mesh.polls[mesh.lastID] = answers
-	return mesh.lastID, true
+	id := model.PollID(mesh.lastID)
+	mesh.polls[id] = answers
+	return id, true
 }
 
 func (mesh *Mesh) removePoll(id model.PollID) {
--- a/internal/plug/bundle/bundle.go
+++ b/internal/plug/bundle/bundle.go
@@ -14,6 +14,7 @@
 	_ "almondway.dev/almondway/internal/plug/member" // registers the plug-in
 	_ "almondway.dev/almondway/internal/plug/mirror" // registers the plug-in
 	_ "almondway.dev/almondway/internal/plug/probe"  // registers the plug-in
+	_ "almondway.dev/almondway/internal/plug/quota"  // registers the plug-in
 	_ "almondway.dev/almondway/internal/plug/reads"  // registers the plug-in
 	_ "almondway.dev/almondway/internal/plug/relay"  // registers the plug-in
 	_ "almondway.dev/almondway/internal/plug/sessn"  // registers the plug-in
--- a/internal/plug/mirror/list.go
+++ b/internal/plug/mirror/list.go
@@ -166,8 +166,17 @@
 	}
 }
 
-// passOn passes changed rows on to the adapter that decodes them. ListApplied is the answer.
+// passOn passes changed rows on to the adapter that decodes them. ListApplied is the answer. The
+// list of lenders is the proxies' own and needs no adapter.
 func (list *list) passOn(rows []model.ListRow, whole, restored bool) {
+	if list.name == model.ListLenders {
+		row := list.rows[route.LendersKey]
+		if row.Deleted() {
+			row = model.ListRow{}
+		}
+		list.context().Publish(event.NewLendersListed(row.Version(), row.Value()))
+		return
+	}
 	list.applying++
 	list.context().Emit(event.NewApplyList(list.name, rows, whole).WithRestored(restored))
 }
--- a/internal/plug/mirror/mirror.go
+++ b/internal/plug/mirror/mirror.go
@@ -31,14 +31,19 @@
 	if context.Settings().ListWait() == 0 {
 		return mirror
 	}
-	for _, name := range model.ListNames() {
-		added := newList(mirror, name)
-		mirror.lists = append(mirror.lists, added)
-		context.Timers().After(0, added.callStore)
+	for _, name := range []model.ListName{model.ListConfiguration, model.ListInstances} {
+		mirror.follow(name)
 	}
 	return mirror
 }
 
+// follow starts to follow a list.
+func (mirror *Mirror) follow(name model.ListName) {
+	added := newList(mirror, name)
+	mirror.lists = append(mirror.lists, added)
+	mirror.context.Timers().After(0, added.callStore)
+}
+
 // Handle implements kern.Plugin.
 func (mirror *Mirror) Handle(received event.Event) {
 	switch received := received.(type) {
@@ -54,6 +59,10 @@
 		if list := mirror.finishCall(received.CallID()); list != nil {
 			list.readAgain("the store lacks the history")
 		}
+	case event.CatalogChanged:
+		if mirror.context.State().Teams().Limited() && mirror.list(model.ListLenders) == nil && len(mirror.lists) > 0 {
+			mirror.follow(model.ListLenders)
+		}
 	case event.ListApplied:
 		if list := mirror.list(received.List()); list != nil {
 			list.handleApplied(received)
--- /dev/null
+++ b/internal/plug/quota/lender.go
@@ -0,0 +1,176 @@
+package quota
+
+import (
+	"encoding/json"
+	"time"
+
+	"almondway.dev/almondway/internal/core/codes"
+	"almondway.dev/almondway/internal/core/event"
+	"almondway.dev/almondway/internal/core/model"
+	"almondway.dev/almondway/internal/core/rank"
+)
+
+// defaultMaxRowAge is the age of its copy of the row up to which a lender works, unless keys end
+// earlier.
+const defaultMaxRowAge = 5 * time.Second
+
+// row is the list of lenders in the store.
+type row struct {
+	// Number grows by one with each change.
+	Number  uint64      `json:"number"`
+	Lenders []lenderRow `json:"lenders"`
+	// Previous are the lenders before the last change. Until Settled is set, some of them may not
+	// know of it, and only the teams that have the same lender in both lists get tokens.
+	Previous []lenderRow `json:"previous,omitempty"`
+	Settled  bool        `json:"settled"`
+}
+
+type lenderRow struct {
+	ID      model.ProxyID `json:"id"`
+	Address string        `json:"address"`
+	Cores   float64       `json:"cores"`
+}
+
+func (row lenderRow) view() model.ProxyView {
+	return model.NewProxyView(row.ID, row.Address, "", 0, false, 0).WithCores(row.Cores)
+}
+
+// lenders is the decoded row with the lenders.
+type lenders struct {
+	version   uint64 // of the row, or 0
+	row       row
+	learnedAt time.Duration // when this version was first seen
+	current   map[model.TeamName]model.ProxyView
+	previous  map[model.TeamName]model.ProxyView
+}
+
+// of returns the lender of a team. It returns false if none is known.
+func (lenders *lenders) of(team model.TeamName) (model.ProxyView, bool) {
+	return pick(lenders.current, lenders.row.Lenders, team)
+}
+
+// lendsNow reports whether a proxy is the lender of a team and no other proxy may still believe
+// that it is.
+func (lenders *lenders) lendsNow(team model.TeamName, self model.ProxyID) bool {
+	lender, ok := lenders.of(team)
+	if !ok || lender.ID() != self {
+		return false
+	}
+	before, ok := pick(lenders.previous, lenders.row.Previous, team)
+	return lenders.row.Settled || ok && before.ID() == self
+}
+
+// pick returns the lender of a team from a list. It caches the result.
+func pick(cache map[model.TeamName]model.ProxyView, rows []lenderRow, team model.TeamName) (model.ProxyView, bool) {
+	if len(rows) == 0 {
+		return model.ProxyView{}, false
+	}
+	found, ok := cache[team]
+	if !ok {
+		views := make([]model.ProxyView, 0, len(rows))
+		for _, row := range rows {
+			views = append(views, row.view())
+		}
+		found = rank.ByCores("tokens of "+string(team), views)[0]
+		cache[team] = found
+	}
+	return found, true
+}
+
+// setLenders puts a new version of the row in force.
+func (quota *Quota) setLenders(listed event.LendersListed) {
+	if listed.Version() == quota.lenders.version && listed.Version() != 0 {
+		return
+	}
+	var decoded row
+	if listed.Version() != 0 {
+		if err := json.Unmarshal(listed.Value(), &decoded); err != nil {
+			quota.log("row_unreadable", model.Decision{List: model.ListLenders, Reason: err.Error()})
+			decoded = row{}
+		}
+	}
+	follows := decoded.Number == quota.lenders.row.Number+1
+	quota.lenders = lenders{
+		version:   listed.Version(),
+		row:       decoded,
+		learnedAt: quota.context.Now(),
+		current:   make(map[model.TeamName]model.ProxyView),
+		previous:  make(map[model.TeamName]model.ProxyView),
+	}
+	quota.keeper.known = true
+	for team := range quota.buckets {
+		// In a version that was missed, another proxy may have been the lender.
+		if !follows || !quota.lenders.lendsNow(team, quota.self()) {
+			delete(quota.buckets, team)
+		}
+	}
+	quota.log("lenders_listed", model.Decision{List: model.ListLenders, Reason: describe(decoded)})
+	for _, purse := range quota.sortedPurses() {
+		if purse.next() != nil {
+			quota.borrow(purse)
+		}
+	}
+}
+
+// handleBorrow answers a call of another proxy for tokens.
+func (quota *Quota) handleBorrow(received event.BorrowReceived) {
+	if received.To() != quota.self() {
+		quota.context.Emit(event.NewRefuseBorrow(received.ID(), codes.WrongProxy))
+		return
+	}
+	quota.context.Emit(event.NewAnswerBorrow(received.ID(), quota.lend(received.Demands())))
+}
+
+// lend returns the loans for some demands.
+func (quota *Quota) lend(demands []model.TokenDemand) []model.Loan {
+	loans := make([]model.Loan, 0, len(demands))
+	for _, demand := range demands {
+		loans = append(loans, quota.lendTo(demand))
+	}
+	return loans
+}
+
+func (quota *Quota) lendTo(demand model.TokenDemand) model.Loan {
+	context := quota.context
+	now := context.Now()
+	nothing := model.NewLoan(demand.Team(), 0, 0, unavailableRetryAfter)
+	team := context.State().Teams().Find(demand.Team())
+	if !team.Limited() || !quota.mayLend(demand.Team(), now) {
+		return nothing
+	}
+	settings := context.Settings()
+	limits := limitsOf(team, settings.QuotaWindow(), settings.QuotaOverage(), settings.QuotaSlack())
+	found, ok := quota.buckets[demand.Team()]
+	if !ok {
+		found = quota.openBucket(demand.Team(), now)
+	}
+	count := found.lend(limits, now, demand.Tokens())
+	retryAfter := time.Duration(0)
+	if count < demand.Tokens() && count == 0 {
+		retryAfter = found.retryAfter(limits)
+	}
+	return model.NewLoan(demand.Team(), count, limits.lifetime, retryAfter)
+}
+
+// mayLend reports whether this proxy is the lender of a team. Its copy of the row must be young:
+// once it is older, the row may name another lender. What an earlier process under this name has
+// lent must have expired.
+func (quota *Quota) mayLend(team model.TeamName, now time.Duration) bool {
+	checkedAt, ok := quota.context.State().ListCheckedAt(model.ListLenders)
+	return ok && now-checkedAt <= quota.maxRowAge() && now >= maxLifetime && quota.lenders.lendsNow(team, quota.self())
+}
+
+func (quota *Quota) maxRowAge() time.Duration {
+	if maxAge := quota.context.Settings().MaxKeyAge(); maxAge > 0 {
+		return maxAge
+	}
+	return defaultMaxRowAge
+}
+
+// openBucket returns the bucket of a team that nobody has asked for yet. It has filled since this
+// proxy has been the lender.
+func (quota *Quota) openBucket(team model.TeamName, now time.Duration) *bucket {
+	since := min(now, max(quota.lenders.learnedAt, maxLifetime))
+	quota.buckets[team] = newBucket(since)
+	return quota.buckets[team]
+}
--- /dev/null
+++ b/internal/plug/quota/quota.go
@@ -0,0 +1,270 @@
+// Package quota is the plug-in that limits the operations of the teams over all proxies. Each
+// operation needs a token of its team. A proxy borrows tokens a few at a time from the lender of
+// the team, which is one of the proxies that a row in the platform's store lists.
+//
+// In any span of W seconds a team uses at most rate*W + capacity tokens:
+//
+//   - A lender's tokens and those that it has lent and that have not expired are never more than
+//     the capacity, and grow by the rate (bucket).
+//   - A borrower counts the lifetime of tokens from the sending of its call, so that they end at
+//     the borrower before they end at the lender (purse).
+//   - A team has one lender: a lender works only while its copy of the row is young, and after a
+//     change of the row the teams that move wait until the copies of the row before are too old
+//     (lenders, keeper).
+//   - A lender that has started lends nothing until what it lent before has expired, and starts
+//     with an empty bucket.
+package quota
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"almondway.dev/almondway/internal/core/codes"
+	"almondway.dev/almondway/internal/core/event"
+	"almondway.dev/almondway/internal/core/kern"
+	"almondway.dev/almondway/internal/core/model"
+	"almondway.dev/almondway/internal/core/route"
+	"almondway.dev/almondway/internal/core/table"
+)
+
+func init() { kern.Register("quota", kern.RankLimits, New, kern.ProfileHosted) }
+
+const (
+	// borrowTimeout limits a call for tokens, and so the wait of an operation.
+	borrowTimeout = 300 * time.Millisecond
+	// unavailableRetryAfter is when a caller may come back whose operation was refused because
+	// no lender answered.
+	unavailableRetryAfter = 250 * time.Millisecond
+)
+
+// Quota is the plug-in. It implements route.Quota.
+type Quota struct {
+	context *kern.Context
+	keeper  keeper
+	lenders lenders
+	purses  map[model.TeamName]*purse
+	buckets map[model.TeamName]*bucket
+	calls   map[model.BorrowID]*call
+	waiters map[route.WaitID]*waiter
+}
+
+// call is a call for tokens that has no answer yet.
+type call struct {
+	lender model.ProxyID
+	sentAt time.Duration
+	purses []*purse
+}
+
+// New returns the plug-in. It limits nothing if the settings give no window.
+func New(context *kern.Context) kern.Plugin {
+	quota := &Quota{
+		context: context,
+		purses:  make(map[model.TeamName]*purse),
+		buckets: make(map[model.TeamName]*bucket),
+		calls:   make(map[model.BorrowID]*call),
+		waiters: make(map[route.WaitID]*waiter),
+	}
+	quota.keeper = newKeeper(context, table.New(context))
+	context.ProvideService(route.QuotaService, quota)
+	if quota.enabled() {
+		context.Timers().Every(keeperInterval, quota.keepLenders)
+	}
+	return quota
+}
+
+func (quota *Quota) enabled() bool { return quota.context.Settings().QuotaWindow() > 0 }
+
+// Handle implements kern.Plugin.
+func (quota *Quota) Handle(received event.Event) {
+	quota.keeper.client.Handle(received)
+	switch received := received.(type) {
+	case event.LendersListed:
+		quota.setLenders(received)
+	case event.BorrowReceived:
+		quota.handleBorrow(received)
+	case event.BorrowAnswered:
+		if call := quota.finishCall(received.ID()); call != nil {
+			quota.handleLoans(call, received.Loans())
+		}
+	case event.BorrowFailed:
+		if call := quota.finishCall(received.ID()); call != nil {
+			quota.log("lender_unreachable", model.Decision{Proxy: call.lender, Reason: received.Reason()})
+			quota.handleLoans(call, nil)
+		}
+	}
+}
+
+// Acquire implements route.Quota.
+func (quota *Quota) Acquire(team *model.Team, decide func(denial *route.Denial)) route.WaitID {
+	if !quota.enabled() || !team.Limited() {
+		decide(nil)
+		return 0
+	}
+	now := quota.context.Now()
+	purse := quota.purse(team.Name())
+	purse.recordDemand(now)
+	switch {
+	case purse.take(now):
+		decide(nil)
+		quota.borrowAhead(purse)
+		return 0
+	case now < purse.emptyUntil:
+		decide(purse.denial(now))
+		return 0
+	}
+	added := &waiter{id: route.WaitID(quota.context.NextID()), decide: decide}
+	purse.waiting = append(purse.waiting, added)
+	quota.waiters[added.id] = added
+	added.timeout = quota.context.Timers().After(borrowTimeout, func() { quota.deny(purse, added, unavailable()) })
+	quota.borrow(purse)
+	if added.ended {
+		return 0
+	}
+	return added.id
+}
+
+// CancelWait implements route.Quota.
+func (quota *Quota) CancelWait(id route.WaitID) {
+	if waiter, ok := quota.waiters[id]; ok {
+		quota.end(waiter)
+	}
+}
+
+// end removes a waiter. Its purse forgets it when it looks for waiters.
+func (quota *Quota) end(waiter *waiter) {
+	waiter.ended = true
+	delete(quota.waiters, waiter.id)
+	quota.context.Timers().Cancel(waiter.timeout)
+}
+
+func (quota *Quota) deny(purse *purse, waiter *waiter, denial *route.Denial) {
+	purse.remove(waiter)
+	if !waiter.ended {
+		quota.end(waiter)
+		waiter.decide(denial)
+	}
+}
+
+func unavailable() *route.Denial {
+	return &route.Denial{Code: codes.TeamLimit, RetryAfter: unavailableRetryAfter, Reason: "no lender has answered"}
+}
+
+func (quota *Quota) purse(team model.TeamName) *purse {
+	found, ok := quota.purses[team]
+	if !ok {
+		found = &purse{team: team}
+		quota.purses[team] = found
+	}
+	return found
+}
+
+// borrowAhead borrows tokens before they are needed, for a team that sends often.
+func (quota *Quota) borrowAhead(purse *purse) {
+	if purse.runsLow(quota.context.Now()) {
+		quota.borrow(purse)
+	}
+}
+
+// borrow asks the lender of a team for tokens, unless a call is pending. Other teams of the same
+// lender that run low join the call.
+func (quota *Quota) borrow(first *purse) {
+	now := quota.context.Now()
+	lender, ok := quota.lenders.of(first.team)
+	if !ok || first.pending {
+		return
+	}
+	purses := []*purse{first}
+	if lender.ID() != quota.self() {
+		purses = append(purses, quota.joining(first, lender.ID(), now)...)
+	}
+	var demands []model.TokenDemand
+	for _, purse := range purses {
+		purse.pending = true
+		demands = append(demands, model.NewTokenDemand(purse.team, purse.wanted(now)))
+	}
+	pending := &call{lender: lender.ID(), sentAt: now, purses: purses}
+	if lender.ID() == quota.self() {
+		quota.handleLoans(pending, quota.lend(demands))
+		return
+	}
+	id := model.BorrowID(quota.context.NextID())
+	quota.calls[id] = pending
+	quota.context.Emit(event.NewBorrow(id, quota.context.State().Self(), lender, demands, borrowTimeout))
+}
+
+// joining returns the other purses that may join a call to a lender.
+func (quota *Quota) joining(first *purse, lender model.ProxyID, now time.Duration) []*purse {
+	var joining []*purse
+	for _, purse := range quota.purses {
+		if purse == first || purse.pending || !purse.runsLow(now) {
+			continue
+		}
+		if other, ok := quota.lenders.of(purse.team); ok && other.ID() == lender {
+			joining = append(joining, purse)
+		}
+	}
+	slices.SortFunc(joining, comparePurses)
+	return joining
+}
+
+func (quota *Quota) self() model.ProxyID { return quota.context.State().Self().ID() }
+
+func (quota *Quota) finishCall(id model.BorrowID) *call {
+	found := quota.calls[id]
+	delete(quota.calls, id)
+	return found
+}
+
+// handleLoans serves the waiters with the loans of an answer, or denies them if there is none.
+func (quota *Quota) handleLoans(call *call, loans []model.Loan) {
+	for index, purse := range call.purses {
+		purse.pending = false
+		if index >= len(loans) || loans[index].Team() != purse.team {
+			quota.refuse(purse, unavailableRetryAfter, "the lender "+string(call.lender)+" does not answer")
+			continue
+		}
+		quota.receive(purse, loans[index], call.sentAt)
+	}
+}
+
+func (quota *Quota) receive(purse *purse, loan model.Loan, sentAt time.Duration) {
+	now := quota.context.Now()
+	purse.add(loan, sentAt)
+	for waiter := purse.next(); waiter != nil && purse.take(now); waiter = purse.next() {
+		purse.remove(waiter)
+		quota.end(waiter)
+		waiter.decide(nil)
+	}
+	switch {
+	case loan.RetryAfter() > 0 && loan.Lifetime() == 0:
+		quota.refuse(purse, loan.RetryAfter(), "the lender of the team may not lend at present")
+	case loan.RetryAfter() > 0:
+		quota.refuse(purse, loan.RetryAfter(), quota.describeExcess(purse))
+	case purse.next() != nil:
+		quota.borrow(purse)
+	}
+}
+
+// refuse denies the operations that wait, and all further ones until tokens are asked for again.
+func (quota *Quota) refuse(purse *purse, retryAfter time.Duration, reason string) {
+	now := quota.context.Now()
+	purse.emptyUntil, purse.emptyReason = now+retryAfter, reason
+	for waiter := purse.next(); waiter != nil; waiter = purse.next() {
+		quota.deny(purse, waiter, purse.denial(now))
+	}
+}
+
+// describeExcess returns the reason for refusing operations of a team over its limit.
+func (quota *Quota) describeExcess(purse *purse) string {
+	team := quota.context.State().Teams().Find(purse.team)
+	if team == nil {
+		return "the team is gone"
+	}
+	return fmt.Sprintf("team over its limit of %g a second and %g at once; %.1f a second came to this proxy", team.Rate(), team.Burst(), purse.rate)
+}
+
+func (quota *Quota) log(name string, decision model.Decision) {
+	decision.Name = name
+	quota.context.Emit(event.NewLogDecision(decision))
+}
--- a/internal/plug/sessn/caller.go
+++ b/internal/plug/sessn/caller.go
@@ -20,6 +20,7 @@
 	token          model.Token
 	job            *route.Job
 	access         model.Access
+	tokenWait      route.WaitID // of the running job for a token of its team, or 0
 	deadlineTimer  timer.ID
 	expire         func()
 	idleTimer      timer.ID
--- a/internal/plug/sessn/sessn.go
+++ b/internal/plug/sessn/sessn.go
@@ -19,6 +19,7 @@
 	context *kern.Context
 	callers map[model.CallerID]*caller
 	runners map[model.Access]route.Runner
+	quota   route.Quota // or nil
 }
 
 // New returns the plug-in. It provides the service route.Sessions.
@@ -28,6 +29,7 @@
 		callers: make(map[model.CallerID]*caller),
 		runners: make(map[model.Access]route.Runner),
 	}
+	sessions.quota, _ = context.Service(route.QuotaService).(route.Quota)
 	context.ProvideService(route.SessionsService, sessions)
 	return sessions
 }
@@ -141,6 +143,7 @@
 	sessions.context.Timers().Cancel(caller.idleTimer)
 	switch {
 	case caller.job != nil:
+		sessions.cancelTokenWait(caller)
 		sessions.runner(caller.access).Abandon(caller.job)
 	case caller.tx != nil:
 		sessions.runner(caller.tx.Access()).Rollback(caller.tx)
--- a/internal/plug/sessn/start.go
+++ b/internal/plug/sessn/start.go
@@ -130,18 +130,23 @@
 	}
 }
 
-// startJob starts the deadline timer of a Job and passes the Job to its runner.
+// startJob starts the deadline timer of a Job and passes the Job to its runner once its team may
+// start an operation.
 func (sessions *Sessions) startJob(caller *caller, job *route.Job, access model.Access) {
 	caller.job = job
 	caller.access = access
 	delay := job.Deadline() - sessions.context.Now()
 	caller.deadlineTimer = sessions.context.Timers().After(delay, caller.expire)
-	sessions.runner(access).Start(job)
+	sessions.admit(caller, job)
 }
 
 // expire ends the running request of a caller when its deadline has passed.
 func (sessions *Sessions) expire(caller *caller) {
-	if caller.job != nil {
+	switch {
+	case caller.tokenWait != 0:
+		sessions.cancelTokenWait(caller)
+		sessions.Finish(caller.job, route.ResultSpec{Outcome: model.OutcomeNotRun, Code: codes.TeamLimit, Reason: "deadline before the lender of the team answered"})
+	case caller.job != nil:
 		sessions.runner(caller.access).Expire(caller.job)
 	}
 }
--- a/internal/proto/meshpb/mesh.connect.go
+++ b/internal/proto/meshpb/mesh.connect.go
@@ -36,6 +36,8 @@
 const (
 	// MeshServicePollProcedure is the fully-qualified name of the MeshService's Poll RPC.
 	MeshServicePollProcedure = "/almondway.mesh.v1.MeshService/Poll"
+	// MeshServiceBorrowProcedure is the fully-qualified name of the MeshService's Borrow RPC.
+	MeshServiceBorrowProcedure = "/almondway.mesh.v1.MeshService/Borrow"
 )
 
 // MeshServiceClient is a client for the almondway.mesh.v1.MeshService service.
@@ -44,6 +46,9 @@
 	// the call until it has news or the time in the request has passed. The call shows each side
 	// that the other one lives.
 	Poll(context.Context, *connect.Request[PollRequest]) (*connect.Response[PollResponse], error)
+	// Borrow asks for tokens of teams, each of which allows one operation. The receiver answers at
+	// once.
+	Borrow(context.Context, *connect.Request[BorrowRequest]) (*connect.Response[BorrowResponse], error)
 }
 
 // NewMeshServiceClient constructs a client for the almondway.mesh.v1.MeshService service. By
@@ -63,12 +68,19 @@
 			connect.WithSchema(meshServiceMethods.ByName("Poll")),
 			connect.WithClientOptions(opts...),
 		),
+		borrow: connect.NewClient[BorrowRequest, BorrowResponse](
+			httpClient,
+			baseURL+MeshServiceBorrowProcedure,
+			connect.WithSchema(meshServiceMethods.ByName("Borrow")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // meshServiceClient implements MeshServiceClient.
 type meshServiceClient struct {
-	poll *connect.Client[PollRequest, PollResponse]
+	poll   *connect.Client[PollRequest, PollResponse]
+	borrow *connect.Client[BorrowRequest, BorrowResponse]
 }
 
 // Poll calls almondway.mesh.v1.MeshService.Poll.
@@ -76,12 +88,20 @@
 	return c.poll.CallUnary(ctx, req)
 }
 
+// Borrow calls almondway.mesh.v1.MeshService.Borrow.
+func (c *meshServiceClient) Borrow(ctx context.Context, req *connect.Request[BorrowRequest]) (*connect.Response[BorrowResponse], error) {
+	return c.borrow.CallUnary(ctx, req)
+}
+
 // MeshServiceHandler is an implementation of the almondway.mesh.v1.MeshService service.
 type MeshServiceHandler interface {
 	// Poll asks for what the sender lacks of the receiver's members and lists. The receiver holds
 	// the call until it has news or the time in the request has passed. The call shows each side
 	// that the other one lives.
 	Poll(context.Context, *connect.Request[PollRequest]) (*connect.Response[PollResponse], error)
+	// Borrow asks for tokens of teams, each of which allows one operation. The receiver answers at
+	// once.
+	Borrow(context.Context, *connect.Request[BorrowRequest]) (*connect.Response[BorrowResponse], error)
 }
 
 // NewMeshServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -97,10 +117,18 @@
 		connect.WithSchema(meshServiceMethods.ByName("Poll")),
 		connect.WithHandlerOptions(opts...),
 	)
+	meshServiceBorrowHandler := connect.NewUnaryHandler(
+		MeshServiceBorrowProcedure,
+		svc.Borrow,
+		connect.WithSchema(meshServiceMethods.ByName("Borrow")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/almondway.mesh.v1.MeshService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case MeshServicePollProcedure:
 			meshServicePollHandler.ServeHTTP(w, r)
+		case MeshServiceBorrowProcedure:
+			meshServiceBorrowHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -113,3 +141,7 @@
 func (UnimplementedMeshServiceHandler) Poll(context.Context, *connect.Request[PollRequest]) (*connect.Response[PollResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("almondway.mesh.v1.MeshService.Poll is not implemented"))
 }
+
+func (UnimplementedMeshServiceHandler) Borrow(context.Context, *connect.Request[BorrowRequest]) (*connect.Response[BorrowResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("almondway.mesh.v1.MeshService.Borrow is not implemented"))
+}
