--- a/internal/app/daemon/daemon.go
+++ b/internal/app/daemon/daemon.go
@@ -148,21 +148,34 @@
 		ports.DecisionLog.Record(action.Decision())
 	case event.StopProxy:
 		ports.Process.Stop()
+	default:
+		if !loop.dispatchToMesh(action) {
+			loop.dispatchToPlatform(action)
+		}
+	}
+}
+
+// dispatchToMesh dispatches the actions that concern other proxies of a hosting platform. It
+// reports false for any other action.
+func (loop *Loop) dispatchToMesh(action event.Action) bool {
+	mesh := loop.ports.Mesh
+	switch action := action.(type) {
 	case event.SendPoll:
-		ports.Mesh.Poll(action)
+		mesh.Poll(action)
 	case event.AnswerPoll:
-		ports.Mesh.AnswerPoll(action)
+		mesh.AnswerPoll(action)
 	case event.RefusePoll:
-		ports.Mesh.RefusePoll(action)
+		mesh.RefusePoll(action)
 	case event.Borrow:
-		ports.Mesh.Borrow(action)
+		mesh.Borrow(action)
 	case event.AnswerBorrow:
-		ports.Mesh.AnswerBorrow(action)
+		mesh.AnswerBorrow(action)
 	case event.RefuseBorrow:
-		ports.Mesh.RefuseBorrow(action)
+		mesh.RefuseBorrow(action)
 	default:
-		loop.dispatchToPlatform(action)
+		return false
 	}
+	return true
 }
 
 // dispatchToPlatform dispatches the actions that the platform's services execute.
--- a/internal/plug/quota/bucket.go
+++ b/internal/plug/quota/bucket.go
@@ -13,8 +13,10 @@
 	// usedOverage is the part of what a team may use beyond its limit that a lender gives out.
 	// The rest covers operations that were sent before a limit was lowered.
 	usedOverage = 0.8
-	// minRetryAfter is the least time after which a proxy asks an empty bucket again.
+	// minRetryAfter and maxRetryAfter bound the time after which a proxy asks an empty bucket
+	// again.
 	minRetryAfter = 100 * time.Millisecond
+	maxRetryAfter = time.Second
 )
 
 // bucketLimits are the limits of a bucket.
@@ -29,11 +31,10 @@
 func limitsOf(team *model.Team, window time.Duration, overage, slack float64) bucketLimits {
 	beyond := overage*(team.Rate()*window.Seconds()+team.Burst()) + slack
 	limits := bucketLimits{rate: team.Rate(), capacity: team.Burst() + usedOverage*beyond, lifetime: maxLifetime}
-	if limits.rate > 0 {
-		// Lent tokens count until they expire. So that they do not hold up the rate, half of the
-		// capacity lasts for a lifetime at least.
-		longest := time.Duration(limits.capacity / (2 * limits.rate) * float64(time.Second))
-		limits.lifetime = min(limits.lifetime, longest)
+	// Lent tokens count until they expire. So that they do not hold up the rate, half of the
+	// capacity lasts for a lifetime at least.
+	if limits.rate*maxLifetime.Seconds() > limits.capacity/2 {
+		limits.lifetime = time.Duration(limits.capacity / (2 * limits.rate) * float64(time.Second))
 	}
 	return limits
 }
@@ -95,8 +96,8 @@
 // retryAfter returns when the bucket has a token again.
 func (bucket *bucket) retryAfter(limits bucketLimits) time.Duration {
 	if limits.rate <= 0 {
-		return time.Second
+		return maxRetryAfter
 	}
-	missing := math.Max(0, 1-bucket.level)
-	return max(minRetryAfter, time.Duration(missing/limits.rate*float64(time.Second)))
+	seconds := math.Min(maxRetryAfter.Seconds(), math.Max(0, 1-bucket.level)/limits.rate)
+	return max(minRetryAfter, time.Duration(seconds*float64(time.Second)))
 }
--- a/internal/plug/quota/quota.go
+++ b/internal/plug/quota/quota.go
@@ -26,6 +26,7 @@
 	"almondway.dev/almondway/internal/core/model"
 	"almondway.dev/almondway/internal/core/route"
 	"almondway.dev/almondway/internal/core/table"
+	"almondway.dev/almondway/internal/core/timer"
 )
 
 func init() { kern.Register("quota", kern.RankLimits, New, kern.ProfileHosted) }
@@ -33,6 +34,9 @@
 const (
 	// borrowTimeout limits a call for tokens, and so the wait of an operation.
 	borrowTimeout = 300 * time.Millisecond
+	// answerMargin is the time beyond it after which a call that the adapter has not reported
+	// counts as failed.
+	answerMargin = 100 * time.Millisecond
 	// unavailableRetryAfter is when a caller may come back whose operation was refused because
 	// no lender answered.
 	unavailableRetryAfter = 250 * time.Millisecond
@@ -51,9 +55,10 @@
 
 // call is a call for tokens that has no answer yet.
 type call struct {
-	lender model.ProxyID
-	sentAt time.Duration
-	purses []*purse
+	lender  model.ProxyID
+	sentAt  time.Duration
+	purses  []*purse
+	timeout timer.ID
 }
 
 // New returns the plug-in. It limits nothing if the settings give no window.
@@ -88,10 +93,7 @@
 			quota.handleLoans(call, received.Loans())
 		}
 	case event.BorrowFailed:
-		if call := quota.finishCall(received.ID()); call != nil {
-			quota.log("lender_unreachable", model.Decision{Proxy: call.lender, Reason: received.Reason()})
-			quota.handleLoans(call, nil)
-		}
+		quota.failCall(received.ID(), received.Reason())
 	}
 }
 
@@ -190,6 +192,7 @@
 	}
 	id := model.BorrowID(quota.context.NextID())
 	quota.calls[id] = pending
+	pending.timeout = quota.context.Timers().After(borrowTimeout+answerMargin, func() { quota.failCall(id, "no answer") })
 	quota.context.Emit(event.NewBorrow(id, quota.context.State().Self(), lender, demands, borrowTimeout))
 }
 
@@ -212,10 +215,21 @@
 
 func (quota *Quota) finishCall(id model.BorrowID) *call {
 	found := quota.calls[id]
-	delete(quota.calls, id)
+	if found != nil {
+		delete(quota.calls, id)
+		quota.context.Timers().Cancel(found.timeout)
+	}
 	return found
 }
 
+// failCall ends a call that got no usable answer.
+func (quota *Quota) failCall(id model.BorrowID, reason string) {
+	if call := quota.finishCall(id); call != nil {
+		quota.log("lender_unreachable", model.Decision{Proxy: call.lender, Reason: reason})
+		quota.handleLoans(call, nil)
+	}
+}
+
 // handleLoans serves the waiters with the loans of an answer, or denies them if there is none.
 func (quota *Quota) handleLoans(call *call, loans []model.Loan) {
 	for index, purse := range call.purses {
