--- a/internal/plug/fleet/answer.go
+++ b/internal/plug/fleet/answer.go
@@ -9,6 +9,10 @@
 	"almondway.dev/almondway/internal/core/model"
 )
 
+// announceTimePerMember is the least time between two announcements of changed members, for each
+// of them.
+const announceTimePerMember = 5 * time.Millisecond
+
 // maxHold limits how long a poll is held, whatever the sender allows.
 const maxHold = 5 * time.Second
 
@@ -48,6 +52,7 @@
 
 // answerHeld answers the polls for which there is news, and those that were held long enough.
 func (fleet *Fleet) answerHeld() {
+	fleet.announce()
 	now := fleet.context.Now()
 	var kept []heldPoll
 	for _, held := range fleet.held {
@@ -68,12 +73,38 @@
 	return poll.Members() != fleet.versionFor(poll) || fleet.mirror != nil && fleet.mirror.HasNews(poll.Lists())
 }
 
-// versionFor returns the state of the members that a poll asks for.
+// versionFor returns the announced state of the members that a poll asks for.
 func (fleet *Fleet) versionFor(poll model.Poll) model.MembersVersion {
 	if poll.HeardOnly() {
-		return model.NewMembersVersion(fleet.process, fleet.heardVersion)
+		return model.NewMembersVersion(fleet.process, fleet.announced.heardVersion)
+	}
+	return model.NewMembersVersion(fleet.process, fleet.announced.liveVersion)
+}
+
+// announced is the state of the members that polls get. It follows the known state at intervals,
+// since each change of it is sent to all proxies that poll this one. While many proxies start,
+// one announcement covers many of them.
+type announced struct {
+	live, heard               []model.ProxyView
+	liveVersion, heardVersion uint64
+	at                        time.Duration
+}
+
+// announce brings the announced state of the members up to date if it is time for that.
+func (fleet *Fleet) announce() {
+	now := fleet.context.Now()
+	current := fleet.announced.liveVersion == fleet.liveVersion && fleet.announced.heardVersion == fleet.heardVersion
+	interval := time.Duration(len(fleet.live)) * announceTimePerMember
+	if current || fleet.announced.liveVersion > 0 && now-fleet.announced.at < interval {
+		return
+	}
+	fleet.announced = announced{
+		live:         fleet.live,
+		heard:        fleet.heardViews(),
+		liveVersion:  fleet.liveVersion,
+		heardVersion: fleet.heardVersion,
+		at:           now,
 	}
-	return model.NewMembersVersion(fleet.process, fleet.liveVersion)
 }
 
 func (fleet *Fleet) answerPoll(held heldPoll) {
@@ -86,9 +117,9 @@
 		Changed:  version != held.poll.Members(),
 	}
 	if spec.Changed {
-		spec.Members = fleet.live
+		spec.Members = fleet.announced.live
 		if held.poll.HeardOnly() {
-			spec.Members = fleet.heardViews()
+			spec.Members = fleet.announced.heard
 		}
 	}
 	if fleet.mirror != nil {
--- a/internal/plug/fleet/fleet.go
+++ b/internal/plug/fleet/fleet.go
@@ -35,10 +35,11 @@
 
 	registry
 	members
-	sources map[model.ProxyID]*source
-	polls   map[model.PollID]*source
-	held    []heldPoll
-	role    route.ListRole
+	sources   map[model.ProxyID]*source
+	polls     map[model.PollID]*source
+	held      []heldPoll
+	announced announced
+	role      route.ListRole
 	// lastListPollAt is when another proxy last asked for changes of lists, or 0.
 	lastListPollAt time.Duration
 	// lastReplyAt is when another proxy last answered a poll, or 0.
--- a/internal/proof/city/proxy.go
+++ b/internal/proof/city/proxy.go
@@ -13,6 +13,7 @@
 
 // proxy runs the kernel of one proxy and simulates its adapters.
 type proxy struct {
+	traffic          traffic
 	simulation       *simulation
 	name             string
 	dataCenter       model.DataCenter
@@ -186,6 +187,7 @@
 }
 
 func (proxy *proxy) runAction(action event.Action) {
+	proxy.traffic.count(action)
 	switch action := action.(type) {
 	case event.OpenConn:
 		proxy.openConn(action)
--- /dev/null
+++ b/internal/proof/city/traffic.go
@@ -0,0 +1,39 @@
+package city
+
+import "almondway.dev/almondway/internal/core/event"
+
+// traffic counts what a proxy sends to the others and reads from the store.
+type traffic struct {
+	polls   int
+	replies int
+	members int // in the replies
+	reads   int
+}
+
+func (traffic *traffic) count(action event.Action) {
+	switch action := action.(type) {
+	case event.SendPoll:
+		traffic.polls++
+	case event.AnswerPoll:
+		traffic.replies++
+		traffic.members += len(action.Reply().Members())
+	case event.ReadStore, event.ReadList, event.AwaitChanges:
+		traffic.reads++
+	}
+}
+
+// add adds the counts of another proxy.
+func (traffic *traffic) add(other traffic) {
+	traffic.polls += other.polls
+	traffic.replies += other.replies
+	traffic.members += other.members
+	traffic.reads += other.reads
+}
+
+// busiest replaces each count by that of another proxy if that is higher.
+func (traffic *traffic) busiest(other traffic) {
+	traffic.polls = max(traffic.polls, other.polls)
+	traffic.replies = max(traffic.replies, other.replies)
+	traffic.members = max(traffic.members, other.members)
+	traffic.reads = max(traffic.reads, other.reads)
+}
