quota: three lenders a team, each with a third of its limit

Change: each of three lenders of a team lends a third of what the team may use. A proxy asks its next lender when one has no tokens or does not answer.

--- a/internal/plug/quota/bucket.go
+++ b/internal/plug/quota/bucket.go
@@ -26,11 +26,13 @@
 	lifetime time.Duration
 }
 
-// limitsOf returns the limits of the bucket of a team. In any window of the settings the team may
-// use rate*window + burst tokens, and exceed that by overage as a share and by slack.
-func limitsOf(team *model.Team, window time.Duration, overage, slack float64) bucketLimits {
+// limitsOf returns the limits of the bucket of a team at each of its lenders. In any window of the
+// settings the team may use rate*window + burst tokens, and exceed that by overage as a share and
+// by slack.
+func limitsOf(team *model.Team, lenders int, window time.Duration, overage, slack float64) bucketLimits {
 	beyond := overage*(team.Rate()*window.Seconds()+team.Burst()) + slack
-	limits := bucketLimits{rate: team.Rate(), capacity: team.Burst() + usedOverage*beyond, lifetime: maxLifetime}
+	share := 1 / float64(lenders)
+	limits := bucketLimits{rate: team.Rate() * share, capacity: (team.Burst() + usedOverage*beyond) * share, lifetime: maxLifetime}
 	// Lent tokens count until they expire. So that they do not hold up the rate, half of the
 	// capacity lasts for a lifetime at least.
 	if limits.rate*maxLifetime.Seconds() > limits.capacity/2 {
--- a/internal/plug/quota/lender.go
+++ b/internal/plug/quota/lender.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"time"
 
 	"almondway.dev/almondway/internal/core/codes"
@@ -10,6 +11,10 @@
 	"almondway.dev/almondway/internal/core/rank"
 )
 
+// lendersPerTeam is the number of lenders of a team. Two of three lend enough for a team that uses
+// two thirds of its limit.
+const lendersPerTeam = 3
+
 // defaultMaxRowAge is the age of its copy of the row up to which a lender works, unless keys end
 // earlier.
 const defaultMaxRowAge = 5 * time.Second
@@ -20,7 +25,7 @@
 	Number  uint64      `json:"number"`
 	Lenders []lenderRow `json:"lenders"`
 	// Previous are the lenders before the last change. Until Settled is set, some of them may not
-	// know of it, and only the teams that have the same lender in both lists get tokens.
+	// know of it, and only proxies that are lenders of a team by both lists lend its tokens.
 	Previous []lenderRow `json:"previous,omitempty"`
 	Settled  bool        `json:"settled"`
 }
@@ -40,30 +45,42 @@
 	version   uint64 // of the row, or 0
 	row       row
 	learnedAt time.Duration // when this version was first seen
-	current   map[model.TeamName]model.ProxyView
-	previous  map[model.TeamName]model.ProxyView
+	current   map[model.TeamName][]model.ProxyView
+	previous  map[model.TeamName][]model.ProxyView
 }
 
-// of returns the lender of a team. It returns false if none is known.
-func (lenders *lenders) of(team model.TeamName) (model.ProxyView, bool) {
+// of returns the lenders of a team, of which there are none if no list is known.
+func (lenders *lenders) of(team model.TeamName) []model.ProxyView {
 	return pick(lenders.current, lenders.row.Lenders, team)
 }
 
-// lendsNow reports whether a proxy is the lender of a team and no other proxy may still believe
-// that it is.
+// before returns the lenders of a team before the last change.
+func (lenders *lenders) before(team model.TeamName) []model.ProxyView {
+	return pick(lenders.previous, lenders.row.Previous, team)
+}
+
+// lendsNow reports whether a proxy is a lender of a team and the others know that.
 func (lenders *lenders) lendsNow(team model.TeamName, self model.ProxyID) bool {
-	lender, ok := lenders.of(team)
-	if !ok || lender.ID() != self {
+	isSelf := func(lender model.ProxyView) bool { return lender.ID() == self }
+	if !slices.ContainsFunc(lenders.of(team), isSelf) {
 		return false
 	}
-	before, ok := pick(lenders.previous, lenders.row.Previous, team)
-	return lenders.row.Settled || ok && before.ID() == self
+	return lenders.row.Settled || slices.ContainsFunc(lenders.before(team), isSelf)
+}
+
+// parts returns into how many parts what a team may use is divided. Until a change is settled it
+// is divided into as many as any lender may believe.
+func (lenders *lenders) parts(team model.TeamName) int {
+	if lenders.row.Settled {
+		return len(lenders.of(team))
+	}
+	return max(len(lenders.of(team)), len(lenders.before(team)))
 }
 
-// pick returns the lender of a team from a list. It caches the result.
-func pick(cache map[model.TeamName]model.ProxyView, rows []lenderRow, team model.TeamName) (model.ProxyView, bool) {
+// pick returns the lenders of a team from a list. It caches the result.
+func pick(cache map[model.TeamName][]model.ProxyView, rows []lenderRow, team model.TeamName) []model.ProxyView {
 	if len(rows) == 0 {
-		return model.ProxyView{}, false
+		return nil
 	}
 	found, ok := cache[team]
 	if !ok {
@@ -71,10 +88,11 @@
 		for _, row := range rows {
 			views = append(views, row.view())
 		}
-		found = rank.ByCores("tokens of "+string(team), views)[0]
+		found = rank.ByCores("tokens of "+string(team), views)
+		found = found[:min(lendersPerTeam, len(found))]
 		cache[team] = found
 	}
-	return found, true
+	return found
 }
 
 // setLenders puts a new version of the row in force.
@@ -94,8 +112,8 @@
 		version:   listed.Version(),
 		row:       decoded,
 		learnedAt: quota.context.Now(),
-		current:   make(map[model.TeamName]model.ProxyView),
-		previous:  make(map[model.TeamName]model.ProxyView),
+		current:   make(map[model.TeamName][]model.ProxyView),
+		previous:  make(map[model.TeamName][]model.ProxyView),
 	}
 	quota.keeper.known = true
 	for team := range quota.buckets {
@@ -139,7 +157,7 @@
 		return nothing
 	}
 	settings := context.Settings()
-	limits := limitsOf(team, settings.QuotaWindow(), settings.QuotaOverage(), settings.QuotaSlack())
+	limits := limitsOf(team, quota.lenders.parts(team.Name()), settings.QuotaWindow(), settings.QuotaOverage(), settings.QuotaSlack())
 	found, ok := quota.buckets[demand.Team()]
 	if !ok {
 		found = quota.openBucket(demand.Team(), now)
@@ -152,8 +170,8 @@
 	return model.NewLoan(demand.Team(), count, limits.lifetime, retryAfter)
 }
 
-// mayLend reports whether this proxy is the lender of a team. Its copy of the row must be young:
-// once it is older, the row may name another lender. What an earlier process under this name has
+// mayLend reports whether this proxy is a lender of a team. Its copy of the row must be young:
+// once it is older, the row may name other lenders. What an earlier process under this name has
 // lent must have expired.
 func (quota *Quota) mayLend(team model.TeamName, now time.Duration) bool {
 	checkedAt, ok := quota.context.State().ListCheckedAt(model.ListLenders)
--- a/internal/plug/quota/purse.go
+++ b/internal/plug/quota/purse.go
@@ -5,7 +5,6 @@
 	"math"
 	"time"
 
-	"almondway.dev/almondway/internal/core/codes"
 	"almondway.dev/almondway/internal/core/model"
 	"almondway.dev/almondway/internal/core/route"
 	"almondway.dev/almondway/internal/core/timer"
@@ -35,6 +34,12 @@
 	expiresAt time.Duration
 }
 
+// refusal says until when a lender is not asked again, and why.
+type refusal struct {
+	until  time.Duration
+	reason string
+}
+
 // purse holds the tokens of a team that this proxy has borrowed, and the operations that wait for
 // more.
 type purse struct {
@@ -42,9 +47,8 @@
 	held    []tokens // in the order of their loans
 	waiting []*waiter
 	pending bool // a call for tokens has no answer yet
-	// emptyUntil is the time until which the lender has no tokens.
-	emptyUntil  time.Duration
-	emptyReason string
+	// refused are the lenders that had no tokens.
+	refused map[model.ProxyID]refusal
 	// rate is the average number of operations a second up to demandAt.
 	rate     float64
 	demandAt time.Duration
@@ -101,7 +105,7 @@
 
 // runsLow reports whether half of what is borrowed ahead is used.
 func (purse *purse) runsLow(now time.Duration) bool {
-	return now >= purse.emptyUntil && purse.rate >= minAheadRate && purse.count(now) <= purse.ahead()/2
+	return purse.rate >= minAheadRate && purse.count(now) <= purse.ahead()/2
 }
 
 // ahead returns the number of tokens that are borrowed ahead.
@@ -136,8 +140,3 @@
 		}
 	}
 }
-
-// denial returns the denial of an operation while the lender has no tokens.
-func (purse *purse) denial(now time.Duration) *route.Denial {
-	return &route.Denial{Code: codes.TeamLimit, RetryAfter: max(time.Millisecond, purse.emptyUntil-now), Reason: purse.emptyReason}
-}
--- a/internal/plug/quota/quota.go
+++ b/internal/plug/quota/quota.go
@@ -1,6 +1,7 @@
 // Package quota is the plug-in that limits the operations of the teams over all proxies. Each
-// operation needs a token of its team. A proxy borrows tokens a few at a time from the lender of
-// the team, which is one of the proxies that a row in the platform's store lists.
+// operation needs a token of its team. A proxy borrows tokens a few at a time from the lenders of
+// the team, which are some of the proxies that a row in the platform's store lists. Each of them
+// lends an equal part of what the team may use, so that the loss of one takes away that part only.
 //
 // In any span of W seconds a team uses at most rate*W + capacity tokens:
 //
@@ -8,15 +9,16 @@
 //     the capacity, and grow by the rate (bucket).
 //   - A borrower counts the lifetime of tokens from the sending of its call, so that they end at
 //     the borrower before they end at the lender (purse).
-//   - A team has one lender: a lender works only while its copy of the row is young, and after a
-//     change of the row the teams that move wait until the copies of the row before are too old
-//     (lenders, keeper).
+//   - All agree on the lenders of a team: a lender works only while its copy of the row is young,
+//     and after a change of the row the new lenders of a team wait until the copies of the row
+//     before are too old (lenders, keeper).
 //   - A lender that has started lends nothing until what it lent before has expired, and starts
 //     with an empty bucket.
 package quota
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"time"
 
@@ -32,25 +34,33 @@
 func init() { kern.Register("quota", kern.RankLimits, New, kern.ProfileHosted) }
 
 const (
-	// borrowTimeout limits a call for tokens, and so the wait of an operation.
-	borrowTimeout = 300 * time.Millisecond
+	// borrowTimeout limits a call for tokens.
+	borrowTimeout = 150 * time.Millisecond
 	// answerMargin is the time beyond it after which a call that the adapter has not reported
 	// counts as failed.
-	answerMargin = 100 * time.Millisecond
-	// unavailableRetryAfter is when a caller may come back whose operation was refused because
-	// no lender answered.
-	unavailableRetryAfter = 250 * time.Millisecond
+	answerMargin = 50 * time.Millisecond
+	// maxTokenWait limits the time for which an operation waits for a token.
+	maxTokenWait = 400 * time.Millisecond
+	// unavailableRetryAfter is when to ask a lender again that may not lend at present, and when
+	// a caller may come back whose operation was refused because no lender answered.
+	unavailableRetryAfter = 100 * time.Millisecond
+	// avoidTime is the time for which a lender that did not answer is not asked.
+	avoidTime = 2 * time.Second
 )
 
 // Quota is the plug-in. It implements route.Quota.
 type Quota struct {
 	context *kern.Context
 	keeper  keeper
-	lenders lenders
-	purses  map[model.TeamName]*purse
-	buckets map[model.TeamName]*bucket
-	calls   map[model.BorrowID]*call
-	waiters map[route.WaitID]*waiter
+	// firstLender is the number of the lender that this proxy asks first.
+	firstLender int
+	lenders     lenders
+	purses      map[model.TeamName]*purse
+	buckets     map[model.TeamName]*bucket
+	calls       map[model.BorrowID]*call
+	waiters     map[route.WaitID]*waiter
+	// avoided are the lenders that did not answer, with the times until which they are not asked.
+	avoided map[model.ProxyID]time.Duration
 }
 
 // call is a call for tokens that has no answer yet.
@@ -69,7 +79,9 @@
 		buckets: make(map[model.TeamName]*bucket),
 		calls:   make(map[model.BorrowID]*call),
 		waiters: make(map[route.WaitID]*waiter),
+		avoided: make(map[model.ProxyID]time.Duration),
 	}
+	quota.firstLender = context.Random().IntN(lendersPerTeam)
 	quota.keeper = newKeeper(context, table.New(context))
 	context.ProvideService(route.QuotaService, quota)
 	if quota.enabled() {
@@ -106,19 +118,19 @@
 	now := quota.context.Now()
 	purse := quota.purse(team.Name())
 	purse.recordDemand(now)
-	switch {
-	case purse.take(now):
+	if purse.take(now) {
 		decide(nil)
 		quota.borrowAhead(purse)
 		return 0
-	case now < purse.emptyUntil:
-		decide(purse.denial(now))
+	}
+	if _, ok := quota.chooseLender(purse, now); !ok && !purse.pending && len(quota.lenders.of(team.Name())) > 0 {
+		decide(quota.denial(purse, now))
 		return 0
 	}
 	added := &waiter{id: route.WaitID(quota.context.NextID()), decide: decide}
 	purse.waiting = append(purse.waiting, added)
 	quota.waiters[added.id] = added
-	added.timeout = quota.context.Timers().After(borrowTimeout, func() { quota.deny(purse, added, unavailable()) })
+	added.timeout = quota.context.Timers().After(maxTokenWait, func() { quota.deny(purse, added, unavailable()) })
 	quota.borrow(purse)
 	if added.ended {
 		return 0
@@ -155,7 +167,7 @@
 func (quota *Quota) purse(team model.TeamName) *purse {
 	found, ok := quota.purses[team]
 	if !ok {
-		found = &purse{team: team}
+		found = &purse{team: team, refused: make(map[model.ProxyID]refusal)}
 		quota.purses[team] = found
 	}
 	return found
@@ -168,11 +180,24 @@
 	}
 }
 
-// borrow asks the lender of a team for tokens, unless a call is pending. Other teams of the same
+// chooseLender returns the lender of a team to ask for tokens: the first one in an order of this
+// proxy that has answered and is not empty. It returns false if there is none.
+func (quota *Quota) chooseLender(purse *purse, now time.Duration) (model.ProxyView, bool) {
+	all := quota.lenders.of(purse.team)
+	for offset := range all {
+		lender := all[(quota.firstLender+offset)%len(all)]
+		if now >= quota.avoided[lender.ID()] && now >= purse.refused[lender.ID()].until {
+			return lender, true
+		}
+	}
+	return model.ProxyView{}, false
+}
+
+// borrow asks a lender of a team for tokens, unless a call is pending. Other teams of the same
 // lender that run low join the call.
 func (quota *Quota) borrow(first *purse) {
 	now := quota.context.Now()
-	lender, ok := quota.lenders.of(first.team)
+	lender, ok := quota.chooseLender(first, now)
 	if !ok || first.pending {
 		return
 	}
@@ -203,7 +228,7 @@
 		if purse == first || purse.pending || !purse.runsLow(now) {
 			continue
 		}
-		if other, ok := quota.lenders.of(purse.team); ok && other.ID() == lender {
+		if other, ok := quota.chooseLender(purse, now); ok && other.ID() == lender {
 			joining = append(joining, purse)
 		}
 	}
@@ -225,26 +250,29 @@
 // failCall ends a call that got no usable answer.
 func (quota *Quota) failCall(id model.BorrowID, reason string) {
 	if call := quota.finishCall(id); call != nil {
-		quota.log("lender_unreachable", model.Decision{Proxy: call.lender, Reason: reason})
+		if quota.context.Now() >= quota.avoided[call.lender] {
+			quota.log("lender_unreachable", model.Decision{Proxy: call.lender, Reason: reason})
+		}
+		quota.avoided[call.lender] = quota.context.Now() + avoidTime
 		quota.handleLoans(call, nil)
 	}
 }
 
-// handleLoans serves the waiters with the loans of an answer, or denies them if there is none.
+// handleLoans serves the waiters with the loans of an answer.
 func (quota *Quota) handleLoans(call *call, loans []model.Loan) {
 	for index, purse := range call.purses {
 		purse.pending = false
-		if index >= len(loans) || loans[index].Team() != purse.team {
-			quota.refuse(purse, unavailableRetryAfter, "the lender "+string(call.lender)+" does not answer")
+		if index < len(loans) && loans[index].Team() == purse.team {
+			quota.receive(purse, loans[index], call)
 			continue
 		}
-		quota.receive(purse, loans[index], call.sentAt)
+		quota.refuse(purse, call.lender, refusal{until: quota.context.Now() + unavailableRetryAfter, reason: "a lender did not answer"})
 	}
 }
 
-func (quota *Quota) receive(purse *purse, loan model.Loan, sentAt time.Duration) {
+func (quota *Quota) receive(purse *purse, loan model.Loan, call *call) {
 	now := quota.context.Now()
-	purse.add(loan, sentAt)
+	purse.add(loan, call.sentAt)
 	for waiter := purse.next(); waiter != nil && purse.take(now); waiter = purse.next() {
 		purse.remove(waiter)
 		quota.end(waiter)
@@ -252,21 +280,46 @@
 	}
 	switch {
 	case loan.RetryAfter() > 0 && loan.Lifetime() == 0:
-		quota.refuse(purse, loan.RetryAfter(), "the lender of the team may not lend at present")
+		quota.refuse(purse, call.lender, refusal{until: now + loan.RetryAfter(), reason: "a lender of the team may not lend at present"})
 	case loan.RetryAfter() > 0:
-		quota.refuse(purse, loan.RetryAfter(), quota.describeExcess(purse))
+		quota.refuse(purse, call.lender, refusal{until: now + loan.RetryAfter(), reason: quota.describeExcess(purse)})
 	case purse.next() != nil:
 		quota.borrow(purse)
 	}
 }
 
-// refuse denies the operations that wait, and all further ones until tokens are asked for again.
-func (quota *Quota) refuse(purse *purse, retryAfter time.Duration, reason string) {
+// refuse records that a lender has no tokens. The operations that wait go on to another lender, or
+// are denied if there is none.
+func (quota *Quota) refuse(purse *purse, lender model.ProxyID, refused refusal) {
 	now := quota.context.Now()
-	purse.emptyUntil, purse.emptyReason = now+retryAfter, reason
+	purse.refused[lender] = refused
+	if purse.next() == nil {
+		return
+	}
+	if _, ok := quota.chooseLender(purse, now); ok {
+		quota.borrow(purse)
+		return
+	}
 	for waiter := purse.next(); waiter != nil; waiter = purse.next() {
-		quota.deny(purse, waiter, purse.denial(now))
+		quota.deny(purse, waiter, quota.denial(purse, now))
+	}
+}
+
+// denial returns the denial of an operation while no lender has tokens.
+func (quota *Quota) denial(purse *purse, now time.Duration) *route.Denial {
+	denial := unavailable()
+	first := time.Duration(math.MaxInt64)
+	for _, lender := range quota.lenders.of(purse.team) {
+		refused := purse.refused[lender.ID()]
+		if until := max(refused.until, quota.avoided[lender.ID()]); until < first {
+			first = until
+			denial.RetryAfter = max(time.Millisecond, until-now)
+		}
+		if refused.reason != "" {
+			denial.Reason = refused.reason
+		}
 	}
+	return denial
 }
 
 // describeExcess returns the reason for refusing operations of a team over its limit.
