conns: scarce connections of teams are not held

Cause: 60 proxies share 26 connections of an instance, and each one runs the statements of one team only: 44,770 connections were opened for 41,790 arrivals, and 10,812 were reset since the instance had too many, while idle ones were kept for 200 to 300 ms. Change: where a proxy's share is none and there are teams, a connection is closed as soon as nothing waits for it. Sites without teams are not touched.

--- a/internal/plug/conns/conns.go
+++ b/internal/plug/conns/conns.go
@@ -176,6 +176,9 @@
 	if slot {
 		pools.admission.Release(conn.request, held, false)
 	}
+	if conn.state == connIdle && conn.pool.holdsNone() {
+		conn.pool.closeIdle(conn)
+	}
 }
 
 // Discard implements route.Conns.
--- a/internal/plug/conns/pool.go
+++ b/internal/plug/conns/pool.go
@@ -144,6 +144,14 @@
 	return max(1, pool.share()/minOpenDivisor)
 }
 
+// holdsNone reports whether connections are closed as soon as nothing waits for them. Where more
+// proxies than connections share an instance and each connection runs the statements of one team
+// only, the next statement that can use it hardly ever comes to the same proxy in time, and
+// meanwhile the connection is missing elsewhere.
+func (pool *pool) holdsNone() bool {
+	return pool.pools.context.State().Teams() != nil && pool.instance.MaxConns() > 0 && pool.share() == 0
+}
+
 // grantWaiting grants idle connections to waiters in the order of their arrival, and opens
 // connections for the teams that have none.
 func (pool *pool) grantWaiting() {
--- a/internal/plug/conns/team_test.go
+++ b/internal/plug/conns/team_test.go
@@ -99,6 +99,36 @@
 	is.Equal(len(fixture.pools.conns), 4)
 }
 
+// Where more proxies than connections share an instance, a connection of a team is closed as soon
+// as nothing waits for it. Without teams, or with connections enough, it is kept.
+func TestScarceConnectionsAreNotHeld(t *testing.T) {
+	tests := []struct {
+		name    string
+		proxies int
+		teams   bool
+		closed  bool
+	}{
+		{name: "scarce, with teams", proxies: 5, teams: true, closed: true},
+		{name: "scarce, without teams", proxies: 5},
+		{name: "enough, with teams", proxies: 4, teams: true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			fixture := newTeamFixture()
+			state := fixture.kernel.State()
+			state.SetProxies(make([]model.ProxyView, test.proxies))
+			if !test.teams {
+				state.SetTeams(nil)
+			}
+			user := fixture.acquireForTeam("")
+			fixture.completeOpenings()
+			fixture.release(user.conn, false)
+			is.Equal(fixture.wasClosed(user.conn), test.closed)
+		})
+	}
+}
+
 // What the proxy sends itself may use any connection.
 func TestPingUsesAnyConnection(t *testing.T) {
 	is := is.New(t)
