conns: few connections are opened ahead of demand

There each instance takes as many connections as its proxies are many times over; a proxy that starts knows few of the others, takes its share for a large one and opened half of it at once, to each instance, until all were refused. Change: at most 6 connections are open regardless of demand where the instance lists a maximum; a transaction's scarce connection is closed instead of being rolled back and kept.

--- a/internal/plug/conns/conns.go
+++ b/internal/plug/conns/conns.go
@@ -163,6 +163,11 @@
 		return
 	}
 	conn.user = nil
+	if dirty && conn.pool.holdsNone() && len(conn.pool.waiting) == 0 {
+		pools.releaseSlot(conn, false)
+		conn.pool.closeIdle(conn) // rolls back at the instance
+		return
+	}
 	if dirty {
 		conn.state = connResetting
 		pools.releaseSlot(conn, false)
--- a/internal/plug/conns/conns_test.go
+++ b/internal/plug/conns/conns_test.go
@@ -336,3 +336,17 @@
 	is.Equal(len(fixture.pools.pools), 0)
 	is.Equal(fixture.acquire().code, codes.NoReplica)
 }
+
+// A proxy that knows only a few of many others takes its share of the connections for a large
+// one. It does not open so many ahead of demand.
+func TestFewConnectionsAreOpenedAhead(t *testing.T) {
+	is := is.New(t)
+	fixture := newFixture(5)
+	instances := []model.Instance{model.NewInstance(instance, "127.0.0.1:1", "").WithCapacity(100, 1275)}
+	fixture.kernel.State().SetGroups([]model.Group{model.NewGroup("katalog-1", instances)})
+	for range 20 {
+		fixture.run(func() { fixture.pools.pool(instance).fill() })
+		fixture.completeOpenings()
+	}
+	is.Equal(len(fixture.pools.conns), maxOpenAhead)
+}
--- a/internal/plug/conns/pool.go
+++ b/internal/plug/conns/pool.go
@@ -15,6 +15,10 @@
 const (
 	maxOpening     = 4
 	minOpenDivisor = 2
+	// maxOpenAhead limits the connections that are open regardless of demand, where an instance
+	// lists a maximum. While many proxies start, each one knows few of the others at first and
+	// takes its share for a large one.
+	maxOpenAhead = 6
 	// borrowLimit is how many connections to an instance a proxy may open if its share is
 	// smaller.
 	borrowLimit = 4
@@ -141,7 +145,11 @@
 	if share := pool.share(); pool.instance.MaxConns() > 0 && (share < borrowLimit || !known) {
 		return min(share, 1)
 	}
-	return max(1, pool.share()/minOpenDivisor)
+	ahead := max(1, pool.share()/minOpenDivisor)
+	if pool.instance.MaxConns() > 0 {
+		return min(ahead, maxOpenAhead)
+	}
+	return ahead
 }
 
 // holdsNone reports whether connections are closed as soon as nothing waits for them. Where more
