--- a/internal/plug/quota/bucket.go
+++ b/internal/plug/quota/bucket.go
@@ -30,14 +30,18 @@
 // settings the team may use rate*window + burst tokens, and exceed that by overage as a share and
 // by slack.
 func limitsOf(team *model.Team, lenders int, window time.Duration, overage, slack float64) bucketLimits {
-	beyond := overage*(team.Rate()*window.Seconds()+team.Burst()) + slack
 	share := 1 / float64(lenders)
-	limits := bucketLimits{rate: team.Rate() * share, capacity: (team.Burst() + usedOverage*beyond) * share, lifetime: maxLifetime}
+	rate := team.Rate() * share
+	total := (team.Burst() + usedOverage*(overage*(team.Rate()*window.Seconds()+team.Burst())+slack)) * share
+	limits := bucketLimits{rate: rate, lifetime: maxLifetime}
 	// Lent tokens count until they expire. So that they do not hold up the rate, half of the
 	// capacity lasts for a lifetime at least.
-	if limits.rate*maxLifetime.Seconds() > limits.capacity/2 {
-		limits.lifetime = time.Duration(limits.capacity / (2 * limits.rate) * float64(time.Second))
+	if 3*rate*maxLifetime.Seconds() > total {
+		limits.lifetime = time.Duration(total / (3 * rate) * float64(time.Second))
 	}
+	// Tokens that the process before has lent may be used while the bucket of a lender that has
+	// started fills again.
+	limits.capacity = total - rate*limits.lifetime.Seconds()
 	return limits
 }
 
--- a/internal/plug/quota/lender.go
+++ b/internal/plug/quota/lender.go
@@ -171,11 +171,10 @@
 }
 
 // mayLend reports whether this proxy is a lender of a team. Its copy of the row must be young:
-// once it is older, the row may name other lenders. What an earlier process under this name has
-// lent must have expired.
+// once it is older, the row may name other lenders.
 func (quota *Quota) mayLend(team model.TeamName, now time.Duration) bool {
 	checkedAt, ok := quota.context.State().ListCheckedAt(model.ListLenders)
-	return ok && now-checkedAt <= quota.maxRowAge() && now >= maxLifetime && quota.lenders.lendsNow(team, quota.self())
+	return ok && now-checkedAt <= quota.maxRowAge() && quota.lenders.lendsNow(team, quota.self())
 }
 
 func (quota *Quota) maxRowAge() time.Duration {
@@ -188,7 +187,6 @@
 // openBucket returns the bucket of a team that nobody has asked for yet. It has filled since this
 // proxy has been the lender.
 func (quota *Quota) openBucket(team model.TeamName, now time.Duration) *bucket {
-	since := min(now, max(quota.lenders.learnedAt, maxLifetime))
-	quota.buckets[team] = newBucket(since)
+	quota.buckets[team] = newBucket(min(now, quota.lenders.learnedAt))
 	return quota.buckets[team]
 }
--- a/internal/plug/quota/quota.go
+++ b/internal/plug/quota/quota.go
@@ -12,8 +12,8 @@
 //   - All agree on the lenders of a team: a lender works only while its copy of the row is young,
 //     and after a change of the row the new lenders of a team wait until the copies of the row
 //     before are too old (lenders, keeper).
-//   - A lender that has started lends nothing until what it lent before has expired, and starts
-//     with an empty bucket.
+//   - A lender that has started begins with an empty bucket. The capacity leaves room for what its
+//     process before has lent and what has not expired (limitsOf).
 package quota
 
 import (
