quota: lenders tell the newest marks that they know

Cause: each proxy knows the marks of a group only from its own statements at the primary, so 60 proxies that read a little of each of 8 groups ask the primaries all the time, each time over a new connection that takes a slot for 12 ms. Change: the answer of a lender carries its newest marks, with their age; the borrower counts it from the sending of its call.

--- a/internal/core/event/loan.go
+++ b/internal/core/event/loan.go
@@ -42,6 +42,7 @@
 type AnswerBorrow struct {
 	id    model.BorrowID
 	loans []model.Loan
+	marks []model.GroupMark
 }
 
 // NewAnswerBorrow returns an AnswerBorrow.
@@ -55,6 +56,15 @@
 // Loans returns the loans in the order of the demands.
 func (answerBorrow AnswerBorrow) Loans() []model.Loan { return answerBorrow.loans }
 
+// WithMarks returns a copy with the newest marks that the lender knows.
+func (answerBorrow AnswerBorrow) WithMarks(marks []model.GroupMark) AnswerBorrow {
+	answerBorrow.marks = marks
+	return answerBorrow
+}
+
+// Marks returns the newest marks that the lender knows.
+func (answerBorrow AnswerBorrow) Marks() []model.GroupMark { return answerBorrow.marks }
+
 func (AnswerBorrow) isAction() {}
 
 // RefuseBorrow refuses a call for tokens that was received.
@@ -80,6 +90,7 @@
 type BorrowAnswered struct {
 	id    model.BorrowID
 	loans []model.Loan
+	marks []model.GroupMark
 }
 
 // NewBorrowAnswered returns a BorrowAnswered.
@@ -93,6 +104,15 @@
 // Loans returns the loans.
 func (borrowAnswered BorrowAnswered) Loans() []model.Loan { return borrowAnswered.loans }
 
+// WithMarks returns a copy with the newest marks that the lender knows.
+func (borrowAnswered BorrowAnswered) WithMarks(marks []model.GroupMark) BorrowAnswered {
+	borrowAnswered.marks = marks
+	return borrowAnswered
+}
+
+// Marks returns the newest marks that the lender knows.
+func (borrowAnswered BorrowAnswered) Marks() []model.GroupMark { return borrowAnswered.marks }
+
 func (BorrowAnswered) isEvent() {}
 
 // BorrowFailed reports that a call for tokens got no usable answer. It answers Borrow.
--- a/internal/core/state/primary.go
+++ b/internal/core/state/primary.go
@@ -25,6 +25,24 @@
 	return true
 }
 
+// ObserveSharedMark records that another proxy knows a mark that covers every commit acknowledged
+// before since.
+func (group *Group) ObserveSharedMark(mark model.Mark, since time.Duration) {
+	if mark.Term() >= group.term {
+		group.history.add(readIndex{since: since, mark: mark})
+	}
+}
+
+// NewestMark returns the mark of the newest answer of a primary, and when the statement that
+// returned it was sent. It returns false if none is known.
+func (group *Group) NewestMark() (model.Mark, time.Duration, bool) {
+	last := len(group.history.list) - 1
+	if last < 0 {
+		return model.Mark{}, 0, false
+	}
+	return group.history.list[last].mark, group.history.list[last].since, true
+}
+
 // RefutePrimary records that an instance reported at the given time that it is not
 // the primary.
 func (group *Group) RefutePrimary(instance model.InstanceID, now time.Duration) {
--- a/internal/edge/mesh/borrow.go
+++ b/internal/edge/mesh/borrow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"connectrpc.com/connect"
 	"github.com/pkg/errors"
@@ -46,7 +47,12 @@
 	for _, loan := range response.Msg.GetLoans() {
 		loans = append(loans, model.NewLoan(model.TeamName(loan.GetTeam()), int(loan.GetTokens()), fromMilliseconds(loan.GetLifetimeMs()), fromMilliseconds(loan.GetRetryAfterMs())))
 	}
-	mesh.spec.Inbox.Post(event.NewBorrowAnswered(action.ID(), loans))
+	var marks []model.GroupMark
+	for _, shared := range response.Msg.GetMarks() {
+		mark := model.NewMark(model.Term(shared.GetTerm()), model.Position(shared.GetPosition()))
+		marks = append(marks, model.NewGroupMark(model.GroupID(shared.GetGroup()), mark, time.Duration(shared.GetAgeUs())*time.Microsecond))
+	}
+	mesh.spec.Inbox.Post(event.NewBorrowAnswered(action.ID(), loans).WithMarks(marks))
 }
 
 // Borrow implements meshpb.MeshServiceHandler.
@@ -106,6 +112,14 @@
 			RetryAfterMs: milliseconds(loan.RetryAfter()),
 		})
 	}
+	for _, shared := range action.Marks() {
+		response.Marks = append(response.Marks, &meshpb.GroupMark{
+			Group:    string(shared.Group()),
+			Term:     uint64(shared.Mark().Term()),
+			Position: uint64(shared.Mark().Position()),
+			AgeUs:    uint32(shared.Age()/time.Microsecond) + 1, // rounded up
+		})
+	}
 	mesh.finishBorrow(action.ID(), borrowAnswer{response: response})
 }
 
--- a/internal/plug/quota/lender.go
+++ b/internal/plug/quota/lender.go
@@ -136,7 +136,7 @@
 		quota.context.Emit(event.NewRefuseBorrow(received.ID(), codes.WrongProxy))
 		return
 	}
-	quota.context.Emit(event.NewAnswerBorrow(received.ID(), quota.lend(received.Demands())))
+	quota.context.Emit(event.NewAnswerBorrow(received.ID(), quota.lend(received.Demands())).WithMarks(quota.newestMarks()))
 }
 
 // lend returns the loans for some demands.
--- a/internal/plug/quota/quota.go
+++ b/internal/plug/quota/quota.go
@@ -102,6 +102,7 @@
 		quota.handleBorrow(received)
 	case event.BorrowAnswered:
 		if call := quota.finishCall(received.ID()); call != nil {
+			quota.learnMarks(received.Marks(), call.sentAt)
 			quota.handleLoans(call, received.Loans())
 		}
 	case event.BorrowFailed:
