mesh: one way to wait for the kernel's answer to a call

Cause: calls for tokens repeated the waiting of polls, with maps and limits of their own. Change: one map of waiting calls, and one wait. Tests of the calls for tokens, also malformed ones.

--- a/internal/edge/mesh/borrow.go
+++ b/internal/edge/mesh/borrow.go
@@ -5,21 +5,12 @@
 	"time"
 
 	"connectrpc.com/connect"
-	"github.com/pkg/errors"
 
-	"almondway.dev/almondway/internal/core/codes"
 	"almondway.dev/almondway/internal/core/event"
 	"almondway.dev/almondway/internal/core/model"
 	"almondway.dev/almondway/internal/proto/meshpb"
 )
 
-// borrowAnswer is the kernel's answer to a call for tokens: a response or, if it is nil, a
-// refusal.
-type borrowAnswer struct {
-	response *meshpb.BorrowResponse
-	code     codes.Code
-}
-
 // Borrow implements port.Mesh.
 func (mesh *Mesh) Borrow(action event.Borrow) { go mesh.borrow(action) }
 
@@ -61,44 +52,17 @@
 	if err := mesh.checkCaller(request.Msg.GetCaller()); err != nil {
 		return nil, err
 	}
-	answers := make(chan borrowAnswer, 1)
-	id, ok := mesh.addBorrow(answers)
-	if !ok {
-		return nil, connect.NewError(connect.CodeResourceExhausted, errors.New("too many calls for tokens wait"))
-	}
-	defer mesh.removeBorrow(id)
 	var demands []model.TokenDemand
 	for _, demand := range request.Msg.GetDemands() {
 		demands = append(demands, model.NewTokenDemand(model.TeamName(demand.GetTeam()), int(demand.GetTokens())))
 	}
-	mesh.spec.Inbox.Post(event.NewBorrowReceived(id, model.ProxyID(request.Msg.GetCaller().GetReceiverId()), demands))
-	select {
-	case answer := <-answers:
-		if answer.response == nil {
-			return nil, connect.NewError(connect.CodeFailedPrecondition, errors.New(answer.code.String()))
-		}
-		return connect.NewResponse(answer.response), nil
-	case <-ctx.Done():
-		return nil, connect.NewError(connect.CodeCanceled, errors.Wrap(ctx.Err(), "wait for the answer to a call for tokens"))
-	}
-}
-
-func (mesh *Mesh) addBorrow(answers chan<- borrowAnswer) (model.BorrowID, bool) {
-	mesh.mutex.Lock()
-	defer mesh.mutex.Unlock()
-	if len(mesh.borrows) >= maxBorrowsInFlight {
-		return 0, false
+	response, err := mesh.await(ctx, func(id uint64) {
+		mesh.spec.Inbox.Post(event.NewBorrowReceived(model.BorrowID(id), model.ProxyID(request.Msg.GetCaller().GetReceiverId()), demands))
+	})
+	if err != nil {
+		return nil, err
 	}
-	mesh.lastID++
-	id := model.BorrowID(mesh.lastID)
-	mesh.borrows[id] = answers
-	return id, true
-}
-
-func (mesh *Mesh) removeBorrow(id model.BorrowID) {
-	mesh.mutex.Lock()
-	defer mesh.mutex.Unlock()
-	delete(mesh.borrows, id)
+	return connect.NewResponse(response.(*meshpb.BorrowResponse)), nil
 }
 
 // AnswerBorrow implements port.Mesh.
@@ -120,20 +84,10 @@
 			AgeUs:    uint32(shared.Age()/time.Microsecond) + 1, // rounded up
 		})
 	}
-	mesh.finishBorrow(action.ID(), borrowAnswer{response: response})
+	mesh.finish(uint64(action.ID()), answer{response: response})
 }
 
 // RefuseBorrow implements port.Mesh.
 func (mesh *Mesh) RefuseBorrow(action event.RefuseBorrow) {
-	mesh.finishBorrow(action.ID(), borrowAnswer{code: action.Code()})
-}
-
-// finishBorrow passes the kernel's answer on to the call, unless its sender has given it up.
-func (mesh *Mesh) finishBorrow(id model.BorrowID, answer borrowAnswer) {
-	mesh.mutex.Lock()
-	defer mesh.mutex.Unlock()
-	if answers, ok := mesh.borrows[id]; ok {
-		delete(mesh.borrows, id)
-		answers <- answer
-	}
+	mesh.finish(uint64(action.ID()), answer{code: action.Code()})
 }
--- a/internal/edge/mesh/mesh.go
+++ b/internal/edge/mesh/mesh.go
@@ -12,7 +12,6 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
-	"almondway.dev/almondway/internal/core/model"
 	"almondway.dev/almondway/internal/core/port"
 	"almondway.dev/almondway/internal/proto/meshpb"
 )
@@ -26,10 +25,9 @@
 	headerTimeout = 2 * time.Second
 	// idleTimeout is the time after which an idle connection is closed.
 	idleTimeout = 10 * time.Second
-	// maxPollsInFlight limits the polls of other proxies that are held. Further ones are refused.
-	maxPollsInFlight = 1024
-	// maxBorrowsInFlight limits the calls for tokens that wait for the kernel.
-	maxBorrowsInFlight = 1024
+	// maxCallsInFlight limits the calls of other proxies that are held or wait for the kernel.
+	// Further ones are refused.
+	maxCallsInFlight = 2048
 )
 
 // Spec holds the parameters of a Mesh.
@@ -47,9 +45,8 @@
 	spec Spec
 
 	mutex   sync.Mutex
-	clients map[string]*http.Client // by address
-	polls   map[model.PollID]chan<- pollAnswer
-	borrows map[model.BorrowID]chan<- borrowAnswer
+	clients map[string]*http.Client  // by address
+	calls   map[uint64]chan<- answer // of other proxies, by number
 	lastID  uint64
 	server  *http.Server
 }
@@ -61,8 +58,7 @@
 	return &Mesh{
 		spec:    spec,
 		clients: make(map[string]*http.Client),
-		polls:   make(map[model.PollID]chan<- pollAnswer),
-		borrows: make(map[model.BorrowID]chan<- borrowAnswer),
+		calls:   make(map[uint64]chan<- answer),
 	}
 }
 
--- a/internal/edge/mesh/mesh_test.go
+++ b/internal/edge/mesh/mesh_test.go
@@ -181,17 +181,17 @@
 	is.Equal(len(inbox), 0)
 }
 
-// Polls that are held are bounded.
-func TestHeldPollsAreBounded(t *testing.T) {
+// Calls of other proxies that wait are bounded.
+func TestWaitingCallsAreBounded(t *testing.T) {
 	is := is.New(t)
 	receiver, _ := startMesh(t, "10.0.0.9:80")
-	for range maxPollsInFlight {
-		_, ok := receiver.addPoll(make(chan pollAnswer, 1))
+	for range maxCallsInFlight {
+		_, ok := receiver.addCall(make(chan answer, 1))
 		is.True(ok)
 	}
-	_, ok := receiver.addPoll(make(chan pollAnswer, 1))
+	_, ok := receiver.addCall(make(chan answer, 1))
 	is.True(!ok)
-	receiver.removePoll(1)
-	_, ok = receiver.addPoll(make(chan pollAnswer, 1))
+	receiver.removeCall(1)
+	_, ok = receiver.addCall(make(chan answer, 1))
 	is.True(ok)
 }
--- a/internal/edge/mesh/poll.go
+++ b/internal/edge/mesh/poll.go
@@ -14,12 +14,6 @@
 	"almondway.dev/almondway/internal/proto/meshpb"
 )
 
-// pollAnswer is the kernel's answer to a poll: a response or, if it is nil, a refusal.
-type pollAnswer struct {
-	response *meshpb.PollResponse
-	code     codes.Code
-}
-
 // Poll implements port.Mesh.
 func (mesh *Mesh) Poll(action event.SendPoll) { go mesh.poll(action) }
 
@@ -52,22 +46,13 @@
 	if err := mesh.checkCaller(request.Msg.GetCaller()); err != nil {
 		return nil, err
 	}
-	answers := make(chan pollAnswer, 1)
-	id, ok := mesh.addPoll(answers)
-	if !ok {
-		return nil, connect.NewError(connect.CodeResourceExhausted, errors.New("too many polls are held"))
-	}
-	defer mesh.removePoll(id)
-	mesh.spec.Inbox.Post(event.NewPollReceived(id, decodePoll(request.Msg)))
-	select {
-	case answer := <-answers:
-		if answer.response == nil {
-			return nil, connect.NewError(connect.CodeFailedPrecondition, errors.New(answer.code.String()))
-		}
-		return connect.NewResponse(answer.response), nil
-	case <-ctx.Done():
-		return nil, connect.NewError(connect.CodeCanceled, errors.Wrap(ctx.Err(), "wait for the answer to a poll"))
+	response, err := mesh.await(ctx, func(id uint64) {
+		mesh.spec.Inbox.Post(event.NewPollReceived(model.PollID(id), decodePoll(request.Msg)))
+	})
+	if err != nil {
+		return nil, err
 	}
+	return connect.NewResponse(response.(*meshpb.PollResponse)), nil
 }
 
 // checkCaller returns an error if a call does not come from a proxy of this system.
@@ -86,42 +71,14 @@
 	return connect.NewError(connect.CodeFailedPrecondition, errors.Errorf("%s: %s", codes.WrongProxy, reason))
 }
 
-func (mesh *Mesh) addPoll(answers chan<- pollAnswer) (model.PollID, bool) {
-	mesh.mutex.Lock()
-	defer mesh.mutex.Unlock()
-	if len(mesh.polls) >= maxPollsInFlight {
-		return 0, false
-	}
-	mesh.lastID++
-	id := model.PollID(mesh.lastID)
-	mesh.polls[id] = answers
-	return id, true
-}
-
-func (mesh *Mesh) removePoll(id model.PollID) {
-	mesh.mutex.Lock()
-	defer mesh.mutex.Unlock()
-	delete(mesh.polls, id)
-}
-
 // AnswerPoll implements port.Mesh.
 func (mesh *Mesh) AnswerPoll(action event.AnswerPoll) {
-	mesh.answer(action.ID(), pollAnswer{response: encodeReply(action.Reply())})
+	mesh.finish(uint64(action.ID()), answer{response: encodeReply(action.Reply())})
 }
 
 // RefusePoll implements port.Mesh.
 func (mesh *Mesh) RefusePoll(action event.RefusePoll) {
-	mesh.answer(action.ID(), pollAnswer{code: action.Code()})
-}
-
-// answer passes the kernel's answer on to the call, unless its sender has given it up.
-func (mesh *Mesh) answer(id model.PollID, answer pollAnswer) {
-	mesh.mutex.Lock()
-	defer mesh.mutex.Unlock()
-	if answers, ok := mesh.polls[id]; ok {
-		delete(mesh.polls, id)
-		answers <- answer
-	}
+	mesh.finish(uint64(action.ID()), answer{code: action.Code()})
 }
 
 func milliseconds(duration time.Duration) uint32 {
--- a/internal/plug/quota/quota_test.go
+++ b/internal/plug/quota/quota_test.go
@@ -386,6 +386,31 @@
 	is.Equal(len(system.uses), steps/2)
 }
 
+// Demands that make no sense get nothing, and the lender goes on.
+func TestMalformedDemands(t *testing.T) {
+	tests := []struct {
+		name   string
+		demand model.TokenDemand
+		most   int
+	}{
+		{name: "unknown team", demand: model.NewTokenDemand("nobody", 5)},
+		{name: "no team", demand: model.NewTokenDemand("", 5)},
+		{name: "no tokens", demand: model.NewTokenDemand("faculty", 0)},
+		{name: "less than none", demand: model.NewTokenDemand("faculty", -5)},
+		{name: "too many", demand: model.NewTokenDemand("faculty", 1<<40), most: 100},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			system := newSystem(1, limitedTeam(10, 10))
+			system.run(4 * time.Second)
+			loans := system.members[0].quota.lend([]model.TokenDemand{test.demand})
+			is.Equal(len(loans), 1)
+			is.True(loans[0].Tokens() >= 0 && loans[0].Tokens() <= test.most)
+		})
+	}
+}
+
 // A proxy that reaches no lender refuses, and says when to come back.
 func TestNoLenderIsReachable(t *testing.T) {
 	is := is.New(t)
--- a/internal/plug/relay/acquire_test.go
+++ b/internal/plug/relay/acquire_test.go
@@ -70,12 +70,8 @@
 // Handle implements kern.Plugin.
 func (fakeServices) Handle(event.Event) {}
 
-// A read whose first instance denies the connection immediately waits for the second one.
-// The deadline must cancel that second wait; otherwise a connection that is granted later
-// runs the expired read.
-func TestExpireCancelsSecondWait(t *testing.T) {
-	is := is.New(t)
-	conns, sessions := &fakeConns{}, &fakeSessions{}
+// newTestRelay returns a kernel with the relay and fakes of the services that it uses.
+func newTestRelay(spec tune.Spec, conns route.Conns, sessions route.Sessions) (*kern.Kernel, *Relay) {
 	var relay *Relay
 	provideFakes := func(context *kern.Context) kern.Plugin {
 		context.ProvideService(route.SessionsService, sessions)
@@ -88,7 +84,16 @@
 		relay = New(context).(*Relay)
 		return relay
 	}
-	kernel := kern.NewWithFactories(model.ProxyView{}, tune.New(tune.Default()), time.Time{}, 1, provideFakes, newRelay)
+	return kern.NewWithFactories(model.ProxyView{}, tune.New(spec), time.Time{}, 1, provideFakes, newRelay), relay
+}
+
+// A read whose first instance denies the connection immediately waits for the second one.
+// The deadline must cancel that second wait; otherwise a connection that is granted later
+// runs the expired read.
+func TestExpireCancelsSecondWait(t *testing.T) {
+	is := is.New(t)
+	conns, sessions := &fakeConns{}, &fakeSessions{}
+	kernel, relay := newTestRelay(tune.Default(), conns, sessions)
 	instances := []model.Instance{model.NewInstance("a", "", ""), model.NewInstance("b", "", "")}
 	kernel.State().SetGroups([]model.Group{model.NewGroup("g", instances)})
 	kernel.State().Group("g").ObservePrimaryTail("a", model.NewMark(1, 1), time.Second)
--- a/internal/plug/relay/key_test.go
+++ b/internal/plug/relay/key_test.go
@@ -8,7 +8,6 @@
 
 	"almondway.dev/almondway/internal/core/codes"
 	"almondway.dev/almondway/internal/core/event"
-	"almondway.dev/almondway/internal/core/kern"
 	"almondway.dev/almondway/internal/core/model"
 	"almondway.dev/almondway/internal/core/route"
 	"almondway.dev/almondway/internal/core/tune"
@@ -83,21 +82,9 @@
 		t.Run(test.name, func(t *testing.T) {
 			is := is.New(t)
 			conns, sessions := &keyConns{}, &keySessions{}
-			var relay *Relay
-			provideFakes := func(context *kern.Context) kern.Plugin {
-				context.ProvideService(route.SessionsService, sessions)
-				context.ProvideService(route.ConnsService, conns)
-				context.ProvideService(route.AdmissionService, fakeAdmission{})
-				context.ProvideService(route.FleetService, fakeFleet{})
-				return fakeServices{}
-			}
-			newRelay := func(context *kern.Context) kern.Plugin {
-				relay = New(context).(*Relay)
-				return relay
-			}
 			spec := tune.Default()
 			spec.MaxKeyAge = maxKeyAge
-			kernel := kern.NewWithFactories(model.ProxyView{}, tune.New(spec), time.Time{}, 1, provideFakes, newRelay)
+			kernel, relay := newTestRelay(spec, conns, sessions)
 			kernel.State().SetGroups([]model.Group{model.NewGroup("g", []model.Instance{model.NewInstance("i", "", "")})})
 			team := model.NewTeam(model.TeamSpec{Name: "a", Keys: []model.KeyDigest{key}})
 			hold := func(holder model.TeamName) {
