conns, relay: a start before many groups opens no connections ahead of demand

Change: connections ahead of demand go to instances in use only where there are more than 32, and marks are asked for ahead of the first read only where there are at most 10 groups.

--- a/internal/plug/conns/conns.go
+++ b/internal/plug/conns/conns.go
@@ -69,6 +69,7 @@
 		user.ConnDenied(unreachable())
 		return 0
 	}
+	pool.usedAt = pools.context.Now()
 	if request.Job != nil && request.Job.Tx() != nil && pool.txConns >= pool.maxTxConns() {
 		user.ConnDenied(pools.overloaded(request, "transactions hold their share of the connections"))
 		return 0
--- a/internal/plug/conns/conns_test.go
+++ b/internal/plug/conns/conns_test.go
@@ -1,6 +1,7 @@
 package conns
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -350,3 +351,47 @@
 	}
 	is.Equal(len(fixture.pools.conns), maxOpenAhead)
 }
+
+// A proxy before many instances keeps connections open to those that it uses only.
+func TestConnectionsAheadOfManyInstances(t *testing.T) {
+	tests := []struct {
+		name      string
+		instances int
+		wanted    int // connections that are open without a request
+	}{
+		{name: "few", instances: maxInstancesAhead, wanted: maxInstancesAhead},
+		{name: "many", instances: maxInstancesAhead + 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			fixture := newFixture(0) // the other proxies are not known yet
+			state := fixture.kernel.State()
+			var listed []model.Instance
+			for index := range test.instances {
+				id := model.InstanceID(fmt.Sprintf("i-%d", index))
+				listed = append(listed, model.NewInstance(id, "127.0.0.1:1", "").WithCapacity(5, 34))
+			}
+			state.SetGroups([]model.Group{model.NewGroup("katalog-1", listed)})
+			fill := func() {
+				for _, instance := range listed {
+					fixture.pools.pool(instance.ID())
+				}
+				for _, instance := range listed {
+					fixture.pools.pool(instance.ID()).fill()
+				}
+			}
+			fixture.run(fill)
+			fixture.completeOpenings()
+			is.Equal(len(fixture.pools.conns), test.wanted)
+			user := &fakeUser{}
+			fixture.run(func() { fixture.pools.Acquire(route.SlotRequest{Instance: "i-7"}, user) })
+			fixture.completeOpenings()
+			is.True(user.conn != 0)
+			fixture.release(user.conn, false)
+			fixture.run(fill)
+			fixture.completeOpenings()
+			is.True(!fixture.wasClosed(user.conn))
+		})
+	}
+}
--- a/internal/plug/conns/pool.go
+++ b/internal/plug/conns/pool.go
@@ -19,6 +19,10 @@
 	// lists a maximum. While many proxies start, each one knows few of the others at first and
 	// takes its share for a large one.
 	maxOpenAhead = 6
+	// A proxy keeps connections to all instances open ahead of demand if they are no more than
+	// maxInstancesAhead, and otherwise to those that it has used within aheadWindow.
+	maxInstancesAhead = 32
+	aheadWindow       = 5 * time.Second
 	// borrowLimit is how many connections to an instance a proxy may open if its share is
 	// smaller.
 	borrowLimit = 4
@@ -81,6 +85,7 @@
 	openingByTeam map[model.TeamName]int
 	txConns       int // connections granted to transactions
 	failures      int
+	usedAt        time.Duration // when a connection was last requested, or 0
 	failedAt      time.Duration
 	lastFailure   model.ConnFailure
 	blockedUntil  time.Duration
@@ -141,6 +146,9 @@
 	if pool.pools.context.State().Teams() != nil {
 		return 0 // a connection that belongs to no team serves nobody
 	}
+	if len(pool.pools.pools) > maxInstancesAhead && !pool.usedLately() {
+		return 0
+	}
 	known := pool.pools.context.State().ProxiesKnown()
 	if share := pool.share(); pool.instance.MaxConns() > 0 && (share < borrowLimit || !known) {
 		return min(share, 1)
@@ -160,6 +168,11 @@
 	return pool.pools.context.State().Teams() != nil && pool.instance.MaxConns() > 0 && pool.share() == 0
 }
 
+// usedLately reports whether a connection was requested within aheadWindow.
+func (pool *pool) usedLately() bool {
+	return pool.usedAt > 0 && pool.pools.context.Now()-pool.usedAt < aheadWindow
+}
+
 // grantWaiting grants idle connections to waiters in the order of their arrival, and opens
 // connections for the teams that have none.
 func (pool *pool) grantWaiting() {
--- a/internal/plug/relay/ping.go
+++ b/internal/plug/relay/ping.go
@@ -26,7 +26,11 @@
 	maxSilence = 300 * time.Millisecond
 	// pingTimeout limits a ping, from the request for a connection to the answer.
 	pingTimeout = 500 * time.Millisecond
-	// markRefreshWindow is how long after its last read the marks of a group are refreshed.
+	// maxGroupsAhead is the number of groups up to which a proxy that starts asks for marks ahead
+	// of the first read.
+	maxGroupsAhead = 10
+	// markRefreshWindow is how long after its last read, or after the start, the marks of a group
+	// are refreshed.
 	markRefreshWindow = 5 * time.Second
 )
 
@@ -67,12 +71,14 @@
 // each suspect or silent primary. It also ends the pings that have timed out.
 func (relay *Relay) refreshMarks() {
 	now := relay.context.Now()
-	for _, group := range relay.context.State().Groups() {
+	groups := relay.context.State().Groups()
+	few := len(groups) <= maxGroupsAhead
+	for _, group := range groups {
 		monitor := relay.monitor(group.ID())
 		monitor.expirePing(now)
 		age, known := group.MarkAge(now)
 		monitor.suspect = monitor.suspect || relay.primaryIsSilent(group, now)
-		refresh := now-monitor.lastReadAt < markRefreshWindow && !relay.connsAreScarce(group)
+		refresh := now-monitor.lastReadAt < markRefreshWindow && !relay.connsAreScarce(group) && (monitor.lastReadAt > 0 || few)
 		if monitor.suspect || refresh && (!known || age > markRefreshAge) {
 			monitor.startPing(group)
 		}
