sessn: a statement's team is looked up once

Cause: the validation of a statement looked the key up twice; the reason of a refusal for lack of a token could be an old one. Change: checkServing returns the team; a reason counts only while it holds.

--- a/internal/plug/quota/quota.go
+++ b/internal/plug/quota/quota.go
@@ -316,7 +316,7 @@
 			first = until
 			denial.RetryAfter = max(time.Millisecond, until-now)
 		}
-		if refused.reason != "" {
+		if now < refused.until {
 			denial.Reason = refused.reason
 		}
 	}
--- a/internal/plug/sessn/start.go
+++ b/internal/plug/sessn/start.go
@@ -33,7 +33,7 @@
 
 // begin opens a transaction. It is sent to an instance together with its first statement.
 func (sessions *Sessions) begin(caller *caller, request *model.Request) {
-	if refused := sessions.checkServing(caller); refused.code != codes.OK {
+	if _, refused := sessions.checkServing(caller); refused.code != codes.OK {
 		sessions.refuse(caller, request, refused)
 		return
 	}
--- a/internal/plug/sessn/validate.go
+++ b/internal/plug/sessn/validate.go
@@ -17,28 +17,28 @@
 	maxClockSkew = 5 * time.Minute
 )
 
-// checkServing checks whether requests of the caller are accepted at present.
-func (sessions *Sessions) checkServing(caller *caller) refusal {
+// checkServing returns the team of the caller, or the reason why its requests are not accepted at
+// present.
+func (sessions *Sessions) checkServing(caller *caller) (*model.Team, refusal) {
 	state := sessions.context.State()
 	if state.Draining() && !caller.inTx {
-		return refusal{code: codes.Draining}
+		return nil, refusal{code: codes.Draining}
 	}
 	if !state.Confirmed() {
-		return refusal{code: codes.RevisionUnconfirmed}
+		return nil, refusal{code: codes.RevisionUnconfirmed}
 	}
 	deployment, ok := state.Deployment(caller.deployment)
-	if _, refused := sessions.identify(deployment, caller.key); refused.code != codes.OK {
-		return refused
+	team, refused := sessions.identify(deployment, caller.key)
+	if refused.code == codes.OK && !ok {
+		refused = refusal{codes.UnknownDeployment, caller.deployment}
 	}
-	if !ok {
-		return refusal{codes.UnknownDeployment, caller.deployment}
-	}
-	return refusal{}
+	return team, refused
 }
 
 // validate returns the Job of a statement, or the reason why it is refused.
 func (sessions *Sessions) validate(caller *caller, request *model.Request) (*route.Job, refusal) {
-	if refused := sessions.checkServing(caller); refused.code != codes.OK {
+	team, refused := sessions.checkServing(caller)
+	if refused.code != codes.OK {
 		return nil, refused
 	}
 	if caller.txFailed {
@@ -63,10 +63,10 @@
 		Class:      class,
 		Kind:       kind,
 		Group:      group,
+		Team:       team,
 		Key:        caller.key,
 		Arrived:    sessions.context.Now(),
 	}
-	spec.Team, _ = sessions.identify(deployment, caller.key)
 	spec.Deadline = spec.Arrived + sessions.timeout(request, kind)
 	caller.token = caller.token.Merge(request.Token())
 	spec.Seen = caller.token.Mark(group)
