quota: a lender that starts begins with some tokens

Cause: after a loss of power all operations of the first half second were refused, since the lenders' buckets were empty though the teams had used nothing meanwhile. A process cannot know what the one before has lent. Change: a lender reads and writes a row that says when it last began with tokens. If that is longer ago than the window of the limits plus 2 s, its buckets begin with tokens that the capacity leaves room for; operations wait for that decision.

--- a/internal/core/event/platform.go
+++ b/internal/core/event/platform.go
@@ -1,6 +1,8 @@
 package event
 
 import (
+	"time"
+
 	"almondway.dev/almondway/internal/core/model"
 )
 
@@ -9,6 +11,8 @@
 	callID model.PlatformCallID
 	rows   []model.Row
 	era    model.StoreEra
+	// answeredAt is the time of the answer on the store's steady clock, or 0 if it is not known.
+	answeredAt time.Duration
 }
 
 // NewStoreRead returns a StoreRead.
@@ -31,6 +35,16 @@
 // Era returns the era of the store at the time of the answer.
 func (storeRead StoreRead) Era() model.StoreEra { return storeRead.era }
 
+// WithAnsweredAt returns a copy with the time of the answer on the store's steady clock.
+func (storeRead StoreRead) WithAnsweredAt(at time.Duration) StoreRead {
+	storeRead.answeredAt = at
+	return storeRead
+}
+
+// AnsweredAt returns the time of the answer on the store's steady clock, or 0 if it is not
+// known.
+func (storeRead StoreRead) AnsweredAt() time.Duration { return storeRead.answeredAt }
+
 func (StoreRead) isEvent() {}
 
 // StoreWritten reports that a transaction committed. It answers WriteStore.
--- a/internal/core/table/table.go
+++ b/internal/core/table/table.go
@@ -31,7 +31,7 @@
 const answerMargin = 100 * time.Millisecond
 
 type call struct {
-	onRead  func(rows []model.Row, ok bool)
+	onRead  func(rows []model.Row, answeredAt time.Duration, ok bool)
 	onWrite func(outcome Outcome)
 	era     model.StoreEra // of the store when the call was made
 	timeout timer.ID
@@ -52,6 +52,12 @@
 // Read reads the rows of a table whose keys start with prefix. done receives the rows, or
 // false if no answer arrived before the timeout.
 func (client *Client) Read(table, prefix string, done func(rows []model.Row, ok bool)) {
+	client.ReadTimed(table, prefix, func(rows []model.Row, _ time.Duration, ok bool) { done(rows, ok) })
+}
+
+// ReadTimed is like Read. done also receives the time of the answer on the store's steady clock,
+// or 0 if it is not known.
+func (client *Client) ReadTimed(table, prefix string, done func(rows []model.Row, answeredAt time.Duration, ok bool)) {
 	id := client.add(call{onRead: done})
 	client.context.Emit(event.NewReadStore(id, table, prefix))
 }
@@ -80,10 +86,10 @@
 // handleRead passes on the rows of the present era. Rows of an earlier one may no longer exist.
 func (client *Client) handleRead(read event.StoreRead) {
 	if read.Era() != client.context.State().StoreEra() {
-		client.finishRead(read.CallID(), nil, false)
+		client.finishRead(read.CallID(), nil, 0, false)
 		return
 	}
-	client.finishRead(read.CallID(), read.Rows(), true)
+	client.finishRead(read.CallID(), read.Rows(), read.AnsweredAt(), true)
 }
 
 // handleWritten reports the outcome of a transaction. If the store was restored after the call
@@ -108,17 +114,17 @@
 }
 
 func (client *Client) fail(id model.PlatformCallID) {
-	client.finishRead(id, nil, false)
+	client.finishRead(id, nil, 0, false)
 	client.finishWrite(id, Failed)
 }
 
-func (client *Client) finishRead(id model.PlatformCallID, rows []model.Row, ok bool) {
+func (client *Client) finishRead(id model.PlatformCallID, rows []model.Row, answeredAt time.Duration, ok bool) {
 	found, exists := client.calls[id]
 	if !exists || found.onRead == nil {
 		return
 	}
 	client.remove(id, found)
-	found.onRead(rows, ok)
+	found.onRead(rows, answeredAt, ok)
 }
 
 func (client *Client) finishWrite(id model.PlatformCallID, outcome Outcome) {
--- a/internal/plug/quota/bucket.go
+++ b/internal/plug/quota/bucket.go
@@ -9,10 +9,12 @@
 
 const (
 	// maxLifetime is the longest time for which lent tokens may be used.
-	maxLifetime = 500 * time.Millisecond
+	maxLifetime = 350 * time.Millisecond
 	// usedOverage is the part of what a team may use beyond its limit that a lender gives out.
 	// The rest covers operations that were sent before a limit was lowered.
 	usedOverage = 0.8
+	// startShare is the part of that which a lender that starts may lend at once.
+	startShare = 0.35
 	// minRetryAfter and maxRetryAfter bound the time after which a proxy asks an empty bucket
 	// again.
 	minRetryAfter = 100 * time.Millisecond
@@ -24,6 +26,9 @@
 	rate     float64 // tokens a second
 	capacity float64 // tokens in the bucket or lent
 	lifetime time.Duration
+	// start is the number of tokens with which the bucket of a lender may begin, once in any
+	// window.
+	start float64
 }
 
 // limitsOf returns the limits of the bucket of a team at each of its lenders. In any window of the
@@ -32,8 +37,9 @@
 func limitsOf(team *model.Team, lenders int, window time.Duration, overage, slack float64) bucketLimits {
 	share := 1 / float64(lenders)
 	rate := team.Rate() * share
-	total := (team.Burst() + usedOverage*(overage*(team.Rate()*window.Seconds()+team.Burst())+slack)) * share
-	limits := bucketLimits{rate: rate, lifetime: maxLifetime}
+	excess := usedOverage * (overage*(team.Rate()*window.Seconds()+team.Burst()) + slack) * share
+	limits := bucketLimits{rate: rate, lifetime: maxLifetime, start: startShare * excess}
+	total := team.Burst()*share + excess - limits.start
 	// Lent tokens count until they expire. So that they do not hold up the rate, half of the
 	// capacity lasts for a lifetime at least.
 	if 3*rate*maxLifetime.Seconds() > total {
@@ -62,6 +68,13 @@
 // newBucket returns an empty bucket that fills from now on.
 func newBucket(now time.Duration) *bucket { return &bucket{updatedAt: now} }
 
+// addStart adds the tokens with which the bucket of a lender that has started may begin.
+func (bucket *bucket) addStart(limits bucketLimits, now time.Duration) {
+	bucket.refill(limits, now)
+	bucket.level += limits.start
+	bucket.fillUntil(limits, now)
+}
+
 // lend takes up to wanted tokens out of the bucket and returns how many these are.
 func (bucket *bucket) lend(limits bucketLimits, now time.Duration, wanted int) int {
 	bucket.refill(limits, now)
--- a/internal/plug/quota/lender.go
+++ b/internal/plug/quota/lender.go
@@ -123,6 +123,9 @@
 		}
 	}
 	quota.log("lenders_listed", model.Decision{List: model.ListLenders, Reason: describe(decoded)})
+	if slices.ContainsFunc(decoded.Lenders, func(lender lenderRow) bool { return lender.ID == quota.self() }) {
+		quota.starter.begin(quota.lenders.version)
+	}
 	for _, purse := range quota.sortedPurses() {
 		if purse.next() != nil {
 			quota.borrow(purse)
@@ -162,9 +165,16 @@
 	if !ok {
 		found = quota.openBucket(demand.Team(), now)
 	}
+	if quota.starter.mayAdd(demand.Team(), quota.lenders.version) {
+		found.addStart(limits, now)
+	}
 	count := found.lend(limits, now, demand.Tokens())
 	retryAfter := time.Duration(0)
-	if count < demand.Tokens() && count == 0 {
+	switch {
+	case count > 0:
+	case quota.starter.pending():
+		return model.NewLoan(demand.Team(), 0, 0, startRetryAfter)
+	default:
 		retryAfter = found.retryAfter(limits)
 	}
 	return model.NewLoan(demand.Team(), count, limits.lifetime, retryAfter)
--- a/internal/plug/quota/purse.go
+++ b/internal/plug/quota/purse.go
@@ -38,6 +38,8 @@
 type refusal struct {
 	until  time.Duration
 	reason string
+	// starting says that the lender has started and will know shortly what it may lend.
+	starting bool
 }
 
 // purse holds the tokens of a team that this proxy has borrowed, and the operations that wait for
@@ -47,6 +49,8 @@
 	held    []tokens // in the order of their loans
 	waiting []*waiter
 	pending bool // a call for tokens has no answer yet
+	// scheduled is set while a timer is to ask again for tokens.
+	scheduled bool
 	// refused are the lenders that had no tokens.
 	refused map[model.ProxyID]refusal
 	// rate is the average number of operations a second up to demandAt.
--- a/internal/plug/quota/quota.go
+++ b/internal/plug/quota/quota.go
@@ -12,8 +12,9 @@
 //   - All agree on the lenders of a team: a lender works only while its copy of the row is young,
 //     and after a change of the row the new lenders of a team wait until the copies of the row
 //     before are too old (lenders, keeper).
-//   - A lender that has started begins with an empty bucket. The capacity leaves room for what its
-//     process before has lent and what has not expired (limitsOf).
+//   - A lender that has started begins with few tokens, at most once in any window, and else with
+//     none (starter). The capacity leaves room for these, and for what its process before has lent
+//     and what has not expired (limitsOf).
 package quota
 
 import (
@@ -52,6 +53,7 @@
 type Quota struct {
 	context *kern.Context
 	keeper  keeper
+	starter *starter
 	// firstLender is the number of the lender that this proxy asks first.
 	firstLender int
 	lenders     lenders
@@ -83,6 +85,7 @@
 	}
 	quota.firstLender = context.Random().IntN(lendersPerTeam)
 	quota.keeper = newKeeper(context, table.New(context))
+	quota.starter = newStarter(context, table.New(context))
 	context.ProvideService(route.QuotaService, quota)
 	if quota.enabled() {
 		context.Timers().Every(keeperInterval, quota.keepLenders)
@@ -95,6 +98,7 @@
 // Handle implements kern.Plugin.
 func (quota *Quota) Handle(received event.Event) {
 	quota.keeper.client.Handle(received)
+	quota.starter.client.Handle(received)
 	switch received := received.(type) {
 	case event.LendersListed:
 		quota.setLenders(received)
@@ -124,7 +128,9 @@
 		quota.borrowAhead(purse)
 		return 0
 	}
-	if _, ok := quota.chooseLender(purse, now); !ok && !purse.pending && len(quota.lenders.of(team.Name())) > 0 {
+	_, found := quota.chooseLender(purse, now)
+	wait := quota.startsWithin(purse, now)
+	if !found && wait == 0 && !purse.pending && len(quota.lenders.of(team.Name())) > 0 {
 		decide(quota.denial(purse, now))
 		return 0
 	}
@@ -132,7 +138,11 @@
 	purse.waiting = append(purse.waiting, added)
 	quota.waiters[added.id] = added
 	added.timeout = quota.context.Timers().After(maxTokenWait, func() { quota.deny(purse, added, unavailable()) })
-	quota.borrow(purse)
+	if found || wait == 0 {
+		quota.borrow(purse)
+	} else {
+		quota.borrowAfter(purse, wait)
+	}
 	if added.ended {
 		return 0
 	}
@@ -281,7 +291,8 @@
 	}
 	switch {
 	case loan.RetryAfter() > 0 && loan.Lifetime() == 0:
-		quota.refuse(purse, call.lender, refusal{until: now + loan.RetryAfter(), reason: "a lender of the team may not lend at present"})
+		starting := loan.RetryAfter() == startRetryAfter
+		quota.refuse(purse, call.lender, refusal{until: now + loan.RetryAfter(), starting: starting, reason: "a lender of the team may not lend at present"})
 	case loan.RetryAfter() > 0:
 		quota.refuse(purse, call.lender, refusal{until: now + loan.RetryAfter(), reason: quota.describeExcess(purse)})
 	case purse.next() != nil:
@@ -301,6 +312,10 @@
 		quota.borrow(purse)
 		return
 	}
+	if wait := quota.startsWithin(purse, now); wait > 0 {
+		quota.borrowAfter(purse, wait)
+		return
+	}
 	for waiter := purse.next(); waiter != nil; waiter = purse.next() {
 		quota.deny(purse, waiter, quota.denial(purse, now))
 	}
@@ -323,6 +338,33 @@
 	return denial
 }
 
+// startsWithin returns when a lender is to be asked again that has just started and will know
+// shortly what it may lend, or 0 if there is none. The operations wait for it, since callers that
+// come back after a loss of power use up their attempts within that time.
+func (quota *Quota) startsWithin(purse *purse, now time.Duration) time.Duration {
+	for _, lender := range quota.lenders.of(purse.team) {
+		refused := purse.refused[lender.ID()]
+		if refused.starting && refused.until > now && now >= quota.avoided[lender.ID()] {
+			return refused.until - now
+		}
+	}
+	return 0
+}
+
+// borrowAfter asks for tokens after a delay, if operations still wait then.
+func (quota *Quota) borrowAfter(purse *purse, delay time.Duration) {
+	if purse.scheduled {
+		return
+	}
+	purse.scheduled = true
+	quota.context.Timers().After(delay, func() {
+		purse.scheduled = false
+		if purse.next() != nil {
+			quota.borrow(purse)
+		}
+	})
+}
+
 // describeExcess returns the reason for refusing operations of a team over its limit.
 func (quota *Quota) describeExcess(purse *purse) string {
 	team := quota.context.State().Teams().Find(purse.team)
--- a/internal/plug/quota/quota_test.go
+++ b/internal/plug/quota/quota_test.go
@@ -43,6 +43,7 @@
 	value    []byte
 	version  uint64
 	calls    map[model.BorrowID]borrowed
+	starts   map[string]model.Row // when lenders have begun with tokens
 	uses     []usedAt
 	refused  int
 	messages int
@@ -56,7 +57,7 @@
 }
 
 func newSystem(count int, team *model.Team) *system {
-	system := &system{team: team, calls: make(map[model.BorrowID]borrowed), lose: func() bool { return false }}
+	system := &system{team: team, calls: make(map[model.BorrowID]borrowed), starts: make(map[string]model.Row), lose: func() bool { return false }}
 	for index := range count {
 		member := &member{id: model.ProxyID(fmt.Sprintf("p-%02d", index))}
 		system.members = append(system.members, member)
@@ -138,6 +139,8 @@
 		switch action := action.(type) {
 		case event.WriteStore:
 			system.write(from, action)
+		case event.ReadStore:
+			system.readStart(from, action)
 		case event.Borrow:
 			system.messages++
 			system.send(from, action)
@@ -156,6 +159,10 @@
 	}
 	write := action.Writes()[0]
 	kernel := from.kernel
+	if write.Table() == route.FleetTable {
+		system.writeStart(from, action)
+		return
+	}
 	if write.ExpectedVersion() != system.version {
 		from.queue = append(from.queue, func() {
 			if from.kernel == kernel {
@@ -173,6 +180,42 @@
 	})
 }
 
+// readStart answers a read of a lender's start row.
+func (system *system) readStart(from *member, action event.ReadStore) {
+	if from.cut {
+		return
+	}
+	var rows []model.Row
+	if found, ok := system.starts[action.Prefix()]; ok {
+		rows = append(rows, found)
+	}
+	kernel, answeredAt := from.kernel, system.now
+	from.queue = append(from.queue, func() {
+		if from.kernel == kernel {
+			system.handle(from, event.NewStoreRead(action.CallID(), rows).WithAnsweredAt(answeredAt))
+		}
+	})
+}
+
+// writeStart carries out a write of a lender's start row if its version is the expected one.
+func (system *system) writeStart(from *member, action event.WriteStore) {
+	write := action.Writes()[0]
+	kernel := from.kernel
+	answer := event.Event(event.NewStoreConflict(action.CallID()))
+	if write.ExpectedVersion() == system.starts[write.Key()].Version() {
+		system.starts[write.Key()] = model.NewRow(write.Key(), write.ExpectedVersion()+1, write.Value())
+		answer = event.NewStoreWritten(action.CallID())
+	}
+	if system.lose() {
+		return
+	}
+	from.queue = append(from.queue, func() {
+		if from.kernel == kernel {
+			system.handle(from, answer)
+		}
+	})
+}
+
 func (system *system) send(from *member, action event.Borrow) {
 	for _, to := range system.members {
 		if to.id != action.Lender().ID() || from.cut || to.cut || system.lose() || system.now < to.downUntil {
