quota: a slow answer of a lender lets operations ask the next one

Cause: the time-outs of two lenders that are cut off took as long as an operation may wait, so that the third lender was never asked. Change: after 60 ms without an answer, waiting operations ask the next lender. Measured: TestTwoLendersAreCutOff fails without it.

--- a/internal/plug/quota/quota.go
+++ b/internal/plug/quota/quota.go
@@ -37,6 +37,9 @@
 const (
 	// borrowTimeout limits a call for tokens.
 	borrowTimeout = 150 * time.Millisecond
+	// slowAnswer is the time without an answer after which the operations that wait ask the next
+	// lender, too. An answer takes a few milliseconds between hosts that reach each other.
+	slowAnswer = 60 * time.Millisecond
 	// answerMargin is the time beyond it after which a call that the adapter has not reported
 	// counts as failed.
 	answerMargin = 50 * time.Millisecond
@@ -71,6 +74,7 @@
 	sentAt  time.Duration
 	purses  []*purse
 	timeout timer.ID
+	slow    timer.ID
 }
 
 // New returns the plug-in. It limits nothing if the settings give no window.
@@ -229,6 +233,7 @@
 	id := model.BorrowID(quota.context.NextID())
 	quota.calls[id] = pending
 	pending.timeout = quota.context.Timers().After(borrowTimeout+answerMargin, func() { quota.failCall(id, "no answer") })
+	pending.slow = quota.context.Timers().After(slowAnswer, func() { quota.askNext(pending) })
 	quota.context.Emit(event.NewBorrow(id, quota.context.State().Self(), lender, demands, borrowTimeout))
 }
 
@@ -254,10 +259,24 @@
 	if found != nil {
 		delete(quota.calls, id)
 		quota.context.Timers().Cancel(found.timeout)
+		quota.context.Timers().Cancel(found.slow)
 	}
 	return found
 }
 
+// askNext asks the next lenders for the operations that wait for a slow answer. While lenders are
+// cut off, the time-outs of two of them would use up the time that an operation may wait.
+func (quota *Quota) askNext(slow *call) {
+	until := quota.context.Now() + borrowTimeout
+	for _, purse := range slow.purses {
+		purse.pending = false
+		purse.refused[slow.lender] = refusal{until: until, reason: "a lender did not answer"}
+		if purse.next() != nil {
+			quota.borrow(purse)
+		}
+	}
+}
+
 // failCall ends a call that got no usable answer.
 func (quota *Quota) failCall(id model.BorrowID, reason string) {
 	if call := quota.finishCall(id); call != nil {
--- a/internal/plug/quota/quota_test.go
+++ b/internal/plug/quota/quota_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -429,6 +430,30 @@
 	is.Equal(len(system.uses), steps/2)
 }
 
+// Guards against two lenders that are cut off at once: an operation has to reach the third one
+// before the time-outs of both have passed.
+func TestTwoLendersAreCutOff(t *testing.T) {
+	is := is.New(t)
+	system := newSystem(8, limitedTeam(90, 30))
+	system.run(4 * time.Second)
+	lenders := system.members[0].quota.lenders.of("faculty")
+	last := (system.members[0].quota.firstLender + len(lenders) - 1) % len(lenders)
+	var others []*member
+	for _, member := range system.members {
+		index := slices.IndexFunc(lenders, func(view model.ProxyView) bool { return view.ID() == member.id })
+		member.cut = index >= 0 && index != last
+		if index < 0 {
+			others = append(others, member)
+		}
+	}
+	for index, member := range others {
+		system.operate(member)
+		system.run(200 * time.Millisecond)
+		is.Equal(len(system.uses), index+1)
+	}
+	is.Equal(system.refused, 0)
+}
+
 // Demands that make no sense get nothing, and the lender goes on.
 func TestMalformedDemands(t *testing.T) {
 	tests := []struct {
