catlog, platform: instances that start again, and entries of other writers

Cause: an instance that started again under its name was taken for the process before: idle connections led to that process, failures and a back-off went on. Change: InstanceRestarted is published when an entry names a later start; relay forgets the failures, conns closes idle connections and ends the back-off.

--- a/internal/app/metric/metric_test.go
+++ b/internal/app/metric/metric_test.go
@@ -131,7 +131,7 @@
 	is := is.New(t)
 	registry := metric.NewRegistry()
 	for range 2 { // the second call must not count anything twice
-		metric.ObserveLists(registry, []port.ListStatus{{Name: "instances", Answered: 3, Failed: 1}})
+		metric.ObserveLists(registry, []port.ListStatus{{Name: "instances", Answered: 3, Failed: 1, Unreadable: 2}})
 	}
 	var output bytes.Buffer
 	is.NoErr(registry.WriteText(&output))
@@ -139,6 +139,8 @@
 		"# TYPE almondway_list_calls_total counter",
 		`almondway_list_calls_total{list="instances",outcome="answered"} 3`,
 		`almondway_list_calls_total{list="instances",outcome="failed"} 1`,
+		"# TYPE almondway_list_unreadable_entries gauge",
+		`almondway_list_unreadable_entries{list="instances"} 2`,
 		"",
 	}, "\n"))
 }
--- a/internal/app/metric/observe.go
+++ b/internal/app/metric/observe.go
@@ -49,6 +49,7 @@
 	for _, list := range lists {
 		label := NewLabel("list", list.Name)
 		observeOutcomes(registry, "list_calls_total", label, list.Answered, list.Failed)
+		registry.Gauge("list_unreadable_entries", label).Update(int64(list.Unreadable))
 	}
 }
 
--- a/internal/core/event/internal.go
+++ b/internal/core/event/internal.go
@@ -97,3 +97,21 @@
 func NewDrainStarted() DrainStarted { return DrainStarted{} }
 
 func (DrainStarted) isEvent() {}
+
+// InstanceRestarted is published when an instance has started again under its name. The new process
+// knows nothing of the one before.
+type InstanceRestarted struct {
+	instance model.InstanceID
+}
+
+// NewInstanceRestarted returns an InstanceRestarted.
+func NewInstanceRestarted(instance model.InstanceID) InstanceRestarted {
+	return InstanceRestarted{instance: instance}
+}
+
+// Instance returns the instance.
+func (instanceRestarted InstanceRestarted) Instance() model.InstanceID {
+	return instanceRestarted.instance
+}
+
+func (InstanceRestarted) isEvent() {}
--- a/internal/core/port/port.go
+++ b/internal/core/port/port.go
@@ -65,6 +65,8 @@
 	Name     string
 	Answered uint64
 	Failed   uint64
+	// Unreadable is the number of present entries that cannot be decoded.
+	Unreadable int
 }
 
 // CallCount counts the calls to the platform's store for one purpose.
--- a/internal/plug/catlog/catlog.go
+++ b/internal/plug/catlog/catlog.go
@@ -146,6 +146,10 @@
 		Instance: listing.ID(),
 		Reason:   describe(listing),
 	})
+	if before.Born() != 0 && listing.Born() > before.Born() {
+		catalog.log("instance_restarted", model.Decision{Group: listing.Group(), Instance: listing.ID(), Reason: "its entry names a later start"})
+		catalog.context.Publish(event.NewInstanceRestarted(listing.ID()))
+	}
 	if listing.Leaving() != before.Leaving() {
 		catalog.context.Publish(event.NewLeavingChanged(listing.ID(), listing.Leaving()))
 	}
--- a/internal/plug/catlog/catlog_test.go
+++ b/internal/plug/catlog/catlog_test.go
@@ -189,3 +189,52 @@
 		})
 	}
 }
+
+// Guards against an instance that has started again under its name and is taken for the process
+// before, and against one whose entry merely changes and is taken for a new process.
+func TestRestartedInstance(t *testing.T) {
+	entry := func(born int64, sequence uint64) model.Listing {
+		return model.NewListing(model.ListingSpec{
+			Group:    group,
+			Instance: model.NewInstance("i-1", "10.0.0.1:1", "trnje-hall").WithCapacity(5, 0),
+			Born:     born,
+			Sequence: sequence,
+		})
+	}
+	tests := []struct {
+		name     string
+		listings []model.Listing
+		restarts int
+	}{
+		{name: "first entry", listings: []model.Listing{entry(100, 1)}},
+		{name: "later entry of the same process", listings: []model.Listing{entry(100, 1), entry(100, 9)}},
+		{name: "another process", listings: []model.Listing{entry(100, 9), entry(200, 1)}, restarts: 1},
+		{name: "start time unknown before", listings: []model.Listing{entry(0, 9), entry(200, 1)}},
+		{name: "two restarts", listings: []model.Listing{entry(100, 9), entry(200, 1), entry(300, 1)}, restarts: 2},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			restarts := 0
+			self := model.NewProxyView("p", "", "trnje-hall", 0, false, 0)
+			kernel := kern.NewWithFactories(self, tune.New(tune.Default()), time.Unix(0, 0), 1, catlog.New, func(*kern.Context) kern.Plugin {
+				return observer(func(received event.Event) {
+					if restarted, ok := received.(event.InstanceRestarted); ok && restarted.Instance() == "i-1" {
+						restarts++
+					}
+				})
+			})
+			kernel.Handle(0, catalog(1, "a"))
+			for index, listing := range test.listings {
+				kernel.Handle(time.Duration(index+1)*time.Second, event.NewInstanceListed(listing))
+			}
+			is.Equal(restarts, test.restarts)
+		})
+	}
+}
+
+// observer is a plug-in that passes events on to a function.
+type observer func(received event.Event)
+
+// Handle implements kern.Plugin.
+func (observer observer) Handle(received event.Event) { observer(received) }
--- a/internal/plug/conns/conns.go
+++ b/internal/plug/conns/conns.go
@@ -59,6 +59,8 @@
 		pools.handleExecuteFailed(received)
 	case event.GroupObserved:
 		pools.handleGroupObserved(received.Group())
+	case event.InstanceRestarted:
+		pools.handleInstanceRestarted(received.Instance())
 	}
 }
 
--- a/internal/plug/conns/conns_test.go
+++ b/internal/plug/conns/conns_test.go
@@ -395,3 +395,24 @@
 		})
 	}
 }
+
+// Guards against statements that are sent to a process that no longer runs, over connections that
+// have been silent since a cut, and against a back-off that outlives the process that caused it.
+func TestRestartedInstance(t *testing.T) {
+	is := is.New(t)
+	fixture := newFixture(1)
+	fixture.tick(time.Second)
+	fixture.completeOpenings()
+	user := fixture.acquire()
+	fixture.completeOpenings()
+	is.True(user.conn != 0)
+	idle := fixture.pools.pools[instance].idle[0].id
+	fixture.pools.pools[instance].failures = 3
+	fixture.pools.pools[instance].blockedUntil = time.Hour
+	fixture.handle(event.NewInstanceRestarted(instance))
+	is.True(fixture.wasClosed(idle))
+	is.True(!fixture.wasClosed(user.conn)) // its statement may still be answered
+	is.Equal(fixture.pools.pools[instance].failures, 0)
+	is.True(len(fixture.takeOpenings()) > 0)
+	fixture.handle(event.NewInstanceRestarted("unknown"))
+}
--- a/internal/plug/conns/upkeep.go
+++ b/internal/plug/conns/upkeep.go
@@ -71,6 +71,20 @@
 	}
 }
 
+// handleInstanceRestarted closes the idle connections to an instance that has started again. They
+// lead to the process before, and may be silent where the network was cut. The back-off ends.
+func (pools *Pools) handleInstanceRestarted(instance model.InstanceID) {
+	pool, ok := pools.pools[instance]
+	if !ok {
+		return
+	}
+	for len(pool.idle) > 0 {
+		pool.closeIdle(pool.idle[0])
+	}
+	pool.failures, pool.blockedUntil = 0, 0
+	pool.fill()
+}
+
 func (pool *pool) closeExcess() {
 	context := pool.pools.context
 	idle := context.Settings().ConnIdle()
--- a/internal/plug/relay/acquire_test.go
+++ b/internal/plug/relay/acquire_test.go
@@ -111,3 +111,20 @@
 	is.Equal(sessions.finished, 1)
 	is.Equal(conns.canceledWaits, []route.WaitID{1})
 }
+
+// Guards against an instance that gets no reads after its restart because of what the process
+// before did.
+func TestRestartedInstance(t *testing.T) {
+	is := is.New(t)
+	kernel, relay := newTestRelay(tune.Default(), &fakeConns{}, &fakeSessions{})
+	kernel.Tick(time.Second)
+	for _, instance := range []model.InstanceID{"a", "b"} {
+		relay.failedAt[instance] = time.Second
+		relay.recordMissingMark(instance, model.NewMark(1, 1))
+	}
+	kernel.Handle(time.Second, event.NewInstanceRestarted("a"))
+	is.True(!relay.recentlyFailed("a"))
+	is.True(!relay.knownToLack("a", model.NewMark(1, 2)))
+	is.True(relay.recentlyFailed("b"))
+	is.True(relay.knownToLack("b", model.NewMark(1, 2)))
+}
--- a/internal/plug/relay/relay.go
+++ b/internal/plug/relay/relay.go
@@ -66,6 +66,9 @@
 		relay.recheckGroup(received.Group())
 	case event.CatalogChanged:
 		relay.refuseWithdrawn()
+	case event.InstanceRestarted:
+		delete(relay.failedAt, received.Instance())
+		delete(relay.missingMarks, received.Instance())
 	}
 }
 
