city: faults of a primary, and a rate that varies over time

TestServiceAfterFault counts what callers get from 2 s after the end of the fault, with 36 and with 6 proxies.

--- a/internal/proof/city/conn.go
+++ b/internal/proof/city/conn.go
@@ -13,6 +13,7 @@
 	id        model.ConnID
 	instance  *instance
 	closed    bool
+	hanging   bool // holds its place at the instance although it is closed
 	inTx      bool
 	readWrite bool  // whether the open transaction may write
 	writes    []int // the writes of the open transaction
@@ -29,7 +30,7 @@
 		proxy.post(2*networkDelay, event.NewConnFailed(action.Conn(), model.ConnFailureRefused))
 	case instance.unreachableFrom[proxy]:
 		proxy.post(700*time.Millisecond, event.NewConnFailed(action.Conn(), model.ConnFailureTimeout))
-	case capacity.maxConns > 0 && capacity.conns >= capacity.maxConns:
+	case instance.fault.Full || capacity.maxConns > 0 && capacity.conns >= capacity.maxConns:
 		proxy.post(2*networkDelay, event.NewConnFailed(action.Conn(), model.ConnFailureFull))
 	default:
 		capacity.conns++
@@ -109,7 +110,9 @@
 // end rolls back the open transaction of a closed connection and frees its place.
 func (conn *conn) end() {
 	conn.rollBack()
-	conn.instance.capacity.conns--
+	if !conn.hanging {
+		conn.instance.capacity.conns--
+	}
 }
 
 // execute sends a unit of work to the instance.
@@ -137,10 +140,14 @@
 		conn.sendFailure(action, model.FailureLost)
 		return
 	}
-	if instance.simulation.now < instance.busyUntil || work.Step() != model.StepConfirmPrimary && instance.capacity.full() {
+	if instance.simulation.now < instance.busyUntil || instance.fault.Full || work.Step() != model.StepConfirmPrimary && instance.capacity.full() {
 		conn.sendFailure(action, model.FailureBusy)
 		return
 	}
+	if share := instance.fault.ErrorShare; share > 0 && work.Step() != model.StepConfirmPrimary && instance.simulation.random.Float64() < share {
+		conn.sendFailure(action, model.FailureStatement)
+		return
+	}
 	statement, _ := work.Statement().(*payload)
 	if work.Step() == model.StepFirst {
 		if !conn.begin(action) {
@@ -190,11 +197,21 @@
 		finish()
 		return
 	}
+	simulation := conn.proxy.simulation
 	capacity.acquire(func() {
-		conn.proxy.simulation.runAfter(span, func() {
-			capacity.release(span)
+		started := simulation.now
+		end := func() {
+			capacity.release(simulation.now - started)
 			finish()
-		})
+		}
+		switch fault := conn.instance.fault; {
+		case !fault.hangs(simulation.random):
+			simulation.runAfter(fault.span(span), end)
+		case fault.HangTime == 0:
+			conn.hang(end)
+		default:
+			conn.outlives(fault.HangTime, end)
+		}
 	})
 }
 
--- a/internal/proof/city/experiment.go
+++ b/internal/proof/city/experiment.go
@@ -31,6 +31,10 @@
 	// BurstRate replaces Rate from BurstFrom to BurstUntil, counted from the first arrival.
 	BurstRate             float64
 	BurstFrom, BurstUntil time.Duration
+	// Swing is the share by which the rate of each data centre varies around its mean, with
+	// the period SwingPeriod and at a different time in each data centre.
+	Swing       float64
+	SwingPeriod time.Duration
 	// Span is the time during which operations arrive.
 	Span time.Duration
 	// DrainTime is the time after the last arrival in which operations may end, 12 s if it
@@ -57,6 +61,7 @@
 	// The results count the operations that arrive from CountFrom to CountUntil after the
 	// first arrival; a CountUntil of 0 counts all.
 	CountFrom, CountUntil time.Duration
+	Fault                 Fault
 	// Policy holds the parameters of the admission of each proxy.
 	Policy limit.Policy
 }
@@ -158,6 +163,7 @@
 	load.until = simulation.now + spec.Span
 	simulation.runAfter(spec.LagFrom, func() { simulation.setApplyDelay(spec.ApplyDelay) })
 	simulation.runAfter(spec.LagUntil, func() { simulation.setApplyDelay(0) })
+	load.scheduleFault()
 	if spec.RestartSpan > 0 {
 		simulation.runAfter(spec.RestartAt, load.killProxies)
 	}
--- /dev/null
+++ b/internal/proof/city/fault_test.go
@@ -0,0 +1,53 @@
+package city
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+const faultSeeds = 3
+
+// playAfterFault returns what the callers get that arrive after the recovery time of a fault, or
+// at the same time without one if the fault is nil.
+func playAfterFault(load func(seed uint64) Load, fault *Fault) Result {
+	var total Result
+	for seed := range uint64(faultSeeds) {
+		spec := load(seed + 1).afterFault()
+		if fault != nil {
+			spec = load(seed + 1).withFault(*fault)
+		}
+		total.Add(Experiment(spec))
+	}
+	return total
+}
+
+// fewProxies is unevenLoad on six proxies.
+func fewProxies(seed uint64) Load {
+	load := unevenLoad(seed)
+	load.ProxiesByZone = []int{2, 2, 2}
+	return load
+}
+
+// Within 2 s after the end of a fault, a group is back at its service: of each kind, hardly fewer
+// callers are served within their target than without the fault.
+func TestServiceAfterFault(t *testing.T) {
+	loads := []struct {
+		name string
+		load func(seed uint64) Load
+	}{{"36 proxies", unevenLoad}, {"6 proxies", fewProxies}}
+	for _, load := range loads {
+		before := playAfterFault(load.load, nil)
+		for _, named := range Faults() {
+			t.Run(load.name+" "+named.Name, func(t *testing.T) {
+				is := is.New(t)
+				after := playAfterFault(load.load, &named.Fault)
+				for index, kind := range after.Kinds {
+					expected := before.Kinds[index].InTarget
+					t.Logf("%s: %d of %d in target, %d without the fault, %v", kind.Name, kind.InTarget, kind.Asked, expected, kind.Refusals)
+					is.True(100*kind.InTarget >= 98*expected)
+				}
+			})
+		}
+	}
+}
--- a/internal/proof/city/instance.go
+++ b/internal/proof/city/instance.go
@@ -42,6 +42,7 @@
 	// applyDelay is the time from the receipt of an entry by a replica until reads see it.
 	applyDelay time.Duration
 	capacity   capacity
+	fault      Fault
 }
 
 func (instance *instance) isPrimary() bool {
--- a/internal/proof/city/load.go
+++ b/internal/proof/city/load.go
@@ -85,16 +85,30 @@
 
 // scheduleArrival schedules the next operation.
 func (load *load) scheduleArrival() {
-	delay := time.Duration(load.random.ExpFloat64() / load.rate() * float64(time.Second))
+	delay := time.Duration(load.random.ExpFloat64() / (load.rate() * (1 + load.spec.Swing)) * float64(time.Second))
 	load.simulation.runAfter(delay, func() {
 		if load.simulation.now >= load.until {
 			return
 		}
-		load.newOperation().attempt()
+		zone := load.random.IntN(len(load.spec.ProxiesByZone))
+		if load.arrives(zone) {
+			load.newOperation(zone).attempt()
+		}
 		load.scheduleArrival()
 	})
 }
 
+// arrives reports whether an operation arrives in a zone, where the rate varies over time. Without
+// a swing, every operation does.
+func (load *load) arrives(zone int) bool {
+	swing := load.spec.Swing
+	if swing == 0 {
+		return true
+	}
+	turns := float64(load.simulation.now)/float64(load.spec.SwingPeriod) + float64(zone)/float64(len(load.spec.ProxiesByZone))
+	return load.random.Float64()*(1+swing) < 1+swing*math.Sin(2*math.Pi*turns)
+}
+
 // rate returns the current number of operations a second.
 func (load *load) rate() float64 {
 	began := load.until - load.spec.Span
@@ -104,7 +118,7 @@
 	return load.spec.Rate
 }
 
-func (load *load) newOperation() *operation {
+func (load *load) newOperation(zone int) *operation {
 	random := load.random
 	index := 0
 	for draw := random.Float64(); index < len(load.spec.Kinds)-1 && draw >= load.spec.Kinds[index].Share; index++ {
@@ -115,7 +129,7 @@
 		load:    load,
 		kind:    kind,
 		result:  load.results[index],
-		zone:    random.IntN(len(load.spec.ProxiesByZone)),
+		zone:    zone,
 		arrived: load.simulation.now,
 		inTx:    random.Float64() < kind.Transactions,
 	}
