limit: a statement that is not answered is no sample of load

A statement that hangs until its timeout counted as a sample of a second or more in the mean time that a slot is held, in that under low load, and in the expected work of its lane, which is learned over all instances. conns now tells limit why a slot is returned (route.SlotEnd): answered, unused or unanswered. Only answered statements count.

--- a/internal/core/route/route.go
+++ b/internal/core/route/route.go
@@ -67,9 +67,8 @@
 	// ForceAcquire takes a slot even if the limit is reached, for the next statement of
 	// an open transaction.
 	ForceAcquire(request SlotRequest)
-	// Release returns a slot. held is how long the slot was in use; busy reports that the
-	// instance refused the statement for lack of slots.
-	Release(request SlotRequest, held time.Duration, busy bool)
+	// Release returns a slot. held is how long the slot was in use.
+	Release(request SlotRequest, held time.Duration, end SlotEnd)
 	// Load returns the number of statements that run on an instance or wait for it.
 	Load(instance model.InstanceID) int
 	// ExpectedDelay returns the expected duration of one more statement on an instance,
@@ -83,6 +82,20 @@
 	RetryAfter(instance model.InstanceID) time.Duration
 }
 
+// SlotEnd says why a slot is returned.
+type SlotEnd int
+
+// The reasons why a slot is returned.
+const (
+	// SlotAnswered: the instance answered the statement.
+	SlotAnswered SlotEnd = iota
+	// SlotUnused: no statement ran, for example because the instance refused it for lack of
+	// slots.
+	SlotUnused
+	// SlotUnanswered: the proxy waits no longer for the answer, or lost it.
+	SlotUnanswered
+)
+
 // ConnUser requests a backend connection and runs statements on it. Its methods are
 // callbacks of Conns.
 type ConnUser interface {
--- a/internal/plug/conns/answer.go
+++ b/internal/plug/conns/answer.go
@@ -3,6 +3,7 @@
 import (
 	"almondway.dev/almondway/internal/core/event"
 	"almondway.dev/almondway/internal/core/model"
+	"almondway.dev/almondway/internal/core/route"
 )
 
 func (pools *Pools) handleConnOpened(opened event.ConnOpened) {
@@ -89,7 +90,7 @@
 	}
 	user := conn.user
 	if failed.Class() == model.FailureBusy {
-		pools.releaseSlot(conn, true)
+		pools.releaseSlot(conn, route.SlotUnused)
 	}
 	if failed.Class() == model.FailureLeaving {
 		pools.context.Publish(event.NewLeavingChanged(conn.pool.instance.ID(), true))
--- a/internal/plug/conns/conns.go
+++ b/internal/plug/conns/conns.go
@@ -97,7 +97,7 @@
 	delete(pools.waiters, id)
 	if waiter.state == waiterNeedsConn {
 		waiter.pool.removeWaiter(waiter)
-		pools.admission.Release(waiter.request, 0, true)
+		pools.admission.Release(waiter.request, 0, route.SlotUnused)
 	} else {
 		pools.admission.CancelWait(waiter)
 	}
@@ -124,7 +124,7 @@
 // Park implements route.Conns.
 func (pools *Pools) Park(id model.ConnID) {
 	if conn, ok := pools.conns[id]; ok {
-		pools.releaseSlot(conn, false)
+		pools.releaseSlot(conn, route.SlotAnswered)
 	}
 }
 
@@ -165,13 +165,13 @@
 	}
 	conn.user = nil
 	if dirty && conn.pool.holdsNone() && len(conn.pool.waiting) == 0 {
-		pools.releaseSlot(conn, false)
+		pools.releaseSlot(conn, route.SlotAnswered)
 		conn.pool.closeIdle(conn) // rolls back at the instance
 		return
 	}
 	if dirty {
 		conn.state = connResetting
-		pools.releaseSlot(conn, false)
+		pools.releaseSlot(conn, route.SlotAnswered)
 		pools.context.Emit(event.NewResetConn(id))
 		return
 	}
@@ -180,7 +180,7 @@
 	conn.pool.addIdle(conn)
 	conn.pool.grantWaiting()
 	if slot {
-		pools.admission.Release(conn.request, held, false)
+		pools.admission.Release(conn.request, held, route.SlotAnswered)
 	}
 	if conn.state == connIdle && conn.pool.holdsNone() {
 		conn.pool.closeIdle(conn)
@@ -221,14 +221,13 @@
 	return added
 }
 
-// releaseSlot returns the slot of a connection, if it has one. busy reports that the
-// instance refused the statement for lack of slots.
-func (pools *Pools) releaseSlot(conn *conn, busy bool) {
+// releaseSlot returns the slot of a connection, if it has one.
+func (pools *Pools) releaseSlot(conn *conn, end route.SlotEnd) {
 	if !conn.hasSlot {
 		return
 	}
 	conn.hasSlot = false
-	pools.admission.Release(conn.request, pools.context.Now()-conn.since, busy)
+	pools.admission.Release(conn.request, pools.context.Now()-conn.since, end)
 }
 
 // removeConn removes a closed connection from its pool, releases its slot and opens a
@@ -239,6 +238,6 @@
 	conn.pool.remove(conn)
 	conn.state = connClosed
 	conn.user = nil
-	pools.releaseSlot(conn, false)
+	pools.releaseSlot(conn, route.SlotUnanswered)
 	conn.pool.fill()
 }
--- a/internal/plug/conns/pool.go
+++ b/internal/plug/conns/pool.go
@@ -411,7 +411,7 @@
 	pool.waiting = kept
 	for _, waiter := range late {
 		waiter.end()
-		pool.pools.admission.Release(waiter.request, 0, true)
+		pool.pools.admission.Release(waiter.request, 0, route.SlotUnused)
 		waiter.user.ConnDenied(pool.pools.overloaded(waiter.request, "no connection became free within the target latency"))
 	}
 }
@@ -428,7 +428,7 @@
 	pool.waiting = nil
 	for _, waiter := range waiting {
 		waiter.end()
-		pool.pools.admission.Release(waiter.request, 0, true)
+		pool.pools.admission.Release(waiter.request, 0, route.SlotUnused)
 		waiter.user.ConnDenied(unreachable())
 	}
 }
--- a/internal/plug/limit/limit.go
+++ b/internal/plug/limit/limit.go
@@ -143,9 +143,10 @@
 }
 
 // Release implements route.Admission.
-func (limits *Limits) Release(request route.SlotRequest, held time.Duration, busy bool) {
+func (limits *Limits) Release(request route.SlotRequest, held time.Duration, end route.SlotEnd) {
 	instanceLimit := limits.instanceLimit(request.Instance)
-	if !busy && !request.BypassLimit {
+	// A statement that was not answered does not say how long those take that are.
+	if end == route.SlotAnswered && !request.BypassLimit {
 		instanceLimit.lastSample = limits.context.Now()
 		instanceLimit.addSample(held, limits.lowerBound(request.Instance), limits.upperBound(request.Instance), limits.policy)
 		limits.recordHeld(request, held)
--- a/internal/plug/limit/limit_test.go
+++ b/internal/plug/limit/limit_test.go
@@ -111,7 +111,7 @@
 			}
 			var order []int
 			for range waiting {
-				limits.Release(running.request, time.Millisecond, false)
+				limits.Release(running.request, time.Millisecond, route.SlotAnswered)
 				for index, waiter := range waiting {
 					if waiter.granted && !slices.Contains(order, index) {
 						order = append(order, index)
@@ -179,7 +179,7 @@
 				if limits.instanceLimit(instance).running == 0 {
 					limits.Acquire(flowSpec{}.newWaiter())
 				}
-				limits.Release(request, held, false)
+				limits.Release(request, held, route.SlotAnswered)
 			}
 			is.Equal(limits.instanceLimit(instance).limit, test.limit)
 		})
@@ -196,12 +196,12 @@
 	}
 	request := flowSpec{}.newWaiter().request
 	for range 100 {
-		limits.Release(request, quick, false)
+		limits.Release(request, quick, route.SlotAnswered)
 		limits.Acquire(flowSpec{}.newWaiter())
 	}
 	is.Equal(limits.instanceLimit(instance).limit, 4)
 	for range 300 {
-		limits.Release(request, slow, false)
+		limits.Release(request, slow, route.SlotAnswered)
 		limits.Acquire(flowSpec{}.newWaiter())
 	}
 	is.Equal(limits.instanceLimit(instance).limit, 1)
@@ -215,7 +215,7 @@
 		limits.Acquire(waiter)
 	}
 	limits.CancelWait(second)
-	limits.Release(first.request, time.Millisecond, false)
+	limits.Release(first.request, time.Millisecond, route.SlotAnswered)
 	is.True(!second.granted)
 	is.True(third.granted)
 	is.Equal(limits.waitingByDeployment[""], 0)
@@ -234,10 +234,10 @@
 	is.True(first.granted)
 	is.True(!second.granted)
 	limits.CancelWait(second)
-	limits.Release(first.request, time.Millisecond, false)
+	limits.Release(first.request, time.Millisecond, route.SlotAnswered)
 	is.True(!second.granted)
 	is.True(third.granted)
-	limits.Release(third.request, time.Millisecond, false)
+	limits.Release(third.request, time.Millisecond, route.SlotAnswered)
 	is.Equal(limits.classLimit(first.request).running, 0)
 }
 
--- a/internal/plug/limit/share_test.go
+++ b/internal/plug/limit/share_test.go
@@ -63,7 +63,7 @@
 	clock.After(oneWayLatency, func() {
 		timedWaiter.simulation.instance.execute(func() {
 			timedWaiter.simulation.latencies = append(timedWaiter.simulation.latencies, clock.Now()-timedWaiter.arrived)
-			timedWaiter.limits.Release(timedWaiter.request, clock.Now()-started, false)
+			timedWaiter.limits.Release(timedWaiter.request, clock.Now()-started, route.SlotAnswered)
 		})
 	})
 }
--- a/internal/plug/limit/work.go
+++ b/internal/plug/limit/work.go
@@ -84,7 +84,7 @@
 	return time.Duration(float64(held) * estimate.statements())
 }
 
-// recordHeld records how long a statement held a slot.
+// recordHeld records how long an answered statement held a slot.
 func (limits *Limits) recordHeld(request route.SlotRequest, held time.Duration) {
 	if request.Job == nil {
 		return
