limit: estimates of an instance move by time as well as by samples

The mean time that a slot is held moved by an eighth for each sample. A proxy that sends an instance one or two statements a second needed ten seconds and more to forget slow ones. The refusals used that mean as it was, and only the choice of an instance a decayed one, which the next sample set back. The value under low load fell by 1/32 for each sample, so that a proxy that had learned it during a fault kept it for half a minute.

From 250 ms after the last sample, the weight of the mean halves in 500 ms, and so does its excess over the value under low load, for refusals and for the choice alike. Under load the pauses are shorter, and nothing changes. A mean below half of the value under low load refutes it.

TestSparseStatementsRefute failed before (a slot would be free after the deadline only) for slow and for hung statements. TestExpectedAnswer marks the estimate as recent, since it tests one that has not decayed.

--- a/internal/plug/limit/instancelimit.go
+++ b/internal/plug/limit/instancelimit.go
@@ -1,6 +1,7 @@
 package limit
 
 import (
+	"math"
 	"time"
 
 	"almondway.dev/almondway/internal/core/model"
@@ -11,14 +12,20 @@
 	initialHeld   = 5 * time.Millisecond
 	minRetryAfter = 50 * time.Millisecond
 	maxRetryAfter = 5 * time.Second
-	// Each new sample moves meanHeld by 1/heldSmoothing of the difference, and baseHeld, if
-	// it falls, by 1/baseFallSmoothing.
+	// Each new sample moves meanHeld by at least 1/heldSmoothing of the difference, and
+	// baseHeld, if it falls, by 1/baseFallSmoothing.
 	heldSmoothing     = 8
 	baseFallSmoothing = 32
-	// heldHalfLife is the time without samples in which the excess of meanHeld over
-	// baseHeld halves.
+	// freshTime is the age of the last sample up to which meanHeld counts in full. It is longer
+	// than the pauses between samples under load, where decay makes the estimate noisy.
+	freshTime = 250 * time.Millisecond
+	// heldHalfLife is the time in which the weight of meanHeld, and its excess over baseHeld,
+	// halve after freshTime. A group has to be back at its previous service 2 s after a fault,
+	// which leaves a tenth of the excess.
 	heldHalfLife = 500 * time.Millisecond
-	maxHalvings  = 16
+	// A mean below 1/baseRefuted of baseHeld refutes it: baseHeld was learned while the instance
+	// was slow, and falls as fast as the mean.
+	baseRefuted = 2
 	// Congestion reduces the limit by 1/decreaseDivisor.
 	decreaseDivisor = 4
 )
@@ -39,20 +46,40 @@
 	baseSamples int
 	samples     int
 	hadWaiters  bool
-	lastSample  time.Duration // time of the last sample
+	lastSample  time.Duration // time of the last answer
 	queuedSince time.Duration // start of the current period with a non-empty queue
 }
 
 // addSample records how long a slot was held and adjusts the limit at the end of a round.
-func (instanceLimit *instanceLimit) addSample(held time.Duration, lowerBound, upperBound int, policy Policy) {
-	instanceLimit.meanHeld += (held - instanceLimit.meanHeld) / heldSmoothing
+func (instanceLimit *instanceLimit) addSample(now, held time.Duration, policy Policy) {
+	weight := 1.0 / heldSmoothing
+	if instanceLimit.lastSample > 0 {
+		weight = max(weight, 1-faded(now-instanceLimit.lastSample))
+	}
+	instanceLimit.lastSample = now
+	instanceLimit.meanHeld += time.Duration(weight * float64(held-instanceLimit.meanHeld))
 	instanceLimit.updateBase(policy)
 	instanceLimit.hadWaiters = instanceLimit.hadWaiters || instanceLimit.queue.size > 0
 	instanceLimit.samples++
 	if instanceLimit.samples >= instanceLimit.limit {
 		instanceLimit.adjust(policy)
 	}
-	instanceLimit.limit = min(max(instanceLimit.limit, lowerBound), upperBound)
+}
+
+// faded returns the share of its weight that a mean still has when its last sample is that old.
+func faded(age time.Duration) float64 {
+	return math.Exp2(-float64(max(0, age-freshTime)) / float64(heldHalfLife))
+}
+
+// held returns how long a slot is expected to be held. Without samples, the estimate decays to
+// the value under low load, so that it refuses nothing for longer than it takes to send a
+// statement that can refute it.
+func (instanceLimit *instanceLimit) held(now time.Duration) time.Duration {
+	held := instanceLimit.meanHeld
+	if excess := held - instanceLimit.baseHeld; excess > 0 {
+		held = instanceLimit.baseHeld + time.Duration(faded(now-instanceLimit.lastSample)*float64(excess))
+	}
+	return held
 }
 
 // updateBase moves baseHeld towards meanHeld: soon if it falls, slowly if it rises. The
@@ -62,6 +89,9 @@
 	if instanceLimit.meanHeld > instanceLimit.baseHeld {
 		smoothing = policy.BaseRiseSmoothing
 	}
+	if instanceLimit.meanHeld < instanceLimit.baseHeld/baseRefuted {
+		smoothing = heldSmoothing
+	}
 	if instanceLimit.baseSamples < baseFallSmoothing {
 		instanceLimit.baseSamples++
 		smoothing = min(smoothing, instanceLimit.baseSamples)
@@ -82,13 +112,13 @@
 }
 
 // queueDelay returns the time in which the queue drains.
-func (instanceLimit *instanceLimit) queueDelay() time.Duration {
-	return instanceLimit.meanHeld * time.Duration(instanceLimit.queue.size+1) / time.Duration(instanceLimit.limit)
+func (instanceLimit *instanceLimit) queueDelay(now time.Duration) time.Duration {
+	return instanceLimit.held(now) * time.Duration(instanceLimit.queue.size+1) / time.Duration(instanceLimit.limit)
 }
 
 // wait returns the expected wait of a request that joins the queue now.
-func (instanceLimit *instanceLimit) wait(ranked lane) time.Duration {
-	return time.Duration(float64(instanceLimit.meanHeld) * instanceLimit.queue.place(ranked) / float64(instanceLimit.limit))
+func (instanceLimit *instanceLimit) wait(ranked lane, now time.Duration) time.Duration {
+	return time.Duration(float64(instanceLimit.held(now)) * instanceLimit.queue.place(ranked) / float64(instanceLimit.limit))
 }
 
 func (limits *Limits) instanceLimit(instance model.InstanceID) *instanceLimit {
@@ -119,7 +149,8 @@
 	if limit == 0 {
 		limit = limits.context.Settings().MaxWaiting()
 	}
-	granted := limits.context.Now() + instanceLimit.wait(limits.rankedLane(request))
+	now := limits.context.Now()
+	granted := now + instanceLimit.wait(limits.rankedLane(request), now)
 	switch {
 	case limits.waitingByDeployment[deployment.Name()] >= limit:
 		return deploymentQueueFull
@@ -143,26 +174,22 @@
 		return false
 	}
 	statements := limits.workEstimate(laneOf(request)).statements()
-	run := min(statements*float64(instanceLimit.meanHeld), limits.policy.MaxRunShare*float64(target))
+	run := min(statements*float64(instanceLimit.held(limits.context.Now())), limits.policy.MaxRunShare*float64(target))
 	answered := granted + time.Duration(run)
 	return answered > request.Job.Arrived()+time.Duration(limits.policy.TargetShare*float64(target))
 }
 
-// ExpectedDelay implements route.Admission. While an instance gets no statements, the
-// estimate decays to the value under low load, so that the instance is tried again.
+// ExpectedDelay implements route.Admission.
 func (limits *Limits) ExpectedDelay(instance model.InstanceID) time.Duration {
 	instanceLimit := limits.instanceLimit(instance)
-	held := instanceLimit.meanHeld
-	if idle := limits.context.Now() - instanceLimit.lastSample; idle > 0 && held > instanceLimit.baseHeld {
-		held = instanceLimit.baseHeld + (held-instanceLimit.baseHeld)>>min(uint(idle/heldHalfLife), maxHalvings)
-	}
-	return held + held*time.Duration(instanceLimit.running+instanceLimit.queue.size)/time.Duration(instanceLimit.limit)
+	now := limits.context.Now()
+	return instanceLimit.held(now) + instanceLimit.held(now)*time.Duration(instanceLimit.running+instanceLimit.queue.size)/time.Duration(instanceLimit.limit)
 }
 
 // RetryAfter implements route.Admission. It returns the time in which the queue of the
 // instance drains, with jitter so that callers do not retry simultaneously.
 func (limits *Limits) RetryAfter(instance model.InstanceID) time.Duration {
-	delay := limits.instanceLimit(instance).queueDelay()
+	delay := limits.instanceLimit(instance).queueDelay(limits.context.Now())
 	delay = min(max(delay, minRetryAfter), maxRetryAfter)
 	return delay/2 + time.Duration(limits.context.Random().Int64N(int64(delay)))
 }
--- a/internal/plug/limit/limit.go
+++ b/internal/plug/limit/limit.go
@@ -147,8 +147,8 @@
 	instanceLimit := limits.instanceLimit(request.Instance)
 	// A statement that was not answered does not say how long those take that are.
 	if end == route.SlotAnswered && !request.BypassLimit {
-		instanceLimit.lastSample = limits.context.Now()
-		instanceLimit.addSample(held, limits.lowerBound(request.Instance), limits.upperBound(request.Instance), limits.policy)
+		instanceLimit.addSample(limits.context.Now(), held, limits.policy)
+		instanceLimit.limit = min(max(instanceLimit.limit, limits.lowerBound(request.Instance)), limits.upperBound(request.Instance))
 		limits.recordHeld(request, held)
 	}
 	instanceLimit.running--
--- a/internal/plug/limit/recover_test.go
+++ b/internal/plug/limit/recover_test.go
@@ -21,6 +21,35 @@
 	}
 }
 
+// A proxy that sends an instance one statement in 700 ms forgets hung and slow statements within
+// 2 s, even if it started during the fault. With a mean and a base that move by samples alone, it
+// refuses callers for more than ten seconds.
+func TestSparseStatementsRefute(t *testing.T) {
+	for _, end := range []route.SlotEnd{route.SlotUnanswered, route.SlotAnswered} {
+		is := is.New(t)
+		limits := newLimits(1)
+		sendSparsely(limits, 8, 1700*time.Millisecond, time.Second, end)
+		sendSparsely(limits, 3, 700*time.Millisecond, 10*time.Millisecond, route.SlotAnswered)
+		limits.Acquire(flowSpec{}.newWaiter())
+		added := flowSpec{deadline: limits.context.Now() + 200*time.Millisecond}.newWaiter()
+		limits.Acquire(added)
+		is.Equal(added.reason, "")
+	}
+}
+
+// Without any statement, the estimate decays, so that it refuses nothing for longer than it takes
+// to send a statement that can refute it.
+func TestEstimateDecays(t *testing.T) {
+	is := is.New(t)
+	limits := newLimits(1)
+	sendSparsely(limits, 40, time.Second, time.Second, route.SlotAnswered)
+	limits.instanceLimit(instance).baseHeld = initialHeld
+	slow := limits.instanceLimit(instance).held(limits.context.Now())
+	is.True(slow > 500*time.Millisecond)
+	limits.context.Timers().Advance(limits.context.Now() + 2*time.Second)
+	is.True(limits.instanceLimit(instance).held(limits.context.Now()) <= slow/10+initialHeld)
+}
+
 // A statement that is not answered says nothing about how long the slots of others are held, on
 // this instance or, by the work of its lane, on another one.
 func TestHungStatementIsNoSample(t *testing.T) {
--- a/internal/plug/limit/work_test.go
+++ b/internal/plug/limit/work_test.go
@@ -66,6 +66,7 @@
 				limits.Acquire(flowSpec{}.newWaiter())
 			}
 			limits.context.Timers().Advance(DefaultPolicy().BurstTolerance)
+			instanceLimit.lastSample = limits.context.Now() // the estimate has not decayed
 			request := flowSpec{target: target}.newWaiter().request
 			estimate := limits.workEstimate(laneOf(request))
 			estimate.txs, estimate.resumed = 1, test.resumed
