limit: statements that hold all slots for long count as stalled

Since statements that are not answered are no samples, callers would wait behind them until the deadline. While no slot was granted or returned for more than four times the expected time, that time is what a slot is expected to be held. It ends with the first slot that is returned.

TestOwnPlaceDecides marks the slot as granted just now, since its queue moves.

--- a/internal/plug/limit/instancelimit.go
+++ b/internal/plug/limit/instancelimit.go
@@ -23,6 +23,10 @@
 	// halve after freshTime. A group has to be back at its previous service 2 s after a fault,
 	// which leaves a tenth of the excess.
 	heldHalfLife = 500 * time.Millisecond
+	// stallRatio is the ratio of the time without a free slot to the expected time that a slot is
+	// held above which the statements that run count as stalled. A statement with several times
+	// the mean work is no stall.
+	stallRatio = 4
 	// A mean below 1/baseRefuted of baseHeld refutes it: baseHeld was learned while the instance
 	// was slow, and falls as fast as the mean.
 	baseRefuted = 2
@@ -47,6 +51,7 @@
 	samples     int
 	hadWaiters  bool
 	lastSample  time.Duration // time of the last answer
+	progressAt  time.Duration // when a slot was last granted or returned
 	queuedSince time.Duration // start of the current period with a non-empty queue
 }
 
@@ -82,6 +87,17 @@
 	return held
 }
 
+// turnover returns how long each slot is expected to be held by the statements that run now. If
+// no slot was granted or returned for much longer than that, it is the time since then.
+func (instanceLimit *instanceLimit) turnover(now time.Duration) time.Duration {
+	held := instanceLimit.held(now)
+	stalled := now - instanceLimit.progressAt
+	if instanceLimit.running >= instanceLimit.limit && stalled > stallRatio*held {
+		return stalled
+	}
+	return held
+}
+
 // updateBase moves baseHeld towards meanHeld: soon if it falls, slowly if it rises. The
 // first samples count in full.
 func (instanceLimit *instanceLimit) updateBase(policy Policy) {
@@ -113,12 +129,12 @@
 
 // queueDelay returns the time in which the queue drains.
 func (instanceLimit *instanceLimit) queueDelay(now time.Duration) time.Duration {
-	return instanceLimit.held(now) * time.Duration(instanceLimit.queue.size+1) / time.Duration(instanceLimit.limit)
+	return instanceLimit.turnover(now) * time.Duration(instanceLimit.queue.size+1) / time.Duration(instanceLimit.limit)
 }
 
 // wait returns the expected wait of a request that joins the queue now.
 func (instanceLimit *instanceLimit) wait(ranked lane, now time.Duration) time.Duration {
-	return time.Duration(float64(instanceLimit.held(now)) * instanceLimit.queue.place(ranked) / float64(instanceLimit.limit))
+	return time.Duration(float64(instanceLimit.turnover(now)) * instanceLimit.queue.place(ranked) / float64(instanceLimit.limit))
 }
 
 func (limits *Limits) instanceLimit(instance model.InstanceID) *instanceLimit {
@@ -183,7 +199,7 @@
 func (limits *Limits) ExpectedDelay(instance model.InstanceID) time.Duration {
 	instanceLimit := limits.instanceLimit(instance)
 	now := limits.context.Now()
-	return instanceLimit.held(now) + instanceLimit.held(now)*time.Duration(instanceLimit.running+instanceLimit.queue.size)/time.Duration(instanceLimit.limit)
+	return instanceLimit.held(now) + instanceLimit.turnover(now)*time.Duration(instanceLimit.running+instanceLimit.queue.size)/time.Duration(instanceLimit.limit)
 }
 
 // RetryAfter implements route.Admission. It returns the time in which the queue of the
--- a/internal/plug/limit/lanes_test.go
+++ b/internal/plug/limit/lanes_test.go
@@ -135,6 +135,7 @@
 			}
 			standing := DefaultPolicy().BurstTolerance
 			limits.context.Timers().Advance(standing)
+			limits.instanceLimit(instance).progressAt = standing // a slot was granted just now
 			// The queue of 39 waiters takes 195 ms.
 			added := flowSpec{deployment: "one", priority: test.priority, target: standing + 50*time.Millisecond}.newWaiter()
 			limits.Acquire(added)
--- a/internal/plug/limit/limit.go
+++ b/internal/plug/limit/limit.go
@@ -102,6 +102,7 @@
 func (limits *Limits) grant(waiter route.SlotWaiter, instanceLimit *instanceLimit) {
 	request := waiter.SlotRequest()
 	instanceLimit.running++
+	instanceLimit.progressAt = limits.context.Now()
 	limits.retryBudget(request).deposit()
 	if key := laneOf(request); key.inTx {
 		limits.workEstimate(key).addTx()
@@ -145,13 +146,15 @@
 // Release implements route.Admission.
 func (limits *Limits) Release(request route.SlotRequest, held time.Duration, end route.SlotEnd) {
 	instanceLimit := limits.instanceLimit(request.Instance)
-	// A statement that was not answered does not say how long those take that are.
+	// A statement that was not answered does not say how long those take that are. While such
+	// statements hold all slots, turnover says it.
 	if end == route.SlotAnswered && !request.BypassLimit {
 		instanceLimit.addSample(limits.context.Now(), held, limits.policy)
 		instanceLimit.limit = min(max(instanceLimit.limit, limits.lowerBound(request.Instance)), limits.upperBound(request.Instance))
 		limits.recordHeld(request, held)
 	}
 	instanceLimit.running--
+	instanceLimit.progressAt = limits.context.Now()
 	limits.grantWaiting(instanceLimit)
 	limits.releaseClass(limits.classLimit(request))
 }
--- a/internal/plug/limit/recover_test.go
+++ b/internal/plug/limit/recover_test.go
@@ -63,3 +63,16 @@
 	is.Equal(limits.instanceLimit(instance).meanHeld, before)
 	is.Equal(limits.workEstimate(laneOf(hung.request)).held.samples, 20)
 }
+
+// While no slot is free for much longer than expected, the statements that run count as stalled,
+// so that nobody waits for them until the deadline.
+func TestStalledSlot(t *testing.T) {
+	is := is.New(t)
+	limits := newLimits(1)
+	sendSparsely(limits, 20, 50*time.Millisecond, 10*time.Millisecond, route.SlotAnswered)
+	limits.Acquire(flowSpec{}.newWaiter())
+	limits.context.Timers().Advance(limits.context.Now() + 500*time.Millisecond)
+	added := flowSpec{deadline: limits.context.Now() + 400*time.Millisecond}.newWaiter()
+	limits.Acquire(added)
+	is.Equal(added.reason, afterDeadline)
+}
