limit: a slot rests after late answers where the proxies are many

A limit cannot be below one statement. With 36 proxies and 6 slots each instance then always has 36 statements under overload: six run and 30 wait in its queue, which observes neither priorities nor deadlines. All answers are late, callers repeat, and the overload outlasts its cause.

Where one statement of each proxy is more than the slots of an instance can run and queue, a late answer (after a quarter of the target latency) makes the slot rest, so that all proxies together use the slots once at least. With fewer proxies nothing changes.

TestRestKeepsPriority compares with and without.

--- a/internal/plug/limit/instancelimit.go
+++ b/internal/plug/limit/instancelimit.go
@@ -51,6 +51,7 @@
 	samples     int
 	hadWaiters  bool
 	lastSample  time.Duration // time of the last answer
+	pace        pace
 	progressAt  time.Duration // when a slot was last granted or returned
 	queuedSince time.Duration // start of the current period with a non-empty queue
 }
@@ -90,7 +91,7 @@
 // turnover returns how long each slot is expected to be held by the statements that run now. If
 // no slot was granted or returned for much longer than that, it is the time since then.
 func (instanceLimit *instanceLimit) turnover(now time.Duration) time.Duration {
-	held := instanceLimit.held(now)
+	held := time.Duration(float64(instanceLimit.held(now)) / instanceLimit.pace.share)
 	stalled := now - instanceLimit.progressAt
 	if instanceLimit.running >= instanceLimit.limit && stalled > stallRatio*held {
 		return stalled
@@ -140,7 +141,7 @@
 func (limits *Limits) instanceLimit(instance model.InstanceID) *instanceLimit {
 	found, ok := limits.instanceLimits[instance]
 	if !ok {
-		found = &instanceLimit{limit: limits.lowerBound(instance), queue: &lanes{turnInterval: limits.policy.TurnInterval}, meanHeld: initialHeld, baseHeld: initialHeld}
+		found = &instanceLimit{limit: limits.lowerBound(instance), queue: &lanes{turnInterval: limits.policy.TurnInterval}, pace: pace{share: 1}, meanHeld: initialHeld, baseHeld: initialHeld}
 		limits.instanceLimits[instance] = found
 	}
 	return found
--- a/internal/plug/limit/limit.go
+++ b/internal/plug/limit/limit.go
@@ -75,7 +75,7 @@
 func (limits *Limits) acquireInstance(waiter route.SlotWaiter, classLimit *classLimit) {
 	request := waiter.SlotRequest()
 	instanceLimit := limits.instanceLimit(request.Instance)
-	if instanceLimit.queue.size > 0 || instanceLimit.running >= instanceLimit.limit {
+	if instanceLimit.queue.size > 0 || !instanceLimit.free(limits.context.Now()) {
 		if reason := limits.checkWait(request, instanceLimit); reason != "" {
 			limits.deny(waiter, reason)
 			return
@@ -153,6 +153,9 @@
 		instanceLimit.limit = min(max(instanceLimit.limit, limits.lowerBound(request.Instance)), limits.upperBound(request.Instance))
 		limits.recordHeld(request, held)
 	}
+	if end != route.SlotUnused {
+		limits.recordPace(request, instanceLimit, held, end == route.SlotAnswered)
+	}
 	instanceLimit.running--
 	instanceLimit.progressAt = limits.context.Now()
 	limits.grantWaiting(instanceLimit)
@@ -168,7 +171,7 @@
 // grantWaiting grants the free slots of an instance to waiters in queue order. Waiters
 // that would miss their target latency are denied a slot.
 func (limits *Limits) grantWaiting(instanceLimit *instanceLimit) {
-	for instanceLimit.queue.size > 0 && instanceLimit.running < instanceLimit.limit {
+	for instanceLimit.queue.size > 0 && instanceLimit.free(limits.context.Now()) {
 		next := instanceLimit.queue.pop()
 		request := next.SlotRequest()
 		limits.removeWaiting(request)
--- a/internal/plug/limit/policy.go
+++ b/internal/plug/limit/policy.go
@@ -28,6 +28,10 @@
 	// CongestionRatio is the ratio of meanHeld to baseHeld above which an instance is
 	// congested.
 	CongestionRatio float64
+	// LateShare is the share of its target latency within which an instance should answer a
+	// statement, where the proxies are many. The rest is for the wait in the proxy, where a
+	// high priority overtakes.
+	LateShare float64
 	// BaseRiseSmoothing limits how fast baseHeld rises: by 1/BaseRiseSmoothing of the
 	// difference for each sample. It is large, so that a lasting overload does not count as
 	// low load.
@@ -44,6 +48,7 @@
 		StatementsPerSlot: 3,
 		MinUpperBound:     2,
 		CongestionRatio:   1.3,
+		LateShare:         0.25,
 		BaseRiseSmoothing: 2048,
 	}
 }
--- a/internal/proof/city/fault_test.go
+++ b/internal/proof/city/fault_test.go
@@ -4,6 +4,8 @@
 	"testing"
 
 	"github.com/matryer/is"
+
+	"almondway.dev/almondway/internal/plug/limit"
 )
 
 const faultSeeds = 3
@@ -29,6 +31,17 @@
 	return load
 }
 
+// Under an overload of many proxies, requests wait in the proxies, where those with a high
+// priority overtake, and not in the queue of the instance.
+func TestRestKeepsPriority(t *testing.T) {
+	is := is.New(t)
+	restless := func(seed uint64) Load {
+		return manyProxiesOverloaded(seed).WithPolicy(func(policy *limit.Policy) { policy.LateShare = 1 << 30 })
+	}
+	is.True(10*totalInTarget("", manyProxiesOverloaded) > 11*totalInTarget("", restless))
+	is.True(2*totalInTarget("intake", manyProxiesOverloaded) > 3*totalInTarget("intake", restless))
+}
+
 // Within 2 s after the end of a fault, a group is back at its service: of each kind, hardly fewer
 // callers are served within their target than without the fault.
 func TestServiceAfterFault(t *testing.T) {
--- a/internal/proof/city/faults.go
+++ b/internal/proof/city/faults.go
@@ -64,6 +64,13 @@
 	}
 }
 
+// manyProxiesOverloaded is unevenLoad at more than twice its rate.
+func manyProxiesOverloaded(seed uint64) Load {
+	load := unevenLoad(seed)
+	load.Rate *= 2.5
+	return load
+}
+
 // withFault returns the load with a fault. Its results count the operations that arrive after
 // the recovery time.
 func (load Load) withFault(fault Fault) Load {
--- a/internal/proof/city/loads.go
+++ b/internal/proof/city/loads.go
@@ -22,6 +22,7 @@
 		{"overloaded_group", "the replicas keep up, the group gets 1.3 times what it can do", overloadedGroup},
 		{"burst", "2.4 times the rate for 3 s", burst},
 		{"many_proxies", "64 proxies share 46 connections of an instance", manyProxies},
+		{"many_proxies_overloaded", "36 proxies, the group gets what it can do", manyProxiesOverloaded},
 		{"return_of_power", "all proxies lose power for 1 s, their old connections linger for 3 s", returnOfPower},
 	}
 }
@@ -116,6 +117,7 @@
 		{"denial_by_target", func(policy *limit.Policy) { policy.BurstTolerance = time.Hour }},
 		{"burst_tolerance", func(policy *limit.Policy) { policy.BurstTolerance = 0 }},
 		{"congestion", func(policy *limit.Policy) { policy.CongestionRatio = 1 << 30 }},
+		{"rest", func(policy *limit.Policy) { policy.LateShare = 1 << 30 }},
 		{"slow_base", func(policy *limit.Policy) { policy.BaseRiseSmoothing = 32 }},
 		{"adaptive_limit", func(policy *limit.Policy) { policy.StatementsPerSlot, policy.MinUpperBound = 1, 1 }},
 	}
