limit: the retry budget of a group is for all proxies together

Each proxy had 200 saved retries and 20 a second for each group. With 36 proxies that is 7,200 and 720 a second, more than a full group serves (510 statements a second with 18 slots and 35 ms). Now all proxies have that together; each has two saved retries at least. A tenth of the requests that are granted a slot still adds to the budget.

--- a/internal/plug/limit/budget.go
+++ b/internal/plug/limit/budget.go
@@ -10,10 +10,12 @@
 const (
 	// requestsPerRetry is the number of granted requests that add one retry to a budget.
 	requestsPerRetry = 10
-	// maxSavedRetries is the capacity of the budget of a group.
+	// maxSavedRetries is the capacity of the budget of a group, for all proxies together. Each has
+	// its share, of minSavedRetries at least.
 	maxSavedRetries = 200
-	// refillInterval is the interval at which a budget gains one retry regardless of
-	// requests.
+	minSavedRetries = 2
+	// refillInterval is the interval at which the budget gains one retry regardless of
+	// requests, for all proxies together.
 	refillInterval = 50 * time.Millisecond
 )
 
@@ -24,8 +26,14 @@
 	refilledAt time.Duration
 }
 
-func (retryBudget *retryBudget) deposit() {
-	retryBudget.balance = min(retryBudget.balance+1, maxSavedRetries*requestsPerRetry)
+func (limits *Limits) deposit(request route.SlotRequest) {
+	budget := limits.retryBudget(request)
+	budget.balance = min(budget.balance+1, limits.maxBalance())
+}
+
+// maxBalance returns the share of this proxy in the capacity of a budget.
+func (limits *Limits) maxBalance() int {
+	return max(minSavedRetries, maxSavedRetries/limits.proxyCount()) * requestsPerRetry
 }
 
 func (limits *Limits) retryBudget(request route.SlotRequest) *retryBudget {
@@ -38,7 +46,7 @@
 func (limits *Limits) groupRetryBudget(group model.GroupID) *retryBudget {
 	found, ok := limits.retryBudgets[group]
 	if !ok {
-		found = &retryBudget{balance: maxSavedRetries * requestsPerRetry, refilledAt: limits.context.Now()}
+		found = &retryBudget{balance: limits.maxBalance(), refilledAt: limits.context.Now()}
 		limits.retryBudgets[group] = found
 	}
 	return found
@@ -48,10 +56,12 @@
 func (limits *Limits) TakeRetry(group model.GroupID) bool {
 	retryBudget := limits.groupRetryBudget(group)
 	now := limits.context.Now()
-	if refills := int((now - retryBudget.refilledAt) / refillInterval); refills > 0 {
-		retryBudget.refilledAt = now
-		retryBudget.balance = min(retryBudget.balance+refills*requestsPerRetry, maxSavedRetries*requestsPerRetry)
+	interval := refillInterval * time.Duration(limits.proxyCount())
+	if refills := int((now - retryBudget.refilledAt) / interval); refills > 0 {
+		retryBudget.refilledAt += time.Duration(refills) * interval
+		retryBudget.balance += refills * requestsPerRetry
 	}
+	retryBudget.balance = min(retryBudget.balance, limits.maxBalance())
 	if retryBudget.balance < requestsPerRetry {
 		return false
 	}
--- a/internal/plug/limit/limit.go
+++ b/internal/plug/limit/limit.go
@@ -103,7 +103,7 @@
 	request := waiter.SlotRequest()
 	instanceLimit.running++
 	instanceLimit.progressAt = limits.context.Now()
-	limits.retryBudget(request).deposit()
+	limits.deposit(request)
 	if key := laneOf(request); key.inTx {
 		limits.workEstimate(key).addTx()
 	}
--- a/internal/plug/limit/limit_test.go
+++ b/internal/plug/limit/limit_test.go
@@ -250,8 +250,13 @@
 	}
 	is.Equal(granted, maxSavedRetries)
 	is.True(limits.TakeRetry("katalog-2")) // each group has its own budget
+	katalog := route.SlotRequest{Instance: instance, Job: route.NewJob(route.JobSpec{
+		Request:    model.NewRequest(model.RequestSpec{}),
+		Deployment: model.NewDeployment(model.DeploymentSpec{}),
+		Group:      "katalog-1",
+	})}
 	for range requestsPerRetry {
-		limits.groupRetryBudget("katalog-1").deposit()
+		limits.deposit(katalog)
 	}
 	is.True(limits.TakeRetry("katalog-1"))
 	is.True(!limits.TakeRetry("katalog-1"))
@@ -259,6 +264,25 @@
 	is.True(limits.TakeRetry("katalog-1"))
 }
 
+// The budget of a group is for all proxies together, so that their retries cannot double the load
+// of a full group.
+func TestRetryBudgetOfManyProxies(t *testing.T) {
+	is := is.New(t)
+	const proxies = 50
+	limits := newLimits(1)
+	limits.context.State().SetProxies(make([]model.ProxyView, proxies))
+	granted := 0
+	for limits.TakeRetry("katalog-1") {
+		granted++
+	}
+	is.Equal(granted, maxSavedRetries/proxies)
+	limits.context.Timers().Advance((proxies - 1) * refillInterval)
+	is.True(!limits.TakeRetry("katalog-1"))
+	limits.context.Timers().Advance(proxies * refillInterval)
+	is.True(limits.TakeRetry("katalog-1"))
+	is.True(!limits.TakeRetry("katalog-1"))
+}
+
 // Whatever an instance lists, at least one statement may run on it.
 func TestBoundsOfListing(t *testing.T) {
 	tests := []struct {
