conns, relay: a statement that hangs gives its slot back, a read is asked elsewhere

With 36 proxies each has one slot of an instance. A statement that hangs kept it until its timeout of one to three seconds, and a read that hung could not be repeated, since its timeout is its deadline.

A statement counts as overdue after half of its target latency if the instance has answered one that was sent later, and after two targets otherwise, but never on an instance that is slow to all. It then returns its slot, while its answer is still awaited; such statements hold half of the connections of the pool at most, and classes with a limit keep their slots. A single read is given up and asked elsewhere within the retry budget, and so is one whose answer is lost. Writes are not sent again.

--- a/internal/core/route/route.go
+++ b/internal/core/route/route.go
@@ -74,6 +74,9 @@
 	// ExpectedDelay returns the expected duration of one more statement on an instance,
 	// including its wait.
 	ExpectedDelay(instance model.InstanceID) time.Duration
+	// Stalled reports whether a statement that has run for a time takes much longer than those
+	// that the instance answered lately.
+	Stalled(instance model.InstanceID, ran time.Duration) bool
 	// TakeRetry takes one retry from the retry budget of a group. It reports false if the
 	// budget is exhausted.
 	TakeRetry(group model.GroupID) bool
@@ -113,6 +116,12 @@
 	ConnLost(conn model.ConnID)
 }
 
+// OverdueUser is a ConnUser that is told once that the statement on its connection is overdue. The
+// statement goes on; Conns.Discard gives it up.
+type OverdueUser interface {
+	ExecuteOverdue()
+}
+
 // WaitID identifies a wait for a connection. The zero WaitID identifies none.
 type WaitID uint64
 
--- a/internal/plug/conns/answer.go
+++ b/internal/plug/conns/answer.go
@@ -79,6 +79,9 @@
 
 func (pools *Pools) handleExecuteDone(done event.ExecuteDone) {
 	if conn := pools.finishExecution(done.Exec()); conn != nil {
+		if conn.step != model.StepConfirmPrimary {
+			conn.pool.newestAnswered = max(conn.pool.newestAnswered, conn.since)
+		}
 		conn.user.ExecuteDone(done)
 	}
 }
--- a/internal/plug/conns/conns.go
+++ b/internal/plug/conns/conns.go
@@ -109,6 +109,7 @@
 	conn := pools.conns[id]
 	conn.exec = model.ExecID(pools.context.NextID())
 	conn.since = pools.context.Now()
+	conn.step, conn.overdue = work.Step(), false
 	pools.execs[conn.exec] = conn
 	pools.context.Emit(event.NewExecute(conn.exec, id, work))
 }
--- a/internal/plug/conns/pool.go
+++ b/internal/plug/conns/pool.go
@@ -70,6 +70,8 @@
 	exec    model.ExecID
 	hasSlot bool
 	inTx    bool          // granted to a transaction
+	step    model.Step    // of the statement that runs
+	overdue bool          // the statement that runs should have been answered by now
 	since   time.Duration // start of the opening, idle period, grant or last execution
 }
 
@@ -90,6 +92,9 @@
 	lastFailure   model.ConnFailure
 	blockedUntil  time.Duration
 	retryTimer    timer.ID
+	// newestAnswered is the latest time at which a statement was sent that has been answered. An
+	// empty transaction does not count, since it takes no slot of the instance.
+	newestAnswered time.Duration
 	// connectTime is the moving average of the time to open a connection.
 	connectTime time.Duration
 }
--- a/internal/plug/conns/upkeep.go
+++ b/internal/plug/conns/upkeep.go
@@ -32,6 +32,7 @@
 			}
 		}
 	}
+	pools.releaseOverdue()
 	pools.closeUnlisted()
 }
 
--- a/internal/plug/limit/instancelimit.go
+++ b/internal/plug/limit/instancelimit.go
@@ -27,6 +27,9 @@
 	// held above which the statements that run count as stalled. A statement with several times
 	// the mean work is no stall.
 	stallRatio = 4
+	// An instance whose slots are held for more than slowRatio times as long as under low load is
+	// slow to all statements.
+	slowRatio = 2
 	// A mean below 1/baseRefuted of baseHeld refutes it: baseHeld was learned while the instance
 	// was slow, and falls as fast as the mean.
 	baseRefuted = 2
@@ -203,6 +206,14 @@
 	return instanceLimit.held(now) + instanceLimit.turnover(now)*time.Duration(instanceLimit.running+instanceLimit.queue.size)/time.Duration(instanceLimit.limit)
 }
 
+// Stalled implements route.Admission. No statement is stalled on an instance that is slow to all:
+// to ask elsewhere as well would add to the load of a group that has lost capacity.
+func (limits *Limits) Stalled(instance model.InstanceID, ran time.Duration) bool {
+	instanceLimit := limits.instanceLimit(instance)
+	held := instanceLimit.held(limits.context.Now())
+	return ran > stallRatio*held && held <= slowRatio*instanceLimit.baseHeld
+}
+
 // RetryAfter implements route.Admission. It returns the time in which the queue of the
 // instance drains, with jitter so that callers do not retry simultaneously.
 func (limits *Limits) RetryAfter(instance model.InstanceID) time.Duration {
--- a/internal/plug/relay/answer.go
+++ b/internal/plug/relay/answer.go
@@ -119,6 +119,8 @@
 		task.finish(route.ResultSpec{Outcome: model.OutcomeUnknown, Code: codes.OutcomeUnknown, Reason: "the answer was lost"})
 	case task.resumed:
 		task.failTx("connection lost")
+	case task.requirement == requireMark && !task.relay.admission.TakeRetry(task.job.Group()):
+		task.refuse(codes.Overloaded, "retry budget exhausted")
 	default:
 		task.restart("the answer was lost", step)
 	}
--- a/internal/proof/city/fault.go
+++ b/internal/proof/city/fault.go
@@ -9,11 +9,13 @@
 // connection was closed.
 const hangCheckInterval = 5 * time.Millisecond
 
-// Fault is an impairment of the primary, or the lag of all replicas.
+// Fault is an impairment of the primary or of one replica, or the lag of all replicas.
 type Fault struct {
 	// From and Until limit the fault, counted from the first arrival. There is none if Until
 	// is 0.
 	From, Until time.Duration
+	// With OnReplica, a replica has the fault and not the primary.
+	OnReplica bool
 	// HangShare is the share of the statements that hold a slot until the fault ends or the
 	// proxy closes the connection.
 	HangShare float64
@@ -38,7 +40,7 @@
 		return
 	}
 	simulation.runAfter(fault.From, func() {
-		simulation.primary.fault = fault
+		simulation.faulty(fault).fault = fault
 		if fault.Lag > 0 {
 			simulation.setApplyDelay(fault.Lag)
 		}
@@ -53,6 +55,16 @@
 	})
 }
 
+// faulty returns the instance that gets the fault.
+func (simulation *simulation) faulty(fault Fault) *instance {
+	for _, instance := range simulation.instances {
+		if fault.OnReplica && instance != simulation.primary {
+			return instance
+		}
+	}
+	return simulation.primary
+}
+
 // span returns how long a statement with the given work holds a slot.
 func (fault Fault) span(work time.Duration) time.Duration {
 	if fault.SlowFactor > 0 {
--- a/internal/proof/city/fault_test.go
+++ b/internal/proof/city/fault_test.go
@@ -42,6 +42,31 @@
 	is.True(2*totalInTarget("intake", manyProxiesOverloaded) > 3*totalInTarget("intake", restless))
 }
 
+// While a replica hangs on a share of its statements, the reads that it does not answer are asked
+// elsewhere, and nearly none fails.
+func TestReadsLeaveHangingReplica(t *testing.T) {
+	loads := []struct {
+		name string
+		load func(seed uint64) Load
+	}{{"36 proxies", unevenLoad}, {"6 proxies", fewProxies}}
+	for _, load := range loads {
+		t.Run(load.name, func(t *testing.T) {
+			is := is.New(t)
+			asked, unserved := 0, 0
+			for seed := range uint64(faultSeeds) {
+				spec := load.load(seed + 1).withFault(Fault{HangShare: 0.3, OnReplica: true})
+				spec.CountFrom, spec.CountUntil = faultFrom, faultUntil
+				for _, kind := range Experiment(spec).Kinds {
+					asked += kind.Asked
+					unserved += kind.Unserved
+				}
+			}
+			t.Logf("%d of %d unserved", unserved, asked)
+			is.True(300*unserved <= asked)
+		})
+	}
+}
+
 // Within 2 s after the end of a fault, a group is back at its service: of each kind, hardly fewer
 // callers are served within their target than without the fault.
 func TestServiceAfterFault(t *testing.T) {
