conns: transactions keep to the share at a full instance, waiters of an unlisted one end

Each of many proxies may open four connections, two of them for transactions: 36 proxies could hold 72 of 58, idle ones included. While an instance refuses connections, transactions hold their part of the share of the proxy only. A request that waited at a full instance which is no longer listed kept its slot until its deadline; it is denied now.

--- a/internal/plug/conns/pool.go
+++ b/internal/plug/conns/pool.go
@@ -127,8 +127,20 @@
 
 // maxTxConns returns the maximum number of connections that transactions may hold at
 // once. A transaction holds its connection between statements, so some connections must
-// remain for single statements.
-func (pool *pool) maxTxConns() int { return max(1, pool.maxOpen()*txShareNumerator/txShareDenominator) }
+// remain for single statements. While the instance refuses further connections, what a proxy holds
+// beyond its share is missing to the others.
+func (pool *pool) maxTxConns() int {
+	conns := pool.maxOpen()
+	if pool.full() {
+		conns = min(conns, pool.share())
+	}
+	return max(1, conns*txShareNumerator/txShareDenominator)
+}
+
+// full reports whether the instance refused the last connection because it has too many.
+func (pool *pool) full() bool {
+	return pool.failures > 0 && pool.lastFailure == model.ConnFailureFull
+}
 
 // setInTx records whether a transaction holds a connection.
 func (pool *pool) setInTx(conn *conn, inTx bool) {
--- a/internal/plug/conns/upkeep.go
+++ b/internal/plug/conns/upkeep.go
@@ -36,8 +36,9 @@
 	pools.closeUnlisted()
 }
 
-// closeUnlisted closes the idle connections to instances that are no longer listed. It
-// removes a pool once it has no connections left.
+// closeUnlisted closes the idle connections to instances that are no longer listed and denies the
+// requests that wait for one, since none is opened. It removes a pool once it has no connections
+// left.
 func (pools *Pools) closeUnlisted() {
 	for _, id := range slices.Sorted(maps.Keys(pools.pools)) {
 		if pools.context.State().GroupOf(id) != nil {
@@ -45,6 +46,7 @@
 		}
 		pool := pools.pools[id]
 		pool.blockedUntil = forever
+		pool.denyWaiting()
 		for len(pool.idle) > 0 {
 			idle := pool.idle[0]
 			pools.context.Emit(event.NewCloseConn(idle.id))
