--- a/internal/proof/city/fault_test.go
+++ b/internal/proof/city/fault_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -42,6 +43,41 @@
 	is.True(2*totalInTarget("intake", manyProxiesOverloaded) > 3*totalInTarget("intake", restless))
 }
 
+// At twice the rate, an overload must not outlast the fault that caused it. From 2 to 6 s after the
+// end, the rest of the slots leaves at most three quarters of those without their answer in time
+// that there are without it.
+func TestOverloadEndsAfterFault(t *testing.T) {
+	const counted = 4 * time.Second
+	missed := func(fault Fault, change func(policy *limit.Policy)) int {
+		count := 0
+		for seed := range uint64(faultSeeds) {
+			load := unevenLoad(seed + 1)
+			load.Rate *= 2
+			load.Swing, load.SwingPeriod = 0.55, 15*time.Second
+			for index := range load.Kinds {
+				load.Kinds[index].Retries = 12
+			}
+			load.Span = faultUntil + recoveryTime + counted
+			for _, kind := range Experiment(load.withFault(fault).WithPolicy(change)).Kinds {
+				count += kind.Asked - kind.InTarget
+			}
+		}
+		return count
+	}
+	for _, named := range Faults() {
+		if named.Name != "full" && named.Name != "slow" {
+			continue
+		}
+		t.Run(named.Name, func(t *testing.T) {
+			is := is.New(t)
+			rests := missed(named.Fault, func(*limit.Policy) {})
+			restless := missed(named.Fault, func(policy *limit.Policy) { policy.LateShare = 1 << 30 })
+			t.Logf("%d not in time, %d without the rest", rests, restless)
+			is.True(4*rests <= 3*restless)
+		})
+	}
+}
+
 // While a replica hangs on a share of its statements, the reads that it does not answer are asked
 // elsewhere, and nearly none fails.
 func TestReadsLeaveHangingReplica(t *testing.T) {
