--- a/internal/proof/city/conn.go
+++ b/internal/proof/city/conn.go
@@ -133,6 +133,16 @@
 	conn.proxy.post(networkDelay, event.NewExecuteFailed(action.Exec(), conn.id, class, class != model.FailureLost, model.Mark{}, nil))
 }
 
+// failure returns how the instance fails a unit of work before it runs, if it does.
+func (instance *instance) failure(step model.Step) (model.FailureClass, bool) {
+	fault, confirms := instance.fault, step == model.StepConfirmPrimary
+	if instance.simulation.now < instance.busyUntil || fault.Full || !confirms && instance.capacity.full() {
+		return model.FailureBusy, true
+	}
+	fails := fault.ErrorShare > 0 && !confirms && instance.simulation.random.Float64() < fault.ErrorShare
+	return model.FailureStatement, fails
+}
+
 // runWork executes a unit of work that has reached the instance.
 func (conn *conn) runWork(action event.Execute) {
 	instance, work := conn.instance, action.Work()
@@ -140,12 +150,8 @@
 		conn.sendFailure(action, model.FailureLost)
 		return
 	}
-	if instance.simulation.now < instance.busyUntil || instance.fault.Full || work.Step() != model.StepConfirmPrimary && instance.capacity.full() {
-		conn.sendFailure(action, model.FailureBusy)
-		return
-	}
-	if share := instance.fault.ErrorShare; share > 0 && work.Step() != model.StepConfirmPrimary && instance.simulation.random.Float64() < share {
-		conn.sendFailure(action, model.FailureStatement)
+	if class, failed := instance.failure(work.Step()); failed {
+		conn.sendFailure(action, class)
 		return
 	}
 	statement, _ := work.Statement().(*payload)
