--- a/internal/core/route/route.go
+++ b/internal/core/route/route.go
@@ -67,14 +67,16 @@
 	// ForceAcquire takes a slot even if the limit is reached, for the next statement of
 	// an open transaction.
 	ForceAcquire(request SlotRequest)
-	// Release returns a slot. held is how long the slot was in use; busy reports that the
-	// instance refused the statement for lack of slots.
-	Release(request SlotRequest, held time.Duration, busy bool)
+	// Release returns a slot. held is how long the slot was in use.
+	Release(request SlotRequest, held time.Duration, end SlotEnd)
 	// Load returns the number of statements that run on an instance or wait for it.
 	Load(instance model.InstanceID) int
 	// ExpectedDelay returns the expected duration of one more statement on an instance,
 	// including its wait.
 	ExpectedDelay(instance model.InstanceID) time.Duration
+	// Stalled reports whether a statement that has run for a time takes much longer than those
+	// that the instance answered lately.
+	Stalled(instance model.InstanceID, ran time.Duration) bool
 	// TakeRetry takes one retry from the retry budget of a group. It reports false if the
 	// budget is exhausted.
 	TakeRetry(group model.GroupID) bool
@@ -83,6 +85,20 @@
 	RetryAfter(instance model.InstanceID) time.Duration
 }
 
+// SlotEnd says why a slot is returned.
+type SlotEnd int
+
+// The reasons why a slot is returned.
+const (
+	// SlotAnswered: the instance answered the statement.
+	SlotAnswered SlotEnd = iota
+	// SlotUnused: no statement ran, for example because the instance refused it for lack of
+	// slots.
+	SlotUnused
+	// SlotUnanswered: the proxy waits no longer for the answer, or lost it.
+	SlotUnanswered
+)
+
 // ConnUser requests a backend connection and runs statements on it. Its methods are
 // callbacks of Conns.
 type ConnUser interface {
@@ -100,6 +116,12 @@
 	ConnLost(conn model.ConnID)
 }
 
+// OverdueUser is a ConnUser that is told once that the statement on its connection is overdue. The
+// statement goes on; Conns.Discard gives it up.
+type OverdueUser interface {
+	ExecuteOverdue()
+}
+
 // WaitID identifies a wait for a connection. The zero WaitID identifies none.
 type WaitID uint64
 
--- a/internal/plug/conns/conns.go
+++ b/internal/plug/conns/conns.go
@@ -99,7 +99,7 @@
 	delete(pools.waiters, id)
 	if waiter.state == waiterNeedsConn {
 		waiter.pool.removeWaiter(waiter)
-		pools.admission.Release(waiter.request, 0, true)
+		pools.admission.Release(waiter.request, 0, route.SlotUnused)
 	} else {
 		pools.admission.CancelWait(waiter)
 	}
@@ -111,6 +111,7 @@
 	conn := pools.conns[id]
 	conn.exec = model.ExecID(pools.context.NextID())
 	conn.since = pools.context.Now()
+	conn.step, conn.overdue = work.Step(), false
 	pools.execs[conn.exec] = conn
 	pools.context.Emit(event.NewExecute(conn.exec, id, work))
 }
@@ -126,7 +127,7 @@
 // Park implements route.Conns.
 func (pools *Pools) Park(id model.ConnID) {
 	if conn, ok := pools.conns[id]; ok {
-		pools.releaseSlot(conn, false)
+		pools.releaseSlot(conn, route.SlotAnswered)
 	}
 }
 
@@ -167,13 +168,13 @@
 	}
 	conn.user = nil
 	if dirty && conn.pool.holdsNone() && len(conn.pool.waiting) == 0 {
-		pools.releaseSlot(conn, false)
+		pools.releaseSlot(conn, route.SlotAnswered)
 		conn.pool.closeIdle(conn) // rolls back at the instance
 		return
 	}
 	if dirty {
 		conn.state = connResetting
-		pools.releaseSlot(conn, false)
+		pools.releaseSlot(conn, route.SlotAnswered)
 		pools.context.Emit(event.NewResetConn(id))
 		return
 	}
@@ -182,7 +183,7 @@
 	conn.pool.addIdle(conn)
 	conn.pool.grantWaiting()
 	if slot {
-		pools.admission.Release(conn.request, held, false)
+		pools.admission.Release(conn.request, held, route.SlotAnswered)
 	}
 	if conn.state == connIdle && conn.pool.holdsNone() {
 		conn.pool.closeIdle(conn)
@@ -223,14 +224,13 @@
 	return added
 }
 
-// releaseSlot returns the slot of a connection, if it has one. busy reports that the
-// instance refused the statement for lack of slots.
-func (pools *Pools) releaseSlot(conn *conn, busy bool) {
+// releaseSlot returns the slot of a connection, if it has one.
+func (pools *Pools) releaseSlot(conn *conn, end route.SlotEnd) {
 	if !conn.hasSlot {
 		return
 	}
 	conn.hasSlot = false
-	pools.admission.Release(conn.request, pools.context.Now()-conn.since, busy)
+	pools.admission.Release(conn.request, pools.context.Now()-conn.since, end)
 }
 
 // removeConn removes a closed connection from its pool, releases its slot and opens a
@@ -241,6 +241,6 @@
 	conn.pool.remove(conn)
 	conn.state = connClosed
 	conn.user = nil
-	pools.releaseSlot(conn, false)
+	pools.releaseSlot(conn, route.SlotUnanswered)
 	conn.pool.fill()
 }
--- a/internal/plug/conns/pool.go
+++ b/internal/plug/conns/pool.go
@@ -70,6 +70,8 @@
 	exec    model.ExecID
 	hasSlot bool
 	inTx    bool          // granted to a transaction
+	step    model.Step    // of the statement that runs
+	overdue bool          // the statement that runs should have been answered by now
 	since   time.Duration // start of the opening, idle period, grant or last execution
 }
 
@@ -90,6 +92,9 @@
 	lastFailure   model.ConnFailure
 	blockedUntil  time.Duration
 	retryTimer    timer.ID
+	// newestAnswered is the latest time at which a statement was sent that has been answered. An
+	// empty transaction does not count, since it takes no slot of the instance.
+	newestAnswered time.Duration
 	// connectTime is the moving average of the time to open a connection.
 	connectTime time.Duration
 }
@@ -122,8 +127,20 @@
 
 // maxTxConns returns the maximum number of connections that transactions may hold at
 // once. A transaction holds its connection between statements, so some connections must
-// remain for single statements.
-func (pool *pool) maxTxConns() int { return max(1, pool.maxOpen()*txShareNumerator/txShareDenominator) }
+// remain for single statements. While the instance refuses further connections, what a proxy holds
+// beyond its share is missing to the others.
+func (pool *pool) maxTxConns() int {
+	conns := pool.maxOpen()
+	if pool.full() {
+		conns = min(conns, pool.share())
+	}
+	return max(1, conns*txShareNumerator/txShareDenominator)
+}
+
+// full reports whether the instance refused the last connection because it has too many.
+func (pool *pool) full() bool {
+	return pool.failures > 0 && pool.lastFailure == model.ConnFailureFull
+}
 
 // setInTx records whether a transaction holds a connection.
 func (pool *pool) setInTx(conn *conn, inTx bool) {
@@ -411,7 +428,7 @@
 	pool.waiting = kept
 	for _, waiter := range late {
 		waiter.end()
-		pool.pools.admission.Release(waiter.request, 0, true)
+		pool.pools.admission.Release(waiter.request, 0, route.SlotUnused)
 		waiter.user.ConnDenied(pool.pools.overloaded(waiter.request, "no connection became free within the target latency"))
 	}
 }
@@ -428,7 +445,7 @@
 	pool.waiting = nil
 	for _, waiter := range waiting {
 		waiter.end()
-		pool.pools.admission.Release(waiter.request, 0, true)
+		pool.pools.admission.Release(waiter.request, 0, route.SlotUnused)
 		waiter.user.ConnDenied(unreachable())
 	}
 }
--- a/internal/plug/limit/limit.go
+++ b/internal/plug/limit/limit.go
@@ -75,7 +75,7 @@
 func (limits *Limits) acquireInstance(waiter route.SlotWaiter, classLimit *classLimit) {
 	request := waiter.SlotRequest()
 	instanceLimit := limits.instanceLimit(request.Instance)
-	if instanceLimit.queue.size > 0 || instanceLimit.running >= instanceLimit.limit {
+	if instanceLimit.queue.size > 0 || !instanceLimit.free(limits.context.Now()) {
 		if reason := limits.checkWait(request, instanceLimit); reason != "" {
 			limits.deny(waiter, reason)
 			return
@@ -102,7 +102,8 @@
 func (limits *Limits) grant(waiter route.SlotWaiter, instanceLimit *instanceLimit) {
 	request := waiter.SlotRequest()
 	instanceLimit.running++
-	limits.retryBudget(request).deposit()
+	instanceLimit.progressAt = limits.context.Now()
+	limits.deposit(request)
 	if key := laneOf(request); key.inTx {
 		limits.workEstimate(key).addTx()
 	}
@@ -143,14 +144,20 @@
 }
 
 // Release implements route.Admission.
-func (limits *Limits) Release(request route.SlotRequest, held time.Duration, busy bool) {
+func (limits *Limits) Release(request route.SlotRequest, held time.Duration, end route.SlotEnd) {
 	instanceLimit := limits.instanceLimit(request.Instance)
-	if !busy && !request.BypassLimit {
-		instanceLimit.lastSample = limits.context.Now()
-		instanceLimit.addSample(held, limits.lowerBound(request.Instance), limits.upperBound(request.Instance), limits.policy)
+	// A statement that was not answered does not say how long those take that are. While such
+	// statements hold all slots, turnover says it.
+	if end == route.SlotAnswered && !request.BypassLimit {
+		instanceLimit.addSample(limits.context.Now(), held, limits.policy)
+		instanceLimit.limit = min(max(instanceLimit.limit, limits.lowerBound(request.Instance)), limits.upperBound(request.Instance))
 		limits.recordHeld(request, held)
 	}
+	if end != route.SlotUnused {
+		limits.recordPace(request, instanceLimit, held, end == route.SlotAnswered)
+	}
 	instanceLimit.running--
+	instanceLimit.progressAt = limits.context.Now()
 	limits.grantWaiting(instanceLimit)
 	limits.releaseClass(limits.classLimit(request))
 }
@@ -164,7 +171,7 @@
 // grantWaiting grants the free slots of an instance to waiters in queue order. Waiters
 // that would miss their target latency are denied a slot.
 func (limits *Limits) grantWaiting(instanceLimit *instanceLimit) {
-	for instanceLimit.queue.size > 0 && instanceLimit.running < instanceLimit.limit {
+	for instanceLimit.queue.size > 0 && instanceLimit.free(limits.context.Now()) {
 		next := instanceLimit.queue.pop()
 		request := next.SlotRequest()
 		limits.removeWaiting(request)
