fleet: polls get what has changed of the members, not the whole list

Cause: an answer to a poll held all members whenever one had changed. A reader collected and sorted all members for each poll and each reply. A follower also counts the proxies whose rows it has just read, for the 6 s for which a reader does. The members are determined when a poll or a reply brings news, and at each check.

--- a/internal/core/model/poll.go
+++ b/internal/core/model/poll.go
@@ -78,6 +78,8 @@
 	HeardOnly bool
 	// Members is the state of the receiver's members that the sender has.
 	Members MembersVersion
+	// TakesChanges allows an answer with what has changed since that state.
+	TakesChanges bool
 	// Lists are the lists that the sender follows.
 	Lists []ListPosition
 }
@@ -112,6 +114,9 @@
 // Members returns the state of the receiver's members that the sender has.
 func (poll Poll) Members() MembersVersion { return poll.spec.Members }
 
+// TakesChanges reports whether the answer may hold what has changed since Members.
+func (poll Poll) TakesChanges() bool { return poll.spec.TakesChanges }
+
 // Lists returns the positions of the lists that the sender follows.
 func (poll Poll) Lists() []ListPosition { return poll.spec.Lists }
 
@@ -122,9 +127,12 @@
 	// Held is how long the receiver held the poll.
 	Held    time.Duration
 	Version MembersVersion
-	// Members are set if Changed is; else the sender has them already.
+	// Members are set if Changed is and Partial is not; else the sender has them already.
 	Changed bool
 	Members []ProxyView
+	// Changes replace Members if Partial is set.
+	Partial bool
+	Changes MemberChanges
 	Lists   []ListUpdate
 }
 
@@ -148,7 +156,14 @@
 // Version returns the state of the members.
 func (reply PollReply) Version() MembersVersion { return reply.spec.Version }
 
-// Changed reports whether Members holds a state that the sender did not have.
+// Partial reports whether Changes instead of Members lead to the state that the sender did not
+// have.
+func (reply PollReply) Partial() bool { return reply.spec.Partial }
+
+// Changes returns the changes of the members.
+func (reply PollReply) Changes() MemberChanges { return reply.spec.Changes }
+
+// Changed reports whether Members or Changes hold a state that the sender did not have.
 func (reply PollReply) Changed() bool { return reply.spec.Changed }
 
 // Members returns the members, in ascending order of their names.
--- a/internal/edge/mesh/convert.go
+++ b/internal/edge/mesh/convert.go
@@ -42,6 +42,8 @@
 		HoldMs:           milliseconds(poll.Hold()),
 		HeardMembersOnly: poll.HeardOnly(),
 		Members:          encodeVersion(poll.Members()),
+
+		AcceptsMemberChanges: poll.TakesChanges(),
 	}
 	for _, position := range poll.Lists() {
 		request.Lists = append(request.Lists, encodePosition(position))
@@ -58,6 +60,8 @@
 		Hold:      fromMilliseconds(request.GetHoldMs()),
 		HeardOnly: request.GetHeardMembersOnly(),
 		Members:   decodeVersion(request.GetMembers()),
+
+		TakesChanges: request.GetAcceptsMemberChanges(),
 	}
 	for _, position := range request.GetLists() {
 		spec.Lists = append(spec.Lists, decodePosition(position))
@@ -75,6 +79,9 @@
 	for _, member := range reply.Members() {
 		response.Members = append(response.Members, encodeProxy(member))
 	}
+	if reply.Partial() {
+		response.MemberChanges = encodeChanges(reply.Changes())
+	}
 	for _, update := range reply.Lists() {
 		encoded := &meshpb.ListUpdate{Position: encodePosition(update.Position()), Whole: update.Whole(), AgeMs: milliseconds(update.Age())}
 		for _, row := range update.Rows() {
@@ -85,6 +92,29 @@
 	return response
 }
 
+func encodeChanges(changes model.MemberChanges) *meshpb.MemberChanges {
+	encoded := &meshpb.MemberChanges{Since: encodeVersion(changes.Since())}
+	for _, view := range changes.Changed() {
+		encoded.Changed = append(encoded.Changed, encodeProxy(view))
+	}
+	for _, id := range changes.Removed() {
+		encoded.Removed = append(encoded.Removed, string(id))
+	}
+	return encoded
+}
+
+func decodeChanges(encoded *meshpb.MemberChanges) model.MemberChanges {
+	var changed []model.ProxyView
+	for _, member := range encoded.GetChanged() {
+		changed = append(changed, decodeProxy(member))
+	}
+	var removed []model.ProxyID
+	for _, id := range encoded.GetRemoved() {
+		removed = append(removed, model.ProxyID(id))
+	}
+	return model.NewMemberChanges(decodeVersion(encoded.GetSince()), changed, removed)
+}
+
 // decodeReply decodes a reply. Members that are sent are new to this proxy; a proxy has at least
 // one member, itself.
 func decodeReply(response *meshpb.PollResponse) model.PollReply {
@@ -98,6 +128,9 @@
 	for _, member := range response.GetMembers() {
 		spec.Members = append(spec.Members, decodeProxy(member))
 	}
+	if changes := response.GetMemberChanges(); changes != nil {
+		spec.Changed, spec.Partial, spec.Changes = true, true, decodeChanges(changes)
+	}
 	for _, update := range response.GetLists() {
 		rows := make([]model.ListRow, 0, len(update.GetRows()))
 		for _, row := range update.GetRows() {
--- a/internal/edge/mesh/mesh_test.go
+++ b/internal/edge/mesh/mesh_test.go
@@ -229,3 +229,17 @@
 		})
 	}
 }
+
+// Changes of the members arrive as they were sent, and only a caller that says so gets them: one
+// of an earlier version takes an answer without members for one without changes.
+func TestMemberChanges(t *testing.T) {
+	is := is.New(t)
+	view := model.NewProxyView("added", "10.0.0.2:1", "trnje-hall", 0, false, 0).WithCores(0.8)
+	changes := model.NewMemberChanges(model.NewMembersVersion(8, 9), []model.ProxyView{view}, []model.ProxyID{"gone"})
+	reply := model.NewPollReply(model.PollReplySpec{Process: 8, Version: model.NewMembersVersion(8, 10), Changed: true, Partial: true, Changes: changes})
+	is.Equal(decodeReply(encodeReply(reply)).Changes(), changes)
+	is.True(decodeReply(encodeReply(reply)).Changed())
+	is.True(decodeReply(encodeReply(reply)).Partial())
+	is.True(!decodePoll(encodePoll(newPoll(), "")).TakesChanges())
+	is.True(decodePoll(encodePoll(model.NewPoll(model.PollSpec{TakesChanges: true}), "")).TakesChanges())
+}
--- a/internal/plug/fleet/answer.go
+++ b/internal/plug/fleet/answer.go
@@ -41,13 +41,17 @@
 		fleet.answerPoll(next)
 		return
 	}
-	fleet.hear(poll.From())
+	changed := fleet.hear(poll.From())
 	if len(poll.Lists()) > 0 {
 		fleet.lastListPollAt = fleet.context.Now()
 	}
 	fleet.held = append(fleet.held, next)
 	fleet.wakeWithin(next.expiresAt() - fleet.context.Now() + pollTick - 1)
-	fleet.updateMembers()
+	if changed {
+		// The members are determined again at each tick, and here only if there is news: with many
+		// followers that took most of a reader's time.
+		fleet.updateMembers()
+	}
 	fleet.answerHeld()
 }
 
@@ -93,6 +97,8 @@
 	live, heard               []model.ProxyView
 	liveVersion, heardVersion uint64
 	at                        time.Duration
+	// liveStates and heardStates are the last announced ones.
+	liveStates, heardStates history
 }
 
 // announce brings the announced state of the members up to date if it is time for that.
@@ -101,13 +107,13 @@
 	if fleet.isAnnounced() || fleet.announced.liveVersion > 0 && now-fleet.announced.at < fleet.announceInterval() {
 		return
 	}
-	fleet.announced = announced{
-		live:         fleet.live,
-		heard:        fleet.heardViews(),
-		liveVersion:  fleet.liveVersion,
-		heardVersion: fleet.heardVersion,
-		at:           now,
+	announced := &fleet.announced
+	if announced.heardVersion != fleet.heardVersion {
+		announced.heard = fleet.heardViews()
 	}
+	announced.live, announced.liveVersion, announced.heardVersion, announced.at = fleet.live, fleet.liveVersion, fleet.heardVersion, now
+	announced.liveStates.add(fleet.liveVersion, announced.live)
+	announced.heardStates.add(fleet.heardVersion, announced.heard)
 }
 
 // isAnnounced reports whether polls get the present state of the members.
@@ -120,6 +126,21 @@
 	return time.Duration(len(fleet.live)) * announceTimePerMember
 }
 
+// addMembers adds what a poll lacks of the announced members to its answer: what has changed since
+// the state that the poll names, or all members.
+func (fleet *Fleet) addMembers(spec *model.PollReplySpec, poll model.Poll) {
+	members, states := fleet.announced.live, fleet.announced.liveStates
+	if poll.HeardOnly() {
+		members, states = fleet.announced.heard, fleet.announced.heardStates
+	}
+	if poll.TakesChanges() && poll.Members().Process() == fleet.process {
+		if spec.Changes, spec.Partial = states.changesSince(poll.Members(), members); spec.Partial {
+			return
+		}
+	}
+	spec.Members = members
+}
+
 func (fleet *Fleet) answerPoll(held heldPoll) {
 	version := fleet.versionFor(held.poll)
 	spec := model.PollReplySpec{
@@ -130,10 +151,7 @@
 		Changed:  version != held.poll.Members(),
 	}
 	if spec.Changed {
-		spec.Members = fleet.announced.live
-		if held.poll.HeardOnly() {
-			spec.Members = fleet.announced.heard
-		}
+		fleet.addMembers(&spec, held.poll)
 	}
 	if fleet.mirror != nil {
 		spec.Lists = fleet.mirror.Updates(held.poll.Lists())
--- a/internal/plug/fleet/members.go
+++ b/internal/plug/fleet/members.go
@@ -80,15 +80,17 @@
 	return slices.ContainsFunc(members.live, func(view model.ProxyView) bool { return view.Address() == "" })
 }
 
-// hear records that a proxy polls this one.
-func (fleet *Fleet) hear(view model.ProxyView) {
+// hear records that a proxy polls this one. It reports whether that changes what is known of it.
+func (fleet *Fleet) hear(view model.ProxyView) bool {
 	known, ok := fleet.heard[view.ID()]
-	if !ok || known.view != view {
+	changed := !ok || known.view != view
+	if changed {
 		fleet.heardVersion = fleet.nextVersion()
 		fleet.wakeWithin(pollTick)
 	}
 	fleet.heard[view.ID()] = &heard{view: view, at: fleet.context.Now()}
 	delete(fleet.assumed, view.ID())
+	return changed
 }
 
 // forget records that a proxy is no longer heard.
@@ -200,12 +202,24 @@
 }
 
 // membersOfReader returns the members that the reader has sent, or nil before its first answer.
-// A proxy that its reader does not know yet counts itself.
+// A proxy that its reader does not know yet counts itself, and those that it assumes to live: a
+// reader that has just started knows few, and a follower that took its word would take up reading
+// itself and poll all readers.
 func (fleet *Fleet) membersOfReader() []model.ProxyView {
 	source := fleet.lastAnswered()
 	if source == nil || source.members == nil {
 		return nil
 	}
+	if len(fleet.assumed) > 0 {
+		views := map[model.ProxyID]model.ProxyView{fleet.self().ID(): fleet.self()}
+		for id, assumed := range fleet.assumed {
+			views[id] = assumed.view
+		}
+		for _, view := range source.members {
+			views[view.ID()] = view
+		}
+		return sortedViews(views)
+	}
 	index, found := slices.BinarySearchFunc(source.members, fleet.self().ID(), func(view model.ProxyView, id model.ProxyID) int { return cmp.Compare(view.ID(), id) })
 	if found {
 		return source.members
--- a/internal/plug/fleet/source.go
+++ b/internal/plug/fleet/source.go
@@ -186,6 +186,8 @@
 		To:        source.view.ID(),
 		Draining:  fleet.leaving,
 		HeardOnly: true,
+
+		TakesChanges: true,
 	}
 	if fleet.role == route.ListFollower {
 		hold, spec.HeardOnly = fleet.context.Settings().SharedListWait()/pollsPerListWait, false
@@ -225,20 +227,36 @@
 		fleet.avoid(source, true)
 		return
 	}
+	news := reply.Changed() || source.answeredAt == 0 || source.gone || now < source.avoidUntil
 	source.answeredAt, source.avoidUntil, source.gone = now, 0, false
 	fleet.lastReplyAt = now
 	if reply.Changed() {
-		source.members, source.version = reply.Members(), reply.Version()
+		source.record(reply)
 	}
 	if fleet.mirror != nil && len(reply.Lists()) > 0 {
 		fleet.mirror.Apply(reply.Lists(), source.sentAt+reply.Held())
 	}
-	fleet.updateMembers()
+	if news {
+		fleet.updateMembers()
+	}
 	if source.wanted && !fleet.leaving {
 		fleet.sendPoll(source)
 	}
 }
 
+// record records the members of a reply. Changes from another state than the recorded one are of
+// no use; the next poll asks for all members.
+func (source *source) record(reply model.PollReply) {
+	switch {
+	case !reply.Partial():
+		source.members, source.version = reply.Members(), reply.Version()
+	case reply.Changes().Since() == source.version:
+		source.members, source.version = withChanges(source.members, reply.Changes()), reply.Version()
+	default:
+		source.version = model.MembersVersion{}
+	}
+}
+
 func (fleet *Fleet) handlePollFailure(failed event.PollFailed) {
 	source := fleet.finishPoll(failed.ID())
 	if source == nil || fleet.leaving {
--- a/internal/proof/city/traffic.go
+++ b/internal/proof/city/traffic.go
@@ -18,7 +18,8 @@
 		traffic.polls++
 	case event.AnswerPoll:
 		traffic.replies++
-		traffic.members += len(action.Reply().Members())
+		changes := action.Reply().Changes()
+		traffic.members += len(action.Reply().Members()) + len(changes.Changed()) + len(changes.Removed())
 	case event.ReadStore, event.ReadList, event.AwaitChanges:
 		traffic.reads++
 	}
