mesh: buffer the reads of other proxies' connections

Cause: the HTTP/2 server reads the header and the body of each frame by a system call of its own. A reader is polled by up to 64 followers.

--- a/internal/edge/mesh/mesh.go
+++ b/internal/edge/mesh/mesh.go
@@ -72,6 +72,12 @@
 	if err != nil {
 		return errors.Wrapf(err, "listen for proxies at %s", mesh.spec.Address)
 	}
+	mesh.serve(listener)
+	return nil
+}
+
+// serve serves the connections of a listener in the background.
+func (mesh *Mesh) serve(listener net.Listener) {
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
@@ -79,11 +85,10 @@
 	mux.Handle(meshpb.NewMeshServiceHandler(callServer{mesh}, connect.WithReadMaxBytes(maxMessageBytes), connect.WithCompressMinBytes(minCompressedBytes)))
 	mesh.server = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, Protocols: protocols}
 	go func() {
-		if err := mesh.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := mesh.server.Serve(bufferedListener{listener}); !errors.Is(err, http.ErrServerClosed) {
 			mesh.spec.Log.WithError(err).WithField("address", mesh.spec.Address).Warn("server for proxies stopped")
 		}
 	}()
-	return nil
 }
 
 // Shutdown closes all connections.
--- a/internal/edge/mesh/mesh_test.go
+++ b/internal/edge/mesh/mesh_test.go
@@ -48,16 +48,23 @@
 	return listener.Addr().String()
 }
 
-func startMesh(t *testing.T, system string) (*Mesh, eventQueue) {
+// newMesh returns a Mesh that serves nothing yet.
+func newMesh(t *testing.T, system string) (*Mesh, eventQueue) {
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	inbox := make(eventQueue, 10)
 	mesh := New(Spec{Address: freeAddress(t), System: system, Inbox: inbox, Log: log})
+	t.Cleanup(mesh.Shutdown)
+	return mesh, inbox
+}
+
+func startMesh(t *testing.T, system string) (*Mesh, eventQueue) {
+	t.Helper()
+	mesh, inbox := newMesh(t, system)
 	if err := mesh.Start(); err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(mesh.Shutdown)
 	return mesh, inbox
 }
 
