city: count the calls to the store by purpose

The store of the model counts all calls by the purposes of store_calls_total, lists what it writes to the table of the lenders, and can fail calls for lists at once.

--- /dev/null
+++ b/internal/proof/city/calls_test.go
@@ -0,0 +1,145 @@
+package city
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"almondway.dev/almondway/internal/core/model"
+)
+
+const (
+	daySpan = 48 * time.Second
+	// maxKeyAge is the age of the configuration up to which a proxy may accept a key.
+	maxKeyAge = 4800 * time.Millisecond
+)
+
+// contendedLists are the settings of a site where a change has to be in force after 5 s and a key
+// is unusable 5 s after its withdrawal.
+func contendedLists() listSettings {
+	return listSettings{wait: 1600 * time.Millisecond, sharedWait: 1600 * time.Millisecond, maxAge: 2880 * time.Millisecond}
+}
+
+// callsDay is a day of 69 proxies in three data centres that follow three lists.
+type callsDay struct {
+	*meshSimulation
+	unusable   int // samples of running proxies whose configuration is older than maxKeyAge
+	lastUnable time.Duration
+}
+
+func newCallsDay(t *testing.T, seed uint64) *callsDay {
+	teams, err := model.NewTeams([]*model.Team{model.NewTeam(model.TeamSpec{Name: "faculty", Rate: 100, Burst: 10})})
+	if err != nil {
+		t.Fatal(err)
+	}
+	day := &callsDay{meshSimulation: newStartingMesh(t, seed, newSessionCatalog().WithTeams(teams), contendedLists(), 25, 21, 23)}
+	day.store.failsAtOnce = true
+	for at := 5 * time.Second; at < daySpan; at += 6 * time.Second {
+		day.runAfter(at, day.writeRevision)
+		day.runAfter(at+3*time.Second, func() {
+			day.store.putInstance("i-b", listedInstance{Sequence: uint64(day.now / time.Millisecond)})
+		})
+	}
+	day.sample()
+	return day
+}
+
+// sample counts the proxies that could accept no key.
+func (day *callsDay) sample() {
+	for _, proxy := range day.proxies {
+		if !proxy.down && !proxy.usesKeys() {
+			day.unusable++
+			day.lastUnable = day.now
+		}
+	}
+	day.runAfter(watchEvery, day.sample)
+}
+
+// usesKeys reports whether a proxy knows its configuration to be young enough to accept a key, and
+// has the lists that a caller's first statement needs.
+func (proxy *proxy) usesKeys() bool {
+	for _, list := range model.ListNames() {
+		at, ok := proxy.kernel.State().ListCheckedAt(list)
+		if !ok || list == model.ListConfiguration && proxy.simulation.now-proxy.started-at > maxKeyAge {
+			return false
+		}
+	}
+	return true
+}
+
+// storeAway makes the store unavailable to some proxies for a time.
+func (day *callsDay) storeAway(from, span time.Duration, share int) {
+	reach := func(unreachable bool) {
+		for index, proxy := range day.proxies {
+			if index%share == 0 {
+				proxy.storeUnreachable = unreachable
+				day.disturb(proxy, 0)
+			}
+		}
+		day.store.failFeeds()
+	}
+	day.runAfter(from, func() { reach(true) })
+	day.runAfter(from+span, func() { reach(false) })
+}
+
+// restartAll restarts all proxies within two seconds.
+func (day *callsDay) restartAll(at time.Duration) {
+	day.runAfter(at, func() {
+		for _, proxy := range day.proxies {
+			day.restart(proxy, 500*time.Millisecond+time.Duration(day.random.Int64N(int64(1500*time.Millisecond))))
+		}
+	})
+}
+
+func (day *callsDay) total() int {
+	total := 0
+	for _, calls := range day.store.calls {
+		total += calls
+	}
+	return total
+}
+
+// faultyDays are the days whose calls to the store are counted. returned is the end of the fault.
+var faultyDays = []struct {
+	name     string
+	inject   func(day *callsDay)
+	returned time.Duration
+}{
+	{"calm", func(*callsDay) {}, 0},
+	{"store away for 4.5 s", func(day *callsDay) { day.storeAway(20*time.Second, 4500*time.Millisecond, 1) }, 24500 * time.Millisecond},
+	{"store away for 9 s", func(day *callsDay) { day.storeAway(20*time.Second, 9*time.Second, 1) }, 29 * time.Second},
+	{"a third rejected for 9 s", func(day *callsDay) { day.storeAway(20*time.Second, 9*time.Second, 3) }, 29 * time.Second},
+	{"all restart", func(day *callsDay) { day.restartAll(40 * time.Second) }, 40 * time.Second},
+}
+
+// The calls of 69 proxies to the store by purpose, over a day of 48 s with one fault. Guards
+// against calls that grow with the number of proxies.
+func TestStoreCallsOfADay(t *testing.T) {
+	for _, test := range faultyDays {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			day := newCallsDay(t, 21)
+			test.inject(day)
+			day.run(8 * time.Second)
+			start := fmt.Sprintf("start, 8 s %d, served after %v", day.total(), day.lastUnable)
+			day.unusable, day.lastUnable = 0, 0
+			day.run(daySpan - 8*time.Second)
+			lines := []string{test.name, start}
+			for _, purpose := range slices.Sorted(maps.Keys(day.store.calls)) {
+				lines = append(lines, fmt.Sprintf("%s %d", purpose, day.store.calls[purpose]))
+			}
+			lines = append(lines, fmt.Sprintf("all %d, failed %d", day.total(), day.store.failedCalls))
+			if day.unusable > 0 {
+				lines = append(lines, fmt.Sprintf("no keys for %v of proxy time, the last %v after the fault", time.Duration(day.unusable)*watchEvery, day.lastUnable-test.returned))
+			}
+			t.Log(strings.Join(lines, "; "))
+			is.Equal(day.violations, nil)
+		})
+	}
+}
--- a/internal/proof/city/lists.go
+++ b/internal/proof/city/lists.go
@@ -66,7 +66,9 @@
 
 func (store *store) readList(proxy *proxy, action event.ReadList) {
 	store.listCalls++
+	store.countCall(proxy, string(action.List())+"_table")
 	if store.down || proxy.storeUnreachable {
+		store.failList(proxy, action.CallID())
 		return
 	}
 	store.simulation.runAfter(storeLatency/2, func() {
@@ -77,7 +79,9 @@
 
 func (store *store) awaitChanges(proxy *proxy, action event.AwaitChanges) {
 	store.listCalls++
+	store.countCall(proxy, string(action.List())+"_feed")
 	if store.down || proxy.storeUnreachable {
+		store.failList(proxy, action.CallID())
 		return
 	}
 	store.simulation.runAfter(storeLatency/2, func() {
@@ -88,6 +92,23 @@
 	})
 }
 
+// failList ends a list call that the store does not execute, if such calls get an answer.
+func (store *store) failList(proxy *proxy, call model.PlatformCallID) {
+	if store.failsAtOnce {
+		proxy.post(storeFailureTime, event.NewListFailed(call, "unavailable"))
+	}
+}
+
+// failFeeds ends the waiting calls of the proxies that can no longer reach the store.
+func (store *store) failFeeds() {
+	for _, feed := range store.feeds {
+		if !feed.ended && (store.down || feed.proxy.storeUnreachable) {
+			feed.ended = true
+			store.failList(feed.proxy, feed.action.CallID())
+		}
+	}
+}
+
 // wakeFeeds answers the waiting calls whose lists have changed.
 func (store *store) wakeFeeds() {
 	for _, feed := range store.feeds {
--- a/internal/proof/city/mesh_test.go
+++ b/internal/proof/city/mesh_test.go
@@ -41,9 +41,17 @@
 // newMeshSimulation starts proxies in data centres of the given sizes. One in ten has four times
 // the cores of the others.
 func newMeshSimulation(t *testing.T, seed uint64, sizes ...int) *meshSimulation {
-	mesh := &meshSimulation{simulation: newEmptySimulation(seed, newSessionCatalog(), kern.Factories(kern.ProfileHosted, nil)), t: t, watched: make(map[*proxy]*watchedProxy)}
+	settings := listSettings{wait: 10 * time.Second, sharedWait: 2 * time.Second, maxAge: 3600 * time.Millisecond}
+	mesh := newStartingMesh(t, seed, newSessionCatalog(), settings, sizes...)
+	mesh.run(20 * time.Second) // until those that read for others at first no longer do
+	return mesh
+}
+
+// newStartingMesh returns a simulation of proxies that start within 300 ms.
+func newStartingMesh(t *testing.T, seed uint64, catalog event.CatalogListed, settings listSettings, sizes ...int) *meshSimulation {
+	mesh := &meshSimulation{simulation: newEmptySimulation(seed, catalog, kern.Factories(kern.ProfileHosted, nil)), t: t, watched: make(map[*proxy]*watchedProxy)}
 	mesh.meshed = true
-	mesh.listSettings = &listSettings{wait: 10 * time.Second, sharedWait: 2 * time.Second, maxAge: 3600 * time.Millisecond}
+	mesh.listSettings = &settings
 	for dataCenter, size := range sizes {
 		for index := range size {
 			mesh.add(dataCenter, index)
@@ -57,7 +65,6 @@
 		mesh.runAfter(time.Duration(mesh.random.Int64N(int64(300*time.Millisecond))), proxy.start)
 	}
 	mesh.runAfter(watchEvery, mesh.watch)
-	mesh.run(20 * time.Second) // until those that read for others at first no longer do
 	return mesh
 }
 
--- a/internal/proof/city/simulation.go
+++ b/internal/proof/city/simulation.go
@@ -101,7 +101,7 @@
 		catalog:   catalog,
 		factories: factories,
 	}
-	simulation.store = &store{simulation: simulation, rows: make(map[string]storedRow), lists: make(map[model.ListName][]model.ListRow)}
+	simulation.store = &store{simulation: simulation, rows: make(map[string]storedRow), calls: make(map[string]int), lists: make(map[model.ListName][]model.ListRow)}
 	simulation.oracle = &oracle{simulation: simulation, reported: make(map[int]string), acked: make(map[int]int)}
 	for _, name := range []model.InstanceID{"i-a", "i-b", "i-c"} {
 		simulation.instances = append(simulation.instances, &instance{simulation: simulation, id: name, dataCenter: "trnje-hall", up: true, unreachableFrom: make(map[*proxy]bool)})
--- a/internal/proof/city/store.go
+++ b/internal/proof/city/store.go
@@ -8,6 +8,7 @@
 
 	"almondway.dev/almondway/internal/core/event"
 	"almondway.dev/almondway/internal/core/model"
+	"almondway.dev/almondway/internal/core/route"
 )
 
 const (
@@ -39,6 +40,26 @@
 	historyStart uint64                             // changes before this version are forgotten
 	feeds        []*waitingFeed
 	listCalls    int // for the lists, since the start
+	// calls counts the calls by their purposes, and failedCalls those that were not executed.
+	calls       map[string]int
+	failedCalls int
+	// failsAtOnce makes list calls to an unavailable store fail after storeFailureTime. Else they
+	// get no answer.
+	failsAtOnce bool
+}
+
+// countCall counts a call under a purpose. The purposes are those of the metric store_calls_total.
+func (store *store) countCall(proxy *proxy, purpose string) {
+	store.calls[purpose]++
+	if store.down || proxy.storeUnreachable {
+		store.failedCalls++
+	}
+}
+
+// rowsPurpose returns the purpose of a call for the rows whose keys start with the given text.
+func rowsPurpose(call, key string) string {
+	kind, _, _ := strings.Cut(key, "/")
+	return kind + "_" + call
 }
 
 // storeCopy is a copy from which the store can be restored.
@@ -90,6 +111,7 @@
 }
 
 func (store *store) read(proxy *proxy, action event.ReadStore) {
+	store.countCall(proxy, rowsPurpose("read", action.Prefix()))
 	if !store.reachableFrom(proxy, action.CallID()) {
 		return
 	}
@@ -105,6 +127,7 @@
 }
 
 func (store *store) write(proxy *proxy, action event.WriteStore) {
+	store.countCall(proxy, rowsPurpose("write", action.Writes()[0].Key()))
 	if !store.reachableFrom(proxy, action.CallID()) {
 		return
 	}
@@ -133,11 +156,15 @@
 	store.version++
 	for _, write := range action.Writes() {
 		key := write.Table() + "/" + write.Key()
+		if write.Table() == route.LendersTable {
+			store.lists[model.ListLenders] = append(store.lists[model.ListLenders], model.NewListRow(write.Key(), store.version, write.Value()))
+		}
 		if write.Value() == nil {
 			delete(store.rows, key)
 			continue
 		}
 		store.rows[key] = storedRow{value: write.Value(), version: store.version}
 	}
+	store.wakeFeeds()
 	return true
 }
