elect: read the lease row only as often as its purpose needs

A proxy waits for its rank before the first read. Those after the standby proxies read the row once a group has needed a promoter for 2 s. Reads back off while the store fails, but those of the holder. The renewal, tokens and pauses are as before.

--- a/internal/plug/elect/lease.go
+++ b/internal/plug/elect/lease.go
@@ -7,7 +7,6 @@
 	"almondway.dev/almondway/internal/core/event"
 	"almondway.dev/almondway/internal/core/kern"
 	"almondway.dev/almondway/internal/core/model"
-	"almondway.dev/almondway/internal/core/rank"
 	"almondway.dev/almondway/internal/core/route"
 	"almondway.dev/almondway/internal/core/table"
 )
@@ -28,24 +27,6 @@
 	leaseSafetyMargin = 500 * time.Millisecond
 	// renewInterval is the time between two renewals.
 	renewInterval = time.Second
-	// urgentPollInterval is the time between two reads of the lease row while a group
-	// needs a promoter.
-	urgentPollInterval = 400 * time.Millisecond
-	// standbyPollInterval is the time between two reads of the lease row by the proxies
-	// with the lowest ranks.
-	standbyPollInterval = 2 * time.Second
-	// maxFrequentStandbys is the number of standby proxies that read the lease row every
-	// standbyPollInterval. The others read it less often.
-	maxFrequentStandbys = 2
-	// maxUrgentStandbys is the number of standby proxies that read the lease row every
-	// urgentPollInterval while a group needs a promoter.
-	maxUrgentStandbys = 4
-	// otherPollInterval is the time between two reads by the other proxies, of each and of all
-	// of them together, so that their number costs the store nothing.
-	otherPollInterval = 8 * time.Second
-	sharedPollSpacing = 250 * time.Millisecond
-	// urgentPollSpacing replaces sharedPollSpacing while a group needs a promoter.
-	urgentPollSpacing = 50 * time.Millisecond
 	// reservedTokens is the number of fencing tokens that a holder reserves at once, so
 	// that it can order promotions while the store is unavailable.
 	reservedTokens = 32
@@ -58,9 +39,6 @@
 	// busyRetryDelay is the time after which a call checks again whether the previous one
 	// has ended.
 	busyRetryDelay = 5 * time.Millisecond
-	// firstPollStagger is the delay per rank before a proxy reads the lease row for the
-	// first time.
-	firstPollStagger = 150 * time.Millisecond
 )
 
 // leaseRow is the lease's row in the store.
@@ -114,8 +92,7 @@
 	ordersLostUntil time.Duration
 	callPending     bool
 	resigning       bool
-	nextPollAt      time.Duration
-	lastPollAt      time.Duration
+	polling
 	// nextToken and lastToken bound the range of reserved tokens that are not used yet.
 	// The range is empty if nextToken is higher.
 	nextToken, lastToken uint64
@@ -166,6 +143,7 @@
 	}
 	lease.heldUntil, lease.row, lease.version, lease.rowKnown = 0, leaseRow{}, 0, false
 	lease.nextToken, lease.lastToken = 0, 0
+	lease.failedReads = 0
 	if lease.past.knowsAll {
 		lease.nextPollAt = now
 	}
@@ -179,47 +157,6 @@
 // held reports whether this proxy holds the lease and may order promotions.
 func (lease *lease) held() bool { return lease.context.Now() < lease.heldUntil && !lease.resigning }
 
-// tick renews the lease if this proxy holds it, and acquires it if it is free.
-func (lease *lease) tick() {
-	now := lease.context.Now()
-	if lease.rowKnown && lease.needsPromoter() {
-		lease.nextPollAt = min(lease.nextPollAt, lease.lastPollAt+lease.pollInterval())
-	}
-	if lease.callPending || now < lease.nextPollAt || lease.resigning {
-		return
-	}
-	lease.lastPollAt = now
-	lease.readRow(func() {
-		switch {
-		case lease.row.Holder == lease.self():
-			lease.renew(func() {})
-		case lease.free():
-			lease.acquire()
-		}
-	})
-	lease.nextPollAt = now + lease.pollInterval()
-}
-
-// pollInterval returns the time until the next read of the row.
-func (lease *lease) pollInterval() time.Duration {
-	proxies := lease.context.State().Proxies()
-	ownRank := rank.Of(leaseKey, lease.self(), proxies)
-	switch {
-	case lease.row.Holder == lease.self():
-		return renewInterval
-	case !lease.rowKnown:
-		return time.Duration(ownRank+1) * firstPollStagger
-	case lease.needsPromoter() && ownRank <= maxUrgentStandbys:
-		return urgentPollInterval
-	case lease.needsPromoter():
-		return max(urgentPollInterval, time.Duration(len(proxies))*urgentPollSpacing)
-	case ownRank <= maxFrequentStandbys:
-		return standbyPollInterval
-	default:
-		return max(otherPollInterval, time.Duration(len(proxies))*sharedPollSpacing)
-	}
-}
-
 // free reports whether the lease may be acquired: its holder has resigned or has not
 // renewed it for leaseDuration. If nobody has held it in this era of the store, it is free
 // once a lease of the era before has ended.
@@ -237,8 +174,10 @@
 	lease.client.Read(route.FleetTable, leaseKey, func(rows []model.Row, ok bool) {
 		lease.callPending = false
 		if !ok {
+			lease.failedReads++
 			return
 		}
+		lease.failedReads = 0
 		var current leaseRow
 		var version uint64
 		lease.past.outdated = lease.past.outdated[:0]
