mirror: wait for the role before waiting at the store

Each proxy began to wait for changes of three lists right after its first read, and gave that up when it learned 100 ms later that others follow the lists: 180 calls at the start of 69 proxies. It waits for its role, for half of the time of a shared call at most. Proxies that return, whose rows are in the store, do not read all rows a second time unless they read for others.

A follower that has asked the store itself, since its reader's copies were old, tells the reader at once that it has fresh ones. Relays try a store that fails every second.

--- a/internal/plug/fleet/answer.go
+++ b/internal/plug/fleet/answer.go
@@ -38,7 +38,9 @@
 		fleet.answerPoll(next)
 		return
 	}
-	fleet.hear(poll.From())
+	if poll.Hold() > 0 {
+		fleet.hear(poll.From()) // a single poll for lists says nothing of who polls this proxy
+	}
 	if len(poll.Lists()) > 0 && !poll.HeardOnly() {
 		fleet.lastListPollAt = fleet.context.Now()
 	}
--- a/internal/plug/fleet/fleet.go
+++ b/internal/plug/fleet/fleet.go
@@ -51,6 +51,8 @@
 	helps           map[model.PollID]help
 	// lastFollowerAsk is when a follower was last asked for its copies of the lists, or 0.
 	lastFollowerAsk time.Duration
+	// lastOffer is when this proxy last offered its copies of the lists to its reader, or 0.
+	lastOffer time.Duration
 	// lastListPollAt is when another proxy last asked for changes of lists, or 0.
 	lastListPollAt time.Duration
 	// lastReplyAt is when another proxy last answered a poll, or 0.
@@ -97,6 +99,7 @@
 		fleet.handlePollFailure(received)
 	case event.ListRead, event.ListChanged:
 		fleet.answerHeld()
+		fleet.offerLists()
 	case event.ListsOutdated:
 		fleet.askForLists()
 	}
--- a/internal/plug/fleet/lists.go
+++ b/internal/plug/fleet/lists.go
@@ -21,6 +21,8 @@
 	minSourceTime = time.Second
 	// followerAskInterval is the least time between two polls of a reader for a follower's copies.
 	followerAskInterval = 200 * time.Millisecond
+	// offerInterval is the least time between two offers of a follower's copies to its reader.
+	offerInterval = time.Second
 )
 
 // help is a poll of a reader for its copies of the lists, outside of the regular ones.
@@ -154,8 +156,22 @@
 	fleet.sendHelpPoll(poll.From())
 }
 
+// offerLists tells the reader of a follower that has asked the store itself, since the reader's
+// copies were old, that it has fresh ones now.
+func (fleet *Fleet) offerLists() {
+	now := fleet.context.Now()
+	if fleet.role != route.ListFollower || fleet.leaving || fleet.mirror == nil || fleet.mirror.Outdated() {
+		return
+	}
+	if reader, ok := fleet.ownReader(); ok && (fleet.lastOffer == 0 || now-fleet.lastOffer >= offerInterval) {
+		fleet.lastOffer = now
+		fleet.sendHelpPoll(reader)
+	}
+}
+
 func (fleet *Fleet) sendHelpPoll(reader model.ProxyView) {
 	spec := model.PollSpec{From: fleet.self(), Process: fleet.process, To: reader.ID(), HeardOnly: true, Lists: fleet.positions()}
+	spec.FreshLists = fleet.mirror != nil && !fleet.mirror.Outdated()
 	if known, ok := fleet.sources[reader.ID()]; ok && known.heardOnly {
 		spec.Members = known.version
 	}
--- a/internal/plug/fleet/registry.go
+++ b/internal/plug/fleet/registry.go
@@ -80,6 +80,7 @@
 	version             uint64 // of the own row, or 0 if there is none
 	written             row    // the own row as it was read last
 	known               bool   // the rows were read
+	returned            bool   // an earlier process of this proxy had written the own row
 	updating            bool
 	updateRequested     bool // an update was requested while one is in progress
 	lastUpdateAt        time.Duration
@@ -119,12 +120,16 @@
 }
 
 // updateDue reports whether it is time to read all rows. Once the proxies know each other from
-// polls, only those that are polled read them, or one that nobody answers.
+// polls, only those that are polled read them, or one that nobody answers. A proxy that has just
+// started reads them again, since others may have started for the first time meanwhile. Where
+// proxies return, the rows are there already, and only readers read them again.
 func (fleet *Fleet) updateDue() bool {
 	now := fleet.context.Now()
 	switch {
-	case !fleet.known, fleet.usesRows(), now <= 2*firstUpdateInterval:
+	case !fleet.known, fleet.usesRows():
 		return true
+	case now <= 2*firstUpdateInterval:
+		return !fleet.returned || fleet.role != route.ListFollower || fleet.lastReplyAt == 0
 	case fleet.role != route.ListFollower:
 		return now-fleet.lastUpdateAt >= registryInterval
 	default:
@@ -239,6 +244,9 @@
 // recordRows updates the registry and the list of live proxies from the rows of all proxies.
 func (fleet *Fleet) recordRows(rows []model.Row) {
 	now := fleet.context.Now()
+	if !fleet.known {
+		_, fleet.returned = table.Find(rows, fleet.ownKey())
+	}
 	fleet.known = true
 	fleet.version, fleet.written = 0, row{}
 	present := make(map[model.ProxyID]bool, len(rows))
--- a/internal/plug/mirror/demand.go
+++ b/internal/plug/mirror/demand.go
@@ -16,8 +16,9 @@
 	maxRetryDelay     = time.Second
 	// relayRetryDelay is the mean time between two calls of a relay while the store fails, and
 	// relaysPerRetry how many proxies a system has for each further second of it: there is a relay
-	// for 32 proxies, and all relays together make about four calls a second.
-	relayRetryDelay = 1500 * time.Millisecond
+	// for 32 proxies, and all relays together make about four calls a second. With 1.5 s, 69 proxies
+	// could not use keys for 0.29 s in the mean after an outage of 9 s, and for 0.17 s with 1 s.
+	relayRetryDelay = time.Second
 	relaysPerRetry  = 128
 	// followerRetries is the number of calls that all followers together make in a second while the
 	// store fails.
@@ -33,7 +34,8 @@
 	// list.
 	maxPostponement = 5 * time.Second
 	// roleTime is the time after the start within which a proxy that others can call knows whether
-	// it waits for changes at the store.
+	// it waits for changes at the store. It is half of the time for which the store holds a call of
+	// a reader at most, since the copies grow old meanwhile.
 	roleTime = time.Second
 )
 
@@ -43,6 +45,9 @@
 	if left := list.freshFor(); left > 0 {
 		return left
 	}
+	if left := mirror.untilRoleKnown(); left > 0 && !list.stale {
+		return left
+	}
 	if mirror.takesHelp() {
 		if now-mirror.helpAskedAt >= helpInterval || mirror.helpAskedAt == 0 {
 			mirror.helpAskedAt = now
@@ -123,13 +128,15 @@
 	return list.currentAt + list.mirror.maxAge() - list.context().Now()
 }
 
-// untilRoleKnown returns the time after the start until the proxy waits for changes at the store
-// without knowing whether it has to. Most proxies of a large system get them from others.
+// untilRoleKnown returns the time for which a proxy that has just started does not wait for changes
+// at the store, since it may not know the others yet. Most proxies of a large system get the
+// changes from others.
 func (mirror *Mirror) untilRoleKnown() time.Duration {
-	if mirror.roleKnown || mirror.context.State().Self().Address() == "" {
+	if mirror.role != route.ListAlone || mirror.context.State().Self().Address() == "" {
 		return 0
 	}
-	return max(0, roleTime-mirror.context.Now())
+	limit := min(roleTime, mirror.context.Settings().SharedListWait()/2)
+	return max(0, limit-mirror.context.Now())
 }
 
 // CheckedAt implements route.Mirror.
--- a/internal/plug/mirror/list.go
+++ b/internal/plug/mirror/list.go
@@ -138,7 +138,7 @@
 	list.passOn(read.Rows(), true, restored)
 	list.setCurrentAt(list.mirror.clock.answeredAt(read.Era(), read.AnsweredAt(), list.callBegan, list.context().Now()))
 	list.handleSuccess()
-	list.callStoreAfter(list.mirror.untilRoleKnown())
+	list.callStoreAfter(0)
 }
 
 func (list *list) replaceRows(rows []model.ListRow) {
--- a/internal/plug/mirror/mirror.go
+++ b/internal/plug/mirror/mirror.go
@@ -21,8 +21,6 @@
 	clock   storeClock
 	lists   []*list
 	calls   map[model.PlatformCallID]*list
-	// roleKnown is set once the role was chosen.
-	roleKnown bool
 	// helpAskedAt is when other proxies were last asked for fresher copies, or 0.
 	helpAskedAt time.Duration
 }
@@ -86,10 +84,10 @@
 
 // SetRole implements route.Mirror.
 func (mirror *Mirror) SetRole(role route.ListRole) {
-	if role == mirror.role && mirror.roleKnown {
+	if role == mirror.role {
 		return
 	}
-	mirror.role, mirror.roleKnown = role, true
+	mirror.role = role
 	for _, list := range mirror.lists {
 		list.shortenWait()
 		list.callStoreAfter(0)
--- a/internal/proof/city/calls_test.go
+++ b/internal/proof/city/calls_test.go
@@ -109,13 +109,14 @@
 	name     string
 	inject   func(day *callsDay)
 	returned time.Duration
-	maxLists int // calls for lists
+	maxCalls int           // half of those that 69 proxies made when each asked for itself
+	maxLate  time.Duration // after the end of the fault, until every proxy can accept keys
 }{
-	{"calm", func(*callsDay) {}, 0, 500},
-	{"store away for 4.5 s", func(day *callsDay) { day.storeAway(20*time.Second, 4500*time.Millisecond, 1) }, 24500 * time.Millisecond, 560},
-	{"store away for 9 s", func(day *callsDay) { day.storeAway(20*time.Second, 9*time.Second, 1) }, 29 * time.Second, 600},
-	{"a third rejected for 9 s", func(day *callsDay) { day.storeAway(20*time.Second, 9*time.Second, 3) }, 29 * time.Second, 500},
-	{"all restart", func(day *callsDay) { day.restartAll(40 * time.Second) }, 40 * time.Second, 950},
+	{"calm", func(*callsDay) {}, 0, 892, 0},
+	{"store away for 4.5 s", func(day *callsDay) { day.storeAway(20*time.Second, 4500*time.Millisecond, 1) }, 24500 * time.Millisecond, 1455, time.Second},
+	{"store away for 9 s", func(day *callsDay) { day.storeAway(20*time.Second, 9*time.Second, 1) }, 29 * time.Second, 1832, time.Second},
+	{"a third rejected for 9 s", func(day *callsDay) { day.storeAway(20*time.Second, 9*time.Second, 3) }, 29 * time.Second, 1049, 0},
+	{"all restart", func(day *callsDay) { day.restartAll(40 * time.Second) }, 40 * time.Second, 1214, 2050 * time.Millisecond},
 }
 
 // The calls of 69 proxies to the store by purpose, over a day of 48 s with one fault. Guards
@@ -141,7 +142,8 @@
 			}
 			t.Log(strings.Join(lines, "; "))
 			is.Equal(day.violations, nil)
-			is.True(day.store.listCalls <= test.maxLists)
+			is.True(day.total() <= test.maxCalls)
+			is.True(day.lastUnable == 0 || day.lastUnable-test.returned <= test.maxLate)
 		})
 	}
 }
--- a/internal/proof/city/mesh.go
+++ b/internal/proof/city/mesh.go
@@ -12,7 +12,6 @@
 	sender *proxy
 	kernel any // of the sender when it sent the poll
 	id     model.PollID
-	poll   model.Poll
 }
 
 // reaches reports whether messages of a proxy arrive at another one.
@@ -36,7 +35,7 @@
 			return
 		}
 		receiver.lastPoll++
-		receiver.receivedPolls[receiver.lastPoll] = receivedPoll{sender: proxy, kernel: kernel, id: action.ID(), poll: action.Poll()}
+		receiver.receivedPolls[receiver.lastPoll] = receivedPoll{sender: proxy, kernel: kernel, id: action.ID()}
 		receiver.post(0, event.NewPollReceived(receiver.lastPoll, action.Poll()))
 	})
 }
--- a/internal/proof/city/mesh_test.go
+++ b/internal/proof/city/mesh_test.go
@@ -11,6 +11,7 @@
 	"almondway.dev/almondway/internal/core/event"
 	"almondway.dev/almondway/internal/core/kern"
 	"almondway.dev/almondway/internal/core/model"
+	"almondway.dev/almondway/internal/core/route"
 )
 
 const (
@@ -126,17 +127,12 @@
 	return due
 }
 
-// readersIn returns the proxies of a data centre that hold polls of followers for changes.
+// readersIn returns the proxies of a data centre that follow the lists for others.
 func (mesh *meshSimulation) readersIn(dataCenter int) []*proxy {
 	var readers []*proxy
 	for _, proxy := range mesh.proxies {
-		followers := 0
-		for _, received := range proxy.receivedPolls {
-			if len(received.poll.Lists()) > 0 && !received.poll.HeardOnly() {
-				followers++
-			}
-		}
-		if proxy.dataCenter == model.DataCenter(fmt.Sprintf("dc-%d", dataCenter)) && followers > 0 {
+		reads := proxy.listRole == route.ListReader.String() || proxy.listRole == route.ListRelay.String()
+		if proxy.dataCenter == model.DataCenter(fmt.Sprintf("dc-%d", dataCenter)) && reads && !proxy.down {
 			readers = append(readers, proxy)
 		}
 	}
@@ -167,6 +163,7 @@
 	proxy.down = true
 	mesh.runAfter(pause, func() {
 		proxy.down = false
+		proxy.started = mesh.now
 		proxy.start()
 	})
 }
--- a/internal/proof/city/proxy.go
+++ b/internal/proof/city/proxy.go
@@ -34,6 +34,7 @@
 	pendingPolls     map[model.PollID]bool
 	receivedPolls    map[model.PollID]receivedPoll
 	lastPoll         model.PollID
+	listRole         string // as the process logged it last
 }
 
 // reset replaces the process by a new one without state.
@@ -55,6 +56,7 @@
 	proxy.pendingReplies = make(map[model.RequestSeq]func(reply *model.Reply))
 	proxy.queuedEvents = nil
 	proxy.nextTick = 0
+	proxy.listRole = ""
 	proxy.storeEra, proxy.storeEraKnown = 0, false
 }
 
@@ -212,6 +214,9 @@
 		proxy.sendOrder(action)
 	case event.LogDecision:
 		proxy.countRefusal(action.Decision())
+		if action.Decision().Name == "role_chosen" {
+			proxy.listRole = action.Decision().Reason
+		}
 		if decision := action.Decision(); !decision.IsRouting() && decision.Name != "conn_spoiled" {
 			proxy.simulation.logLines = append(proxy.simulation.logLines, fmt.Sprintf("%v %s %s %s %s", proxy.simulation.now, proxy.name, decision.Name, decision.Instance, decision.Reason))
 		}
