elect: standby proxies get the time of a lease before others join

Once a group had needed a promoter for 2 s, all proxies read the lease row, 20 times a second together. The lease of a lost promoter ends after 3 s only, and a standby proxy takes it then. The others join after 4 s.

--- a/internal/plug/elect/polling.go
+++ b/internal/plug/elect/polling.go
@@ -25,9 +25,9 @@
 	otherPollInterval = 8 * time.Second
 	sharedPollSpacing = 4 * time.Second
 	// urgentPollSpacing replaces sharedPollSpacing while a group has needed a promoter for
-	// urgentPatience, which is enough for a standby proxy to acquire a lease that was given back.
+	// urgentPatience, which is enough for a standby proxy to acquire a lease that ends.
 	urgentPollSpacing = 50 * time.Millisecond
-	urgentPatience    = 2 * time.Second
+	urgentPatience    = leaseDuration + time.Second
 	// firstPollStagger is the delay per rank until a proxy reads the lease row for the first time,
 	// and between the reads until one is answered.
 	firstPollStagger = 150 * time.Millisecond
