fleet: write a complaint without a read of all rows

Each complaint about a primary read the rows of all proxies and wrote the own one, so a primary that failed cost 69 proxies 138 calls. Where the version of the own row is known from the last read, the row is written at once; after a conflict or a lost answer the rows are read. A withdrawn complaint whose write fails is written again, too.

--- a/internal/plug/fleet/complaint.go
+++ b/internal/plug/fleet/complaint.go
@@ -24,7 +24,7 @@
 	}
 	fleet.context.Emit(event.NewLogDecision(model.Decision{Name: "primary_complaint", Instance: instance, Reason: reason}))
 	fleet.complaintsUnwritten = true
-	fleet.update()
+	fleet.publishComplaints()
 }
 
 // HasComplaint implements route.Fleet.
--- a/internal/plug/fleet/fleet.go
+++ b/internal/plug/fleet/fleet.go
@@ -89,6 +89,7 @@
 	case event.DrainStarted:
 		fleet.leave()
 	case event.StoreRestored:
+		fleet.versionCurrent = false
 		fleet.scheduleRestoredUpdate()
 	case event.PollReceived:
 		fleet.handlePoll(received)
--- a/internal/plug/fleet/fleet_test.go
+++ b/internal/plug/fleet/fleet_test.go
@@ -18,20 +18,27 @@
 
 // fixture is a kernel with the plug-in and the rows of the other proxies in the store.
 type fixture struct {
-	kernel *kern.Kernel
-	fleet  route.Fleet
-	now    time.Duration
-	era    model.StoreEra
-	rows   []model.Row
+	kernel  *kern.Kernel
+	fleet   route.Fleet
+	context *kern.Context
+	now     time.Duration
+	era     model.StoreEra
+	rows    []model.Row
 	// storeAway is set while calls to the store fail.
 	storeAway bool
+	// reads and writes count the calls, and conflicts the writes that fail from now on.
+	reads, writes, conflicts int
 }
 
-func newFixture() *fixture {
+func newFixture() *fixture { return newFixtureAt("") }
+
+// newFixtureAt returns a fixture of a proxy that can be polled at an address.
+func newFixtureAt(address string) *fixture {
 	fixture := &fixture{}
-	self := model.NewProxyView("self", "", "trnje-hall", 0, false, 0)
+	self := model.NewProxyView("self", address, "trnje-hall", 0, false, 0)
 	fixture.kernel = kern.NewWithFactories(self, tune.New(tune.Default()), time.Unix(0, 0), 1, eras.New, func(context *kern.Context) kern.Plugin {
 		plugin := fleet.New(context)
+		fixture.context = context
 		fixture.fleet = context.Service(route.FleetService).(route.Fleet)
 		return plugin
 	})
@@ -53,8 +60,15 @@
 		}
 		switch action := action.(type) {
 		case event.ReadStore:
+			fixture.reads++
 			fixture.answer(fixture.kernel.Handle(fixture.now, event.NewStoreRead(action.CallID(), fixture.rows).WithEra(fixture.era)))
 		case event.WriteStore:
+			fixture.writes++
+			if fixture.conflicts > 0 {
+				fixture.conflicts--
+				fixture.answer(fixture.kernel.Handle(fixture.now, event.NewStoreConflict(action.CallID())))
+				continue
+			}
 			fixture.answer(fixture.kernel.Handle(fixture.now, event.NewStoreWritten(action.CallID()).WithEra(fixture.era)))
 		}
 	}
@@ -115,3 +129,43 @@
 	fixture.run(2 * time.Second)
 	is.Equal(fixture.kernel.State().ProxyCount(), 2)
 }
+
+// A complaint is written without a read of all rows before it if the version of the own row is
+// known, and after a read if the row has changed since.
+func TestCallsForComplaint(t *testing.T) {
+	tests := []struct {
+		name       string
+		conflicts  int
+		wantReads  int
+		wantWrites int
+	}{
+		{name: "version known", wantWrites: 1},
+		{name: "row changed meanwhile", conflicts: 1, wantReads: 1, wantWrites: 2},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			fixture := newFixtureAt("10.0.0.1:1")
+			fixture.rows = []model.Row{model.NewRow("proxy/self", 9, []byte(`{"process":1,"beat":1,"data_center":"trnje-hall","address":"10.0.0.1:1"}`))}
+			fixture.run(4 * time.Second)
+			fixture.reads, fixture.writes, fixture.conflicts = 0, 0, test.conflicts
+			fixture.complain("i-1", true)
+			fixture.run(2 * time.Second)
+			is.Equal(fixture.reads, test.wantReads)
+			is.Equal(fixture.writes, test.wantWrites)
+			// The version is unknown after a write. The end of the complaint is written, too.
+			fixture.rows = []model.Row{model.NewRow("proxy/self", 12, []byte(`{"process":1,"beat":2,"data_center":"trnje-hall","address":"10.0.0.1:1","unusable_primaries":["i-1"]}`))}
+			fixture.reads, fixture.writes, fixture.conflicts = 0, 0, 1
+			fixture.complain("i-1", false)
+			fixture.run(2 * time.Second)
+			is.Equal(fixture.reads, 2)
+			is.Equal(fixture.writes, 2)
+		})
+	}
+}
+
+// complain publishes whether a primary is unusable.
+func (fixture *fixture) complain(instance model.InstanceID, unusable bool) {
+	fixture.context.Timers().After(0, func() { fixture.fleet.SetComplaint(instance, unusable) })
+	fixture.answer(fixture.kernel.Tick(fixture.now))
+}
--- a/internal/plug/fleet/lists.go
+++ b/internal/plug/fleet/lists.go
@@ -62,6 +62,10 @@
 	}
 	now, isSelf := fleet.context.Now(), fleet.listSource == fleet.self().ID()
 	if isSelf && fleet.mirror.StoreLost() || !isSelf && now-fleet.listSourceSince >= minSourceTime {
+		if _, known := fleet.listsOldUntil[fleet.listSource]; !known {
+			decision := model.Decision{Name: "list_source_avoided", Proxy: fleet.listSource, Reason: "its copies of the lists are too old, for " + avoidTime.String()}
+			fleet.context.Emit(event.NewLogDecision(decision))
+		}
 		fleet.listsOldUntil[fleet.listSource] = now + avoidTime
 	}
 }
--- a/internal/plug/fleet/registry.go
+++ b/internal/plug/fleet/registry.go
@@ -80,6 +80,7 @@
 	version             uint64 // of the own row, or 0 if there is none
 	written             row    // the own row as it was read last
 	known               bool   // the rows were read
+	versionCurrent      bool   // the own row was not written since
 	returned            bool   // an earlier process of this proxy had written the own row
 	updating            bool
 	updateRequested     bool // an update was requested while one is in progress
@@ -170,7 +171,18 @@
 		return
 	}
 	fleet.recordRows(rows)
-	next := row{
+	next := fleet.nextRow()
+	if fleet.version > 0 && fleet.written.says(next) && !fleet.usesRows() {
+		fleet.complaintsUnwritten = false
+		fleet.finishUpdate()
+		return
+	}
+	fleet.writeOwnRow(next)
+}
+
+// nextRow returns what the row of this proxy is to say.
+func (fleet *Fleet) nextRow() row {
+	return row{
 		Process:           fleet.process,
 		Beat:              fleet.beat + 1,
 		Era:               fleet.context.State().StoreEra(),
@@ -179,16 +191,21 @@
 		Cores:             fleet.self().Cores(),
 		UnusablePrimaries: fleet.unusablePrimaries,
 	}
-	if fleet.version > 0 && fleet.written.says(next) && !fleet.usesRows() {
-		fleet.complaintsUnwritten = false
-		fleet.finishUpdate()
+}
+
+// publishComplaints writes the row of this proxy. If its version is known, no rows are read before.
+func (fleet *Fleet) publishComplaints() {
+	if !fleet.versionCurrent || fleet.updating || fleet.leaving || fleet.usesRows() {
+		fleet.update()
 		return
 	}
-	fleet.writeOwnRow(next)
+	fleet.updating = true
+	fleet.writeOwnRow(fleet.nextRow())
 }
 
 func (fleet *Fleet) writeOwnRow(next row) {
 	fleet.beat = next.Beat
+	fleet.versionCurrent = false
 	value, err := json.Marshal(next)
 	if err != nil {
 		fleet.context.Emit(event.NewLogDecision(model.Decision{Name: "row_not_written", Reason: err.Error()}))
@@ -197,7 +214,8 @@
 	}
 	fleet.complaintsUnwritten = false
 	fleet.client.Write([]model.RowWrite{model.NewRowWrite(route.FleetTable, fleet.ownKey(), fleet.version, value)}, func(outcome table.Outcome) {
-		fleet.complaintsUnwritten = fleet.complaintsUnwritten || outcome != table.Written && len(fleet.unusablePrimaries) > 0
+		unsaid := len(next.UnusablePrimaries) > 0 || len(fleet.unusablePrimaries) > 0 || len(fleet.written.UnusablePrimaries) > 0
+		fleet.complaintsUnwritten = fleet.complaintsUnwritten || outcome != table.Written && unsaid
 		fleet.finishUpdate()
 	})
 }
@@ -248,7 +266,7 @@
 		_, fleet.returned = table.Find(rows, fleet.ownKey())
 	}
 	fleet.known = true
-	fleet.version, fleet.written = 0, row{}
+	fleet.version, fleet.versionCurrent, fleet.written = 0, true, row{}
 	present := make(map[model.ProxyID]bool, len(rows))
 	for _, tableRow := range rows {
 		id := model.ProxyID(strings.TrimPrefix(tableRow.Key(), rowPrefix))
