fleet: read the rows once the store is known to be back

Each now tries the configuration every 0.35 s in the mean, and reads the other lists and the rows right after that has come.

--- a/internal/plug/fleet/fleet.go
+++ b/internal/plug/fleet/fleet.go
@@ -99,6 +99,9 @@
 	case event.PollFailed:
 		fleet.handlePollFailure(received)
 	case event.ListRead, event.ListChanged:
+		if !fleet.known && !fleet.updating {
+			fleet.update()
+		}
 		fleet.answerHeld()
 		fleet.offerLists()
 	case event.ListsOutdated:
--- a/internal/plug/fleet/registry.go
+++ b/internal/plug/fleet/registry.go
@@ -25,8 +25,10 @@
 	// which a proxy no longer counts as live.
 	maxMissedUpdates = 2
 	// unknownInterval is the mean time between two tries to read the rows until they were read
-	// once.
-	unknownInterval = 500 * time.Millisecond
+	// once. It is unknownListsInterval where the proxy follows lists in the same store: their calls
+	// show when the store is back, and the rows are read then.
+	unknownInterval      = 500 * time.Millisecond
+	unknownListsInterval = 4 * time.Second
 	// registryInterval is the time between two reads of all rows by a proxy that is polled. It
 	// joins proxies that have not found each other.
 	registryInterval = time.Minute
@@ -110,6 +112,8 @@
 	case !fleet.started:
 		fleet.started = true
 		interval = firstUpdateInterval
+	case !fleet.known && fleet.followsLists():
+		interval = unknownListsInterval
 	case !fleet.known:
 		interval = unknownInterval
 	}
@@ -138,6 +142,11 @@
 	}
 }
 
+// followsLists reports whether the proxy follows lists in the store.
+func (fleet *Fleet) followsLists() bool {
+	return fleet.mirror != nil && fleet.context.Settings().ListWait() > 0
+}
+
 // Refresh implements route.Fleet.
 func (fleet *Fleet) Refresh() {
 	if fleet.context.Now()-fleet.lastUpdateAt >= minUpdateSpacing {
--- a/internal/plug/mirror/demand.go
+++ b/internal/plug/mirror/demand.go
@@ -14,6 +14,10 @@
 	// proxy that follows the lists in the store.
 	initialRetryDelay = 100 * time.Millisecond
 	maxRetryDelay     = time.Second
+	// maxLoneRetryDelay replaces maxRetryDelay while the other proxies are not known. Nobody else can
+	// tell that the store is back then, and the rows of the proxies are read after that. With 0.5 s a
+	// proxy had its lists 0.28 s after a return in the mean, with 0.35 s 0.22 s.
+	maxLoneRetryDelay = 350 * time.Millisecond
 	// relayRetryDelay is the mean time between two calls of a relay while the store fails, and
 	// relaysPerRetry how many proxies a system has for each further second of it: there is a relay
 	// for 32 proxies, and all relays together make about four calls a second. With 1.5 s, 69 proxies
@@ -93,7 +97,11 @@
 	case route.ListFollower:
 		list.retryDelay = max(maxRetryDelay, proxies*time.Second/followerRetries)
 	default:
-		list.retryDelay = min(max(list.retryDelay*2, initialRetryDelay), maxRetryDelay)
+		limit := maxRetryDelay
+		if !context.State().ProxiesKnown() {
+			limit = maxLoneRetryDelay
+		}
+		list.retryDelay = min(max(list.retryDelay*2, initialRetryDelay), limit)
 	}
 	if list.mirror.takesHelp() {
 		// Spread evenly, so that the first of many calls comes soon.
