--- a/internal/edge/mesh/convert.go
+++ b/internal/edge/mesh/convert.go
@@ -41,6 +41,7 @@
 		},
 		HoldMs:           milliseconds(poll.Hold()),
 		HeardMembersOnly: poll.HeardOnly(),
+		FreshLists:       poll.FreshLists(),
 		Members:          encodeVersion(poll.Members()),
 
 		AcceptsMemberChanges: poll.TakesChanges(),
@@ -61,6 +62,7 @@
 		HeardOnly: request.GetHeardMembersOnly(),
 		Members:   decodeVersion(request.GetMembers()),
 
+		FreshLists:   request.GetFreshLists(),
 		TakesChanges: request.GetAcceptsMemberChanges(),
 	}
 	for _, position := range request.GetLists() {
--- a/internal/plug/fleet/answer.go
+++ b/internal/plug/fleet/answer.go
@@ -22,6 +22,8 @@
 	id         model.PollID
 	poll       model.Poll
 	receivedAt time.Duration
+	// checkedAt is how fresh the copies of the lists were then.
+	checkedAt []time.Duration
 }
 
 // expiresAt returns the time at which a poll is answered even without news.
@@ -42,10 +44,15 @@
 		fleet.answerPoll(next)
 		return
 	}
-	changed := fleet.hear(poll.From())
-	if len(poll.Lists()) > 0 {
+	changed := false
+	if poll.Hold() > 0 {
+		changed = fleet.hear(poll.From()) // a single poll for lists says nothing of who polls this proxy
+	}
+	if len(poll.Lists()) > 0 && !poll.HeardOnly() {
 		fleet.lastListPollAt = fleet.context.Now()
 	}
+	next.checkedAt = fleet.checkedAt(poll)
+	fleet.askFollower(poll)
 	fleet.held = append(fleet.held, next)
 	fleet.wakeWithin(next.expiresAt() - fleet.context.Now() + pollTick - 1)
 	if changed {
@@ -67,7 +74,7 @@
 	now := fleet.context.Now()
 	var kept []heldPoll
 	for _, held := range fleet.held {
-		if now < held.expiresAt() && !fleet.hasNews(held.poll) && !fleet.leaving {
+		if now < held.expiresAt() && !fleet.hasNews(held.poll) && !fleet.hasFresherLists(held) && !fleet.leaving {
 			kept = append(kept, held)
 			continue
 		}
--- a/internal/plug/fleet/fleet.go
+++ b/internal/plug/fleet/fleet.go
@@ -44,6 +44,19 @@
 	held      []heldPoll
 	announced announced
 	role      route.ListRole
+	// listRole is how this proxy gets the lists, and listSource the reader that follows them for all
+	// data centres.
+	listRole   route.ListRole
+	listSource model.ProxyID
+	// listSourceSince is when that was chosen, and listsOldUntil the times until which readers with
+	// old copies are not chosen.
+	listSourceSince time.Duration
+	listsOldUntil   map[model.ProxyID]time.Duration
+	helps           map[model.PollID]help
+	// lastFollowerAsk is when a follower was last asked for its copies of the lists, or 0.
+	lastFollowerAsk time.Duration
+	// lastOffer is when this proxy last offered its copies of the lists to its reader, or 0.
+	lastOffer time.Duration
 	// lastListPollAt is when another proxy last asked for changes of lists, or 0.
 	lastListPollAt time.Duration
 	// lastReplyAt is when another proxy last answered a poll, or 0.
@@ -59,6 +72,9 @@
 		process: context.Random().Uint64(),
 		sources: make(map[model.ProxyID]*source),
 		polls:   make(map[model.PollID]*source),
+		helps:   make(map[model.PollID]help),
+
+		listsOldUntil: make(map[model.ProxyID]time.Duration),
 	}
 	fleet.registry = newRegistry()
 	fleet.members = newMembers()
@@ -78,6 +94,7 @@
 	case event.DrainStarted:
 		fleet.leave()
 	case event.StoreRestored:
+		fleet.versionCurrent = false
 		fleet.scheduleRestoredUpdate()
 	case event.PollReceived:
 		fleet.handlePoll(received)
@@ -87,7 +104,13 @@
 	case event.PollFailed:
 		fleet.handlePollFailure(received)
 	case event.ListRead, event.ListChanged:
+		if !fleet.known && !fleet.updating {
+			fleet.update()
+		}
 		fleet.answerHeld()
+		fleet.offerLists()
+	case event.ListsOutdated:
+		fleet.askForLists()
 	}
 }
 
--- a/internal/plug/fleet/registry.go
+++ b/internal/plug/fleet/registry.go
@@ -25,8 +25,10 @@
 	// which a proxy no longer counts as live.
 	maxMissedUpdates = 2
 	// unknownInterval is the mean time between two tries to read the rows until they were read
-	// once.
-	unknownInterval = 500 * time.Millisecond
+	// once. It is unknownListsInterval where the proxy follows lists in the same store: their calls
+	// show when the store is back, and the rows are read then.
+	unknownInterval      = 500 * time.Millisecond
+	unknownListsInterval = 4 * time.Second
 	// registryInterval is the time between two reads of all rows by a proxy that is polled. It
 	// joins proxies that have not found each other.
 	registryInterval = time.Minute
@@ -81,6 +83,8 @@
 	written             row    // the own row as it was read last
 	known               bool   // the rows were read
 	anyComplaint        bool   // a row of another proxy complains about a primary
+	versionCurrent      bool   // the own row was not written since
+	returned            bool   // an earlier process of this proxy had written the own row
 	updating            bool
 	updateRequested     bool // an update was requested while one is in progress
 	lastUpdateAt        time.Duration
@@ -109,6 +113,8 @@
 	case !fleet.started:
 		fleet.started = true
 		interval = firstUpdateInterval
+	case !fleet.known && fleet.followsLists():
+		interval = unknownListsInterval
 	case !fleet.known:
 		interval = unknownInterval
 	}
@@ -120,12 +126,16 @@
 }
 
 // updateDue reports whether it is time to read all rows. Once the proxies know each other from
-// polls, only those that are polled read them, or one that nobody answers.
+// polls, only those that are polled read them, or one that nobody answers. A proxy that has just
+// started reads them again, since others may have started for the first time meanwhile. Where
+// proxies return, the rows are there already, and only readers read them again.
 func (fleet *Fleet) updateDue() bool {
 	now := fleet.context.Now()
 	switch {
-	case !fleet.known, fleet.usesRows(), now <= 2*firstUpdateInterval:
+	case !fleet.known, fleet.usesRows():
 		return true
+	case now <= 2*firstUpdateInterval:
+		return !fleet.returned || fleet.role != route.ListFollower || fleet.lastReplyAt == 0
 	case fleet.role != route.ListFollower:
 		return now-fleet.lastUpdateAt >= registryInterval
 	default:
@@ -133,6 +143,11 @@
 	}
 }
 
+// followsLists reports whether the proxy follows lists in the store.
+func (fleet *Fleet) followsLists() bool {
+	return fleet.mirror != nil && fleet.context.Settings().ListWait() > 0
+}
+
 // Refresh implements route.Fleet.
 func (fleet *Fleet) Refresh() {
 	if fleet.context.Now()-fleet.lastUpdateAt >= minUpdateSpacing {
@@ -166,7 +181,18 @@
 		return
 	}
 	fleet.recordRows(rows)
-	next := row{
+	next := fleet.nextRow()
+	if fleet.version > 0 && fleet.written.says(next) && !fleet.usesRows() {
+		fleet.complaintsUnwritten = false
+		fleet.finishUpdate()
+		return
+	}
+	fleet.writeOwnRow(next)
+}
+
+// nextRow returns what the row of this proxy is to say.
+func (fleet *Fleet) nextRow() row {
+	return row{
 		Process:           fleet.process,
 		Beat:              fleet.beat + 1,
 		Era:               fleet.context.State().StoreEra(),
@@ -175,16 +201,21 @@
 		Cores:             fleet.self().Cores(),
 		UnusablePrimaries: fleet.unusablePrimaries,
 	}
-	if fleet.version > 0 && fleet.written.says(next) && !fleet.usesRows() {
-		fleet.complaintsUnwritten = false
-		fleet.finishUpdate()
+}
+
+// publishComplaints writes the row of this proxy. If its version is known, no rows are read before.
+func (fleet *Fleet) publishComplaints() {
+	if !fleet.versionCurrent || fleet.updating || fleet.leaving || fleet.usesRows() {
+		fleet.update()
 		return
 	}
-	fleet.writeOwnRow(next)
+	fleet.updating = true
+	fleet.writeOwnRow(fleet.nextRow())
 }
 
 func (fleet *Fleet) writeOwnRow(next row) {
 	fleet.beat = next.Beat
+	fleet.versionCurrent = false
 	value, err := json.Marshal(next)
 	if err != nil {
 		fleet.context.Emit(event.NewLogDecision(model.Decision{Name: "row_not_written", Reason: err.Error()}))
@@ -193,7 +224,8 @@
 	}
 	fleet.complaintsUnwritten = false
 	fleet.client.Write([]model.RowWrite{model.NewRowWrite(route.FleetTable, fleet.ownKey(), fleet.version, value)}, func(outcome table.Outcome) {
-		fleet.complaintsUnwritten = fleet.complaintsUnwritten || outcome != table.Written && len(fleet.unusablePrimaries) > 0
+		unsaid := len(next.UnusablePrimaries) > 0 || len(fleet.unusablePrimaries) > 0 || len(fleet.written.UnusablePrimaries) > 0
+		fleet.complaintsUnwritten = fleet.complaintsUnwritten || outcome != table.Written && unsaid
 		fleet.finishUpdate()
 	})
 }
@@ -240,8 +272,11 @@
 // recordRows updates the registry and the list of live proxies from the rows of all proxies.
 func (fleet *Fleet) recordRows(rows []model.Row) {
 	now := fleet.context.Now()
+	if !fleet.known {
+		_, fleet.returned = table.Find(rows, fleet.ownKey())
+	}
 	fleet.known = true
-	fleet.version, fleet.written = 0, row{}
+	fleet.version, fleet.versionCurrent, fleet.written = 0, true, row{}
 	present := make(map[model.ProxyID]bool, len(rows))
 	for _, tableRow := range rows {
 		id := model.ProxyID(strings.TrimPrefix(tableRow.Key(), rowPrefix))
--- a/internal/plug/mirror/mirror.go
+++ b/internal/plug/mirror/mirror.go
@@ -21,6 +21,8 @@
 	clock   storeClock
 	lists   []*list
 	calls   map[model.PlatformCallID]*list
+	// helpAskedAt is when other proxies were last asked for fresher copies, or 0.
+	helpAskedAt time.Duration
 }
 
 // New returns the plug-in. It does nothing if the settings give no time for which the store
--- a/internal/plug/mirror/mirror_test.go
+++ b/internal/plug/mirror/mirror_test.go
@@ -31,23 +31,41 @@
 	reads   []model.PlatformCallID
 	waits   []event.AwaitChanges
 	applied []event.ApplyList
-	pending []event.Event // answers to ApplyList
+	pending []event.Event // answers to ApplyList and to the calls for the configuration
+	// The wait for changes of the configuration, which is answered without changes.
+	configWait    event.AwaitChanges
+	configWaitEnd time.Duration
 	// holdApplied leaves ApplyList without an answer.
 	holdApplied bool
 	logged      []string
+	helpCount   int // how often other proxies were asked for fresher copies
 }
 
-func newFixture() *fixture {
+// listener is a plug-in that counts ListsOutdated.
+type listener struct {
+	fixture *fixture
+}
+
+// Handle implements kern.Plugin.
+func (listener listener) Handle(received event.Event) {
+	if _, ok := received.(event.ListsOutdated); ok {
+		listener.fixture.helpCount++
+	}
+}
+
+func newFixture() *fixture { return newSeededFixture(1) }
+
+func newSeededFixture(seed uint64) *fixture {
 	fixture := &fixture{}
 	settings := tune.Default()
 	settings.ListWait, settings.SharedListWait, settings.MaxListAge = listWait, sharedListWait, maxListAge
 	self := model.NewProxyView("self", "", "trnje-hall", 0, false, 0)
-	fixture.kernel = kern.NewWithFactories(self, tune.New(settings), time.Unix(0, 0), 1, eras.New, func(context *kern.Context) kern.Plugin {
+	fixture.kernel = kern.NewWithFactories(self, tune.New(settings), time.Unix(0, 0), seed, eras.New, func(context *kern.Context) kern.Plugin {
 		plugin := mirror.New(context)
 		fixture.context = context
 		fixture.mirror = context.Service(route.MirrorService).(route.Mirror)
 		return plugin
-	})
+	}, func(*kern.Context) kern.Plugin { return listener{fixture: fixture} })
 	fixture.run(0)
 	return fixture
 }
@@ -56,6 +74,10 @@
 func (fixture *fixture) run(span time.Duration) {
 	for until := fixture.now + span; ; fixture.now += 10 * time.Millisecond {
 		fixture.record(fixture.kernel.Tick(fixture.now))
+		if fixture.configWaitEnd > 0 && fixture.now >= fixture.configWaitEnd {
+			fixture.configWaitEnd = 0
+			fixture.pending = append(fixture.pending, event.NewListChanged(fixture.configWait.CallID(), fixture.era(), 1, nil))
+		}
 		fixture.answerPending()
 		if fixture.now >= until {
 			return
@@ -83,16 +105,22 @@
 	}
 }
 
+func (fixture *fixture) era() model.StoreEra { return fixture.kernel.State().StoreEra() }
+
 func (fixture *fixture) record(actions []event.Action) {
 	for _, action := range actions {
 		switch action := action.(type) {
 		case event.ReadList:
 			if action.List() == model.ListInstances {
 				fixture.reads = append(fixture.reads, action.CallID())
+			} else {
+				fixture.pending = append(fixture.pending, event.NewListRead(action.CallID(), fixture.era(), 1, nil))
 			}
 		case event.AwaitChanges:
 			if action.List() == model.ListInstances {
 				fixture.waits = append(fixture.waits, action)
+			} else {
+				fixture.configWait, fixture.configWaitEnd = action, max(1, fixture.now+action.Wait())
 			}
 		case event.ApplyList:
 			if action.List() == model.ListInstances {
--- a/internal/proof/city/mesh_test.go
+++ b/internal/proof/city/mesh_test.go
@@ -11,6 +11,7 @@
 	"almondway.dev/almondway/internal/core/event"
 	"almondway.dev/almondway/internal/core/kern"
 	"almondway.dev/almondway/internal/core/model"
+	"almondway.dev/almondway/internal/core/route"
 )
 
 const (
@@ -41,9 +42,17 @@
 // newMeshSimulation starts proxies in data centres of the given sizes. One in ten has four times
 // the cores of the others.
 func newMeshSimulation(t *testing.T, seed uint64, sizes ...int) *meshSimulation {
-	mesh := &meshSimulation{simulation: newEmptySimulation(seed, newSessionCatalog(), kern.Factories(kern.ProfileHosted, nil)), t: t, watched: make(map[*proxy]*watchedProxy)}
+	settings := listSettings{wait: 10 * time.Second, sharedWait: 2 * time.Second, maxAge: 3600 * time.Millisecond}
+	mesh := newStartingMesh(t, seed, newSessionCatalog(), settings, sizes...)
+	mesh.run(20 * time.Second) // until those that read for others at first no longer do
+	return mesh
+}
+
+// newStartingMesh returns a simulation of proxies that start within 300 ms.
+func newStartingMesh(t *testing.T, seed uint64, catalog event.CatalogListed, settings listSettings, sizes ...int) *meshSimulation {
+	mesh := &meshSimulation{simulation: newEmptySimulation(seed, catalog, kern.Factories(kern.ProfileHosted, nil)), t: t, watched: make(map[*proxy]*watchedProxy)}
 	mesh.meshed = true
-	mesh.listSettings = &listSettings{wait: 10 * time.Second, sharedWait: 2 * time.Second, maxAge: 3600 * time.Millisecond}
+	mesh.listSettings = &settings
 	for dataCenter, size := range sizes {
 		for index := range size {
 			mesh.add(dataCenter, index)
@@ -57,7 +66,6 @@
 		mesh.runAfter(time.Duration(mesh.random.Int64N(int64(300*time.Millisecond))), proxy.start)
 	}
 	mesh.runAfter(watchEvery, mesh.watch)
-	mesh.run(20 * time.Second) // until those that read for others at first no longer do
 	return mesh
 }
 
@@ -119,20 +127,28 @@
 	return due
 }
 
-// readersIn returns the proxies of a data centre that wait for changes on behalf of others.
+// readersIn returns the proxies of a data centre that follow the lists for others.
 func (mesh *meshSimulation) readersIn(dataCenter int) []*proxy {
 	var readers []*proxy
 	for _, proxy := range mesh.proxies {
-		waits := slices.ContainsFunc(mesh.store.feeds, func(feed *waitingFeed) bool {
-			return feed.proxy == proxy && !feed.ended && feed.action.Wait() == mesh.listSettings.sharedWait
-		})
-		if proxy.dataCenter == model.DataCenter(fmt.Sprintf("dc-%d", dataCenter)) && waits {
+		reads := proxy.listRole == route.ListReader.String() || proxy.listRole == route.ListRelay.String()
+		if proxy.dataCenter == model.DataCenter(fmt.Sprintf("dc-%d", dataCenter)) && reads && !proxy.down {
 			readers = append(readers, proxy)
 		}
 	}
 	return readers
 }
 
+// storeReader returns the proxy that waits for changes at the store on behalf of all others.
+func (mesh *meshSimulation) storeReader() *proxy {
+	for _, feed := range mesh.store.feeds {
+		if !feed.ended && feed.action.Wait() == mesh.listSettings.sharedWait {
+			return feed.proxy
+		}
+	}
+	return nil
+}
+
 // lose ends the process of a proxy for good.
 func (mesh *meshSimulation) lose(proxy *proxy) {
 	mesh.disturb(proxy, time.Hour)
@@ -147,6 +163,7 @@
 	proxy.down = true
 	mesh.runAfter(pause, func() {
 		proxy.down = false
+		proxy.started = mesh.now
 		proxy.start()
 	})
 }
@@ -296,8 +313,8 @@
 			is.Equal(revision, uint64(len(mesh.writtenAt)))
 		}
 	}
-	// Six readers ask for two lists, every 2 s and after each of the ten changes.
-	is.True(mesh.store.listCalls <= 6*2*(31/2+1)+6*10)
+	// One reader asks for two lists, every 2 s and after each of the ten changes.
+	is.True(mesh.store.listCalls <= 2*(31/2+1)+10)
 	is.Equal(mesh.violations, nil)
 }
 
@@ -360,7 +377,7 @@
 	mesh.run(10 * time.Second)
 	mesh.store.listCalls = 0
 	mesh.run(20 * time.Second)
-	is.True(mesh.store.listCalls <= 6*2*11)
+	is.True(mesh.store.listCalls <= 2*11)
 	is.Equal(mesh.violations, nil)
 }
 
