holder: forward statements to the proxies that hold an instance's connections

Cause: where more proxies than connections share an instance and a connection runs one team's statements, nearly every statement opens a connection, and no proxy can order what waits.

Change: two proxies for each instance (rendezvous hashing weighted by cores, those in its data centre first) hold its connections. plug/holder wraps route.Conns: a lease takes the place of a connection and forwards its statements with the new mesh calls Forward and EndForward. The holder runs them through its own admission and pool. The shares of limit and conns are those of the holders.

--- a/internal/app/daemon/daemon.go
+++ b/internal/app/daemon/daemon.go
@@ -172,6 +172,14 @@
 		mesh.AnswerBorrow(action)
 	case event.RefuseBorrow:
 		mesh.RefuseBorrow(action)
+	case event.Forward:
+		mesh.Forward(action)
+	case event.AnswerForward:
+		mesh.AnswerForward(action)
+	case event.RefuseForward:
+		mesh.RefuseForward(action)
+	case event.EndForward:
+		mesh.EndForward(action)
 	default:
 		return false
 	}
--- a/internal/app/hosted/hosted.go
+++ b/internal/app/hosted/hosted.go
@@ -92,6 +92,8 @@
 	Platform port.Platform
 	Promoter port.Promoter
 	Lists    port.Lists
+	// Payloads converts statements and answers for messages between proxies.
+	Payloads port.Payloads
 	// ListStatus returns the numbers of calls for the lists.
 	ListStatus func() []port.ListStatus
 	// CallCounts returns the numbers of calls to the platform's store.
@@ -157,7 +159,7 @@
 // listened on.
 func (proxy *Proxy) Run(adapters Adapters, signals <-chan os.Signal) error {
 	proxy.adapters = adapters
-	proxy.mesh = mesh.New(mesh.Spec{Address: proxy.spec.MeshAddress, System: proxy.spec.System, Inbox: proxy.loop, Log: proxy.spec.Log.Logger()})
+	proxy.mesh = mesh.New(mesh.Spec{Address: proxy.spec.MeshAddress, System: proxy.spec.System, Inbox: proxy.loop, Log: proxy.spec.Log.Logger(), Payloads: adapters.Payloads})
 	defer proxy.mesh.Shutdown()
 	proxy.loop.SetPorts(daemon.Ports{
 		Callers:     adapters.Callers,
--- a/internal/core/count/count.go
+++ b/internal/core/count/count.go
@@ -56,6 +56,17 @@
 	Cancels
 	// Terms counts changes of a primary that this proxy observed.
 	Terms
+	// ForwardsSent counts statements that were forwarded to other proxies, repetitions included.
+	ForwardsSent
+	// ForwardsNotRun counts forwarded statements that the other proxy certainly did not run.
+	ForwardsNotRun
+	// ForwardsLost counts forwarded statements whose answer was lost.
+	ForwardsLost
+	// ForwardsRunHere counts statements that a proxy which is no holder ran itself, because no
+	// holder could be asked.
+	ForwardsRunHere
+	// ForwardsReceived counts statements that other proxies forwarded to this one.
+	ForwardsReceived
 	numNames
 )
 
@@ -81,6 +92,11 @@
 	Requests:         "requests_received",
 	Cancels:          "cancels",
 	Terms:            "terms_changed",
+	ForwardsSent:     "forwards_sent",
+	ForwardsNotRun:   "forwards_not_run",
+	ForwardsLost:     "forwards_lost",
+	ForwardsRunHere:  "forwards_run_here",
+	ForwardsReceived: "forwards_received",
 }
 
 // String returns the name in snake case, as it appears in metrics.
--- a/internal/core/model/work.go
+++ b/internal/core/model/work.go
@@ -40,6 +40,9 @@
 	Timeout     time.Duration
 	// SendBefore is the time on the kernel's clock by which the statement must be sent, or 0.
 	SendBefore time.Duration
+	// Confirm requests that a proxy to which the Work is forwarded asks the instance to confirm
+	// that it is the primary first.
+	Confirm bool
 }
 
 // Work is a unit of execution on a backend connection. It is immutable.
@@ -53,6 +56,10 @@
 // SendBefore returns the time on the kernel's clock by which the statement must be sent, or 0.
 func (work *Work) SendBefore() time.Duration { return work.spec.SendBefore }
 
+// Confirm reports whether a proxy to which the Work is forwarded asks the instance to confirm
+// that it is the primary first.
+func (work *Work) Confirm() bool { return work.spec.Confirm }
+
 // Step returns the transaction step.
 func (work *Work) Step() Step { return work.spec.Step }
 
@@ -107,4 +114,10 @@
 	FailureMismatch
 	// FailureLost means that the answer was lost after the Work may have been sent.
 	FailureLost
+	// FailureForwardLost means that the answer of another proxy was lost, to which the Work may have
+	// been forwarded. It says nothing about the instance.
+	FailureForwardLost
+	// FailureForwardNotRun means that another proxy refused the Work before anything was sent to the
+	// instance, since it no longer has the open transaction.
+	FailureForwardNotRun
 )
--- a/internal/core/port/port.go
+++ b/internal/core/port/port.go
@@ -50,7 +50,17 @@
 	Apply(action event.ApplyList)
 }
 
-// Mesh exchanges polls and loans of tokens with the other proxies.
+// Payloads converts statements and answers for messages between proxies. It is safe for
+// concurrent use.
+type Payloads interface {
+	EncodeStatement(statement model.Payload) ([]byte, error)
+	// DecodeStatement returns an error for bytes that are no statement.
+	DecodeStatement(encoded []byte) (model.Payload, error)
+	EncodeAnswer(answer model.Payload) []byte
+	DecodeAnswer(encoded []byte) model.Payload
+}
+
+// Mesh exchanges polls, loans of tokens and statements with the other proxies.
 type Mesh interface {
 	Poll(action event.SendPoll)
 	AnswerPoll(action event.AnswerPoll)
@@ -58,6 +68,10 @@
 	Borrow(action event.Borrow)
 	AnswerBorrow(action event.AnswerBorrow)
 	RefuseBorrow(action event.RefuseBorrow)
+	Forward(action event.Forward)
+	AnswerForward(action event.AnswerForward)
+	RefuseForward(action event.RefuseForward)
+	EndForward(action event.EndForward)
 }
 
 // ListStatus counts the calls to the platform's store for one of its lists.
--- a/internal/core/route/route.go
+++ b/internal/core/route/route.go
@@ -34,6 +34,9 @@
 	// BypassLimit grants the slot even if the limit is reached. It is for maintenance
 	// work that takes no slot of the instance.
 	BypassLimit bool
+	// Forwarded is set if another proxy runs the statement, so that this one does not see the
+	// beginning of its transaction.
+	Forwarded bool
 }
 
 // Denial describes why a request for a slot or a connection is rejected.
--- a/internal/core/state/state.go
+++ b/internal/core/state/state.go
@@ -30,6 +30,10 @@
 	storeEra      model.StoreEra
 	listCheckedAt map[model.ListName]time.Duration
 	counts        *count.Counts
+
+	proxiesVersion uint64 // raised by each change of proxies
+	holdersEnabled bool
+	holderOrders   map[model.InstanceID]holderOrder
 }
 
 // New returns an empty State for the proxy self.
@@ -42,6 +46,7 @@
 		counts:      count.New(),
 
 		listCheckedAt: make(map[model.ListName]time.Duration),
+		holderOrders:  make(map[model.InstanceID]holderOrder),
 	}
 }
 
@@ -205,7 +210,10 @@
 func (state *State) Proxies() []model.ProxyView { return state.proxies }
 
 // SetProxies records the live proxies, this one included, in ascending order of their names.
-func (state *State) SetProxies(proxies []model.ProxyView) { state.proxies = proxies }
+func (state *State) SetProxies(proxies []model.ProxyView) {
+	state.proxies = proxies
+	state.proxiesVersion++
+}
 
 // Registered returns the proxies that may serve under some revision, in ascending
 // order of their names. It includes this proxy and proxies from which no heartbeat
--- a/internal/core/tune/tune.go
+++ b/internal/core/tune/tune.go
@@ -32,6 +32,7 @@
 	QuotaWindow       time.Duration
 	QuotaOverage      float64
 	QuotaSlack        float64
+	ConnHolders       bool
 	PeerSeeds         []string
 }
 
@@ -192,3 +193,7 @@
 // QuotaSlack returns the operations by which a team may exceed its limit in a QuotaWindow, beyond
 // QuotaOverage.
 func (settings *Settings) QuotaSlack() float64 { return settings.spec.QuotaSlack }
+
+// ConnHolders reports whether few proxies hold the connections of an instance for all others where
+// there are more proxies than connections, each of which runs one team's statements.
+func (settings *Settings) ConnHolders() bool { return settings.spec.ConnHolders }
--- a/internal/edge/mesh/mesh.go
+++ b/internal/edge/mesh/mesh.go
@@ -38,6 +38,8 @@
 	System string
 	Inbox  port.Inbox
 	Log    logrus.FieldLogger
+	// Payloads converts the statements and answers of forwarded statements.
+	Payloads port.Payloads
 }
 
 // Mesh calls other proxies and serves their calls. It is safe for concurrent use.
@@ -45,10 +47,12 @@
 	spec Spec
 
 	mutex   sync.Mutex
-	clients map[string]*http.Client  // by address
-	calls   map[uint64]chan<- answer // of other proxies, by number
-	lastID  uint64
-	server  *http.Server
+	clients map[string]*http.Client // by address
+	// forwarders are the clients of calls that forward statements, by address.
+	forwarders map[string]*forwarder
+	calls      map[uint64]chan<- answer // of other proxies, by number
+	lastID     uint64
+	server     *http.Server
 }
 
 var _ port.Mesh = (*Mesh)(nil)
@@ -56,9 +60,10 @@
 // New returns a Mesh. It serves nothing before Start.
 func New(spec Spec) *Mesh {
 	return &Mesh{
-		spec:    spec,
-		clients: make(map[string]*http.Client),
-		calls:   make(map[uint64]chan<- answer),
+		spec:       spec,
+		clients:    make(map[string]*http.Client),
+		forwarders: make(map[string]*forwarder),
+		calls:      make(map[uint64]chan<- answer),
 	}
 }
 
--- a/internal/edge/mesh/mesh_test.go
+++ b/internal/edge/mesh/mesh_test.go
@@ -27,7 +27,7 @@
 // Post implements port.Inbox.
 func (eventQueue eventQueue) Post(received event.Event) { eventQueue <- received }
 
-func (eventQueue eventQueue) next(t *testing.T) event.Event {
+func (eventQueue eventQueue) next(t testing.TB) event.Event {
 	t.Helper()
 	select {
 	case received := <-eventQueue:
@@ -38,7 +38,7 @@
 	}
 }
 
-func freeAddress(t *testing.T) string {
+func freeAddress(t testing.TB) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -48,7 +48,7 @@
 	return listener.Addr().String()
 }
 
-func startMesh(t *testing.T, system string) (*Mesh, eventQueue) {
+func startMesh(t testing.TB, system string) (*Mesh, eventQueue) {
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
--- a/internal/plug/bundle/bundle.go
+++ b/internal/plug/bundle/bundle.go
@@ -10,6 +10,7 @@
 	_ "almondway.dev/almondway/internal/plug/eras"   // registers the plug-in
 	_ "almondway.dev/almondway/internal/plug/failov" // registers the plug-in
 	_ "almondway.dev/almondway/internal/plug/fleet"  // registers the plug-in
+	_ "almondway.dev/almondway/internal/plug/holder" // registers the plug-in
 	_ "almondway.dev/almondway/internal/plug/limit"  // registers the plug-in
 	_ "almondway.dev/almondway/internal/plug/member" // registers the plug-in
 	_ "almondway.dev/almondway/internal/plug/mirror" // registers the plug-in
--- a/internal/plug/conns/pool.go
+++ b/internal/plug/conns/pool.go
@@ -40,13 +40,22 @@
 	// instance lists a maximum. After a loss of power, an instance holds the old connections
 	// of the proxies for seconds, so that only the rest is left for the new ones.
 	surplusIdleTimeout = 500 * time.Millisecond
+	// heldIdleTimeout is how long a connection within the share of a holder may be idle. It runs the
+	// statements that the team sends through all proxies.
+	heldIdleTimeout = 10 * time.Second
+	// holderReserveDivisor sets the part of the connections of an instance that its holders leave to
+	// the pings of the other proxies, and to those that reach no holder.
+	holderReserveDivisor = 8
 	// initialConnectTime is the estimate of the connect time until the first connection is
 	// open.
 	initialConnectTime = 15 * time.Millisecond
 	// A new sample moves connectTime by 1/connectTimeSmoothing of the difference.
 	connectTimeSmoothing = 8
 	initialBackoff       = 20 * time.Millisecond
-	maxBackoff           = time.Second
+	// maxHeldBackoff limits the back-off of a holder while the instance is full: the statements of
+	// all proxies wait for it.
+	maxHeldBackoff = 80 * time.Millisecond
+	maxBackoff     = time.Second
 )
 
 type connState int
@@ -102,9 +111,15 @@
 	if listed := pool.instance.MaxConns(); listed > 0 {
 		conns = listed
 	}
-	return conns / context.State().ProxyCount()
+	if pool.held() {
+		conns -= conns / holderReserveDivisor
+	}
+	return conns / context.State().SharersOf(pool.instance.ID())
 }
 
+// held reports whether this proxy and few others hold the connections of the instance.
+func (pool *pool) held() bool { return pool.pools.context.State().Holds(pool.instance.ID()) }
+
 // maxOpen returns the maximum number of connections of the pool, including those being
 // opened. If many proxies share few connections, each may temporarily exceed its share,
 // since most proxies have none open; the instance refuses connections beyond its own
@@ -360,6 +375,9 @@
 	pool.failedAt = pool.pools.context.Now()
 	pool.lastFailure = reason
 	pool.backOff()
+	if team, needed := pool.neededTeam(); needed && reason == model.ConnFailureFull {
+		pool.closeIdleOfOthers(team) // makes room for the next attempt
+	}
 	if reason == model.ConnFailureLeaving {
 		pool.pools.context.Publish(event.NewLeavingChanged(pool.instance.ID(), true))
 	}
@@ -376,6 +394,9 @@
 func (pool *pool) backOff() {
 	context := pool.pools.context
 	backoff := min(maxBackoff, initialBackoff<<min(pool.failures, maxDoublings))
+	if pool.lastFailure == model.ConnFailureFull && pool.held() {
+		backoff = min(backoff, maxHeldBackoff)
+	}
 	backoff = backoff/2 + time.Duration(context.Random().Int64N(int64(backoff)))
 	pool.failures++
 	pool.blockedUntil = context.Now() + backoff
--- a/internal/plug/conns/upkeep.go
+++ b/internal/plug/conns/upkeep.go
@@ -74,7 +74,10 @@
 func (pool *pool) closeExcess() {
 	context := pool.pools.context
 	idle := context.Settings().ConnIdle()
-	if pool.instance.MaxConns() > 0 {
+	switch held := pool.held(); {
+	case held && pool.total <= pool.share():
+		idle = heldIdleTimeout
+	case pool.instance.MaxConns() > 0:
 		idle = min(idle, surplusIdleTimeout)
 		if pool.total > pool.share() {
 			idle = min(idle, excessIdleTimeout)
--- a/internal/plug/drain/drain.go
+++ b/internal/plug/drain/drain.go
@@ -104,7 +104,7 @@
 }
 
 func (drain *Drain) busy() bool {
-	for _, name := range []string{route.SessionsService, deployService} {
+	for _, name := range []string{route.SessionsService, route.HoldersService, deployService} {
 		if counter, ok := drain.context.Service(name).(inFlightCounter); ok && counter.InFlight() > 0 {
 			return true
 		}
--- a/internal/plug/limit/instancelimit.go
+++ b/internal/plug/limit/instancelimit.go
@@ -173,7 +173,7 @@
 	if listed := limits.listedInstance(instance); listed.Slots() > 0 {
 		slots = listed.Slots()
 	}
-	proxies := limits.proxyCount()
+	proxies := limits.sharers(instance)
 	return max(1, (slots+proxies-1)/proxies)
 }
 
@@ -183,11 +183,12 @@
 // nor deadlines.
 func (limits *Limits) upperBound(instance model.InstanceID) int {
 	listed := limits.listedInstance(instance)
+	proxies := limits.sharers(instance)
 	if listed.Slots() == 0 {
-		return max(limits.lowerBound(instance), limits.context.Settings().ConnsPerInstance()/limits.proxyCount())
+		return max(limits.lowerBound(instance), limits.context.Settings().ConnsPerInstance()/proxies)
 	}
-	conns := max(1, listed.MaxConns()/limits.proxyCount())
-	share := (listed.Slots()*limits.policy.StatementsPerSlot + limits.proxyCount() - 1) / limits.proxyCount()
+	conns := max(1, listed.MaxConns()/proxies)
+	share := (listed.Slots()*limits.policy.StatementsPerSlot + proxies - 1) / proxies
 	return max(limits.lowerBound(instance), min(conns, max(limits.policy.MinUpperBound, share)))
 }
 
@@ -201,4 +202,7 @@
 	return group.Member(instance).Instance()
 }
 
-func (limits *Limits) proxyCount() int { return limits.context.State().ProxyCount() }
+// sharers returns the number of proxies among which this one shares the capacity of an instance.
+func (limits *Limits) sharers(instance model.InstanceID) int {
+	return limits.context.State().SharersOf(instance)
+}
--- a/internal/plug/limit/limit.go
+++ b/internal/plug/limit/limit.go
@@ -137,7 +137,7 @@
 func (limits *Limits) ForceAcquire(request route.SlotRequest) {
 	limits.classLimit(request).acquire()
 	limits.instanceLimit(request.Instance).running++
-	if key := laneOf(request); key.inTx {
+	if key := laneOf(request); key.inTx && !request.Forwarded {
 		limits.workEstimate(key).resumed++
 	}
 }
--- a/internal/plug/relay/answer.go
+++ b/internal/plug/relay/answer.go
@@ -50,7 +50,7 @@
 
 // observeMark records the mark of an answer that only the primary gives.
 func (task *task) observeMark(mark model.Mark) {
-	fromPrimary := task.step == model.StepConfirmPrimary || task.requirement == requirePrimary && (task.step != model.StepCommit || task.job.Tx().Wrote())
+	fromPrimary := task.step == model.StepConfirmPrimary || task.confirmed || task.requirement == requirePrimary && (task.step != model.StepCommit || task.job.Tx().Wrote())
 	if group := task.groupState(); fromPrimary && group != nil {
 		task.relay.observePrimary(group, task.instance, mark, task.sentAt)
 	}
@@ -70,7 +70,10 @@
 		return
 	case model.FailureLost:
 		task.relay.recordFailure(task.instance)
-		task.answerLost(step)
+		task.answerLost(step, true)
+		return
+	case model.FailureForwardLost:
+		task.answerLost(step, false)
 		return
 	case model.FailureFenced:
 		if group := task.groupState(); group != nil {
@@ -109,11 +112,12 @@
 	task.finish(route.ResultSpec{Outcome: model.OutcomeUnknown, Code: codes.Statement, Answer: failed.Answer(), Reason: task.reason})
 }
 
-// answerLost finishes or retries the statement after its answer was lost.
-func (task *task) answerLost(step model.Step) {
+// answerLost finishes or retries the statement after its answer was lost. byInstance reports
+// whether the instance is known not to have answered.
+func (task *task) answerLost(step model.Step, byInstance bool) {
 	switch {
 	case task.inDoubt():
-		if task.relay.context.Now() >= task.job.Deadline()-stallMargin {
+		if byInstance && task.relay.context.Now() >= task.job.Deadline()-stallMargin {
 			task.relay.monitor(task.job.Group()).recordStall(task.instance)
 		}
 		task.finish(route.ResultSpec{Outcome: model.OutcomeUnknown, Code: codes.OutcomeUnknown, Reason: "the answer was lost"})
@@ -161,6 +165,8 @@
 		return "the instance has no slot"
 	case model.FailureLeaving:
 		return "the instance is shutting down"
+	case model.FailureForwardNotRun:
+		return "the holder of the connection refused it"
 	default:
 		return "nothing was sent"
 	}
--- a/internal/plug/relay/expire.go
+++ b/internal/plug/relay/expire.go
@@ -12,7 +12,9 @@
 	task.stop()
 	switch {
 	case lastState == taskExecuting && task.inDoubt():
-		task.relay.monitor(task.job.Group()).recordStall(task.instance)
+		if !task.forwarded { // else the holder of the connection may be the one that is silent
+			task.relay.monitor(task.job.Group()).recordStall(task.instance)
+		}
 		task.finish(route.ResultSpec{Outcome: model.OutcomeUnknown, Code: codes.OutcomeUnknown, Reason: "deadline while the statement ran"})
 	case lastState == taskExecuting && task.job.Tx() != nil:
 		// stop closed the connection, which ended the transaction.
--- a/internal/plug/relay/ping.go
+++ b/internal/plug/relay/ping.go
@@ -24,6 +24,9 @@
 	// maxSilence is the time without any answer, while statements are outstanding, after
 	// which the primary is pinged.
 	maxSilence = 300 * time.Millisecond
+	// maxForwardedSilence replaces maxSilence for a statement that was forwarded, which may still
+	// wait for a connection. A ping opens one.
+	maxForwardedSilence = 600 * time.Millisecond
 	// pingTimeout limits a ping, from the request for a connection to the answer.
 	pingTimeout = 500 * time.Millisecond
 	// maxGroupsAhead is the number of groups up to which a proxy that starts asks for marks ahead
@@ -105,7 +108,11 @@
 	for _, item := range relay.runningByGroup.InGroup(group.ID()) {
 		running := item.(*task)
 		executing := running.state == taskExecuting || running.state == taskConfirmingPrimary
-		if executing && running.instance == primary.ID() && now-running.sentAt >= maxSilence {
+		limit := maxSilence
+		if running.forwarded {
+			limit = maxForwardedSilence
+		}
+		if executing && running.instance == primary.ID() && now-running.sentAt >= limit {
 			return true
 		}
 	}
--- a/internal/plug/relay/relay.go
+++ b/internal/plug/relay/relay.go
@@ -23,6 +23,7 @@
 	conns          route.Conns
 	admission      route.Admission
 	fleet          route.Fleet
+	forwards       route.Forwards // or nil
 	runningBySeq   map[model.RequestSeq]*task
 	runningByGroup *route.RunningRequests
 	monitors       map[model.GroupID]*monitor
@@ -52,6 +53,7 @@
 		answeredAt:     make(map[model.InstanceID]time.Duration),
 		missingMarks:   make(map[model.InstanceID]missingMark),
 	}
+	relay.forwards, _ = context.Service(route.ForwardsService).(route.Forwards)
 	relay.sessions.RegisterRunner(model.AccessEither, relay)
 	context.Timers().Every(refreshInterval, relay.refreshMarks)
 	return relay
@@ -148,3 +150,8 @@
 	}
 	group.RefutePrimary(instance, relay.context.Now())
 }
+
+// isForwarded reports whether the statements on a connection are forwarded to another proxy.
+func (relay *Relay) isForwarded(conn model.ConnID) bool {
+	return relay.forwards != nil && relay.forwards.Forwards(conn)
+}
--- a/internal/plug/relay/task.go
+++ b/internal/plug/relay/task.go
@@ -49,6 +49,8 @@
 	age            time.Duration // age of after when the instance was chosen
 	sentAt         time.Duration
 	resumed        bool // the statement continues a transaction
+	forwarded      bool // another proxy runs the statement
+	confirmed      bool // the instance confirms that it is the primary with the statement
 	reason         string
 	reran          bool // the read was repeated after an error of the instance
 	retryScheduled bool // the timer of scheduleRetry is running
@@ -158,6 +160,7 @@
 		return
 	}
 	task.conn = tx.Conn()
+	task.forwarded = task.relay.isForwarded(task.conn)
 	if task.isCommit() {
 		task.execute(model.StepCommit)
 		return
@@ -169,7 +172,8 @@
 func (task *task) ConnGranted(conn model.ConnID) {
 	task.waitID = 0
 	task.conn = conn
-	if task.requirement == requireConfirmedPrimary {
+	task.forwarded = task.relay.isForwarded(conn)
+	if task.requirement == requireConfirmedPrimary && !task.forwarded {
 		task.state = taskConfirmingPrimary
 		task.send(model.StepConfirmPrimary, nil)
 		return
@@ -218,6 +222,8 @@
 		Statement: statement,
 		Timeout:   max(minTimeout, task.job.Deadline()-task.sentAt),
 	}
+	task.confirmed = task.forwarded && !task.resumed && task.requirement == requireConfirmedPrimary
+	spec.Confirm = task.confirmed
 	if step != model.StepConfirmPrimary {
 		spec.SendBefore = task.sendBefore()
 	}
@@ -227,9 +233,14 @@
 	task.relay.conns.Execute(task.conn, model.NewWork(spec))
 }
 
-// ConnDenied implements route.ConnUser.
+// ConnDenied implements route.ConnUser. A statement that was forwarded is denied after it was
+// executed; nothing of it ran.
 func (task *task) ConnDenied(denial route.Denial) {
 	task.waitID = 0
+	if tx := task.job.Tx(); tx != nil && task.state == taskExecuting {
+		tx.Restart()
+	}
+	task.conn = 0
 	if denial.Code == codes.NoReplica {
 		task.relay.recordFailure(task.instance)
 		task.retryElsewhere(denial.Reason)
--- a/internal/plug/tally/tally.go
+++ b/internal/plug/tally/tally.go
@@ -113,6 +113,13 @@
 		return count.PeerMessages, true
 	case event.TermChanged:
 		return count.Terms, true
+	case event.ForwardReceived:
+		return count.ForwardsReceived, true
+	case event.ForwardFailed:
+		if received.NotRun() {
+			return count.ForwardsNotRun, true
+		}
+		return count.ForwardsLost, true
 	default:
 		return 0, false
 	}
--- a/internal/proof/city/capacity.go
+++ b/internal/proof/city/capacity.go
@@ -18,6 +18,7 @@
 	running    int
 	conns      int
 	opened     int // connections since the start
+	statements int // of callers since the start
 	waiting    []func()
 	// busy is the sum of the times for which slots were held.
 	busy time.Duration
--- a/internal/proof/city/conn.go
+++ b/internal/proof/city/conn.go
@@ -12,6 +12,7 @@
 	proxy     *proxy
 	id        model.ConnID
 	instance  *instance
+	team      model.TeamName
 	closed    bool
 	inTx      bool
 	readWrite bool  // whether the open transaction may write
@@ -34,7 +35,7 @@
 	default:
 		capacity.conns++
 		capacity.opened++
-		proxy.conns[action.Conn()] = &conn{proxy: proxy, id: action.Conn(), instance: instance}
+		proxy.conns[action.Conn()] = &conn{proxy: proxy, id: action.Conn(), instance: instance, team: action.Team()}
 		if capacity.handshake == 0 {
 			proxy.post(defaultConnectTime, event.NewConnOpened(action.Conn()))
 			return
@@ -142,6 +143,7 @@
 		return
 	}
 	statement, _ := work.Statement().(*payload)
+	conn.countStatement(statement)
 	if work.Step() == model.StepFirst {
 		if !conn.begin(action) {
 			return
@@ -175,6 +177,18 @@
 	}
 }
 
+// countStatement counts a statement of a caller, and reports a violation if it is not one of the
+// connection's team.
+func (conn *conn) countStatement(statement *payload) {
+	if statement == nil {
+		return
+	}
+	conn.instance.capacity.statements++
+	if statement.team != conn.team {
+		conn.instance.simulation.oracle.reportViolation("a statement of team %q ran on a connection of team %q", statement.team, conn.team)
+	}
+}
+
 // hold holds a slot of the instance for a time and then calls done, unless the connection
 // was closed meanwhile.
 func (conn *conn) hold(action event.Execute, span time.Duration, done func()) {
--- a/internal/proof/city/experiment.go
+++ b/internal/proof/city/experiment.go
@@ -19,6 +19,8 @@
 	membershipTime = 3 * time.Second
 	// defaultDrainTime is the time after the last arrival in which operations may end.
 	defaultDrainTime = 12 * time.Second
+	// largeProxies is the number of proxies of a data centre with more cores, where there are teams.
+	largeProxies = 2
 	// maxLatency is the upper bound of the latency histograms.
 	maxLatency = time.Minute
 )
@@ -57,6 +59,19 @@
 	// The results count the operations that arrive from CountFrom to CountUntil after the
 	// first arrival; a CountUntil of 0 counts all.
 	CountFrom, CountUntil time.Duration
+	// Teams is the number of teams, or 0 if callers need no keys. The share of the n-th team is
+	// proportional to n to the power of -TeamSkew.
+	Teams    int
+	TeamSkew float64
+	// FloodTeam sends FloodRate more operations a second from FloodFrom to FloodUntil. The results
+	// do not count its operations. A FloodTeam of 0 sends none.
+	FloodTeam             int
+	FloodRate             float64
+	FloodFrom, FloodUntil time.Duration
+	// All proxies are suspended FreezeAt after the first arrival for FreezeSpan.
+	FreezeAt, FreezeSpan time.Duration
+	// ConnHolders lets few proxies hold the connections of an instance for all others.
+	ConnHolders bool
 	// Policy holds the parameters of the admission of each proxy.
 	Policy limit.Policy
 }
@@ -78,6 +93,10 @@
 // Result is the result of an experiment.
 type Result struct {
 	Kinds []*KindResult
+	// Statements is the number of statements that the instances ran for callers.
+	Statements int
+	// Violations are the guarantees that were violated.
+	Violations []string
 	// Opened is the number of connections that the instances opened.
 	Opened int
 	// Reasons is the number of attempts that the proxies refused, by the reason that they
@@ -108,6 +127,8 @@
 	}
 	result.Bound += other.Bound
 	result.Opened += other.Opened
+	result.Statements += other.Statements
+	result.Violations = append(result.Violations, other.Violations...)
 }
 
 func (kindResult *KindResult) add(other *KindResult) {
@@ -134,16 +155,7 @@
 // Experiment plays a load and returns what the callers got. The result depends on the load
 // and its seed only.
 func Experiment(spec Load) Result {
-	simulation := newEmptySimulation(spec.Seed, spec.catalog(), spec.factories())
-	for zone, count := range spec.ProxiesByZone {
-		for range count {
-			simulation.addProxy("proxy-"+strconv.Itoa(len(simulation.proxies)), zoneName(zone))
-		}
-	}
-	for index, instance := range simulation.instances {
-		instance.dataCenter = zoneName(index % len(spec.ProxiesByZone))
-		instance.capacity = capacity{slots: spec.Slots, queueLimit: spec.QueueLimit, maxConns: spec.MaxConns, handshake: spec.Handshake}
-	}
+	simulation := spec.newSimulation()
 	load := &load{simulation: simulation, spec: spec, random: rand.New(rand.NewPCG(spec.Seed, 0))}
 	for index := range spec.Kinds {
 		load.results = append(load.results, &KindResult{
@@ -158,6 +170,12 @@
 	load.until = simulation.now + spec.Span
 	simulation.runAfter(spec.LagFrom, func() { simulation.setApplyDelay(spec.ApplyDelay) })
 	simulation.runAfter(spec.LagUntil, func() { simulation.setApplyDelay(0) })
+	if spec.FreezeSpan > 0 {
+		simulation.runAfter(spec.FreezeAt, load.freezeProxies)
+	}
+	if spec.FloodTeam > 0 {
+		simulation.runAfter(spec.FloodFrom, load.flood)
+	}
 	if spec.RestartSpan > 0 {
 		simulation.runAfter(spec.RestartAt, load.killProxies)
 	}
@@ -174,10 +192,37 @@
 	result.Reasons = simulation.refusals
 	for _, instance := range simulation.instances {
 		result.Opened += instance.capacity.opened
+		result.Statements += instance.capacity.statements
 	}
+	result.Violations = simulation.oracle.violations
 	return result
 }
 
+// newSimulation returns the proxies and instances of the load.
+func (spec Load) newSimulation() *simulation {
+	simulation := newEmptySimulation(spec.Seed, spec.catalog(), nil)
+	simulation.factories = spec.factories(simulation)
+	simulation.connHolders, simulation.meshed = spec.ConnHolders, spec.Teams > 0
+	for zone, count := range spec.ProxiesByZone {
+		for index := range count {
+			simulation.addProxy("proxy-"+strconv.Itoa(len(simulation.proxies)), zoneName(zone))
+			if spec.Teams > 0 {
+				added := simulation.proxies[len(simulation.proxies)-1]
+				added.cores = 0.192
+				if index < largeProxies {
+					added.cores = 0.8
+				}
+				added.reset()
+			}
+		}
+	}
+	for index, instance := range simulation.instances {
+		instance.dataCenter = zoneName(index % len(spec.ProxiesByZone))
+		instance.capacity = capacity{slots: spec.Slots, queueLimit: spec.QueueLimit, maxConns: spec.MaxConns, handshake: spec.Handshake}
+	}
+	return simulation
+}
+
 // usableSlots returns the number of slots that can serve the load.
 func (spec Load) usableSlots() int {
 	for _, kind := range spec.Kinds {
@@ -212,12 +257,16 @@
 			SeesOwnWrites: kind.SeesOwnWrites,
 		}))
 	}
-	return newCatalog(deployments, spec.MaxConns)
+	return newCatalog(deployments, spec.MaxConns).WithTeams(newTeams(spec.Teams))
 }
 
 // factories returns the plug-ins of each proxy.
-func (spec Load) factories() []kern.Factory {
-	return kern.Factories(kern.ProfileHosted, map[string]kern.Factory{
+func (spec Load) factories(simulation *simulation) []kern.Factory {
+	replaced := map[string]kern.Factory{
 		"limit": func(context *kern.Context) kern.Plugin { return limit.NewWithPolicy(context, spec.Policy) },
-	})
+	}
+	if spec.Teams > 0 {
+		replaced["fleet"] = func(context *kern.Context) kern.Plugin { return newMembers(context, simulation) }
+	}
+	return kern.Factories(kern.ProfileHosted, replaced)
 }
--- a/internal/proof/city/instance.go
+++ b/internal/proof/city/instance.go
@@ -116,6 +116,7 @@
 	check *readCheck
 	// work is how long the statement holds a slot; 0 selects readTime or writeTime.
 	work time.Duration
+	team model.TeamName // of the caller
 }
 
 func (payload *payload) workOr(fallback time.Duration) time.Duration {
--- a/internal/proof/city/load.go
+++ b/internal/proof/city/load.go
@@ -57,6 +57,7 @@
 	results    []*KindResult
 	operations []*operation
 	lastCaller model.CallerID
+	teamShares []float64 // cumulated
 }
 
 // operation is one operation of a caller, which may take several attempts.
@@ -65,6 +66,8 @@
 	kind       *LoadKind
 	result     *KindResult
 	zone       int
+	team       int  // from 1, or 0 if there are no teams
+	uncounted  bool // in the results
 	statements []statementSpec
 	inTx       bool
 	arrived    time.Duration
@@ -119,6 +122,9 @@
 		arrived: load.simulation.now,
 		inTx:    random.Float64() < kind.Transactions,
 	}
+	if load.spec.Teams > 0 {
+		added.team = load.drawTeam()
+	}
 	count, writes := 1, random.Float64() < kind.Writes
 	if added.inTx {
 		count += random.IntN(maxTxStatements)
@@ -144,6 +150,9 @@
 func (operation *operation) counts() bool {
 	spec := &operation.load.spec
 	after := operation.arrived - (operation.load.until - spec.Span)
+	if operation.uncounted {
+		return false
+	}
 	return spec.CountUntil == 0 || after >= spec.CountFrom && after < spec.CountUntil
 }
 
@@ -172,7 +181,7 @@
 	load.lastCaller++
 	operation.caller = load.lastCaller
 	operation.next = 0
-	chosen.post(networkDelay, event.NewCallerOpened(operation.caller, operation.kind.Name, ""))
+	chosen.post(networkDelay, event.NewCallerOpened(operation.caller, operation.kind.Name, "").WithKey(teamKey(operation.team)))
 	if operation.inTx {
 		operation.send(model.RequestSpec{Op: model.OpBegin, ReadOnly: !operation.statements[0].writes}, func(*model.Reply) { operation.sendNext() })
 		return
@@ -276,7 +285,7 @@
 			return
 		}
 		operation.unsafe = operation.statements[0].writes
-		operation.send(model.RequestSpec{Op: model.OpCommit, Statement: &payload{work: commitWork}}, func(reply *model.Reply) {
+		operation.send(model.RequestSpec{Op: model.OpCommit, Statement: &payload{work: commitWork, team: teamName(operation.team)}}, func(reply *model.Reply) {
 			if reply.Code() != codes.OK {
 				operation.failed(reply)
 				return
@@ -288,7 +297,7 @@
 	statement := operation.statements[operation.next]
 	operation.next++
 	operation.unsafe = statement.writes && !operation.inTx
-	body := &payload{work: statement.work, check: &readCheck{oracle: operation.load.simulation.oracle}}
+	body := &payload{work: statement.work, check: &readCheck{oracle: operation.load.simulation.oracle}, team: teamName(operation.team)}
 	if statement.writes {
 		oracle := operation.load.simulation.oracle
 		oracle.lastWrite++
--- a/internal/proof/city/loads.go
+++ b/internal/proof/city/loads.go
@@ -22,6 +22,9 @@
 		{"overloaded_group", "the replicas keep up, the group gets 1.3 times what it can do", overloadedGroup},
 		{"burst", "2.4 times the rate for 3 s", burst},
 		{"many_proxies", "64 proxies share 46 connections of an instance", manyProxies},
+		{"many_teams", "69 proxies share 58 connections of an instance, each of which belongs to one of 77 teams", ManyTeams},
+		{"many_teams_flood", "many_teams, and one team sends 60 more operations a second for 6 s", manyTeamsFlood},
+		{"many_teams_silence", "many_teams, and all proxies are suspended for 4 s", manyTeamsSilence},
 		{"return_of_power", "all proxies lose power for 1 s, their old connections linger for 3 s", returnOfPower},
 	}
 }
@@ -93,6 +96,55 @@
 	return load
 }
 
+// ManyTeams is a load of many teams on many proxies that share few connections.
+func ManyTeams(seed uint64) Load {
+	return Load{
+		Seed: seed,
+		Rate: 170,
+		Span: 20 * time.Second,
+		Kinds: []LoadKind{
+			{
+				Name: "renew", Share: 0.13, Writes: 0.35, Transactions: 0.25, Work: 8 * time.Millisecond, Priority: 0,
+				Target: 250 * time.Millisecond, Deadline: 1200 * time.Millisecond, Timeout: time.Second, Retries: 2,
+			},
+			{
+				Name: "view", Share: 0.24, Transactions: 0.1, Work: 40 * time.Millisecond, Priority: 2,
+				Target: 1200 * time.Millisecond, Deadline: 4 * time.Second, Timeout: 2 * time.Second, Retries: 2,
+				Staleness: 1500 * time.Millisecond,
+			},
+			{
+				Name: "track", Share: 0.63, Writes: 0.12, Transactions: 0.12, Work: 24 * time.Millisecond, Priority: 1,
+				Target: 500 * time.Millisecond, Deadline: 1200 * time.Millisecond, Timeout: time.Second, Retries: 2,
+				Staleness: 2500 * time.Millisecond, SeesOwnWrites: true,
+			},
+		},
+		ProxiesByZone: []int{25, 21, 23},
+		Slots:         5,
+		QueueLimit:    40,
+		MaxConns:      58,
+		Handshake:     12 * time.Millisecond,
+		ApplyDelay:    12 * time.Millisecond,
+		LagUntil:      20 * time.Second,
+		Teams:         77,
+		TeamSkew:      1.2,
+		Policy:        limit.DefaultPolicy(),
+	}
+}
+
+func manyTeamsFlood(seed uint64) Load {
+	load := ManyTeams(seed)
+	load.FloodTeam, load.FloodRate, load.FloodFrom, load.FloodUntil = 5, 60, 6*time.Second, 12*time.Second
+	load.CountFrom, load.CountUntil = 6*time.Second, 12*time.Second
+	return load
+}
+
+func manyTeamsSilence(seed uint64) Load {
+	load := ManyTeams(seed)
+	load.FreezeAt, load.FreezeSpan = 6*time.Second, 4*time.Second
+	load.CountFrom, load.CountUntil = 9*time.Second, 14*time.Second
+	return load
+}
+
 func returnOfPower(seed uint64) Load {
 	load := RecallLoad(seed)
 	load.RestartAt, load.RestartSpan, load.LingerSpan = 5*time.Second, time.Second, 3*time.Second
--- a/internal/proof/city/oracle.go
+++ b/internal/proof/city/oracle.go
@@ -126,14 +126,20 @@
 	kernel    any // the kernel of the proxy when the session was opened
 	id        model.CallerID
 	kind      string
+	team      int // from 1, or 0 if there are no teams
 	busy      bool
 	inTx      bool
 	lastAcked int // the last write that was reported to the session as done
 }
 
 func (simulation *simulation) openSession(proxy *proxy, kind string) *session {
-	session := &session{proxy: proxy, kernel: proxy.kernel, id: model.CallerID(simulation.random.Uint64()>>1 + 1), kind: kind}
-	proxy.post(networkDelay, event.NewCallerOpened(session.id, kind, ""))
+	return simulation.openTeamSession(proxy, kind, 0)
+}
+
+// openTeamSession opens a session of a caller of a team.
+func (simulation *simulation) openTeamSession(proxy *proxy, kind string, team int) *session {
+	session := &session{proxy: proxy, kernel: proxy.kernel, id: model.CallerID(simulation.random.Uint64()>>1 + 1), kind: kind, team: team}
+	proxy.post(networkDelay, event.NewCallerOpened(session.id, kind, "").WithKey(teamKey(team)))
 	return session
 }
 
@@ -178,7 +184,7 @@
 	oracle := session.proxy.simulation.oracle
 	oracle.requested++
 	check := &readCheck{oracle: oracle, kind: session.kind, required: session.requiredWrites()}
-	session.send(model.RequestSpec{Op: model.OpStatement, Statement: &payload{check: check}}, func(reply *model.Reply) {
+	session.send(model.RequestSpec{Op: model.OpStatement, Statement: &payload{check: check, team: teamName(session.team)}}, func(reply *model.Reply) {
 		if reply.Code() == codes.OK {
 			oracle.served++
 		}
@@ -190,7 +196,7 @@
 	oracle.requested++
 	oracle.lastWrite++
 	write := oracle.lastWrite
-	spec := model.RequestSpec{Op: model.OpStatement, Writes: true, Statement: &payload{write: write}}
+	spec := model.RequestSpec{Op: model.OpStatement, Writes: true, Statement: &payload{write: write, team: teamName(session.team)}}
 	session.send(spec, func(reply *model.Reply) { session.recordResult([]int{write}, reply) })
 }
 
@@ -201,11 +207,11 @@
 	writes := []int{oracle.lastWrite + 1, oracle.lastWrite + 2}
 	oracle.lastWrite += 2
 	statement := func(write int, next func(reply *model.Reply)) {
-		spec := model.RequestSpec{Op: model.OpStatement, Writes: true, Statement: &payload{write: write}}
+		spec := model.RequestSpec{Op: model.OpStatement, Writes: true, Statement: &payload{write: write, team: teamName(session.team)}}
 		session.send(spec, next)
 	}
 	commit := func(*model.Reply) {
-		session.send(model.RequestSpec{Op: model.OpCommit, Statement: &payload{}}, func(reply *model.Reply) { session.recordResult(writes, reply) })
+		session.send(model.RequestSpec{Op: model.OpCommit, Statement: &payload{team: teamName(session.team)}}, func(reply *model.Reply) { session.recordResult(writes, reply) })
 	}
 	session.send(model.RequestSpec{Op: model.OpBegin}, func(*model.Reply) {
 		statement(writes[0], func(reply *model.Reply) {
--- a/internal/proof/city/proxy.go
+++ b/internal/proof/city/proxy.go
@@ -19,8 +19,9 @@
 	dataCenter       model.DataCenter
 	kernel           *kern.Kernel
 	started          time.Duration
-	frozen           bool          // the process is suspended
-	down             bool          // the process does not run
+	frozen           bool // the process is suspended
+	down             bool // the process does not run
+	downSince        time.Duration
 	storeUnreachable bool          // the store is unavailable to this proxy only
 	queuedEvents     []event.Event // received while frozen
 	conns            map[model.ConnID]*conn
@@ -34,6 +35,11 @@
 	pendingPolls     map[model.PollID]bool
 	receivedPolls    map[model.PollID]receivedPoll
 	lastPoll         model.PollID
+	pendingForwards  map[model.ForwardID]bool
+	receivedForwards map[model.ForwardID]receivedForward
+	lastForward      model.ForwardID
+	oldBuild         bool // does not know the calls that forward statements
+	losesAnswers     bool // its answers to forwarded statements are lost
 }
 
 // reset replaces the process by a new one without state.
@@ -45,11 +51,14 @@
 	if lists := proxy.simulation.listSettings; lists != nil {
 		spec.ListWait, spec.SharedListWait, spec.MaxListAge = lists.wait, lists.sharedWait, lists.maxAge
 	}
+	spec.ConnHolders = proxy.simulation.connHolders && !proxy.oldBuild
 	self := model.NewProxyView(model.ProxyID(proxy.name), address, proxy.dataCenter, 0, false, 0).WithCores(proxy.cores)
 	seed := proxy.simulation.random.Uint64()
 	proxy.kernel = kern.NewWithFactories(self, tune.New(spec), time.Unix(0, 0), seed, proxy.simulation.factories...)
 	proxy.pendingPolls = make(map[model.PollID]bool)
 	proxy.receivedPolls = make(map[model.PollID]receivedPoll)
+	proxy.pendingForwards = make(map[model.ForwardID]bool)
+	proxy.receivedForwards = make(map[model.ForwardID]receivedForward)
 	proxy.started = proxy.simulation.now
 	proxy.conns = make(map[model.ConnID]*conn)
 	proxy.pendingReplies = make(map[model.RequestSeq]func(reply *model.Reply))
@@ -70,6 +79,7 @@
 
 // kill ends the process. Its connections are lost and their transactions rolled back.
 func (proxy *proxy) kill() {
+	proxy.breakForwards()
 	for _, conn := range proxy.conns {
 		conn.closed = true
 		conn.end()
@@ -88,7 +98,10 @@
 }
 
 // newSessionCatalog returns one deployment per kind of session.
-func newSessionCatalog() event.CatalogListed {
+func newSessionCatalog() event.CatalogListed { return newSessionCatalogOf(34) }
+
+// newSessionCatalogOf returns the same with instances that accept the given number of connections.
+func newSessionCatalogOf(maxConns int) event.CatalogListed {
 	kinds := []model.KindSpec{
 		{Name: "primary"},
 		{Name: "bounded", Staleness: maxStaleness},
@@ -99,7 +112,7 @@
 		spec.Timeout = requestTimeout
 		deployments = append(deployments, newDeployment(0, spec))
 	}
-	return newCatalog(deployments, 34)
+	return newCatalog(deployments, maxConns)
 }
 
 // newDeployment returns a deployment of one kind, for the group of the simulation.
@@ -245,6 +258,16 @@
 		proxy.sendPoll(action)
 	case event.AnswerPoll:
 		proxy.returnPoll(action.ID(), func(id model.PollID) event.Event { return event.NewPollAnswered(id, action.Reply()) })
+	case event.Forward:
+		proxy.sendForward(action)
+	case event.EndForward:
+		proxy.sendEndForward(action)
+	case event.AnswerForward:
+		proxy.returnForward(action.ID(), func(id model.ForwardID) event.Event { return event.NewForwardAnswered(id, action.Reply()) })
+	case event.RefuseForward:
+		proxy.returnForward(action.ID(), func(id model.ForwardID) event.Event {
+			return event.NewForwardFailed(id, true, action.Code().String())
+		})
 	case event.RefusePoll:
 		proxy.returnPoll(action.ID(), func(id model.PollID) event.Event { return event.NewPollFailed(id, true, action.Code().String()) })
 	}
--- a/internal/proof/city/simulation.go
+++ b/internal/proof/city/simulation.go
@@ -67,6 +67,7 @@
 	term           model.Term
 	store          *store
 	meshed         bool          // proxies can call each other
+	connHolders    bool          // few proxies hold the connections of an instance for all
 	listSettings   *listSettings // of proxies that follow the lists in the store, or nil
 	// latePromotionShare is the share of promotion calls that time out and are executed seconds later.
 	latePromotionShare float64
@@ -80,6 +81,10 @@
 	oracle    *oracle
 	logLines  []string       // the decisions that the proxies logged, except those about single requests
 	refusals  map[string]int // refused requests by the reason that the proxies logged
+	// isUnseen reports that a proxy does not know that another one lives. It may be nil.
+	isUnseen func(viewer model.ProxyID, proxy *proxy) bool
+	// complaints are the instances that are unusable, by the proxies that say so.
+	complaints map[model.InstanceID]map[model.ProxyID]bool
 }
 
 // newSimulation returns a simulation of the given number of proxies.
@@ -95,8 +100,11 @@
 // newEmptySimulation returns a simulation without proxies.
 func newEmptySimulation(seed uint64, catalog event.CatalogListed, factories []kern.Factory) *simulation {
 	simulation := &simulation{
-		random:    rand.New(rand.NewPCG(seed, seed)),
-		refusals:  make(map[string]int),
+		random:   rand.New(rand.NewPCG(seed, seed)),
+		refusals: make(map[string]int),
+
+		complaints: make(map[model.InstanceID]map[model.ProxyID]bool),
+
 		term:      1,
 		catalog:   catalog,
 		factories: factories,
@@ -116,6 +124,10 @@
 	simulation.proxies = append(simulation.proxies, added)
 }
 
+func (simulation *simulation) unseen(viewer model.ProxyID, proxy *proxy) bool {
+	return simulation.isUnseen != nil && simulation.isUnseen(viewer, proxy)
+}
+
 // start starts all proxies and the replication.
 func (simulation *simulation) start() {
 	for _, proxy := range simulation.proxies {
--- a/internal/proto/meshpb/mesh.connect.go
+++ b/internal/proto/meshpb/mesh.connect.go
@@ -38,6 +38,10 @@
 	MeshServicePollProcedure = "/almondway.mesh.v1.MeshService/Poll"
 	// MeshServiceBorrowProcedure is the fully-qualified name of the MeshService's Borrow RPC.
 	MeshServiceBorrowProcedure = "/almondway.mesh.v1.MeshService/Borrow"
+	// MeshServiceForwardProcedure is the fully-qualified name of the MeshService's Forward RPC.
+	MeshServiceForwardProcedure = "/almondway.mesh.v1.MeshService/Forward"
+	// MeshServiceEndForwardProcedure is the fully-qualified name of the MeshService's EndForward RPC.
+	MeshServiceEndForwardProcedure = "/almondway.mesh.v1.MeshService/EndForward"
 )
 
 // MeshServiceClient is a client for the almondway.mesh.v1.MeshService service.
@@ -49,6 +53,13 @@
 	// Borrow asks for tokens of teams, each of which allows one operation. The receiver answers at
 	// once.
 	Borrow(context.Context, *connect.Request[BorrowRequest]) (*connect.Response[BorrowResponse], error)
+	// Forward asks the receiver, which holds connections to an instance, to run a statement. An error
+	// with one of the codes FAILED_PRECONDITION, INVALID_ARGUMENT, RESOURCE_EXHAUSTED and
+	// UNIMPLEMENTED that the receiver sends states that it ran nothing.
+	Forward(context.Context, *connect.Request[ForwardRequest]) (*connect.Response[ForwardResponse], error)
+	// EndForward rolls back a transaction or gives up a statement that was forwarded. The receiver
+	// answers at once.
+	EndForward(context.Context, *connect.Request[EndForwardRequest]) (*connect.Response[EndForwardResponse], error)
 }
 
 // NewMeshServiceClient constructs a client for the almondway.mesh.v1.MeshService service. By
@@ -74,13 +85,27 @@
 			connect.WithSchema(meshServiceMethods.ByName("Borrow")),
 			connect.WithClientOptions(opts...),
 		),
+		forward: connect.NewClient[ForwardRequest, ForwardResponse](
+			httpClient,
+			baseURL+MeshServiceForwardProcedure,
+			connect.WithSchema(meshServiceMethods.ByName("Forward")),
+			connect.WithClientOptions(opts...),
+		),
+		endForward: connect.NewClient[EndForwardRequest, EndForwardResponse](
+			httpClient,
+			baseURL+MeshServiceEndForwardProcedure,
+			connect.WithSchema(meshServiceMethods.ByName("EndForward")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // meshServiceClient implements MeshServiceClient.
 type meshServiceClient struct {
-	poll   *connect.Client[PollRequest, PollResponse]
-	borrow *connect.Client[BorrowRequest, BorrowResponse]
+	poll       *connect.Client[PollRequest, PollResponse]
+	borrow     *connect.Client[BorrowRequest, BorrowResponse]
+	forward    *connect.Client[ForwardRequest, ForwardResponse]
+	endForward *connect.Client[EndForwardRequest, EndForwardResponse]
 }
 
 // Poll calls almondway.mesh.v1.MeshService.Poll.
@@ -93,6 +118,16 @@
 	return c.borrow.CallUnary(ctx, req)
 }
 
+// Forward calls almondway.mesh.v1.MeshService.Forward.
+func (c *meshServiceClient) Forward(ctx context.Context, req *connect.Request[ForwardRequest]) (*connect.Response[ForwardResponse], error) {
+	return c.forward.CallUnary(ctx, req)
+}
+
+// EndForward calls almondway.mesh.v1.MeshService.EndForward.
+func (c *meshServiceClient) EndForward(ctx context.Context, req *connect.Request[EndForwardRequest]) (*connect.Response[EndForwardResponse], error) {
+	return c.endForward.CallUnary(ctx, req)
+}
+
 // MeshServiceHandler is an implementation of the almondway.mesh.v1.MeshService service.
 type MeshServiceHandler interface {
 	// Poll asks for what the sender lacks of the receiver's members and lists. The receiver holds
@@ -102,6 +137,13 @@
 	// Borrow asks for tokens of teams, each of which allows one operation. The receiver answers at
 	// once.
 	Borrow(context.Context, *connect.Request[BorrowRequest]) (*connect.Response[BorrowResponse], error)
+	// Forward asks the receiver, which holds connections to an instance, to run a statement. An error
+	// with one of the codes FAILED_PRECONDITION, INVALID_ARGUMENT, RESOURCE_EXHAUSTED and
+	// UNIMPLEMENTED that the receiver sends states that it ran nothing.
+	Forward(context.Context, *connect.Request[ForwardRequest]) (*connect.Response[ForwardResponse], error)
+	// EndForward rolls back a transaction or gives up a statement that was forwarded. The receiver
+	// answers at once.
+	EndForward(context.Context, *connect.Request[EndForwardRequest]) (*connect.Response[EndForwardResponse], error)
 }
 
 // NewMeshServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -123,12 +165,28 @@
 		connect.WithSchema(meshServiceMethods.ByName("Borrow")),
 		connect.WithHandlerOptions(opts...),
 	)
+	meshServiceForwardHandler := connect.NewUnaryHandler(
+		MeshServiceForwardProcedure,
+		svc.Forward,
+		connect.WithSchema(meshServiceMethods.ByName("Forward")),
+		connect.WithHandlerOptions(opts...),
+	)
+	meshServiceEndForwardHandler := connect.NewUnaryHandler(
+		MeshServiceEndForwardProcedure,
+		svc.EndForward,
+		connect.WithSchema(meshServiceMethods.ByName("EndForward")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/almondway.mesh.v1.MeshService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case MeshServicePollProcedure:
 			meshServicePollHandler.ServeHTTP(w, r)
 		case MeshServiceBorrowProcedure:
 			meshServiceBorrowHandler.ServeHTTP(w, r)
+		case MeshServiceForwardProcedure:
+			meshServiceForwardHandler.ServeHTTP(w, r)
+		case MeshServiceEndForwardProcedure:
+			meshServiceEndForwardHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -145,3 +203,11 @@
 func (UnimplementedMeshServiceHandler) Borrow(context.Context, *connect.Request[BorrowRequest]) (*connect.Response[BorrowResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("almondway.mesh.v1.MeshService.Borrow is not implemented"))
 }
+
+func (UnimplementedMeshServiceHandler) Forward(context.Context, *connect.Request[ForwardRequest]) (*connect.Response[ForwardResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("almondway.mesh.v1.MeshService.Forward is not implemented"))
+}
+
+func (UnimplementedMeshServiceHandler) EndForward(context.Context, *connect.Request[EndForwardRequest]) (*connect.Response[EndForwardResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("almondway.mesh.v1.MeshService.EndForward is not implemented"))
+}
