holder: newest marks with the answers, and tests of both ends

Cause: a proxy that reads a little of each group asked its primary for marks, each time on a connection of its own.

Change: the answer to a forwarded statement carries the newest mark that the holder knows, as a lender's answer does. Tests of the holder and of the forwarding proxy cover the rows of the failure table that the load model cannot tell apart.

--- a/internal/core/model/forward.go
+++ b/internal/core/model/forward.go
@@ -136,6 +136,8 @@
 	Answer     Payload
 	Tx         ForwardTx
 	Held       time.Duration
+	// Newest is the newest known mark of the group, or zero.
+	Newest GroupMark
 }
 
 // ForwardReply is the answer to a Forward. It is immutable.
@@ -173,3 +175,7 @@
 
 // Held returns how long the statement held a slot of the instance.
 func (reply *ForwardReply) Held() time.Duration { return reply.spec.Held }
+
+// Newest returns the newest mark that the other proxy knows of the group of the instance. Its Mark
+// is zero if there is none.
+func (reply *ForwardReply) Newest() GroupMark { return reply.spec.Newest }
--- a/internal/edge/mesh/borrow.go
+++ b/internal/edge/mesh/borrow.go
@@ -77,16 +77,20 @@
 		})
 	}
 	for _, shared := range action.Marks() {
-		response.Marks = append(response.Marks, &meshpb.GroupMark{
-			Group:    string(shared.Group()),
-			Term:     uint64(shared.Mark().Term()),
-			Position: uint64(shared.Mark().Position()),
-			AgeUs:    uint32(shared.Age()/time.Microsecond) + 1, // rounded up
-		})
+		response.Marks = append(response.Marks, encodeGroupMark(shared))
 	}
 	mesh.finish(uint64(action.ID()), answer{response: response})
 }
 
+func encodeGroupMark(shared model.GroupMark) *meshpb.GroupMark {
+	return &meshpb.GroupMark{
+		Group:    string(shared.Group()),
+		Term:     uint64(shared.Mark().Term()),
+		Position: uint64(shared.Mark().Position()),
+		AgeUs:    uint32(shared.Age()/time.Microsecond) + 1, // rounded up
+	}
+}
+
 // RefuseBorrow implements port.Mesh.
 func (mesh *Mesh) RefuseBorrow(action event.RefuseBorrow) {
 	mesh.finish(uint64(action.ID()), answer{code: action.Code()})
--- a/internal/edge/mesh/convertforward.go
+++ b/internal/edge/mesh/convertforward.go
@@ -152,6 +152,10 @@
 		Transaction: encodeTx(reply.Tx()),
 		HeldUs:      uint32(min(max(0, reply.Held()/time.Microsecond), math.MaxUint32)),
 	}
+	if newest := reply.Newest(); !newest.Mark().IsZero() {
+		response.NewestMark = encodeGroupMark(newest)
+		response.NewestMark.Group = ""
+	}
 	switch reply.Outcome() {
 	case model.ForwardDenied:
 		response.Denial = &meshpb.Denial{Code: uint32(reply.Code()), Reason: reply.Reason(), RetryAfterMs: milliseconds(reply.RetryAfter())}
@@ -174,6 +178,10 @@
 		Tx:   decodeTx(response.GetTransaction()),
 		Held: time.Duration(response.GetHeldUs()) * time.Microsecond,
 	}
+	if newest := response.GetNewestMark(); newest != nil {
+		mark := model.NewMark(model.Term(newest.GetTerm()), model.Position(newest.GetPosition()))
+		spec.Newest = model.NewGroupMark("", mark, time.Duration(newest.GetAgeUs())*time.Microsecond)
+	}
 	switch {
 	case response.GetDenial() != nil:
 		spec.Outcome = model.ForwardDenied
--- a/internal/edge/mesh/forward_test.go
+++ b/internal/edge/mesh/forward_test.go
@@ -83,7 +83,7 @@
 func TestForwardAndReply(t *testing.T) {
 	replies := []model.ForwardReplySpec{
 		{Outcome: model.ForwardDone, Mark: model.NewMark(2, 32), Answer: text("row"), Tx: model.NewForwardTx(9, 5), Held: 8 * time.Millisecond},
-		{Outcome: model.ForwardDone, Answer: text("")},
+		{Outcome: model.ForwardDone, Answer: text(""), Newest: model.NewGroupMark("", model.NewMark(2, 30), 40500*time.Microsecond)},
 		{Outcome: model.ForwardFailed, Class: model.FailureNotSent},
 		{Outcome: model.ForwardFailed, Class: model.FailureStatement, Answer: text("error"), Mark: model.NewMark(1, 1)},
 		{Outcome: model.ForwardFailed, Class: model.FailureLost, Held: time.Millisecond},
@@ -104,6 +104,8 @@
 		receiver.AnswerForward(event.NewAnswerForward(received.ID(), model.NewForwardReply(reply)))
 		answered := callerInbox.next(t).(event.ForwardAnswered)
 		is.Equal(answered.ID(), model.ForwardID(3))
+		is.True(answered.Reply().Newest().Age() >= reply.Newest.Age()) // never younger than it was
+		reply.Newest = answered.Reply().Newest()
 		is.Equal(answered.Reply(), model.NewForwardReply(reply))
 	}
 }
--- a/internal/plug/holder/holder.go
+++ b/internal/plug/holder/holder.go
@@ -88,6 +88,7 @@
 	case event.ForwardAnswered:
 		if call := holder.finishCall(received.ID()); call != nil {
 			call.peer.recordAnswer(holder.context.Now())
+			call.lease.learnMark(received.Reply().Newest(), call.sentAt)
 			call.lease.handleReply(received.Reply())
 		}
 	case event.ForwardFailed:
--- /dev/null
+++ b/internal/plug/holder/holder_test.go
@@ -0,0 +1,487 @@
+package holder
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"almondway.dev/almondway/internal/core/codes"
+	"almondway.dev/almondway/internal/core/event"
+	"almondway.dev/almondway/internal/core/kern"
+	"almondway.dev/almondway/internal/core/model"
+	"almondway.dev/almondway/internal/core/route"
+	"almondway.dev/almondway/internal/core/tune"
+)
+
+const (
+	instance = model.InstanceID("i-1")
+	secret   = "secret"
+	maxAge   = 5 * time.Second
+)
+
+type text string
+
+// Size implements model.Payload.
+func (text text) Size() int { return len(text) }
+
+// fakeConns is a pool that grants a connection when the test says so.
+type fakeConns struct {
+	route.Conns
+	users    []route.ConnUser // that wait
+	canceled int
+	lastConn model.ConnID
+	granted  map[model.ConnID]route.ConnUser
+	works    []*model.Work
+	released map[model.ConnID]bool // dirty
+	discards int
+}
+
+// Acquire implements route.Conns.
+func (conns *fakeConns) Acquire(_ route.SlotRequest, user route.ConnUser) route.WaitID {
+	conns.users = append(conns.users, user)
+	return route.WaitID(len(conns.users))
+}
+
+// CancelWait implements route.Conns.
+func (conns *fakeConns) CancelWait(route.WaitID) { conns.canceled++ }
+
+// Execute implements route.Conns.
+func (conns *fakeConns) Execute(_ model.ConnID, work *model.Work) {
+	conns.works = append(conns.works, work)
+}
+
+// Park implements route.Conns.
+func (conns *fakeConns) Park(model.ConnID) {}
+
+// Resume implements route.Conns.
+func (conns *fakeConns) Resume(conn model.ConnID, user route.ConnUser) bool {
+	_, ok := conns.granted[conn]
+	conns.granted[conn] = user
+	return ok
+}
+
+// Release implements route.Conns.
+func (conns *fakeConns) Release(conn model.ConnID, dirty bool) {
+	delete(conns.granted, conn)
+	conns.released[conn] = dirty
+}
+
+// Discard implements route.Conns.
+func (conns *fakeConns) Discard(conn model.ConnID) {
+	delete(conns.granted, conn)
+	conns.discards++
+}
+
+type fakeAdmission struct {
+	route.Admission
+	running int
+}
+
+// ForceAcquire implements route.Admission.
+func (admission *fakeAdmission) ForceAcquire(route.SlotRequest) { admission.running++ }
+
+// Release implements route.Admission.
+func (admission *fakeAdmission) Release(route.SlotRequest, time.Duration, bool) { admission.running-- }
+
+// RetryAfter implements route.Admission.
+func (admission *fakeAdmission) RetryAfter(model.InstanceID) time.Duration { return time.Millisecond }
+
+type noPlugin struct{}
+
+// Handle implements kern.Plugin.
+func (noPlugin) Handle(event.Event) {}
+
+// process is the kernel of a proxy with the plug-in and fakes of the services that it uses.
+type process struct {
+	t         *testing.T
+	now       time.Duration
+	kernel    *kern.Kernel
+	holder    *Holder
+	conns     *fakeConns
+	admission *fakeAdmission
+	actions   []event.Action
+}
+
+func proxyView(id model.ProxyID) model.ProxyView {
+	return model.NewProxyView(id, string(id)+":1", "zone", 0, false, 0)
+}
+
+func newProcess(t *testing.T, id model.ProxyID, enabled bool) *process {
+	process := &process{t: t, now: time.Second, admission: &fakeAdmission{}}
+	process.conns = &fakeConns{granted: make(map[model.ConnID]route.ConnUser), released: make(map[model.ConnID]bool)}
+	spec := tune.Default()
+	spec.ConnHolders, spec.MaxKeyAge = enabled, maxAge
+	provide := func(context *kern.Context) kern.Plugin {
+		context.ProvideService(route.ConnsService, process.conns)
+		context.ProvideService(route.AdmissionService, process.admission)
+		return noPlugin{}
+	}
+	create := func(context *kern.Context) kern.Plugin {
+		process.holder = New(context).(*Holder)
+		return process.holder
+	}
+	process.kernel = kern.NewWithFactories(proxyView(id), tune.New(spec), time.Time{}, 1, provide, create)
+	state := process.kernel.State()
+	listed := model.NewInstance(instance, "10.0.0.1:1", "zone").WithCapacity(5, 4)
+	state.SetGroups([]model.Group{model.NewGroup("g", []model.Instance{listed})})
+	state.SetProxies([]model.ProxyView{proxyView("p-0"), proxyView("p-1"), proxyView("p-2"), proxyView("p-3"), proxyView("p-4")})
+	state.SetDeployments(1, []*model.Deployment{newDeployment()})
+	process.setKeys(secret)
+	state.SetListCheckedAt(model.ListConfiguration, process.now)
+	process.handle(event.NewCatalogChanged(1))
+	return process
+}
+
+func newDeployment() *model.Deployment {
+	return model.NewDeployment(model.DeploymentSpec{
+		Name: "d", Groups: []model.GroupID{"g"},
+		Kinds: []model.Kind{model.NewKind(model.KindSpec{Name: "k", Access: model.AccessEither, Group: "g", TxIdleTimeout: 2 * time.Second})},
+	})
+}
+
+// setKeys sets the keys of the only team.
+func (process *process) setKeys(keys ...string) {
+	var digests []model.KeyDigest
+	for _, key := range keys {
+		digests = append(digests, model.DigestKey(key))
+	}
+	teams, err := model.NewTeams([]*model.Team{model.NewTeam(model.TeamSpec{Name: "a", Keys: digests, Rate: -1})})
+	if err != nil {
+		process.t.Fatal(err)
+	}
+	process.kernel.State().SetTeams(teams)
+}
+
+func (process *process) handle(received event.Event) {
+	process.now += time.Millisecond
+	process.actions = append(process.actions, process.kernel.Handle(process.now, received)...)
+}
+
+// run calls a function of the plug-in and collects its actions.
+func (process *process) run(call func()) {
+	process.now += time.Millisecond
+	process.holder.context.Timers().After(0, call)
+	process.actions = append(process.actions, process.kernel.Tick(process.now)...)
+}
+
+// pass lets time pass.
+func (process *process) pass(span time.Duration) {
+	for until := process.now + span; process.now < until; {
+		process.now += 100 * time.Millisecond
+		process.kernel.State().SetListCheckedAt(model.ListConfiguration, process.now)
+		process.actions = append(process.actions, process.kernel.Tick(process.now)...)
+	}
+}
+
+// answers returns and removes the answers to forwarded statements.
+func (process *process) answers() []*model.ForwardReply {
+	var replies []*model.ForwardReply
+	for _, action := range process.actions {
+		if answer, ok := action.(event.AnswerForward); ok {
+			replies = append(replies, answer.Reply())
+		}
+	}
+	process.actions = nil
+	return replies
+}
+
+func (process *process) onlyAnswer() *model.ForwardReply {
+	process.t.Helper()
+	replies := process.answers()
+	if len(replies) != 1 {
+		process.t.Fatalf("%d answers", len(replies))
+	}
+	return replies[0]
+}
+
+// grant grants a connection to the last one that asked for it.
+func (process *process) grant() {
+	process.conns.lastConn++
+	user := process.conns.users[len(process.conns.users)-1]
+	process.conns.granted[process.conns.lastConn] = user
+	process.run(func() { user.ConnGranted(process.conns.lastConn) })
+}
+
+// done answers the last execution.
+func (process *process) done() {
+	conn := process.conns.lastConn
+	process.run(func() {
+		process.conns.granted[conn].ExecuteDone(event.NewExecuteDone(1, conn, model.NewMark(1, 7), text("row")))
+	})
+}
+
+func forwardSpec(step model.Step) model.ForwardSpec {
+	spec := model.ForwardSpec{
+		From: proxyView("p-0"), Process: 7, To: "p-1", Number: 3, Instance: instance, Deployment: "d", Kind: "k", RequestID: "r",
+		Key: model.DigestKey(secret), Statement: text("statement"), Step: step, Write: true, Remaining: time.Second,
+	}
+	return spec
+}
+
+func (process *process) receive(spec model.ForwardSpec) {
+	process.handle(event.NewForwardReceived(model.ForwardID(spec.Number), model.NewForward(spec)))
+}
+
+// openTx opens a transaction of p-0 and returns it.
+func (process *process) openTx() model.ForwardTx {
+	process.receive(forwardSpec(model.StepFirst))
+	process.grant()
+	process.done()
+	return process.onlyAnswer().Tx()
+}
+
+// next returns a further statement of a transaction.
+func next(tx model.ForwardTx, step model.Step, number uint64) model.ForwardSpec {
+	spec := forwardSpec(step)
+	spec.Tx, spec.Number = tx, number
+	return spec
+}
+
+// A statement that a holder may not run is refused before anything is sent to the instance. The
+// code lets the forwarding proxy ask another one where that one may know better.
+func TestHolderRefuses(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(process *process, spec *model.ForwardSpec)
+		want   codes.Code
+	}{
+		{"unknown key", func(_ *process, spec *model.ForwardSpec) { spec.Key = model.DigestKey("other") }, codes.UnknownKey},
+		{"old configuration", func(process *process, _ *model.ForwardSpec) { process.now += maxAge + time.Second }, codes.RevisionUnconfirmed},
+		{"unknown deployment", func(_ *process, spec *model.ForwardSpec) { spec.Deployment = "other" }, codes.UnknownDeployment},
+		{"unknown kind", func(_ *process, spec *model.ForwardSpec) { spec.Kind = "other" }, codes.UnknownKind},
+		{"unknown instance", func(_ *process, spec *model.ForwardSpec) { spec.Instance = "other" }, codes.UnknownGroup},
+		{"draining", func(process *process, _ *model.ForwardSpec) { process.kernel.State().SetDraining() }, codes.Draining},
+		{"too many statements", func(process *process, spec *model.ForwardSpec) {
+			for number := range uint64(maxStatements) {
+				waiting := forwardSpec(model.StepSingle)
+				waiting.Number = 100 + number
+				process.receive(waiting)
+			}
+		}, codes.Overloaded},
+		{"too many bytes", func(process *process, spec *model.ForwardSpec) {
+			spec.Statement = text(make([]byte, maxStatementBytes+1))
+		}, codes.Overloaded},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			process := newProcess(t, "p-1", true)
+			spec := forwardSpec(model.StepSingle)
+			test.change(process, &spec)
+			process.receive(spec)
+			reply := process.onlyAnswer()
+			is.Equal(reply.Outcome(), model.ForwardDenied)
+			is.Equal(reply.Code(), test.want)
+			is.Equal(len(process.conns.works), 0)
+		})
+	}
+}
+
+// A call for another process, a call that runs already, and any call while the setting is off get a
+// refusal that states that nothing ran.
+func TestHolderRefusesCall(t *testing.T) {
+	tests := []struct {
+		name    string
+		enabled bool
+		calls   []model.ProxyID
+		want    codes.Code
+	}{
+		{"for another proxy", true, []model.ProxyID{"p-2"}, codes.WrongProxy},
+		{"twice", true, []model.ProxyID{"p-1", "p-1"}, codes.WrongProxy},
+		{"off", false, []model.ProxyID{"p-1"}, codes.Unsupported},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			process := newProcess(t, "p-1", test.enabled)
+			for _, to := range test.calls {
+				spec := forwardSpec(model.StepSingle)
+				spec.To = to
+				process.receive(spec)
+			}
+			refused, ok := process.actions[len(process.actions)-1].(event.RefuseForward)
+			is.True(ok)
+			is.Equal(refused.Code(), test.want)
+			is.True(len(process.conns.users) < len(test.calls)+1)
+		})
+	}
+}
+
+// A key that is withdrawn while the statement waits at the holder is not used any more, whether the
+// holder hears of it before the connection is granted or its configuration has become too old.
+func TestKeyWithdrawnWhileWaiting(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(process *process)
+		want   codes.Code
+	}{
+		{"the holder is told", func(process *process) {
+			process.setKeys("other")
+			process.handle(event.NewCatalogChanged(1))
+		}, codes.UnknownKey},
+		{"found when the connection is granted", func(process *process) {
+			process.setKeys("other")
+			process.grant()
+		}, codes.UnknownKey},
+		{"the configuration is too old", func(process *process) {
+			process.kernel.State().SetListCheckedAt(model.ListConfiguration, process.now-maxAge)
+			process.grant()
+		}, codes.RevisionUnconfirmed},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			process := newProcess(t, "p-1", true)
+			process.receive(forwardSpec(model.StepSingle))
+			test.change(process)
+			reply := process.onlyAnswer()
+			is.Equal(reply.Outcome(), model.ForwardDenied)
+			is.Equal(reply.Code(), test.want)
+			is.Equal(len(process.conns.works), 0)
+			is.Equal(process.holder.served.InFlight(), 0)
+		})
+	}
+}
+
+// The statement is sent with the limit of the age of the configuration, and the confirmation of the
+// primary goes first. Its mark is that of the answer.
+func TestConfirmedStatement(t *testing.T) {
+	is := is.New(t)
+	process := newProcess(t, "p-1", true)
+	spec := forwardSpec(model.StepSingle)
+	spec.Confirm, spec.Write = true, false
+	process.receive(spec)
+	process.grant()
+	is.Equal(process.conns.works[0].Step(), model.StepConfirmPrimary)
+	conn := process.conns.lastConn
+	process.run(func() {
+		process.conns.granted[conn].ExecuteDone(event.NewExecuteDone(1, conn, model.NewMark(1, 6), nil))
+	})
+	is.Equal(process.conns.works[1].Step(), model.StepSingle)
+	until, _ := process.kernel.State().KeysValidUntil(maxAge)
+	is.Equal(process.conns.works[1].SendBefore(), until)
+	is.True(process.conns.works[1].Timeout() <= spec.Remaining-answerMargin)
+	process.done()
+	reply := process.onlyAnswer()
+	is.Equal(reply.Outcome(), model.ForwardDone)
+	is.Equal(reply.Mark(), model.NewMark(1, 6))
+	is.Equal(process.conns.released[conn], false)
+}
+
+// A transaction stays on its connection from its first statement to its commit.
+func TestTransactionAtHolder(t *testing.T) {
+	is := is.New(t)
+	process := newProcess(t, "p-1", true)
+	tx := process.openTx()
+	process.kernel.State().SetDraining() // does not end it
+	process.receive(next(tx, model.StepNext, 4))
+	process.done()
+	is.Equal(process.onlyAnswer().Tx(), tx)
+	is.Equal(process.holder.served.InFlight(), 1)
+	process.receive(next(tx, model.StepCommit, 5))
+	process.done()
+	is.Equal(process.onlyAnswer().Tx(), model.ForwardTx{})
+	is.Equal(len(process.conns.users), 1)
+	is.Equal(process.conns.released[1], false)
+	is.Equal(process.holder.served.InFlight(), 0)
+}
+
+// A statement of a transaction that is not open here, or not that of the proxy, runs nothing.
+func TestForeignTransaction(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(process *process, spec *model.ForwardSpec)
+	}{
+		{"of an earlier process of the holder", func(_ *process, spec *model.ForwardSpec) { spec.Tx = model.NewForwardTx(99, spec.Tx.Number()) }},
+		{"of another proxy", func(_ *process, spec *model.ForwardSpec) { spec.From = proxyView("p-3") }},
+		{"of an earlier process of the proxy", func(_ *process, spec *model.ForwardSpec) { spec.Process = 8 }},
+		{"whose connection is lost", func(process *process, _ *model.ForwardSpec) { clear(process.conns.granted) }},
+		{"whose key was withdrawn", func(process *process, _ *model.ForwardSpec) { process.setKeys("other") }},
+		{"whose statement runs", func(process *process, spec *model.ForwardSpec) {
+			process.receive(next(spec.Tx, model.StepNext, 9))
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			process := newProcess(t, "p-1", true)
+			spec := next(process.openTx(), model.StepCommit, 4)
+			test.change(process, &spec)
+			before := len(process.conns.works)
+			process.receive(spec)
+			reply := process.onlyAnswer()
+			is.Equal(reply.Outcome(), model.ForwardFailed)
+			is.Equal(reply.Class(), model.FailureForwardNotRun)
+			is.Equal(len(process.conns.works), before)
+		})
+	}
+}
+
+// A transaction that nobody will end is rolled back, so that it keeps no connection and no locks.
+func TestTransactionIsRolledBack(t *testing.T) {
+	tests := []struct {
+		name string
+		act  func(process *process, tx model.ForwardTx)
+	}{
+		{"its proxy has ended it", func(process *process, tx model.ForwardTx) {
+			process.handle(event.NewEndForwardReceived("p-0", 7, "p-1", 0, tx))
+		}},
+		{"its proxy gave up the call that opened it", func(process *process, _ model.ForwardTx) {
+			process.handle(event.NewEndForwardReceived("p-0", 7, "p-1", 3, model.ForwardTx{}))
+		}},
+		{"it is idle for the limit of its kind", func(process *process, _ model.ForwardTx) { process.pass(2600 * time.Millisecond) }},
+		{"its proxy is no longer live", func(process *process, _ model.ForwardTx) {
+			process.kernel.State().SetDeployments(2, []*model.Deployment{newDeployment()})
+			process.kernel.State().SetProxies([]model.ProxyView{proxyView("p-1"), proxyView("p-2"), proxyView("p-3"), proxyView("p-4")})
+			process.pass(4 * time.Second)
+		}},
+		{"its key was withdrawn", func(process *process, _ model.ForwardTx) {
+			process.setKeys("other")
+			process.handle(event.NewCatalogChanged(1))
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			process := newProcess(t, "p-1", true)
+			tx := process.openTx()
+			test.act(process, tx)
+			is.Equal(process.conns.released[1], true) // dirty: rolled back
+			is.Equal(process.holder.served.InFlight(), 0)
+		})
+	}
+}
+
+// A statement that is given up while it waits never runs. One that runs is finished, and the
+// transaction that it opened is rolled back.
+func TestStatementIsGivenUp(t *testing.T) {
+	is := is.New(t)
+	process := newProcess(t, "p-1", true)
+	end := event.NewEndForwardReceived("p-0", 7, "p-1", 3, model.ForwardTx{})
+	process.receive(forwardSpec(model.StepSingle))
+	process.handle(end)
+	is.Equal(process.conns.canceled, 1)
+	is.Equal(process.onlyAnswer().Code(), codes.Canceled)
+	process.receive(forwardSpec(model.StepFirst))
+	process.grant()
+	process.handle(end)
+	process.done()
+	is.Equal(process.conns.released[1], true)
+	is.Equal(process.holder.served.InFlight(), 0)
+}
+
+// At its deadline a statement is answered: as refused if it waits, as lost if it runs.
+func TestStatementExpires(t *testing.T) {
+	is := is.New(t)
+	process := newProcess(t, "p-1", true)
+	process.receive(forwardSpec(model.StepSingle))
+	process.pass(1100 * time.Millisecond)
+	is.Equal(process.onlyAnswer().Code(), codes.Overloaded)
+	is.Equal(process.conns.canceled, 1)
+	process.receive(forwardSpec(model.StepSingle))
+	process.grant()
+	process.pass(1100 * time.Millisecond)
+	is.Equal(process.onlyAnswer().Class(), model.FailureLost)
+	is.Equal(process.conns.discards, 1)
+}
--- a/internal/plug/holder/statement.go
+++ b/internal/plug/holder/statement.go
@@ -60,6 +60,7 @@
 	}
 	decision.Seq = model.RequestSeq(body.Number())
 	context.Emit(event.NewLogDecision(decision))
+	spec.Newest = statement.newestMark()
 	context.Emit(event.NewAnswerForward(statement.id, model.NewForwardReply(spec)))
 }
 
@@ -132,6 +133,7 @@
 
 // directDone implements directUser.
 func (statement *statement) directDone(mark model.Mark, answer model.Payload, held time.Duration) {
+	statement.observeMark(mark)
 	spec := model.ForwardReplySpec{Outcome: model.ForwardDone, Mark: mark, Answer: answer, Held: held}
 	switch step := statement.body.Step(); {
 	case step == model.StepSingle:
