--- a/internal/plug/holder/lease.go
+++ b/internal/plug/holder/lease.go
@@ -105,7 +105,7 @@
 		Deployment: job.Deployment().Name(),
 		Kind:       job.Kind().Name(),
 		Op:         job.Request().Op(),
-		RequestID:  job.RequestID(),
+		RequestID:  requestID(job),
 		Key:        job.Key(),
 		Statement:  lease.work.Statement(),
 		Step:       lease.work.Step(),
@@ -261,6 +261,14 @@
 	lease.emitEnd(given.number, lease.tx)
 }
 
+// requestID returns the id under which the request of a job is logged.
+func requestID(job *route.Job) string {
+	if job.RequestID() != "" {
+		return job.RequestID()
+	}
+	return job.Request().RequestID()
+}
+
 // log logs a decision about the statement.
 func (lease *lease) log(name, reason string) {
 	job := lease.request.Job
@@ -268,7 +276,7 @@
 		Name:       name,
 		Caller:     job.Request().Caller(),
 		Seq:        job.Seq(),
-		RequestID:  job.RequestID(),
+		RequestID:  requestID(job),
 		Deployment: job.Deployment().Name(),
 		Kind:       job.Kind().Name(),
 		Group:      job.Group(),
--- a/internal/plug/holder/peer.go
+++ b/internal/plug/holder/peer.go
@@ -69,7 +69,7 @@
 func (holder *Holder) avoid(peer *peer, reason string, span time.Duration) {
 	now := holder.context.Now()
 	if now >= peer.avoidedUntil {
-		holder.context.Emit(event.NewLogDecision(model.Decision{Name: "holder_avoided", Proxy: peer.id, Reason: reason, Age: now - peer.silentSince}))
+		holder.context.Emit(event.NewLogDecision(model.Decision{Name: "holder_avoided", Proxy: peer.id, Reason: reason, Waited: now - peer.silentSince}))
 	}
 	peer.avoidedUntil = now + span
 }
