--- a/internal/plug/holder/holder_test.go
+++ b/internal/plug/holder/holder_test.go
@@ -82,7 +82,7 @@
 func (admission *fakeAdmission) ForceAcquire(route.SlotRequest) { admission.running++ }
 
 // Release implements route.Admission.
-func (admission *fakeAdmission) Release(route.SlotRequest, time.Duration, bool) { admission.running-- }
+func (admission *fakeAdmission) Release(route.SlotRequest, time.Duration, route.SlotEnd) { admission.running-- }
 
 // RetryAfter implements route.Admission.
 func (admission *fakeAdmission) RetryAfter(model.InstanceID) time.Duration { return time.Millisecond }
