--- a/internal/core/route/route.go
+++ b/internal/core/route/route.go
@@ -78,8 +78,8 @@
 	// including its wait.
 	ExpectedDelay(instance model.InstanceID) time.Duration
 	// Stalled reports whether a statement that has run for a time takes much longer than those
-	// that the instance answered lately.
-	Stalled(instance model.InstanceID, ran time.Duration) bool
+	// that the instance answered lately, and than those of its kind.
+	Stalled(request SlotRequest, ran time.Duration) bool
 	// TakeRetry takes one retry from the retry budget of a group. It reports false if the
 	// budget is exhausted.
 	TakeRetry(group model.GroupID) bool
--- a/internal/plug/conns/overdue.go
+++ b/internal/plug/conns/overdue.go
@@ -53,14 +53,15 @@
 }
 
 // isOverdue reports whether the statement that runs on a connection has become overdue. The slots
-// of a caller class with a limit are not given away, because the limit is a setting.
+// of a caller class with a limit are not given away, because the limit is a setting. A confirmation
+// of the primary keeps its slot for the statement after it.
 func (conn *conn) isOverdue(now time.Duration) bool {
 	job := conn.request.Job
-	if conn.overdue || job == nil || job.Class().MaxConcurrent() > 0 {
+	if conn.overdue || job == nil || conn.step == model.StepConfirmPrimary || job.Class().MaxConcurrent() > 0 {
 		return false
 	}
 	target, ran := job.Kind().TargetLatency(), now-conn.since
-	if target == 0 || !conn.pool.pools.admission.Stalled(conn.pool.instance.ID(), ran) {
+	if target == 0 || !conn.pool.pools.admission.Stalled(conn.request, ran) {
 		return false
 	}
 	return ran >= silentFactor*target || ran >= target/overtakenDivisor && conn.pool.newestAnswered > conn.since
--- a/internal/plug/conns/overdue_test.go
+++ b/internal/plug/conns/overdue_test.go
@@ -99,3 +99,16 @@
 	fixture.tick(3 * overdueTarget)
 	is.Equal(fixture.pools.admission.Load(instance), maxOpen-maxOpen/overdueDivisor)
 }
+
+// Guards against a check of overdue statements that comes only once a second, because the upkeep of
+// the connections has nothing else to do.
+func TestOverdueInTime(t *testing.T) {
+	is := is.New(t)
+	fixture := newFixture(1)
+	fixture.tick(5 * time.Second)
+	user, _ := fixture.send(0)
+	for range 50 {
+		fixture.tick(10 * time.Millisecond)
+	}
+	is.Equal(user.overdue, 1) // due after two targets, 400 ms
+}
--- a/internal/plug/conns/pool.go
+++ b/internal/plug/conns/pool.go
@@ -267,6 +267,7 @@
 		return
 	}
 	pool.waiting = append(pool.waiting, waiter)
+	pool.pools.pace.Wake()
 	pool.fill()
 	if pool.total == 0 && pool.lastFailure != model.ConnFailureFull {
 		pool.denyWaiting()
--- a/internal/plug/conns/upkeep.go
+++ b/internal/plug/conns/upkeep.go
@@ -23,7 +23,7 @@
 	for _, group := range groups {
 		pools.listedCount += len(group.Members())
 	}
-	busy := false
+	busy := len(pools.execs) > 0 // they may become overdue
 	for _, group := range groups {
 		for _, member := range group.Members() {
 			pool := pools.pool(member.ID())
@@ -82,6 +82,9 @@
 		if ok && member.Reported() && member.Failures() == 0 && !member.Leaving() {
 			pool.endBackOff(member.SentAt())
 		}
+		if !ok && member.Reported() {
+			pools.pace.Wake() // the first report of an instance
+		}
 	}
 }
 
--- a/internal/plug/fleet/members.go
+++ b/internal/plug/fleet/members.go
@@ -98,6 +98,7 @@
 	if _, ok := fleet.heard[id]; ok {
 		delete(fleet.heard, id)
 		fleet.heardVersion = fleet.nextVersion()
+		fleet.wakeWithin(pollTick)
 	}
 }
 
--- a/internal/plug/fleet/source.go
+++ b/internal/plug/fleet/source.go
@@ -226,6 +226,7 @@
 	now := fleet.context.Now()
 	if reply.Draining() {
 		fleet.avoid(source, true)
+		fleet.wakeWithin(pollTick)
 		return
 	}
 	news := reply.Changed() || source.answeredAt == 0 || source.gone || now < source.avoidUntil
--- a/internal/plug/limit/instancelimit.go
+++ b/internal/plug/limit/instancelimit.go
@@ -208,10 +208,11 @@
 
 // Stalled implements route.Admission. No statement is stalled on an instance that is slow to all:
 // to ask elsewhere as well would add to the load of a group that has lost capacity.
-func (limits *Limits) Stalled(instance model.InstanceID, ran time.Duration) bool {
-	instanceLimit := limits.instanceLimit(instance)
+func (limits *Limits) Stalled(request route.SlotRequest, ran time.Duration) bool {
+	instanceLimit := limits.instanceLimit(request.Instance)
 	held := instanceLimit.held(limits.context.Now())
-	return ran > stallRatio*held && held <= slowRatio*instanceLimit.baseHeld
+	usual := max(held, limits.workEstimate(laneOf(request)).held.value)
+	return ran > stallRatio*usual && held <= slowRatio*instanceLimit.baseHeld
 }
 
 // RetryAfter implements route.Admission. It returns the time in which the queue of the
--- a/internal/plug/limit/limit.go
+++ b/internal/plug/limit/limit.go
@@ -137,7 +137,11 @@
 // ForceAcquire implements route.Admission.
 func (limits *Limits) ForceAcquire(request route.SlotRequest) {
 	limits.classLimit(request).acquire()
-	limits.instanceLimit(request.Instance).running++
+	instanceLimit := limits.instanceLimit(request.Instance)
+	if instanceLimit.running < instanceLimit.limit {
+		instanceLimit.progressAt = limits.context.Now() // the slots are all held from now on only
+	}
+	instanceLimit.running++
 	if key := laneOf(request); key.inTx && !request.Forwarded {
 		limits.workEstimate(key).resumed++
 	}
@@ -157,7 +161,9 @@
 		limits.recordPace(request, instanceLimit, held, end == route.SlotAnswered)
 	}
 	instanceLimit.running--
-	instanceLimit.progressAt = limits.context.Now()
+	if !request.BypassLimit { // a ping that is answered says nothing of statements that hang
+		instanceLimit.progressAt = limits.context.Now()
+	}
 	limits.grantWaiting(instanceLimit)
 	limits.releaseClass(limits.classLimit(request))
 }
--- a/internal/plug/limit/pace.go
+++ b/internal/plug/limit/pace.go
@@ -38,8 +38,11 @@
 
 // recordPace adjusts the pace after a statement and starts the rest of its slot.
 func (limits *Limits) recordPace(request route.SlotRequest, instanceLimit *instanceLimit, held time.Duration, answered bool) {
+	if request.Job == nil {
+		return
+	}
 	least := limits.minPace(request.Instance)
-	if request.Job == nil || least == 1 || instanceLimit.limit > 1 {
+	if least == 1 || instanceLimit.limit > 1 {
 		instanceLimit.pace = pace{share: 1}
 		return
 	}
--- a/internal/plug/limit/pace_test.go
+++ b/internal/plug/limit/pace_test.go
@@ -76,3 +76,18 @@
 	}
 	is.Equal(instanceLimit.pace.share, 1.0)
 }
+
+// Guards against pings that end the rest of a slot: they come just when the instance is suspect.
+func TestPingKeepsRest(t *testing.T) {
+	is := is.New(t)
+	limits := newManyProxies(36)
+	sent := flowSpec{target: 200 * time.Millisecond, deadline: time.Hour}.newWaiter()
+	limits.Acquire(sent)
+	limits.Release(sent.request, time.Second, route.SlotAnswered)
+	before := limits.instanceLimit(instance).pace
+	is.True(before.share < 1)
+	ping := route.SlotRequest{Instance: instance, BypassLimit: true}
+	limits.ForceAcquire(ping)
+	limits.Release(ping, time.Millisecond, route.SlotAnswered)
+	is.Equal(limits.instanceLimit(instance).pace, before)
+}
--- a/internal/plug/limit/recover_test.go
+++ b/internal/plug/limit/recover_test.go
@@ -76,3 +76,51 @@
 	limits.Acquire(added)
 	is.Equal(added.reason, afterDeadline)
 }
+
+// Guards against a ping, or the next statement of a transaction, that takes the only slot after an
+// idle time and makes it look as if the slot had been held all that time.
+func TestForcedSlotAfterIdleTime(t *testing.T) {
+	is := is.New(t)
+	limits := newLimits(1)
+	sendSparsely(limits, 20, 50*time.Millisecond, 10*time.Millisecond, route.SlotAnswered)
+	limits.context.Timers().Advance(limits.context.Now() + 2*time.Second)
+	limits.ForceAcquire(route.SlotRequest{Instance: instance, BypassLimit: true})
+	is.True(limits.ExpectedDelay(instance) < 100*time.Millisecond)
+	added := flowSpec{deadline: limits.context.Now() + 400*time.Millisecond}.newWaiter()
+	limits.Acquire(added)
+	is.Equal(added.reason, "")
+}
+
+// Guards against pings that are answered while the statements of callers hang: they must not end
+// the stall.
+func TestPingDoesNotEndStall(t *testing.T) {
+	is := is.New(t)
+	limits := newLimits(1)
+	sendSparsely(limits, 20, 50*time.Millisecond, 10*time.Millisecond, route.SlotAnswered)
+	limits.Acquire(flowSpec{}.newWaiter())
+	limits.context.Timers().Advance(limits.context.Now() + 500*time.Millisecond)
+	ping := route.SlotRequest{Instance: instance, BypassLimit: true}
+	limits.ForceAcquire(ping)
+	limits.Release(ping, time.Millisecond, route.SlotAnswered)
+	added := flowSpec{deadline: limits.context.Now() + 400*time.Millisecond}.newWaiter()
+	limits.Acquire(added)
+	is.Equal(added.reason, afterDeadline)
+}
+
+// Guards against statements that count as stalled because those of another kind are short.
+func TestLongKindIsNotStalled(t *testing.T) {
+	is := is.New(t)
+	limits := newLimits(1)
+	long := flowSpec{}.newWaiter()
+	for range 4 {
+		limits.Acquire(long)
+		limits.Release(long.request, 300*time.Millisecond, route.SlotAnswered)
+	}
+	for range 200 {
+		ping := route.SlotRequest{Instance: instance}
+		limits.ForceAcquire(ping)
+		limits.Release(ping, 5*time.Millisecond, route.SlotAnswered)
+	}
+	is.True(!limits.Stalled(long.request, 400*time.Millisecond))
+	is.True(limits.Stalled(long.request, 2*time.Second))
+}
--- a/internal/plug/mirror/demand.go
+++ b/internal/plug/mirror/demand.go
@@ -71,6 +71,9 @@
 // fails, calls for one list show when it is back, and the configuration comes first.
 func (list *list) yield() time.Duration {
 	now := list.context().Now()
+	if !list.storeLost && list.known {
+		return 0 // the store answers for this list
+	}
 	for _, earlier := range list.mirror.lists {
 		if earlier == list {
 			break
--- a/internal/plug/relay/answer.go
+++ b/internal/plug/relay/answer.go
@@ -124,8 +124,10 @@
 	case task.resumed:
 		task.failTx("connection lost")
 	case task.requirement == requireMark && !task.relay.admission.TakeRetry(task.job.Group()):
+		task.mayHaveRun = true
 		task.refuse(codes.Overloaded, "retry budget exhausted")
 	default:
+		task.mayHaveRun = step != model.StepConfirmPrimary
 		task.restart("the answer was lost", step)
 	}
 }
--- a/internal/plug/relay/overdue.go
+++ b/internal/plug/relay/overdue.go
@@ -14,6 +14,7 @@
 	task.relay.recordFailure(task.instance)
 	conn := task.conn
 	task.conn = 0
+	task.mayHaveRun = true
 	task.relay.conns.Discard(conn)
 	task.retryElsewhere("the instance does not answer the read in time")
 }
--- a/internal/plug/relay/task.go
+++ b/internal/plug/relay/task.go
@@ -54,6 +54,7 @@
 	reason         string
 	reran          bool // the read was repeated after an error of the instance
 	retryScheduled bool // the timer of scheduleRetry is running
+	mayHaveRun     bool // the read was sent to an instance whose answer was lost or given up
 	// retryAfter is the longest retry delay returned by an instance whose queue was full,
 	// or 0.
 	retryAfter time.Duration
@@ -305,6 +306,9 @@
 }
 
 func (task *task) finish(result route.ResultSpec) {
+	if task.mayHaveRun && result.Outcome == model.OutcomeNotRun {
+		result.Outcome = model.OutcomeUnknown
+	}
 	result.Instance = task.instance
 	if task.sentAt > 0 {
 		result.Waited = task.sentAt - task.job.Arrived()
