holder: the other holder is asked when one is overloaded

Each rollback of a caller also wrote a line at the holder.

Change: a statement that a holder refuses for overload goes to the other one, once. A transaction that its own proxy ends is not logged.

--- a/internal/core/state/holders.go
+++ b/internal/core/state/holders.go
@@ -66,10 +66,13 @@
 }
 
 // Holds reports whether this proxy is one of the holders of an instance's connections.
-func (state *State) Holds(id model.InstanceID) bool {
+func (state *State) Holds(id model.InstanceID) bool { return state.IsHolder(id, state.self.ID()) }
+
+// IsHolder reports whether a proxy is one of the holders of an instance's connections.
+func (state *State) IsHolder(id model.InstanceID, proxy model.ProxyID) bool {
 	holders := state.HoldersOf(id)
 	for _, holder := range holders[:min(holdersPerInstance, len(holders))] {
-		if holder.ID() == state.self.ID() {
+		if holder.ID() == proxy {
 			return true
 		}
 	}
--- a/internal/plug/holder/lease.go
+++ b/internal/plug/holder/lease.go
@@ -158,7 +158,8 @@
 }
 
 // handleDenial passes a refusal on, unless another proxy may know better: one that lacks the
-// present configuration or cannot reach the instance speaks for itself only.
+// present configuration or cannot reach the instance speaks for itself only. A holder that is
+// overloaded, too, since the teams are not evenly divided among the two.
 func (lease *lease) handleDenial(reply *model.ForwardReply) {
 	step := lease.work.Step()
 	if step == model.StepNext || step == model.StepCommit {
@@ -170,6 +171,11 @@
 	case codes.UnknownKey, codes.RevisionUnconfirmed, codes.UnknownDeployment, codes.UnknownKind, codes.UnknownGroup, codes.Draining, codes.Unsupported:
 		lease.sendNext(reply.Reason())
 		return
+	case codes.Overloaded:
+		if proxy, ok := lease.holder.chooseProxy(lease); ok && lease.holder.context.State().IsHolder(lease.request.Instance, proxy.ID()) {
+			lease.send(proxy)
+			return
+		}
 	case codes.NoReplica:
 		if proxy, ok := lease.holder.chooseProxy(lease); ok {
 			lease.send(proxy)
--- a/internal/plug/holder/lease_test.go
+++ b/internal/plug/holder/lease_test.go
@@ -182,7 +182,8 @@
 		{codes.UnknownKey, 2},
 		{codes.RevisionUnconfirmed, 2},
 		{codes.NoReplica, 2},
-		{codes.Overloaded, 1},
+		{codes.Overloaded, 2},
+		{codes.TeamLimit, 1},
 	}
 	for _, test := range tests {
 		t.Run(test.code.String(), func(t *testing.T) {
@@ -285,3 +286,16 @@
 	is.Equal(len(sender.conns.users), 2)
 	is.Equal(len(sender.holder.leases), 0)
 }
+
+// What both holders are too busy for is refused. The next proxy, with its small share, is not asked.
+func TestBothHoldersAreOverloaded(t *testing.T) {
+	is := is.New(t)
+	sender := newSender(t)
+	sender.execute(model.StepSingle, true)
+	for range 2 {
+		sender.answer(model.ForwardReplySpec{Outcome: model.ForwardDenied, Code: codes.Overloaded, RetryAfter: 70 * time.Millisecond})
+	}
+	is.Equal(len(sender.sent()), 2)
+	is.Equal(sender.user.denied, []route.Denial{{Code: codes.Overloaded, RetryAfter: 70 * time.Millisecond}})
+	is.Equal(len(sender.holder.leases), 0)
+}
--- a/internal/plug/holder/served.go
+++ b/internal/plug/holder/served.go
@@ -174,7 +174,7 @@
 	}
 	for _, found := range served.sortedTxs() {
 		if found.proxy == key.proxy && found.process == key.process && (found.id == received.Tx() || found.lastCall == key.number) && found.running == nil {
-			found.rollBack("the forwarding proxy has ended it")
+			found.end()
 		}
 	}
 }
--- a/internal/plug/holder/tx.go
+++ b/internal/plug/holder/tx.go
@@ -80,10 +80,15 @@
 	delete(tx.served.txs, tx.id)
 }
 
-// rollBack rolls back the transaction, on which no statement runs.
-func (tx *tx) rollBack(reason string) {
+// end rolls back the transaction, on which no statement runs.
+func (tx *tx) end() {
 	tx.remove()
 	tx.direct.release(true)
+}
+
+// rollBack rolls back the transaction for a reason that its proxy does not know, and logs it.
+func (tx *tx) rollBack(reason string) {
+	tx.end()
 	tx.served.holder.context.Emit(event.NewLogDecision(model.Decision{
 		Name:       "forwarded_transaction_ended",
 		RequestID:  tx.job.RequestID(),
