holder: a proxy whose answer was lost is told to end the statement

Cause: the first statement of a transaction whose answer was lost went to the next proxy, while the first one kept the transaction, and its locks, open until the idle limit.

Change: EndForward goes to the first proxy before the statement goes on, and after the second loss.

--- a/internal/plug/holder/holder.go
+++ b/internal/plug/holder/holder.go
@@ -94,7 +94,7 @@
 	case event.ForwardFailed:
 		if call := holder.finishCall(received.ID()); call != nil {
 			holder.avoid(call.peer, received.Reason(), avoidTime)
-			call.lease.handleFailure(received.NotRun(), received.Reason())
+			call.lease.handleFailure(call.number, received.NotRun(), received.Reason())
 		}
 	}
 }
--- a/internal/plug/holder/lease.go
+++ b/internal/plug/holder/lease.go
@@ -187,8 +187,9 @@
 
 // handleFailure handles a call that got no usable answer. What cannot have run goes to the next
 // proxy. A read or the first statement of a transaction, which have no effect without their
-// answer, go to the next one once.
-func (lease *lease) handleFailure(notRun bool, reason string) {
+// answer, go to the next one once. The proxy that may have them is told to give them up, since a
+// transaction that it has opened would keep its locks.
+func (lease *lease) handleFailure(number uint64, notRun bool, reason string) {
 	lease.uncount(0)
 	step := lease.work.Step()
 	inTx := step == model.StepNext || step == model.StepCommit
@@ -202,11 +203,12 @@
 		lease.sendNext(reason)
 	case safe && !lease.resent && inTime:
 		lease.resent = true
+		lease.emitEnd(number, model.ForwardTx{})
 		lease.log("forward_resent", reason)
 		lease.sendNext(reason)
 	default:
-		if step == model.StepNext {
-			lease.endTx()
+		if step == model.StepNext || step == model.StepFirst {
+			lease.emitEnd(number, lease.tx)
 		}
 		lease.tx = model.ForwardTx{}
 		lease.fail(model.FailureForwardLost, false, model.Mark{}, nil)
--- a/internal/plug/holder/lease_test.go
+++ b/internal/plug/holder/lease_test.go
@@ -138,7 +138,8 @@
 }
 
 // A lost answer: a read and the first statement of a transaction are sent to the other holder once,
-// a write or a commit never, and a statement of an open transaction fails with it.
+// a write or a commit never, and a statement of an open transaction fails with it. The first holder is
+// told to end what it may have opened.
 func TestLostAnswer(t *testing.T) {
 	tests := []struct {
 		name     string
@@ -147,9 +148,9 @@
 		wantSent int
 		wantEnds int
 	}{
-		{"read", model.StepSingle, false, 2, 0},
+		{"read", model.StepSingle, false, 2, 1},
 		{"write", model.StepSingle, true, 1, 0},
-		{"first statement", model.StepFirst, true, 2, 0},
+		{"first statement", model.StepFirst, true, 2, 2},
 		{"further statement", model.StepNext, true, 2, 1},
 		{"commit", model.StepCommit, true, 2, 0},
 	}
