--- a/internal/plug/holder/lease.go
+++ b/internal/plug/holder/lease.go
@@ -162,7 +162,8 @@
 }
 
 // handleDenial passes a refusal on, unless another proxy may know better: one that lacks the
-// present configuration or cannot reach the instance speaks for itself only.
+// present configuration or cannot reach the instance speaks for itself only. A holder that is
+// overloaded, too, since the teams are not evenly divided among the two.
 func (lease *lease) handleDenial(reply *model.ForwardReply) {
 	step := lease.work.Step()
 	if step == model.StepNext || step == model.StepCommit {
@@ -174,6 +175,11 @@
 	case codes.UnknownKey, codes.RevisionUnconfirmed, codes.UnknownDeployment, codes.UnknownKind, codes.UnknownGroup, codes.Draining, codes.Unsupported:
 		lease.sendNext(reply.Reason())
 		return
+	case codes.Overloaded:
+		if proxy, ok := lease.holder.chooseProxy(lease); ok && lease.holder.context.State().IsHolder(lease.request.Instance, proxy.ID()) {
+			lease.send(proxy)
+			return
+		}
 	case codes.NoReplica:
 		if proxy, ok := lease.holder.chooseProxy(lease); ok {
 			lease.send(proxy)
@@ -185,8 +191,9 @@
 
 // handleFailure handles a call that got no usable answer. What cannot have run goes to the next
 // proxy. A read or the first statement of a transaction, which have no effect without their
-// answer, go to the next one once.
-func (lease *lease) handleFailure(notRun bool, reason string) {
+// answer, go to the next one once. The proxy that may have them is told to give them up, since a
+// transaction that it has opened would keep its locks.
+func (lease *lease) handleFailure(number uint64, notRun bool, reason string) {
 	lease.uncount(0)
 	step := lease.work.Step()
 	inTx := step == model.StepNext || step == model.StepCommit
@@ -200,11 +207,12 @@
 		lease.sendNext(reason)
 	case safe && !lease.resent && inTime:
 		lease.resent = true
+		lease.emitEnd(number, model.ForwardTx{})
 		lease.log("forward_resent", reason)
 		lease.sendNext(reason)
 	default:
-		if step == model.StepNext {
-			lease.endTx()
+		if step == model.StepNext || step == model.StepFirst {
+			lease.emitEnd(number, lease.tx)
 		}
 		lease.tx = model.ForwardTx{}
 		lease.fail(model.FailureForwardLost, false, model.Mark{}, nil)
--- a/internal/plug/holder/lease_test.go
+++ b/internal/plug/holder/lease_test.go
@@ -138,7 +138,8 @@
 }
 
 // A lost answer: a read and the first statement of a transaction are sent to the other holder once,
-// a write or a commit never, and a statement of an open transaction fails with it.
+// a write or a commit never, and a statement of an open transaction fails with it. The first holder is
+// told to end what it may have opened.
 func TestLostAnswer(t *testing.T) {
 	tests := []struct {
 		name     string
@@ -147,9 +148,9 @@
 		wantSent int
 		wantEnds int
 	}{
-		{"read", model.StepSingle, false, 2, 0},
+		{"read", model.StepSingle, false, 2, 1},
 		{"write", model.StepSingle, true, 1, 0},
-		{"first statement", model.StepFirst, true, 2, 0},
+		{"first statement", model.StepFirst, true, 2, 2},
 		{"further statement", model.StepNext, true, 2, 1},
 		{"commit", model.StepCommit, true, 2, 0},
 	}
@@ -182,7 +183,8 @@
 		{codes.UnknownKey, 2},
 		{codes.RevisionUnconfirmed, 2},
 		{codes.NoReplica, 2},
-		{codes.Overloaded, 1},
+		{codes.Overloaded, 2},
+		{codes.TeamLimit, 1},
 	}
 	for _, test := range tests {
 		t.Run(test.code.String(), func(t *testing.T) {
@@ -285,3 +287,16 @@
 	is.Equal(len(sender.conns.users), 2)
 	is.Equal(len(sender.holder.leases), 0)
 }
+
+// What both holders are too busy for is refused. The next proxy, with its small share, is not asked.
+func TestBothHoldersAreOverloaded(t *testing.T) {
+	is := is.New(t)
+	sender := newSender(t)
+	sender.execute(model.StepSingle, true)
+	for range 2 {
+		sender.answer(model.ForwardReplySpec{Outcome: model.ForwardDenied, Code: codes.Overloaded, RetryAfter: 70 * time.Millisecond})
+	}
+	is.Equal(len(sender.sent()), 2)
+	is.Equal(sender.user.denied, []route.Denial{{Code: codes.Overloaded, RetryAfter: 70 * time.Millisecond}})
+	is.Equal(len(sender.holder.leases), 0)
+}
