proof/city: load of several groups with crests at different times

The load model had one group, all its instances alike and every zone with the same share of the operations, so that it could not show how unevenly the instances of a group are used. A load may now have several groups, an instance of each group in every zone, rates that vary by zone, latencies within and between zones and instances of unequal speed, and the result says how evenly they were loaded. The loads uneven_36, uneven_69 and uneven_195 use it.

--- a/internal/proof/city/conn.go
+++ b/internal/proof/city/conn.go
@@ -24,13 +24,15 @@
 
 func (proxy *proxy) openConn(action event.OpenConn) {
 	instance := proxy.simulation.instance(action.Instance())
+	delay := proxy.delayTo(instance)
 	switch capacity := &instance.capacity; {
 	case !instance.up:
-		proxy.post(2*networkDelay, event.NewConnFailed(action.Conn(), model.ConnFailureRefused))
+		proxy.post(2*delay, event.NewConnFailed(action.Conn(), model.ConnFailureRefused))
 	case instance.unreachableFrom[proxy]:
 		proxy.post(700*time.Millisecond, event.NewConnFailed(action.Conn(), model.ConnFailureTimeout))
 	case capacity.maxConns > 0 && capacity.conns >= capacity.maxConns:
-		proxy.post(2*networkDelay, event.NewConnFailed(action.Conn(), model.ConnFailureFull))
+		proxy.simulation.evenness.connRefused++
+		proxy.post(2*delay, event.NewConnFailed(action.Conn(), model.ConnFailureFull))
 	default:
 		capacity.conns++
 		capacity.opened++
@@ -42,7 +44,7 @@
 		capacity.acquire(func() {
 			proxy.simulation.runAfter(capacity.handshake, func() {
 				capacity.release(capacity.handshake)
-				proxy.post(2*networkDelay, event.NewConnOpened(action.Conn()))
+				proxy.post(2*delay, event.NewConnOpened(action.Conn()))
 			})
 		})
 	}
@@ -116,18 +118,19 @@
 func (conn *conn) execute(action event.Execute) {
 	proxy, work := conn.proxy, action.Work()
 	if !conn.instance.up {
-		proxy.post(2*networkDelay, event.NewExecuteFailed(action.Exec(), conn.id, model.FailureLost, false, model.Mark{}, nil))
+		proxy.post(2*proxy.delayTo(conn.instance), event.NewExecuteFailed(action.Exec(), conn.id, model.FailureLost, false, model.Mark{}, nil))
 		return
 	}
 	if conn.instance.unreachableFrom[proxy] {
 		proxy.post(work.Timeout(), event.NewExecuteFailed(action.Exec(), conn.id, model.FailureLost, false, model.Mark{}, nil))
 		return
 	}
-	proxy.simulation.runAfter(networkDelay, func() { conn.runWork(action) })
+	proxy.simulation.evenness.countSent(proxy, conn.instance)
+	proxy.simulation.runAfter(proxy.delayTo(conn.instance), func() { conn.runWork(action) })
 }
 
 func (conn *conn) sendFailure(action event.Execute, class model.FailureClass) {
-	conn.proxy.post(networkDelay, event.NewExecuteFailed(action.Exec(), conn.id, class, class != model.FailureLost, model.Mark{}, nil))
+	conn.proxy.post(conn.proxy.delayTo(conn.instance), event.NewExecuteFailed(action.Exec(), conn.id, class, class != model.FailureLost, model.Mark{}, nil))
 }
 
 // runWork executes a unit of work that has reached the instance.
@@ -138,9 +141,11 @@
 		return
 	}
 	if instance.simulation.now < instance.busyUntil || work.Step() != model.StepConfirmPrimary && instance.capacity.full() {
+		instance.simulation.evenness.countRejected(instance, work)
 		conn.sendFailure(action, model.FailureBusy)
 		return
 	}
+	instance.simulation.evenness.countArrived(instance, work)
 	statement, _ := work.Statement().(*payload)
 	if work.Step() == model.StepFirst {
 		if !conn.begin(action) {
@@ -186,6 +191,9 @@
 		}
 		done()
 	}
+	if slowdown := conn.instance.slowdown; slowdown > 0 {
+		span = time.Duration(slowdown * float64(span))
+	}
 	if span == 0 {
 		finish()
 		return
@@ -253,7 +261,7 @@
 		return
 	}
 	for _, replica := range simulation.instances {
-		if replica != primary && len(replica.log) >= length {
+		if replica != primary && replica.primary() == primary && len(replica.log) >= length {
 			simulation.oracle.recordAck(primary.log[length-1].writes, length)
 			conn.sendResult(action)
 			return
@@ -272,5 +280,5 @@
 	if !conn.instance.isPrimary() {
 		mark = conn.instance.markAt(conn.instance.applied)
 	}
-	conn.proxy.post(networkDelay, event.NewExecuteDone(action.Exec(), conn.id, mark, &payload{}))
+	conn.proxy.post(conn.proxy.delayTo(conn.instance), event.NewExecuteDone(action.Exec(), conn.id, mark, &payload{}))
 }
--- a/internal/proof/city/experiment.go
+++ b/internal/proof/city/experiment.go
@@ -59,6 +59,19 @@
 	CountFrom, CountUntil time.Duration
 	// Policy holds the parameters of the admission of each proxy.
 	Policy limit.Policy
+	// Groups is the number of groups, one if it is 0. With several, every zone has an instance
+	// of each group, proxies poll each other, and the primaries are spread over the zones.
+	Groups int
+	// ZoneRates replaces Rate by the mean number of operations a second of each zone. The rate
+	// varies by WaveShare around it with the period WavePeriod, at another time in each zone.
+	ZoneRates  []float64
+	WaveShare  float64
+	WavePeriod time.Duration
+	// InnerLatency and OuterLatency are the one-way latencies within and between zones where
+	// there are several groups.
+	InnerLatency, OuterLatency time.Duration
+	// Slowdowns multiply the work at the instances, in their order; they are repeated.
+	Slowdowns []float64
 }
 
 // KindResult is what the callers of one kind got.
@@ -89,6 +102,8 @@
 	// operation were known in advance, or a sum of such shares: the slots of the primary
 	// alone if the replicas lag beyond every staleness, else those of the group.
 	Bound float64
+	// Evenness says how evenly the instances were loaded.
+	Evenness Evenness
 }
 
 // Add adds another result of the same load. SlotUse and Bound become sums.
@@ -108,6 +123,7 @@
 	}
 	result.Bound += other.Bound
 	result.Opened += other.Opened
+	result.Evenness.add(other.Evenness)
 }
 
 func (kindResult *KindResult) add(other *KindResult) {
@@ -140,6 +156,9 @@
 			simulation.addProxy("proxy-"+strconv.Itoa(len(simulation.proxies)), zoneName(zone))
 		}
 	}
+	if spec.Groups > 1 {
+		spec.addGroups(simulation)
+	}
 	for index, instance := range simulation.instances {
 		instance.dataCenter = zoneName(index % len(spec.ProxiesByZone))
 		instance.capacity = capacity{slots: spec.Slots, queueLimit: spec.QueueLimit, maxConns: spec.MaxConns, handshake: spec.Handshake}
@@ -154,7 +173,7 @@
 		})
 	}
 	simulation.start()
-	simulation.run(membershipTime)
+	simulation.run(spec.membershipTime())
 	load.until = simulation.now + spec.Span
 	simulation.runAfter(spec.LagFrom, func() { simulation.setApplyDelay(spec.ApplyDelay) })
 	simulation.runAfter(spec.LagUntil, func() { simulation.setApplyDelay(0) })
@@ -164,12 +183,15 @@
 	for _, instance := range simulation.instances {
 		instance.capacity.busy = 0
 	}
+	simulation.evenness = evenness{}
+	simulation.sampleLoad(load.until)
 	load.scheduleArrival()
 	simulation.run(spec.Span)
 	result := Result{Kinds: load.results, Bound: load.bound(spec.usableSlots(), spec.Span)}
 	for _, instance := range simulation.instances {
 		result.SlotUse = append(result.SlotUse, instance.capacity.busy.Seconds()/spec.Span.Seconds()/float64(instance.capacity.listedSlots()))
 	}
+	result.Evenness = simulation.evenness.result()
 	simulation.run(cmp.Or(spec.DrainTime, defaultDrainTime))
 	result.Reasons = simulation.refusals
 	for _, instance := range simulation.instances {
@@ -182,7 +204,7 @@
 func (spec Load) usableSlots() int {
 	for _, kind := range spec.Kinds {
 		if kind.Staleness > spec.ApplyDelay {
-			return instanceCount * spec.Slots
+			return instanceCount * max(1, spec.Groups) * spec.Slots
 		}
 	}
 	return spec.Slots
@@ -194,7 +216,7 @@
 
 func (simulation *simulation) setApplyDelay(delay time.Duration) {
 	for _, instance := range simulation.instances {
-		if instance != simulation.primary {
+		if instance != instance.primary() {
 			instance.applyDelay = delay
 		}
 	}
@@ -203,16 +225,22 @@
 // catalog returns the operator's configuration: one deployment for each kind.
 func (spec Load) catalog() event.CatalogListed {
 	var deployments []*model.Deployment
-	for _, kind := range spec.Kinds {
-		deployments = append(deployments, newDeployment(kind.Priority, model.KindSpec{
-			Name:          kind.Name,
-			Timeout:       kind.Timeout,
-			TargetLatency: kind.Target,
-			Staleness:     kind.Staleness,
-			SeesOwnWrites: kind.SeesOwnWrites,
-		}))
-	}
-	return newCatalog(deployments, spec.MaxConns)
+	var groups []model.Group
+	for group := range max(1, spec.Groups) {
+		groups = append(groups, newGroup(spec.groupName(group), spec.MaxConns))
+		for index := range spec.Kinds {
+			kind := &spec.Kinds[index]
+			deployments = append(deployments, newDeployment(kind.Priority, spec.deploymentName(kind, group), model.KindSpec{
+				Name:          kind.Name,
+				Timeout:       kind.Timeout,
+				TargetLatency: kind.Target,
+				Staleness:     kind.Staleness,
+				SeesOwnWrites: kind.SeesOwnWrites,
+				Group:         spec.groupName(group),
+			}))
+		}
+	}
+	return event.NewCatalogListed(1, deployments, groups)
 }
 
 // factories returns the plug-ins of each proxy.
--- a/internal/proof/city/instance.go
+++ b/internal/proof/city/instance.go
@@ -21,7 +21,12 @@
 type instance struct {
 	simulation *simulation
 	id         model.InstanceID
+	group      model.GroupID
 	dataCenter model.DataCenter
+	// fixedPrimary is the primary of the group if it is never replaced, or nil.
+	fixedPrimary *instance
+	// slowdown multiplies the time for which a statement holds a slot, unless it is 0.
+	slowdown   float64
 	up         bool
 	unlisted   bool
 	leaving    bool // announced in the listing: the instance is about to shut down
@@ -45,12 +50,20 @@
 }
 
 func (instance *instance) isPrimary() bool {
-	return instance.simulation.primary == instance && instance.up
+	return instance.primary() == instance && instance.up
+}
+
+// primary returns the primary of the instance's group, or nil.
+func (instance *instance) primary() *instance {
+	if instance.fixedPrimary != nil {
+		return instance.fixedPrimary
+	}
+	return instance.simulation.primary
 }
 
 func (instance *instance) listing() model.Listing {
 	spec := model.ListingSpec{
-		Group:    groupID,
+		Group:    instance.group,
 		Instance: model.NewInstance(instance.id, "10.0.0.1:1", instance.dataCenter).WithCapacity(instance.capacity.listedSlots(), 0),
 		Leaving:  instance.leaving,
 	}
--- a/internal/proof/city/load.go
+++ b/internal/proof/city/load.go
@@ -65,6 +65,7 @@
 	kind       *LoadKind
 	result     *KindResult
 	zone       int
+	group      int
 	statements []statementSpec
 	inTx       bool
 	arrived    time.Duration
@@ -98,6 +99,9 @@
 // rate returns the current number of operations a second.
 func (load *load) rate() float64 {
 	began := load.until - load.spec.Span
+	if len(load.spec.ZoneRates) > 0 {
+		return load.spec.totalRate(load.simulation.now - began)
+	}
 	if passed := load.simulation.now - began; passed >= load.spec.BurstFrom && passed < load.spec.BurstUntil {
 		return load.spec.BurstRate
 	}
@@ -115,10 +119,13 @@
 		load:    load,
 		kind:    kind,
 		result:  load.results[index],
-		zone:    random.IntN(len(load.spec.ProxiesByZone)),
+		zone:    load.drawZone(),
 		arrived: load.simulation.now,
 		inTx:    random.Float64() < kind.Transactions,
 	}
+	if load.spec.Groups > 1 {
+		added.group = random.IntN(load.spec.Groups)
+	}
 	count, writes := 1, random.Float64() < kind.Writes
 	if added.inTx {
 		count += random.IntN(maxTxStatements)
@@ -172,7 +179,7 @@
 	load.lastCaller++
 	operation.caller = load.lastCaller
 	operation.next = 0
-	chosen.post(networkDelay, event.NewCallerOpened(operation.caller, operation.kind.Name, ""))
+	chosen.post(networkDelay, event.NewCallerOpened(operation.caller, load.spec.deploymentName(operation.kind, operation.group), ""))
 	if operation.inTx {
 		operation.send(model.RequestSpec{Op: model.OpBegin, ReadOnly: !operation.statements[0].writes}, func(*model.Reply) { operation.sendNext() })
 		return
--- a/internal/proof/city/loads.go
+++ b/internal/proof/city/loads.go
@@ -22,6 +22,9 @@
 		{"overloaded_group", "the replicas keep up, the group gets 1.3 times what it can do", overloadedGroup},
 		{"burst", "2.4 times the rate for 3 s", burst},
 		{"many_proxies", "64 proxies share 46 connections of an instance", manyProxies},
+		{"uneven_36", "8 groups, three zones with crests at different times, 36 proxies", unevenDemand},
+		{"uneven_69", "the same with 69 proxies", unevenDemandOf69},
+		{"uneven_195", "the same with 195 proxies", unevenDemandOf195},
 		{"return_of_power", "all proxies lose power for 1 s, their old connections linger for 3 s", returnOfPower},
 	}
 }
--- a/internal/proof/city/mesh.go
+++ b/internal/proof/city/mesh.go
@@ -29,7 +29,7 @@
 		return
 	}
 	kernel := proxy.kernel
-	simulation.runAfter(networkDelay, func() {
+	simulation.runAfter(simulation.delay(proxy.dataCenter, receiver.dataCenter), func() {
 		if receiver.down {
 			proxy.runTimer(networkDelay, func() { proxy.finishPoll(event.NewPollFailed(action.ID(), true, "connection refused")) })
 			return
@@ -72,7 +72,7 @@
 	if !ok || !proxy.reaches(received.sender) {
 		return
 	}
-	proxy.simulation.runAfter(networkDelay, func() {
+	proxy.simulation.runAfter(proxy.simulation.delay(proxy.dataCenter, received.sender.dataCenter), func() {
 		if received.sender.kernel == received.kernel {
 			received.sender.finishPoll(result(received.id))
 		}
--- a/internal/proof/city/proxy.go
+++ b/internal/proof/city/proxy.go
@@ -36,11 +36,16 @@
 	lastPoll         model.PollID
 }
 
+// defaultSharedListWait makes followers hold their polls for a second where proxies poll each
+// other. With 0 their polls are answered at once.
+const defaultSharedListWait = 2 * time.Second
+
 // reset replaces the process by a new one without state.
 func (proxy *proxy) reset() {
 	address, spec := "", tune.Default()
 	if proxy.simulation.meshed {
 		address = proxy.name
+		spec.SharedListWait = defaultSharedListWait
 	}
 	if lists := proxy.simulation.listSettings; lists != nil {
 		spec.ListWait, spec.SharedListWait, spec.MaxListAge = lists.wait, lists.sharedWait, lists.maxAge
@@ -96,18 +101,18 @@
 	}
 	var deployments []*model.Deployment
 	for _, spec := range kinds {
-		spec.Timeout = requestTimeout
-		deployments = append(deployments, newDeployment(0, spec))
+		spec.Timeout, spec.Group = requestTimeout, groupID
+		deployments = append(deployments, newDeployment(0, spec.Name, spec))
 	}
-	return newCatalog(deployments, 34)
+	return event.NewCatalogListed(1, deployments, []model.Group{newGroup(groupID, 34)})
 }
 
-// newDeployment returns a deployment of one kind, for the group of the simulation.
-func newDeployment(priority int, spec model.KindSpec) *model.Deployment {
-	spec.Access, spec.Group = model.AccessEither, groupID
+// newDeployment returns a deployment of one kind, for the group of the kind.
+func newDeployment(priority int, name string, spec model.KindSpec) *model.Deployment {
+	spec.Access = model.AccessEither
 	return model.NewDeployment(model.DeploymentSpec{
-		Name:        spec.Name,
-		Groups:      []model.GroupID{groupID},
+		Name:        name,
+		Groups:      []model.GroupID{spec.Group},
 		Priority:    priority,
 		Kinds:       []model.Kind{model.NewKind(spec)},
 		Classes:     []model.CallerClass{model.NewCallerClass(model.CallerClassSpec{})},
@@ -115,11 +120,9 @@
 	})
 }
 
-// newCatalog returns a configuration of the given deployments and the group of the
-// simulation.
-func newCatalog(deployments []*model.Deployment, maxConns int) event.CatalogListed {
-	listed := model.NewGroup(groupID, nil).WithReplication(model.NewPrimaryAcknowledged(1)).WithMaxConns(maxConns)
-	return event.NewCatalogListed(1, deployments, []model.Group{listed})
+// newGroup returns a group whose instances accept a number of connections.
+func newGroup(id model.GroupID, maxConns int) model.Group {
+	return model.NewGroup(id, nil).WithReplication(model.NewPrimaryAcknowledged(1)).WithMaxConns(maxConns)
 }
 
 // post delivers an event to the kernel after a delay, unless the process was killed before.
--- a/internal/proof/city/simulation.go
+++ b/internal/proof/city/simulation.go
@@ -80,6 +80,9 @@
 	oracle    *oracle
 	logLines  []string       // the decisions that the proxies logged, except those about single requests
 	refusals  map[string]int // refused requests by the reason that the proxies logged
+	// latency is the one-way latency of the network, or nil if it is networkDelay everywhere.
+	latency  func(from, to model.DataCenter) time.Duration
+	evenness evenness
 }
 
 // newSimulation returns a simulation of the given number of proxies.
@@ -104,7 +107,7 @@
 	simulation.store = &store{simulation: simulation, rows: make(map[string]storedRow), lists: make(map[model.ListName][]model.ListRow)}
 	simulation.oracle = &oracle{simulation: simulation, reported: make(map[int]string), acked: make(map[int]int)}
 	for _, name := range []model.InstanceID{"i-a", "i-b", "i-c"} {
-		simulation.instances = append(simulation.instances, &instance{simulation: simulation, id: name, dataCenter: "trnje-hall", up: true, unreachableFrom: make(map[*proxy]bool)})
+		simulation.instances = append(simulation.instances, &instance{simulation: simulation, id: name, group: groupID, dataCenter: "trnje-hall", up: true, unreachableFrom: make(map[*proxy]bool)})
 	}
 	simulation.primary = simulation.instances[0]
 	return simulation
@@ -194,11 +197,9 @@
 
 // replicate copies log entries from the primary to the replicas and schedules its next run.
 func (simulation *simulation) replicate() {
-	if simulation.primary != nil && simulation.primary.up {
-		for _, instance := range simulation.instances {
-			if instance != simulation.primary {
-				instance.replicateFrom(simulation.primary)
-			}
+	for _, instance := range simulation.instances {
+		if primary := instance.primary(); primary != nil && primary.up && instance != primary {
+			instance.replicateFrom(primary)
 		}
 	}
 	simulation.runAfter(2*time.Millisecond, simulation.replicate)
--- a/internal/stand/cmds/experiment.go
+++ b/internal/stand/cmds/experiment.go
@@ -133,12 +133,22 @@
 	if err := table.Flush(); err != nil {
 		return errors.Wrap(err, "print results of the experiment")
 	}
+	printEvenness(output, total.Evenness)
 	for _, reason := range slices.Sorted(maps.Keys(total.Reasons)) {
 		_, _ = fmt.Fprintf(output, "  refused %d: %s\n", total.Reasons[reason], reason)
 	}
 	return nil
 }
 
+// printEvenness prints how evenly the instances were loaded.
+func printEvenness(output io.Writer, evenness city.Evenness) {
+	sent, windows := float64(max(1, evenness.Local+evenness.Remote)), float64(max(1, evenness.Windows))
+	_, _ = fmt.Fprintf(output, "  reads that waited while another instance had a free slot: %.3f; windows of 100 ms with a queue beside a free slot: %.3f; busiest less least busy instance: %.2f slots\n",
+		float64(evenness.Misplaced)/float64(max(1, evenness.Reads)), float64(evenness.OverrunWindows)/windows, evenness.GapSum/windows)
+	_, _ = fmt.Fprintf(output, "  sent to other data centres: %.3f; reads rejected: %d, while another instance had a free slot: %d; connections refused: %d\n",
+		float64(evenness.Remote)/sent, evenness.Rejected, evenness.RejectedWhileFree, evenness.ConnsRefused)
+}
+
 // quantile returns a quantile of latencies in milliseconds.
 func quantile(latency *hdrhistogram.Histogram, percent float64) float64 {
 	const microsecondsPerMillisecond = 1000
