spread: choose reads by how much longer than expected statements take

With many proxies each one has no or one statement at an instance, and the mean time of a slot mixes the load with the kinds, whose work differs by a factor of five. The new plug-in spread averages the excess over the expected work of the kind for each instance, adds what load reports of other proxies say of it, and draws an instance with weights that fall with that cost, so that proxies that choose at the same moment do not all take the same one. It is used where at least as many proxies live as an instance has slots.

--- a/internal/app/metric/observe.go
+++ b/internal/app/metric/observe.go
@@ -28,6 +28,10 @@
 		if age, ok := group.MarkAge(now); ok {
 			registry.FloatGauge("mark_age_seconds", NewLabel("group", string(group.ID()))).Update(age.Seconds())
 		}
+		if view := group.LoadView(); view.At > 0 {
+			registry.FloatGauge("load_evenness", NewLabel("group", string(group.ID()))).Update(view.Evenness)
+			registry.FloatGauge("load_report_age_seconds", NewLabel("group", string(group.ID()))).Update((view.Age + now - view.At).Seconds())
+		}
 		for _, member := range group.Members() {
 			unreachable += boolToInt(member.Failures() > 0)
 			leaving += boolToInt(member.Leaving())
--- a/internal/core/count/count.go
+++ b/internal/core/count/count.go
@@ -56,6 +56,16 @@
 	Cancels
 	// Terms counts changes of a primary that this proxy observed.
 	Terms
+	// ChoicesLocal counts reads that the even load kept in the own data centre.
+	ChoicesLocal
+	// ChoicesRemote counts reads that it sent to a replica in another data centre.
+	ChoicesRemote
+	// ChoicesRemotePrimary counts reads that it sent to a primary in another data centre.
+	ChoicesRemotePrimary
+	// ChoicesUnreported counts reads that it sent to an instance without load reports.
+	ChoicesUnreported
+	// ChoicesOnly counts reads that a single instance could run.
+	ChoicesOnly
 	numNames
 )
 
@@ -81,6 +91,12 @@
 	Requests:         "requests_received",
 	Cancels:          "cancels",
 	Terms:            "terms_changed",
+
+	ChoicesLocal:         "choices_own_data_center",
+	ChoicesRemote:        "choices_other_data_center",
+	ChoicesRemotePrimary: "choices_other_primary",
+	ChoicesUnreported:    "choices_without_reports",
+	ChoicesOnly:          "choices_only_instance",
 }
 
 // String returns the name in snake case, as it appears in metrics.
--- a/internal/core/model/poll.go
+++ b/internal/core/model/poll.go
@@ -80,6 +80,9 @@
 	Members MembersVersion
 	// Lists are the lists that the sender follows.
 	Lists []ListPosition
+	// Loads are those that the sender observed itself or, with HeardOnly, together with the
+	// proxies that poll it.
+	Loads LoadReport
 }
 
 // Poll is a request of a proxy to another one for the members and changes of lists that it
@@ -115,6 +118,10 @@
 // Lists returns the positions of the lists that the sender follows.
 func (poll Poll) Lists() []ListPosition { return poll.spec.Lists }
 
+// Loads returns the loads that the sender observed itself or, with HeardOnly, together with the
+// proxies that poll it.
+func (poll Poll) Loads() LoadReport { return poll.spec.Loads }
+
 // PollReplySpec lists the fields of a new PollReply.
 type PollReplySpec struct {
 	Process  uint64
@@ -126,6 +133,9 @@
 	Changed bool
 	Members []ProxyView
 	Lists   []ListUpdate
+	// Loads are those of all data centres or, for a poll with HeardOnly, those of the receiver
+	// and the proxies that poll it.
+	Loads LoadReport
 }
 
 // PollReply answers a Poll. It is immutable.
@@ -156,3 +166,7 @@
 
 // Lists returns the updates of the lists that the sender follows.
 func (reply PollReply) Lists() []ListUpdate { return reply.spec.Lists }
+
+// Loads returns the loads of all data centres or, for a poll with HeardOnly, those of the
+// receiver and the proxies that poll it.
+func (reply PollReply) Loads() LoadReport { return reply.spec.Loads }
--- a/internal/core/state/group.go
+++ b/internal/core/state/group.go
@@ -9,6 +9,7 @@
 // Group is the view of a database group, derived from the reports of its
 // instances. Times are those of the kernel's clock.
 type Group struct {
+	loadView    LoadView
 	id          model.GroupID
 	members     []*Member
 	term        model.Term
--- a/internal/core/tune/tune.go
+++ b/internal/core/tune/tune.go
@@ -32,7 +32,9 @@
 	QuotaWindow       time.Duration
 	QuotaOverage      float64
 	QuotaSlack        float64
-	PeerSeeds         []string
+	// EvenLoad is described at Settings.EvenLoad.
+	EvenLoad  bool
+	PeerSeeds []string
 }
 
 const (
@@ -79,6 +81,7 @@
 		MaxWaiting:        defaultMaxWaiting,
 		DrainLimit:        defaultDrainLimit,
 		LedgerRetention:   defaultLedgerRetention,
+		EvenLoad:          true,
 	}
 }
 
@@ -192,3 +195,7 @@
 // QuotaSlack returns the operations by which a team may exceed its limit in a QuotaWindow, beyond
 // QuotaOverage.
 func (settings *Settings) QuotaSlack() float64 { return settings.spec.QuotaSlack }
+
+// EvenLoad reports whether proxies exchange load reports and choose the instances of reads by
+// them, where they are many.
+func (settings *Settings) EvenLoad() bool { return settings.spec.EvenLoad }
--- a/internal/plug/bundle/bundle.go
+++ b/internal/plug/bundle/bundle.go
@@ -18,6 +18,7 @@
 	_ "almondway.dev/almondway/internal/plug/reads"  // registers the plug-in
 	_ "almondway.dev/almondway/internal/plug/relay"  // registers the plug-in
 	_ "almondway.dev/almondway/internal/plug/sessn"  // registers the plug-in
+	_ "almondway.dev/almondway/internal/plug/spread" // registers the plug-in
 	_ "almondway.dev/almondway/internal/plug/tally"  // registers the plug-in
 	_ "almondway.dev/almondway/internal/plug/writes" // registers the plug-in
 )
--- a/internal/plug/relay/answer.go
+++ b/internal/plug/relay/answer.go
@@ -16,6 +16,7 @@
 // ExecuteDone implements route.ConnUser.
 func (task *task) ExecuteDone(done event.ExecuteDone) {
 	task.relay.clearFailure(task.instance)
+	task.recordEnded(true)
 	task.observeMark(done.Mark())
 	conn := task.conn
 	switch {
@@ -61,6 +62,7 @@
 	task.conn = 0
 	step := task.step
 	task.releaseConn(failed.Conn(), step)
+	task.recordEnded(failed.Class() == model.FailureStatement)
 	if failed.Usable() {
 		task.relay.answeredAt[task.instance] = task.relay.context.Now()
 	}
@@ -76,6 +78,8 @@
 		if group := task.groupState(); group != nil {
 			task.relay.refutePrimary(group, task.instance)
 		}
+	case model.FailureBusy:
+		task.recordRefused()
 	case model.FailureLagging:
 		task.relay.recordMissingMark(task.instance, task.after)
 	case model.FailureNotSent:
--- a/internal/plug/relay/expire.go
+++ b/internal/plug/relay/expire.go
@@ -51,6 +51,7 @@
 // stop ends the task's wait for a connection or closes the connection on which the task
 // runs.
 func (task *task) stop() {
+	task.recordEnded(false)
 	switch task.state {
 	case taskAcquiring:
 		task.relay.conns.CancelWait(task.waitID)
--- a/internal/plug/relay/relay.go
+++ b/internal/plug/relay/relay.go
@@ -23,6 +23,7 @@
 	conns          route.Conns
 	admission      route.Admission
 	fleet          route.Fleet
+	spread         route.Spread // or nil
 	runningBySeq   map[model.RequestSeq]*task
 	runningByGroup *route.RunningRequests
 	monitors       map[model.GroupID]*monitor
@@ -52,6 +53,7 @@
 		answeredAt:     make(map[model.InstanceID]time.Duration),
 		missingMarks:   make(map[model.InstanceID]missingMark),
 	}
+	relay.spread, _ = context.Service(route.SpreadService).(route.Spread)
 	relay.sessions.RegisterRunner(model.AccessEither, relay)
 	context.Timers().Every(refreshInterval, relay.refreshMarks)
 	return relay
--- a/internal/plug/relay/task.go
+++ b/internal/plug/relay/task.go
@@ -48,7 +48,8 @@
 	after          model.Mark    // the mark that the log of the instance must cover
 	age            time.Duration // age of after when the instance was chosen
 	sentAt         time.Duration
-	resumed        bool // the statement continues a transaction
+	sent           route.SentStatement // the outstanding statement, for the load reports
+	resumed        bool                // the statement continues a transaction
 	reason         string
 	reran          bool // the read was repeated after an error of the instance
 	retryScheduled bool // the timer of scheduleRetry is running
@@ -126,8 +127,7 @@
 	}
 	task.after = mark
 	task.age = task.relay.context.Now() - since
-	task.reason = "least load"
-	return task.relay.cheapestInstance(group, task)
+	return task.chooseReader(group)
 }
 
 // scheduleRetry tries all instances again after acquireRetryDelay. A change of the group's
@@ -224,6 +224,7 @@
 	if task.requirement == requireMark && !task.resumed {
 		spec.After = task.after
 	}
+	task.recordSent()
 	task.relay.conns.Execute(task.conn, model.NewWork(spec))
 }
 
--- a/internal/proof/city/experiment.go
+++ b/internal/proof/city/experiment.go
@@ -12,6 +12,7 @@
 	"almondway.dev/almondway/internal/core/kern"
 	"almondway.dev/almondway/internal/core/model"
 	"almondway.dev/almondway/internal/plug/limit"
+	"almondway.dev/almondway/internal/plug/spread"
 )
 
 const (
@@ -59,6 +60,8 @@
 	CountFrom, CountUntil time.Duration
 	// Policy holds the parameters of the admission of each proxy.
 	Policy limit.Policy
+	// Choice holds the parameters of the choice of instances; the default if it is nil.
+	Choice *spread.Policy
 	// Groups is the number of groups, one if it is 0. With several, every zone has an instance
 	// of each group, proxies poll each other, and the primaries are spread over the zones.
 	Groups int
@@ -246,6 +249,13 @@
 // factories returns the plug-ins of each proxy.
 func (spec Load) factories() []kern.Factory {
 	return kern.Factories(kern.ProfileHosted, map[string]kern.Factory{
+		"spread": func(context *kern.Context) kern.Plugin {
+			choice := spread.DefaultPolicy()
+			if spec.Choice != nil {
+				choice = *spec.Choice
+			}
+			return spread.NewWithPolicy(context, choice)
+		},
 		"limit": func(context *kern.Context) kern.Plugin { return limit.NewWithPolicy(context, spec.Policy) },
 	})
 }
--- a/internal/proof/city/uneven.go
+++ b/internal/proof/city/uneven.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"almondway.dev/almondway/internal/plug/limit"
+	"almondway.dev/almondway/internal/plug/spread"
 )
 
 // unevenDemand is a load of 8 groups whose three zones have their crests at different times.
@@ -60,3 +61,36 @@
 	load.ProxiesByZone = []int{65, 65, 65}
 	return load
 }
+
+// NamedChoice is a way to choose instances for reads that an experiment can play.
+type NamedChoice struct {
+	Name   string
+	Policy spread.Policy
+}
+
+// Choices returns the ways to choose instances, that of the product first.
+func Choices() []NamedChoice {
+	with := func(way spread.Way, draws int) spread.Policy {
+		policy := spread.DefaultPolicy()
+		policy.Way, policy.Draws = way, draws
+		return policy
+	}
+	ownOnly := spread.DefaultPolicy()
+	ownOnly.ReportWeight = 0
+	return []NamedChoice{
+		{"excess", spread.DefaultPolicy()},
+		{"own_excess", ownOnly},
+		{"delay", with(spread.ChooseByDelay, 0)},
+		{"free_slots", with(spread.ChooseByFree, 0)},
+		{"aged_free_slots", with(spread.ChooseByAgedFree, 0)},
+		{"best_of_two", with(spread.ChooseBestOf, 2)},
+		{"best_of_three", with(spread.ChooseBestOf, 3)},
+		{"rank", with(spread.ChooseByRank, 0)},
+	}
+}
+
+// WithChoice returns the load with another way to choose instances.
+func (load Load) WithChoice(policy spread.Policy) Load {
+	load.Choice = &policy
+	return load
+}
--- a/internal/stand/cmds/experiment.go
+++ b/internal/stand/cmds/experiment.go
@@ -25,6 +25,7 @@
 type experimentOptions struct {
 	load      string
 	without   []string
+	choice    string
 	seeds     int
 	firstSeed uint64
 }
@@ -43,6 +44,7 @@
 	flags := command.Flags()
 	flags.StringVar(&options.load, "load", "", "load to play; all if empty")
 	flags.StringSliceVar(&options.without, "without", nil, `mechanisms to leave out, one by one; "all" selects each of them`)
+	flags.StringVar(&options.choice, "choice", "", `way to choose instances for reads: `+strings.Join(choiceNames(), ", ")+`; that of the product if empty, "all" plays each of them`)
 	flags.IntVar(&options.seeds, "seeds", defaultExperimentSeeds, "number of seeds")
 	flags.Uint64Var(&options.firstSeed, "first-seed", 1, "first seed")
 	return command
@@ -64,6 +66,27 @@
 	return names
 }
 
+func choiceNames() []string {
+	var names []string
+	for _, choice := range city.Choices() {
+		names = append(names, choice.Name)
+	}
+	return names
+}
+
+// choices returns the selected ways to choose instances, that of the product if none is named.
+func (options experimentOptions) choices() ([]city.NamedChoice, error) {
+	if options.choice == allMechanisms {
+		return city.Choices(), nil
+	}
+	for _, choice := range city.Choices() {
+		if options.choice == "" || choice.Name == options.choice {
+			return []city.NamedChoice{choice}, nil
+		}
+	}
+	return nil, errors.Errorf("choice %q does not exist; the choices are %s", options.choice, strings.Join(choiceNames(), ", "))
+}
+
 // variant is the product's policy or that policy without a mechanism.
 type variant struct {
 	name   string
@@ -95,6 +118,10 @@
 	if err != nil {
 		return err
 	}
+	choices, err := options.choices()
+	if err != nil {
+		return err
+	}
 	played := false
 	for _, load := range city.Loads() {
 		if options.load != "" && options.load != load.Name {
@@ -102,8 +129,10 @@
 		}
 		played = true
 		for _, variant := range variants {
-			if err := printExperiment(output, load, variant, options); err != nil {
-				return err
+			for _, choice := range choices {
+				if err := printExperiment(output, load, variant, choice, options); err != nil {
+					return err
+				}
 			}
 		}
 	}
@@ -114,14 +143,14 @@
 }
 
 // printExperiment plays a load with each seed and prints the sum of the results.
-func printExperiment(output io.Writer, load city.NamedLoad, variant variant, options experimentOptions) error {
+func printExperiment(output io.Writer, load city.NamedLoad, variant variant, choice city.NamedChoice, options experimentOptions) error {
 	var total city.Result
 	for index := range uint64(options.seeds) {
-		total.Add(city.Experiment(load.Load(options.firstSeed + index).WithPolicy(variant.change)))
+		total.Add(city.Experiment(load.Load(options.firstSeed + index).WithPolicy(variant.change).WithChoice(choice.Policy)))
 	}
 	seeds := float64(options.seeds)
-	_, _ = fmt.Fprintf(output, "%s, %s: %.3f in target (of %.3f that the slots could serve), slots of the primary in use %.2f, %.1f connections opened a second\n",
-		load.Name, variant.name, total.InTarget(), total.Bound/seeds, total.SlotUse[0]/seeds, float64(total.Opened)/seeds/load.Load(options.firstSeed).Span.Seconds())
+	_, _ = fmt.Fprintf(output, "%s, %s, choice by %s: %.3f in target (of %.3f that the slots could serve), slots of the primary in use %.2f, %.1f connections opened a second\n",
+		load.Name, variant.name, choice.Name, total.InTarget(), total.Bound/seeds, total.SlotUse[0]/seeds, float64(total.Opened)/seeds/load.Load(options.firstSeed).Span.Seconds())
 	table := tabwriter.NewWriter(output, 0, 0, 2, ' ', tabwriter.AlignRight)
 	_, _ = fmt.Fprintln(table, "kind\tpriority\tasked\tin target\tlate\tunserved\tp50 ms\tp99 ms\t")
 	for _, kind := range total.Kinds {
