fleet: carry load reports on the polls between proxies

A proxy saw only its own statements, about one in 36 to 195 of those of an instance. A poll now carries what its sender observed, a reader adds up what its followers and it observed, readers send each other these sums, and a follower gets the sums of all data centres with the answer.

--- a/internal/edge/mesh/convert.go
+++ b/internal/edge/mesh/convert.go
@@ -43,6 +43,7 @@
 		HeardMembersOnly: poll.HeardOnly(),
 		Members:          encodeVersion(poll.Members()),
 	}
+	request.Loads, request.LoadsSequence = encodeLoads(poll.Loads()), poll.Loads().Sequence()
 	for _, position := range poll.Lists() {
 		request.Lists = append(request.Lists, encodePosition(position))
 	}
@@ -58,6 +59,7 @@
 		Hold:      fromMilliseconds(request.GetHoldMs()),
 		HeardOnly: request.GetHeardMembersOnly(),
 		Members:   decodeVersion(request.GetMembers()),
+		Loads:     decodeLoads(request.GetLoadsSequence(), request.GetLoads()),
 	}
 	for _, position := range request.GetLists() {
 		spec.Lists = append(spec.Lists, decodePosition(position))
@@ -72,6 +74,7 @@
 		HeldMs:         milliseconds(reply.Held()),
 		MembersVersion: encodeVersion(reply.Version()),
 	}
+	response.Loads, response.LoadsSequence = encodeLoads(reply.Loads()), reply.Loads().Sequence()
 	for _, member := range reply.Members() {
 		response.Members = append(response.Members, encodeProxy(member))
 	}
@@ -94,6 +97,7 @@
 		Held:     fromMilliseconds(response.GetHeldMs()),
 		Version:  decodeVersion(response.GetMembersVersion()),
 		Changed:  len(response.GetMembers()) > 0,
+		Loads:    decodeLoads(response.GetLoadsSequence(), response.GetLoads()),
 	}
 	for _, member := range response.GetMembers() {
 		spec.Members = append(spec.Members, decodeProxy(member))
--- a/internal/edge/mesh/mesh_test.go
+++ b/internal/edge/mesh/mesh_test.go
@@ -70,9 +70,16 @@
 		HeardOnly: true,
 		Members:   model.NewMembersVersion(8, 9),
 		Lists:     []model.ListPosition{model.NewListPosition(model.ListInstances, 2, 31)},
+		Loads:     newLoads(),
 	})
 }
 
+func newLoads() model.LoadReport {
+	return model.NewLoadReport(5, []model.InstanceLoad{model.NewInstanceLoad(model.InstanceLoadSpec{
+		Instance: "i-1", DataCenter: "trnje-hall", Born: 1_700_000_000_000, Busy: 2.125, Offered: 1.5, Movable: 0.25, Refused: 3, Span: time.Second, Age: 250 * time.Millisecond,
+	})})
+}
+
 func TestPollAndReply(t *testing.T) {
 	is := is.New(t)
 	caller, callerInbox := startMesh(t, "10.0.0.9:80")
@@ -86,6 +93,7 @@
 		Version: model.NewMembersVersion(8, 10),
 		Changed: true,
 		Members: []model.ProxyView{model.NewProxyView("receiver", "10.0.0.2:1", "trnje-hall", 0, false, 0).WithCores(0.8)},
+		Loads:   newLoads(),
 		Lists: []model.ListUpdate{model.NewListUpdate(model.NewListPosition(model.ListInstances, 2, 33), true,
 			[]model.ListRow{model.NewListRow("i-1", 32, []byte("entry")), model.NewDeletedListRow("i-2", 33)}, 40*time.Millisecond)},
 	})
@@ -96,6 +104,7 @@
 	is.Equal(answered.Reply().Members(), reply.Members())
 	is.Equal(answered.Reply().Version(), reply.Version())
 	is.Equal(answered.Reply().Held(), reply.Held())
+	is.Equal(answered.Reply().Loads(), reply.Loads())
 	is.Equal(update.Rows(), reply.Lists()[0].Rows())
 	is.Equal(update.Position(), reply.Lists()[0].Position())
 	is.True(update.Age() >= 40*time.Millisecond) // never younger than it was
--- a/internal/plug/fleet/answer.go
+++ b/internal/plug/fleet/answer.go
@@ -37,6 +37,7 @@
 		return
 	}
 	fleet.hear(poll.From())
+	fleet.receiveLoads(poll.From(), poll.Process(), scopeOfPoll(poll.HeardOnly()), poll.Loads())
 	if len(poll.Lists()) > 0 {
 		fleet.lastListPollAt = fleet.context.Now()
 	}
@@ -122,6 +123,7 @@
 			spec.Members = fleet.announced.heard
 		}
 	}
+	spec.Loads = fleet.reportLoads(scopeOfReply(held.poll.HeardOnly()))
 	if fleet.mirror != nil {
 		spec.Lists = fleet.mirror.Updates(held.poll.Lists())
 	}
--- a/internal/plug/fleet/source.go
+++ b/internal/plug/fleet/source.go
@@ -173,6 +173,7 @@
 	if spec.HeardOnly == source.heardOnly {
 		spec.Members = source.version
 	}
+	spec.Loads = fleet.reportLoads(scopeOfPoll(spec.HeardOnly))
 	spec.Hold = hold
 	source.heardOnly = spec.HeardOnly
 	source.pending = model.PollID(fleet.context.NextID())
@@ -204,6 +205,7 @@
 	}
 	source.answeredAt, source.avoidUntil, source.gone = now, 0, false
 	fleet.lastReplyAt = now
+	fleet.receiveLoads(source.view, reply.Process(), scopeOfReply(source.heardOnly), reply.Loads())
 	if reply.Changed() {
 		source.members, source.version = reply.Members(), reply.Version()
 	}
