--- a/internal/core/tune/tune.go
+++ b/internal/core/tune/tune.go
@@ -32,9 +32,9 @@
 	QuotaWindow       time.Duration
 	QuotaOverage      float64
 	QuotaSlack        float64
-	// EvenLoad is described at Settings.EvenLoad.
-	EvenLoad  bool
-	PeerSeeds []string
+	// EvenLoadProxies is described at Settings.EvenLoadProxies.
+	EvenLoadProxies int
+	PeerSeeds       []string
 }
 
 const (
@@ -81,7 +81,6 @@
 		MaxWaiting:        defaultMaxWaiting,
 		DrainLimit:        defaultDrainLimit,
 		LedgerRetention:   defaultLedgerRetention,
-		EvenLoad:          true,
 	}
 }
 
@@ -196,6 +195,7 @@
 // QuotaOverage.
 func (settings *Settings) QuotaSlack() float64 { return settings.spec.QuotaSlack }
 
-// EvenLoad reports whether proxies exchange load reports and choose the instances of reads by
-// them, where they are many.
-func (settings *Settings) EvenLoad() bool { return settings.spec.EvenLoad }
+// EvenLoadProxies returns the number of live proxies for each slot of an instance from which on
+// they exchange load reports and choose the instances of reads by them, or 0 if they never do.
+// It is 0 by default: docs/design/even_load.md has loads in which callers are served worse.
+func (settings *Settings) EvenLoadProxies() int { return settings.spec.EvenLoadProxies }
--- a/internal/plug/spread/policy.go
+++ b/internal/plug/spread/policy.go
@@ -27,6 +27,8 @@
 // Policy holds the parameters that experiments vary. The proxy uses DefaultPolicy.
 type Policy struct {
 	Way Way
+	// MinProxies replaces Settings.EvenLoadProxies, unless it is 0.
+	MinProxies int
 	// Draws is the number of instances of ChooseBestOf.
 	Draws int
 	// Temperature is the difference in cost at which an instance gets 1/e of the weight. With a
--- a/internal/plug/spread/spread.go
+++ b/internal/plug/spread/spread.go
@@ -3,6 +3,7 @@
 package spread
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -60,19 +61,28 @@
 	delete(spread.meters, instance)
 }
 
-// sharesLoads reports whether load reports are of use.
+// minProxies returns the number of live proxies for each slot from which on reads are
+// distributed by load reports, or 0 if they never are.
+func (spread *Spread) minProxies() int {
+	if spread.policy.Way == ChooseByDelay {
+		return 0
+	}
+	return cmp.Or(spread.policy.MinProxies, spread.context.Settings().EvenLoadProxies())
+}
+
+// sharesLoads reports whether load reports are of use for a group.
 func (spread *Spread) sharesLoads() bool {
-	return spread.context.Settings().EvenLoad() && spread.policy.Way != ChooseByDelay
+	return slices.ContainsFunc(spread.context.State().Groups(), spread.Active)
 }
 
 // Active implements route.Spread.
 func (spread *Spread) Active(group *state.Group) bool {
-	shared := spread.context.State()
-	if !spread.sharesLoads() || !shared.ProxiesKnown() {
+	shared, minimum := spread.context.State(), spread.minProxies()
+	if minimum == 0 || !shared.ProxiesKnown() || len(group.Members()) == 0 {
 		return false
 	}
 	for _, member := range group.Members() {
-		if slots := member.Instance().Slots(); slots == 0 || shared.ProxyCount() < slots {
+		if slots := member.Instance().Slots(); slots == 0 || shared.ProxyCount() < minimum*slots {
 			return false
 		}
 	}
--- a/internal/plug/spread/spread_test.go
+++ b/internal/plug/spread/spread_test.go
@@ -23,6 +23,13 @@
 	numProxies = 36
 )
 
+// manySettings returns settings with which the proxies of the tests are many.
+func manySettings() tune.Spec {
+	spec := tune.Default()
+	spec.EvenLoadProxies = numProxies / testSlots
+	return spec
+}
+
 // bench is a proxy with the plug-in, and the state that it reads.
 type bench struct {
 	*Spread
@@ -102,7 +109,7 @@
 	is := is.New(t)
 	chosen := make(map[model.InstanceID]int)
 	for index := range numProxies {
-		one := newBench(index, tune.Default())
+		one := newBench(index, manySettings())
 		one.Receive(proxyView(1), 1, route.LoadOfAll, loads(1, 0, 2, 2, 1))
 		for range 3 {
 			instance, _ := one.Choose(one.group(), one.group().Members())
@@ -131,7 +138,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			is := is.New(t)
-			one := newBench(1, tune.Default())
+			one := newBench(1, manySettings())
 			one.Receive(proxyView(2), 1, route.LoadOfAll, loads(1, 0, test.stretches...))
 			shares := one.shares()
 			for instance, share := range shares {
@@ -169,7 +176,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			is := is.New(t)
-			one := newBench(1, tune.Default())
+			one := newBench(1, manySettings())
 			test.change(one)
 			shares := one.shares()
 			is.True(shares["i-1"] > shares["i-2"] && shares["i-2"] > shares["i-0"])
@@ -181,7 +188,7 @@
 // Guards a span that would count twice, and a late report that would replace a newer one.
 func TestNewestReportWins(t *testing.T) {
 	is := is.New(t)
-	one := newBench(1, tune.Default())
+	one := newBench(1, manySettings())
 	key := loadKey{dataCenter: "zone-2", instance: "i-2"}
 	busy := func() float64 { return one.sum(route.LoadOfAll)[key].busy }
 	one.Receive(proxyView(2), 1, route.LoadOfProxy, loads(2, 0, 1, 1, 3))
@@ -198,7 +205,7 @@
 // and a reader does not pass on what another reader has sent.
 func TestEachProxyCountsOnce(t *testing.T) {
 	is := is.New(t)
-	one := newBench(1, tune.Default())
+	one := newBench(1, manySettings())
 	key := loadKey{dataCenter: "zone-2", instance: "i-2"}
 	one.Receive(proxyView(2), 1, route.LoadOfProxy, loads(1, 0, 1, 1, 1))
 	is.Equal(one.sum(route.LoadOfReader)[key].busy, 2.0)
@@ -212,7 +219,7 @@
 // are added up stay within a multiple of its slots.
 func TestFalseReportIsBounded(t *testing.T) {
 	is := is.New(t)
-	one := newBench(1, tune.Default())
+	one := newBench(1, manySettings())
 	one.Receive(proxyView(2), 1, route.LoadOfProxy, loads(1, 0, 1, 1, 1e9))
 	is.True(one.sum(route.LoadOfAll)[loadKey{dataCenter: "zone-2", instance: "i-2"}].busy <= maxReportedSlots*testSlots)
 	one.Receive(proxyView(2), 1, route.LoadOfProxy, loads(2, 0, 0, 0, 0))
@@ -222,7 +229,7 @@
 // Guards a report about an instance that is not listed.
 func TestUnlistedInstanceIsForgotten(t *testing.T) {
 	is := is.New(t)
-	one := newBench(1, tune.Default())
+	one := newBench(1, manySettings())
 	one.meter("i-2").send(one.now, time.Second, true)
 	one.kernel.Handle(one.now, event.NewInstanceUnlisted("i-2"))
 	_, ok := one.meters["i-2"]
@@ -236,7 +243,7 @@
 // for it gets less, whatever the reports say, as when it fails for one data centre only.
 func TestOwnStatementsCount(t *testing.T) {
 	is := is.New(t)
-	one := newBench(1, tune.Default())
+	one := newBench(1, manySettings())
 	before := one.shares()["i-1"]
 	one.Refused("i-1")
 	is.True(one.shares()["i-1"] < before/2)
@@ -251,7 +258,7 @@
 // Guards the bound of a message.
 func TestReportIsBounded(t *testing.T) {
 	is := is.New(t)
-	one := newBench(1, tune.Default())
+	one := newBench(1, manySettings())
 	for index := range 3 * maxLoads {
 		one.meters[model.InstanceID("x-"+strconv.Itoa(index))] = &meter{at: one.now, busy: float64(index)}
 	}
@@ -263,13 +270,13 @@
 // Guards the setting, and proxies that are too few to need reports.
 func TestActive(t *testing.T) {
 	is := is.New(t)
-	one := newBench(1, tune.Default())
+	one := newBench(1, manySettings())
 	is.True(one.Active(one.group()))
 	is.True(one.Report(route.LoadOfProxy).Sequence() > 0)
 	one.kernel.State().SetProxies([]model.ProxyView{proxyView(0), proxyView(1)})
 	is.True(!one.Active(one.group()))
 	off := tune.Default()
-	off.EvenLoad = false
+	off.EvenLoadProxies = 0
 	other := newBench(1, off)
 	is.True(!other.Active(other.group()))
 	is.Equal(other.Report(route.LoadOfProxy).Sequence(), uint64(0))
--- a/internal/proof/city/evenness.go
+++ b/internal/proof/city/evenness.go
@@ -23,8 +23,8 @@
 	reads             int // that arrived at an instance
 	misplaced         int // of these, the ones that had to wait while another instance of the group had a free slot
 	windows           int
-	gapSum            float64 // of all windows: busiest less least busy instance of a group, in slots
-	overrunWindows    int     // windows in which an instance had a queue while another one had a free slot
+	gapSamples        int // of all windows: samples of the busiest less the least busy instance of a group
+	overrunWindows    int // windows in which an instance had a queue while another one had a free slot
 	samples           map[model.InstanceID]*sampled
 	sampleCount       int
 }
@@ -113,7 +113,7 @@
 		}
 		highest, lowest := slices.MaxFunc(members, byLoad), slices.MinFunc(members, byLoad)
 		evenness.windows++
-		evenness.gapSum += float64(evenness.samples[highest.id].running-evenness.samples[lowest.id].running) / samplesPerWindow
+		evenness.gapSamples += evenness.samples[highest.id].running - evenness.samples[lowest.id].running
 		// One slot free in the mean of the window.
 		free := evenness.samples[lowest.id].running <= (lowest.capacity.listedSlots()-1)*samplesPerWindow
 		if evenness.samples[highest.id].waiting >= samplesPerWindow && free {
--- a/internal/proof/city/groups.go
+++ b/internal/proof/city/groups.go
@@ -129,7 +129,7 @@
 		Rejected: evenness.rejected, RejectedWhileFree: evenness.rejectedWhileFree,
 		Reads: evenness.reads, Misplaced: evenness.misplaced,
 		ConnsRefused: evenness.connRefused,
-		Windows:      evenness.windows, OverrunWindows: evenness.overrunWindows, GapSum: evenness.gapSum,
+		Windows:      evenness.windows, OverrunWindows: evenness.overrunWindows, GapSum: float64(evenness.gapSamples) / samplesPerWindow,
 	}
 }
 
--- a/internal/proof/city/uneven.go
+++ b/internal/proof/city/uneven.go
@@ -72,13 +72,14 @@
 func Choices() []NamedChoice {
 	with := func(way spread.Way, draws int) spread.Policy {
 		policy := spread.DefaultPolicy()
-		policy.Way, policy.Draws = way, draws
+		policy.Way, policy.Draws, policy.MinProxies = way, draws, 1
 		return policy
 	}
-	ownOnly := spread.DefaultPolicy()
+	ownOnly := with(spread.ChooseByExcess, 0)
 	ownOnly.ReportWeight = 0
 	return []NamedChoice{
-		{"excess", spread.DefaultPolicy()},
+		{"product", spread.DefaultPolicy()},
+		{"excess", with(spread.ChooseByExcess, 0)},
 		{"own_excess", ownOnly},
 		{"delay", with(spread.ChooseByDelay, 0)},
 		{"free_slots", with(spread.ChooseByFree, 0)},
--- a/internal/proof/city/uneven_test.go
+++ b/internal/proof/city/uneven_test.go
@@ -39,7 +39,9 @@
 	}
 	byDelay := spread.DefaultPolicy()
 	byDelay.Way = spread.ChooseByDelay
-	even, before := play(spread.DefaultPolicy()), play(byDelay)
+	byExcess := spread.DefaultPolicy()
+	byExcess.MinProxies = 1
+	even, before := play(byExcess), play(byDelay)
 	t.Logf("even: %+v %.4f, before: %+v %.4f", even.Evenness, even.InTarget(), before.Evenness, before.InTarget())
 	is.Equal(even.Evenness.Windows, before.Evenness.Windows)
 	is.True(10*even.Evenness.GapSum < 9*before.Evenness.GapSum)
@@ -53,7 +55,7 @@
 	is := is.New(t)
 	few := func(way spread.Way) Result {
 		policy := spread.DefaultPolicy()
-		policy.Way = way
+		policy.Way, policy.MinProxies = way, 1
 		load := RecallLoad(1).WithChoice(policy)
 		load.Span, load.ProxiesByZone = 5*time.Second, []int{1, 1}
 		return Experiment(load)
