--- a/internal/core/model/poll.go
+++ b/internal/core/model/poll.go
@@ -84,6 +84,9 @@
 	Lists []ListPosition
 	// FreshLists says that the sender's copies of the lists were up to date shortly before.
 	FreshLists bool
+	// Loads are those that the sender observed itself or, with HeardOnly, together with the
+	// proxies that poll it.
+	Loads LoadReport
 }
 
 // Poll is a request of a proxy to another one for the members and changes of lists that it
@@ -126,6 +129,10 @@
 // that a receiver with older ones may ask for them.
 func (poll Poll) FreshLists() bool { return poll.spec.FreshLists }
 
+// Loads returns the loads that the sender observed itself or, with HeardOnly, together with the
+// proxies that poll it.
+func (poll Poll) Loads() LoadReport { return poll.spec.Loads }
+
 // PollReplySpec lists the fields of a new PollReply.
 type PollReplySpec struct {
 	Process  uint64
@@ -140,6 +147,9 @@
 	Partial bool
 	Changes MemberChanges
 	Lists   []ListUpdate
+	// Loads are those of all data centres or, for a poll with HeardOnly, those of the receiver
+	// and the proxies that poll it.
+	Loads LoadReport
 }
 
 // PollReply answers a Poll. It is immutable.
@@ -177,3 +187,7 @@
 
 // Lists returns the updates of the lists that the sender follows.
 func (reply PollReply) Lists() []ListUpdate { return reply.spec.Lists }
+
+// Loads returns the loads of all data centres or, for a poll with HeardOnly, those of the
+// receiver and the proxies that poll it.
+func (reply PollReply) Loads() LoadReport { return reply.spec.Loads }
--- a/internal/core/tune/tune.go
+++ b/internal/core/tune/tune.go
@@ -33,7 +33,9 @@
 	QuotaOverage      float64
 	QuotaSlack        float64
 	ConnHolders       bool
-	PeerSeeds         []string
+	// EvenLoadProxies is described at Settings.EvenLoadProxies.
+	EvenLoadProxies int
+	PeerSeeds       []string
 }
 
 const (
@@ -197,3 +199,8 @@
 // ConnHolders reports whether few proxies hold the connections of an instance for all others where
 // there are more proxies than connections, each of which runs one team's statements.
 func (settings *Settings) ConnHolders() bool { return settings.spec.ConnHolders }
+
+// EvenLoadProxies returns the number of live proxies for each slot of an instance from which on
+// they exchange load reports and choose the instances of reads by them, or 0 if they never do.
+// It is 0 by default: docs/design/even_load.md has loads in which callers are served worse.
+func (settings *Settings) EvenLoadProxies() int { return settings.spec.EvenLoadProxies }
--- a/internal/plug/fleet/answer.go
+++ b/internal/plug/fleet/answer.go
@@ -47,6 +47,7 @@
 	changed := false
 	if poll.Hold() > 0 {
 		changed = fleet.hear(poll.From()) // a single poll for lists says nothing of who polls this proxy
+		fleet.receiveLoads(poll.From(), poll.Process(), scopeOfPoll(poll.HeardOnly()), poll.Loads())
 	}
 	if len(poll.Lists()) > 0 && !poll.HeardOnly() {
 		fleet.lastListPollAt = fleet.context.Now()
@@ -161,6 +162,7 @@
 	if spec.Changed {
 		fleet.addMembers(&spec, held.poll)
 	}
+	spec.Loads = fleet.reportLoads(scopeOfReply(held.poll.HeardOnly()))
 	if fleet.mirror != nil {
 		spec.Lists = fleet.mirror.Updates(held.poll.Lists())
 	}
--- a/internal/plug/fleet/source.go
+++ b/internal/plug/fleet/source.go
@@ -196,6 +196,7 @@
 	if spec.HeardOnly == source.heardOnly {
 		spec.Members = source.version
 	}
+	spec.Loads = fleet.reportLoads(scopeOfPoll(spec.HeardOnly))
 	spec.Hold = hold
 	source.heardOnly = spec.HeardOnly
 	source.pending = model.PollID(fleet.context.NextID())
@@ -232,6 +233,7 @@
 	news := reply.Changed() || source.answeredAt == 0 || source.gone || now < source.avoidUntil
 	source.answeredAt, source.avoidUntil, source.gone = now, 0, false
 	fleet.lastReplyAt = now
+	fleet.receiveLoads(source.view, reply.Process(), scopeOfReply(source.heardOnly), reply.Loads())
 	if reply.Changed() {
 		source.record(reply)
 	}
--- a/internal/plug/relay/relay.go
+++ b/internal/plug/relay/relay.go
@@ -25,6 +25,7 @@
 	admission      route.Admission
 	fleet          route.Fleet
 	forwards       route.Forwards // or nil
+	spread         route.Spread   // or nil
 	runningBySeq   map[model.RequestSeq]*task
 	runningByGroup *route.RunningRequests
 	monitors       map[model.GroupID]*monitor
@@ -56,6 +57,7 @@
 		missingMarks:   make(map[model.InstanceID]missingMark),
 	}
 	relay.forwards, _ = context.Service(route.ForwardsService).(route.Forwards)
+	relay.spread, _ = context.Service(route.SpreadService).(route.Spread)
 	relay.sessions.RegisterRunner(model.AccessEither, relay)
 	relay.pace = context.Timers().Pace(refreshInterval, relay.refreshMarks)
 	return relay
--- a/internal/proof/city/load.go
+++ b/internal/proof/city/load.go
@@ -68,6 +68,7 @@
 	zone       int
 	team       int  // from 1, or 0 if there are no teams
 	uncounted  bool // in the results
+	group      int
 	statements []statementSpec
 	inTx       bool
 	arrived    time.Duration
@@ -93,7 +94,7 @@
 		if load.simulation.now >= load.until {
 			return
 		}
-		zone := load.random.IntN(len(load.spec.ProxiesByZone))
+		zone := load.drawZone()
 		if load.arrives(zone) {
 			load.newOperation(zone).attempt()
 		}
@@ -115,6 +116,9 @@
 // rate returns the current number of operations a second.
 func (load *load) rate() float64 {
 	began := load.until - load.spec.Span
+	if len(load.spec.ZoneRates) > 0 {
+		return load.spec.totalRate(load.simulation.now - began)
+	}
 	if passed := load.simulation.now - began; passed >= load.spec.BurstFrom && passed < load.spec.BurstUntil {
 		return load.spec.BurstRate
 	}
@@ -139,6 +143,9 @@
 	if load.spec.Teams > 0 {
 		added.team = load.drawTeam()
 	}
+	if load.spec.Groups > 1 {
+		added.group = random.IntN(load.spec.Groups)
+	}
 	count, writes := 1, random.Float64() < kind.Writes
 	if added.inTx {
 		count += random.IntN(maxTxStatements)
@@ -195,7 +202,7 @@
 	load.lastCaller++
 	operation.caller = load.lastCaller
 	operation.next = 0
-	chosen.post(networkDelay, event.NewCallerOpened(operation.caller, operation.kind.Name, "").WithKey(teamKey(operation.team)))
+	chosen.post(networkDelay, event.NewCallerOpened(operation.caller, load.spec.deploymentName(operation.kind, operation.group), "").WithKey(teamKey(operation.team)))
 	if operation.inTx {
 		operation.send(model.RequestSpec{Op: model.OpBegin, ReadOnly: !operation.statements[0].writes}, func(*model.Reply) { operation.sendNext() })
 		return
--- a/internal/proof/city/loads.go
+++ b/internal/proof/city/loads.go
@@ -26,6 +26,9 @@
 		{"many_teams", "69 proxies share 58 connections of an instance, each of which belongs to one of 77 teams", ManyTeams},
 		{"many_teams_flood", "many_teams, and one team sends 60 more operations a second for 6 s", manyTeamsFlood},
 		{"many_teams_silence", "many_teams, and all proxies are suspended for 4 s", manyTeamsSilence},
+		{"uneven_36", "8 groups, three zones with crests at different times, 36 proxies", unevenDemand},
+		{"uneven_69", "the same with 69 proxies", unevenDemandOf69},
+		{"uneven_195", "the same with 195 proxies", unevenDemandOf195},
 		{"return_of_power", "all proxies lose power for 1 s, their old connections linger for 3 s", returnOfPower},
 	}
 }
