--- a/internal/plug/relay/overdue.go
+++ b/internal/plug/relay/overdue.go
@@ -15,6 +15,7 @@
 	conn := task.conn
 	task.conn = 0
 	task.mayHaveRun = true
+	task.recordEnded(false)
 	task.relay.conns.Discard(conn)
 	task.retryElsewhere("the instance does not answer the read in time")
 }
