limit, elect: the duty cycle of a slot, and the next renewal of a lease that was taken

Cause: pace meant both the share of time for which a slot is in use and the timer that plug-ins share. A proxy behind the standbys that took the lease read the row again only after the interval of a proxy that does not hold it (found by review, not run). Change: limit's pace is its duty cycle; the next read of the row follows the interval of the holder once the write is confirmed. Measured: go test of plug/limit and plug/elect.

--- a/internal/plug/elect/lease.go
+++ b/internal/plug/elect/lease.go
@@ -223,6 +223,7 @@
 	lease.write(leaseRow{Holder: lease.self(), Token: lease.reservedUpTo() + reservedTokens}, func(ok bool) {
 		if ok {
 			lease.log("lease_taken", "was held by "+string(previous))
+			lease.nextPollAt = min(lease.nextPollAt, lease.context.Now()+lease.pollInterval())
 		}
 	})
 }
--- a/internal/plug/limit/pace_test.go
+++ b/internal/plug/limit/duty_test.go
@@ -53,7 +53,7 @@
 				limits.Release(sent.request, test.held, test.end)
 			}
 			instanceLimit := limits.instanceLimit(instance)
-			is.Equal(instanceLimit.pace.share, test.share)
+			is.Equal(instanceLimit.dutyCycle.share, test.share)
 			is.Equal(instanceLimit.free(timers.Now()), test.share == 1)
 			timers.Advance(timers.Now() + maxRest)
 			is.True(instanceLimit.free(timers.Now())) // a rest ends, whatever was seen before
@@ -69,12 +69,12 @@
 	request := flowSpec{target: 200 * time.Millisecond}.newWaiter().request
 	instanceLimit := limits.instanceLimit(instance)
 	for range 20 {
-		limits.recordPace(request, instanceLimit, time.Second, false)
+		limits.recordDuty(request, instanceLimit, time.Second, false)
 	}
 	for range 18 {
-		limits.recordPace(request, instanceLimit, 10*time.Millisecond, true)
+		limits.recordDuty(request, instanceLimit, 10*time.Millisecond, true)
 	}
-	is.Equal(instanceLimit.pace.share, 1.0)
+	is.Equal(instanceLimit.dutyCycle.share, 1.0)
 }
 
 // Guards against pings that end the rest of a slot: they come just when the instance is suspect.
@@ -84,10 +84,10 @@
 	sent := flowSpec{target: 200 * time.Millisecond, deadline: time.Hour}.newWaiter()
 	limits.Acquire(sent)
 	limits.Release(sent.request, time.Second, route.SlotAnswered)
-	before := limits.instanceLimit(instance).pace
+	before := limits.instanceLimit(instance).dutyCycle
 	is.True(before.share < 1)
 	ping := route.SlotRequest{Instance: instance, BypassLimit: true}
 	limits.ForceAcquire(ping)
 	limits.Release(ping, time.Millisecond, route.SlotAnswered)
-	is.Equal(limits.instanceLimit(instance).pace, before)
+	is.Equal(limits.instanceLimit(instance).dutyCycle, before)
 }
--- a/internal/plug/limit/instancelimit.go
+++ b/internal/plug/limit/instancelimit.go
@@ -54,7 +54,7 @@
 	samples     int
 	hadWaiters  bool
 	lastSample  time.Duration // time of the last answer
-	pace        pace
+	dutyCycle   dutyCycle
 	progressAt  time.Duration // when a slot was last granted or returned
 	queuedSince time.Duration // start of the current period with a non-empty queue
 }
@@ -94,7 +94,7 @@
 // turnover returns how long each slot is expected to be held by the statements that run now. If
 // no slot was granted or returned for much longer than that, it is the time since then.
 func (instanceLimit *instanceLimit) turnover(now time.Duration) time.Duration {
-	held := time.Duration(float64(instanceLimit.held(now)) / instanceLimit.pace.share)
+	held := time.Duration(float64(instanceLimit.held(now)) / instanceLimit.dutyCycle.share)
 	stalled := now - instanceLimit.progressAt
 	if instanceLimit.running >= instanceLimit.limit && stalled > stallRatio*held {
 		return stalled
@@ -144,7 +144,7 @@
 func (limits *Limits) instanceLimit(instance model.InstanceID) *instanceLimit {
 	found, ok := limits.instanceLimits[instance]
 	if !ok {
-		found = &instanceLimit{limit: limits.lowerBound(instance), queue: &lanes{turnInterval: limits.policy.TurnInterval}, pace: pace{share: 1}, meanHeld: initialHeld, baseHeld: initialHeld}
+		found = &instanceLimit{limit: limits.lowerBound(instance), queue: &lanes{turnInterval: limits.policy.TurnInterval}, dutyCycle: dutyCycle{share: 1}, meanHeld: initialHeld, baseHeld: initialHeld}
 		limits.instanceLimits[instance] = found
 	}
 	return found
--- a/internal/plug/limit/limit.go
+++ b/internal/plug/limit/limit.go
@@ -158,7 +158,7 @@
 		limits.recordHeld(request, held)
 	}
 	if end != route.SlotUnused {
-		limits.recordPace(request, instanceLimit, held, end == route.SlotAnswered)
+		limits.recordDuty(request, instanceLimit, held, end == route.SlotAnswered)
 	}
 	instanceLimit.running--
 	if !request.BypassLimit { // a ping that is answered says nothing of statements that hang
