--- a/internal/plug/conns/pool.go
+++ b/internal/plug/conns/pool.go
@@ -40,26 +40,13 @@
 	// instance lists a maximum. After a loss of power, an instance holds the old connections
 	// of the proxies for seconds, so that only the rest is left for the new ones.
 	surplusIdleTimeout = 500 * time.Millisecond
-	// heldIdleTimeout is how long a connection within the share of a holder may be idle. It runs the
-	// statements that the team sends through all proxies.
-	heldIdleTimeout = 10 * time.Second
-	// holderReserveDivisor sets the part of the connections of an instance that its holders leave to
-	// the pings of the other proxies, to those that reach no holder, and to the next processes of the
-	// holders: after a loss of power, an instance holds the old connections for seconds. With an
-	// eighth in reserve, the load model serves half as many in time for 4 s after it.
-	holderReserveDivisor = 3
 	// initialConnectTime is the estimate of the connect time until the first connection is
 	// open.
 	initialConnectTime = 15 * time.Millisecond
 	// A new sample moves connectTime by 1/connectTimeSmoothing of the difference.
 	connectTimeSmoothing = 8
 	initialBackoff       = 20 * time.Millisecond
-	// maxHeldBackoff limits the back-off of a holder while the instance is full: the statements of
-	// all proxies wait for it.
-	maxHeldBackoff = 80 * time.Millisecond
-	// roomDelay is the time in which a full instance notices that a connection was closed.
-	roomDelay  = 5 * time.Millisecond
-	maxBackoff = time.Second
+	maxBackoff           = time.Second
 )
 
 type connState int
@@ -122,9 +109,6 @@
 	return conns / context.State().SharersOf(pool.instance.ID())
 }
 
-// held reports whether this proxy and few others hold the connections of the instance.
-func (pool *pool) held() bool { return pool.pools.context.State().Holds(pool.instance.ID()) }
-
 // maxOpen returns the maximum number of connections of the pool, including those being
 // opened. If many proxies share few connections, each may temporarily exceed its share,
 // since most proxies have none open; the instance refuses connections beyond its own
@@ -310,25 +294,6 @@
 	pool.makeRoom()
 }
 
-// makeRoom closes a connection of another team if the instance accepts no further one and a request
-// waits for one. The next attempt to open one follows as soon as the instance has seen that.
-func (pool *pool) makeRoom() {
-	context := pool.pools.context
-	full := pool.failures > 0 && pool.lastFailure == model.ConnFailureFull && context.Now() < pool.blockedUntil
-	if !full || pool.roomMade || !pool.held() {
-		return
-	}
-	if team, needed := pool.neededTeam(); !needed || !pool.closeIdleOfOthers(team) {
-		return
-	}
-	pool.roomMade = true
-	if until := context.Now() + roomDelay; until < pool.blockedUntil {
-		pool.blockedUntil = until
-		context.Timers().Cancel(pool.retryTimer)
-		pool.retryTimer = context.Timers().After(roomDelay, pool.fill)
-	}
-}
-
 // mayOpen reports whether a connection may be opened now.
 func (pool *pool) mayOpen() bool {
 	return pool.opening < maxOpening && pool.pools.context.Now() >= pool.blockedUntil
