spread: test that load reports reach every proxy, and drop an unused field

The result of a load now has the age of the reports that the proxies used. The part of the offered load that other instances could run was only used by a way to choose that was given up, and is not sent.

--- a/internal/core/model/load.go
+++ b/internal/core/model/load.go
@@ -12,8 +12,8 @@
 	// Busy is the mean number of outstanding statements over the span.
 	Busy float64
 	// Offered is the mean number of slots that the statements sent in the span are expected to
-	// hold, and Movable the part of reads that other instances could have run.
-	Offered, Movable float64
+	// hold.
+	Offered float64
 	// Refused is the number of statements that the instance refused for lack of a slot.
 	Refused int
 	Span    time.Duration
@@ -45,9 +45,6 @@
 // Offered returns the mean number of slots that the statements are expected to hold.
 func (load InstanceLoad) Offered() float64 { return load.spec.Offered }
 
-// Movable returns the part of Offered that other instances could run.
-func (load InstanceLoad) Movable() float64 { return load.spec.Movable }
-
 // Refused returns the number of statements that were refused for lack of a slot.
 func (load InstanceLoad) Refused() int { return load.spec.Refused }
 
--- a/internal/core/route/spread.go
+++ b/internal/core/route/spread.go
@@ -30,9 +30,8 @@
 	Active(group *state.Group) bool
 	// Choose returns one of the candidates and the reason, or the empty ID if there are none.
 	Choose(group *state.Group, candidates []*state.Member) (model.InstanceID, string)
-	// Sent records that a statement was sent to an instance. movable says that other instances
-	// of the group could have run it.
-	Sent(instance model.InstanceID, job *Job, movable bool) SentStatement
+	// Sent records that a statement was sent to an instance.
+	Sent(instance model.InstanceID, job *Job) SentStatement
 	// Ended records that a statement is no longer outstanding. answered says that the instance
 	// ran it.
 	Ended(statement SentStatement, answered bool)
--- a/internal/edge/mesh/mesh_test.go
+++ b/internal/edge/mesh/mesh_test.go
@@ -76,7 +76,7 @@
 
 func newLoads() model.LoadReport {
 	return model.NewLoadReport(5, []model.InstanceLoad{model.NewInstanceLoad(model.InstanceLoadSpec{
-		Instance: "i-1", DataCenter: "trnje-hall", Born: 1_700_000_000_000, Busy: 2.125, Offered: 1.5, Movable: 0.25, Refused: 3, Span: time.Second, Age: 250 * time.Millisecond,
+		Instance: "i-1", DataCenter: "trnje-hall", Born: 1_700_000_000_000, Busy: 2.125, Offered: 1.5, Refused: 3, Span: time.Second, Age: 250 * time.Millisecond,
 	})})
 }
 
--- a/internal/plug/relay/load.go
+++ b/internal/plug/relay/load.go
@@ -44,8 +44,7 @@
 	if task.relay.spread == nil || task.step == model.StepConfirmPrimary {
 		return
 	}
-	movable := task.requirement == requireMark
-	task.sent = task.relay.spread.Sent(task.instance, task.job, movable)
+	task.sent = task.relay.spread.Sent(task.instance, task.job)
 }
 
 // recordEnded records that no statement is outstanding.
--- a/internal/plug/spread/meter.go
+++ b/internal/plug/spread/meter.go
@@ -20,7 +20,6 @@
 	running int           // outstanding statements
 	busy    float64       // mean of running
 	offered float64       // slots that the statements are expected to hold
-	movable float64       // the part of it that other instances could run
 	refused float64       // refused statements
 	// excess is the sum of how much longer than expected statements were outstanding, and
 	// samples their number, both weighted by exp(-age/excessSpan).
@@ -38,7 +37,6 @@
 	kept := math.Exp(-float64(now-meter.at) / float64(meterSpan))
 	meter.busy = meter.busy*kept + float64(meter.running)*(1-kept)
 	meter.offered *= kept
-	meter.movable *= kept
 	meter.refused *= kept
 	sampleKept := math.Exp(-float64(now-meter.at) / float64(excessSpan))
 	meter.excess *= sampleKept
@@ -47,14 +45,10 @@
 }
 
 // send records a statement that is expected to hold a slot for a time.
-func (meter *meter) send(now, work time.Duration, movable bool) {
+func (meter *meter) send(now, work time.Duration) {
 	meter.advance(now)
 	meter.running++
-	slots := float64(work) / float64(meterSpan)
-	meter.offered += slots
-	if movable {
-		meter.movable += slots
-	}
+	meter.offered += float64(work) / float64(meterSpan)
 }
 
 // end records that a statement is no longer outstanding.
--- a/internal/plug/spread/reports.go
+++ b/internal/plug/spread/reports.go
@@ -35,9 +35,9 @@
 
 // load is what is known of a loadKey. It adds up over proxies.
 type load struct {
-	born                           int64
-	busy, offered, movable, refuse float64
-	at                             time.Duration // when it was observed; the mean by busy
+	born                  int64
+	busy, offered, refuse float64
+	at                    time.Duration // when it was observed; the mean by busy
 }
 
 // add adds what other proxies observed.
@@ -51,7 +51,6 @@
 	sum.born = max(sum.born, other.born)
 	sum.busy = total
 	sum.offered += other.offered
-	sum.movable += other.movable
 	sum.refuse += other.refuse
 }
 
@@ -118,12 +117,10 @@
 	}
 	limit := maxReportedSlots * slotsOf(spread.context, member)
 	bound := func(value float64) float64 { return min(max(value, 0), limit) }
-	offered := bound(reported.Offered())
 	return load{
 		born:    reported.Born(),
 		busy:    bound(reported.Busy()),
-		offered: offered,
-		movable: min(bound(reported.Movable()), offered),
+		offered: bound(reported.Offered()),
 		refuse:  float64(reported.Refused()),
 		at:      now - reported.Age(),
 	}, true
@@ -137,7 +134,7 @@
 	for instance, meter := range spread.meters {
 		meter.advance(now)
 		loads[loadKey{dataCenter: self, instance: instance}] = load{
-			born: meter.born, busy: meter.busy, offered: meter.offered, movable: meter.movable, refuse: meter.refused, at: now,
+			born: meter.born, busy: meter.busy, offered: meter.offered, refuse: meter.refused, at: now,
 		}
 	}
 	return loads
@@ -224,7 +221,7 @@
 		}
 		loads = append(loads, model.NewInstanceLoad(model.InstanceLoadSpec{
 			Instance: key.instance, DataCenter: key.dataCenter, Born: one.born,
-			Busy: one.busy, Offered: one.offered, Movable: one.movable, Refused: int(one.refuse),
+			Busy: one.busy, Offered: one.offered, Refused: int(one.refuse),
 			Span: meterSpan, Age: now - one.at,
 		}))
 	}
--- a/internal/plug/spread/spread.go
+++ b/internal/plug/spread/spread.go
@@ -126,12 +126,12 @@
 }
 
 // Sent implements route.Spread.
-func (spread *Spread) Sent(instance model.InstanceID, job *route.Job, movable bool) route.SentStatement {
+func (spread *Spread) Sent(instance model.InstanceID, job *route.Job) route.SentStatement {
 	now, name := spread.context.Now(), workName(job)
 	meter := spread.meter(instance)
 	work := spread.work(name).expect()
 	spread.meanWork += (work - spread.meanWork) / meanWorkSmoothing
-	meter.send(now, work, movable)
+	meter.send(now, work)
 	return route.SentStatement{Instance: instance, Born: meter.born, Work: name, At: now}
 }
 
--- a/internal/plug/spread/spread_test.go
+++ b/internal/plug/spread/spread_test.go
@@ -96,7 +96,7 @@
 	var listed []model.InstanceLoad
 	for zone, stretch := range stretches {
 		listed = append(listed, model.NewInstanceLoad(model.InstanceLoadSpec{
-			Instance: instanceID(zone), DataCenter: "zone-1", Born: testBorn, Busy: offered * stretch, Offered: offered, Movable: offered, Age: age,
+			Instance: instanceID(zone), DataCenter: "zone-1", Born: testBorn, Busy: offered * stretch, Offered: offered, Age: age,
 		}))
 	}
 	return model.NewLoadReport(sequence, listed)
@@ -230,7 +230,7 @@
 func TestUnlistedInstanceIsForgotten(t *testing.T) {
 	is := is.New(t)
 	one := newBench(1, manySettings())
-	one.meter("i-2").send(one.now, time.Second, true)
+	one.meter("i-2").send(one.now, time.Second)
 	one.kernel.Handle(one.now, event.NewInstanceUnlisted("i-2"))
 	_, ok := one.meters["i-2"]
 	is.True(!ok)
--- a/internal/proof/city/experiment.go
+++ b/internal/proof/city/experiment.go
@@ -195,6 +195,7 @@
 		result.SlotUse = append(result.SlotUse, instance.capacity.busy.Seconds()/spec.Span.Seconds()/float64(instance.capacity.listedSlots()))
 	}
 	result.Evenness = simulation.evenness.result()
+	result.Evenness.addReportAges(simulation)
 	simulation.run(cmp.Or(spec.DrainTime, defaultDrainTime))
 	result.Reasons = simulation.refusals
 	for _, instance := range simulation.instances {
--- a/internal/proof/city/groups.go
+++ b/internal/proof/city/groups.go
@@ -121,6 +121,10 @@
 	// GapSum is the sum over the windows of the busy slots of the busiest instance of the group
 	// less those of the least busy one.
 	GapSum float64
+	// ReportAges is the sum of the mean ages of the load reports that the proxies used last for
+	// each group, and Reported their number.
+	ReportAges time.Duration
+	Reported   int
 }
 
 func (evenness *evenness) result() Evenness {
@@ -144,4 +148,18 @@
 	result.Windows += other.Windows
 	result.OverrunWindows += other.OverrunWindows
 	result.GapSum += other.GapSum
+	result.ReportAges += other.ReportAges
+	result.Reported += other.Reported
+}
+
+// addReportAges adds the ages of the load reports that the proxies have used.
+func (result *Evenness) addReportAges(simulation *simulation) {
+	for _, proxy := range simulation.proxies {
+		for _, group := range proxy.kernel.State().Groups() {
+			if view := group.LoadView(); view.Age > 0 {
+				result.ReportAges += view.Age
+				result.Reported++
+			}
+		}
+	}
 }
--- a/internal/proof/city/uneven_test.go
+++ b/internal/proof/city/uneven_test.go
@@ -43,6 +43,12 @@
 	byExcess.MinProxies = 1
 	even, before := play(byExcess), play(byDelay)
 	t.Logf("even: %+v %.4f, before: %+v %.4f", even.Evenness, even.InTarget(), before.Evenness, before.InTarget())
+	// Guards the way of the reports: all proxies of all data centres have some for each group,
+	// and none before.
+	t.Logf("mean age of the reports: %v", even.Evenness.ReportAges/time.Duration(max(1, even.Evenness.Reported)))
+	is.Equal(even.Evenness.Reported, 2*69*8)
+	is.Equal(before.Evenness.Reported, 0)
+	is.True(even.Evenness.ReportAges < time.Duration(even.Evenness.Reported)*3500*time.Millisecond)
 	is.Equal(even.Evenness.Windows, before.Evenness.Windows)
 	is.True(10*even.Evenness.GapSum < 9*before.Evenness.GapSum)
 	is.True(even.Evenness.Misplaced*before.Evenness.Reads < before.Evenness.Misplaced*even.Evenness.Reads)
