soak: run an earlier build beside the present one

Nothing checked that proxies of two builds understand each other's rows and messages, although hosts are replaced one by one.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 TOOLS := $(BIN)/golangci-lint $(BIN)/gofumpt $(BIN)/buf $(BIN)/protoc-gen-go $(BIN)/protoc-gen-connect-go $(BIN)/gopls
 PACKAGES := ./cmd/... ./internal/... ./platform/...
 
-.PHONY: build test experiment lint format generate generated-check demo measure measure-baseline bench slopes fuzz soak run tools clean
+.PHONY: build test experiment lint format generate generated-check demo measure measure-baseline bench slopes fuzz soak mixed run tools clean
 
 build:
 	go build -o $(OUT)/almondway ./cmd/almondway
@@ -90,6 +90,15 @@
 soak:
 	go test ./platform/soak -count=1 -timeout 60m -parallel 6 -v -soak.seeds $(or $(SEEDS),50) -soak.span $(or $(SPAN),12s)
 
+# Runs the soak with proxies of this commit and of the commit BASELINE side by side, with SEEDS
+# new seeds (default 14) in addition to the fixed ones.
+mixed:
+	git worktree add --force --detach $(CURDIR)/.run/mixed $(BASELINE)
+	$(MAKE) -C $(CURDIR)/.run/mixed build OUT=$(CURDIR)/.run/mixed/bin && \
+	go test ./platform/soak -run 'TestSoak$$' -count=1 -timeout 60m -parallel 3 -v -soak.old $(CURDIR)/.run/mixed/bin/almondway \
+		-soak.seeds $(or $(SEEDS),14) -soak.span $(or $(SPAN),12s); \
+	status=$$?; git worktree remove --force $(CURDIR)/.run/mixed; exit $$status
+
 clean:
 	rm -rf $(BIN) $(OUT)
 
