holder, limit, relay: what the review of forwarded statements found

Cause: a read that was sent to a holder whose answer was lost could be refused as not run by the next one; a holder that knew no team for a key ran the statement under its own name; a statement that no proxy accepts left out all holders for 3 s; forwarded statements counted against the slots and the duty cycle of a proxy that does not run them, refused and lost ones as samples of load, and none of them filled the retry budget, which a repetition did not use; a denied statement stayed outstanding in the load reports; a draining holder was asked first again and again. Measured: TestLostThenDenied, TestWhoIsLeftOut, TestForwardedStatements and two rows of TestHolderRefuses are new; they were not run on the code before.

--- a/internal/core/event/forward.go
+++ b/internal/core/event/forward.go
@@ -130,6 +130,8 @@
 	id     model.ForwardID
 	notRun bool
 	reason string
+	// rejected states that the statement itself was refused, which says nothing of the proxy.
+	rejected bool
 }
 
 // NewForwardFailed returns a ForwardFailed. notRun states that the other proxy has run nothing.
@@ -147,6 +149,16 @@
 // Reason returns the reason, for the log.
 func (forwardFailed ForwardFailed) Reason() string { return forwardFailed.reason }
 
+// WithRejected returns a copy that states that the statement itself was refused, which says nothing
+// of the other proxy.
+func (forwardFailed ForwardFailed) WithRejected() ForwardFailed {
+	forwardFailed.rejected = true
+	return forwardFailed
+}
+
+// Rejected reports whether the statement itself was refused.
+func (forwardFailed ForwardFailed) Rejected() bool { return forwardFailed.rejected }
+
 func (ForwardFailed) isEvent() {}
 
 // ForwardReceived reports a statement that another proxy has forwarded. Its answer is
--- a/internal/core/model/forward.go
+++ b/internal/core/model/forward.go
@@ -39,6 +39,7 @@
 	Op         Op
 	RequestID  string
 	Key        KeyDigest
+	Team       TeamName
 	Statement  Payload
 	Step       Step
 	Confirm    bool
@@ -88,6 +89,9 @@
 // Key returns the digest of the caller's key.
 func (forward *Forward) Key() KeyDigest { return forward.spec.Key }
 
+// Team returns the name of the team that holds the key, or the empty name if it is not known.
+func (forward *Forward) Team() TeamName { return forward.spec.Team }
+
 // Statement returns the statement.
 func (forward *Forward) Statement() Payload { return forward.spec.Statement }
 
--- a/internal/core/route/route.go
+++ b/internal/core/route/route.go
@@ -47,6 +47,8 @@
 	RetryAfter time.Duration
 	// Reason is for the decision log.
 	Reason string
+	// MayHaveRun states that the statement was sent before, to a proxy whose answer was lost.
+	MayHaveRun bool
 }
 
 // SlotWaiter waits for a slot of an instance.
--- a/internal/edge/mesh/convertforward.go
+++ b/internal/edge/mesh/convertforward.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"time"
+	"unicode/utf8"
 
 	"github.com/pkg/errors"
 
@@ -68,6 +69,9 @@
 // encodeForward encodes a statement that is passed on. It returns an error if the statement
 // cannot be encoded.
 func (mesh *Mesh) encodeForward(body *model.Forward) (*meshpb.ForwardRequest, error) {
+	if !utf8.ValidString(body.RequestID()) {
+		return nil, errors.Errorf("request id %q is not valid UTF-8", body.RequestID())
+	}
 	request := &meshpb.ForwardRequest{
 		Caller:         mesh.encodeCaller(body.From(), body.Process(), body.To()),
 		Number:         body.Number(),
@@ -87,6 +91,7 @@
 			request.Step = known.encoded
 		}
 	}
+	request.Team = string(body.Team())
 	if key := body.Key(); key != (model.KeyDigest{}) {
 		request.KeyDigest = key[:]
 	}
@@ -135,6 +140,7 @@
 		return nil, errors.Errorf("forwarded statement %d: number, instance, time or statement is missing", spec.Number)
 	}
 	copy(spec.Key[:], request.GetKeyDigest())
+	spec.Team = model.TeamName(request.GetTeam())
 	if spec.Step == model.StepCommit {
 		spec.Op = model.OpCommit
 	}
--- a/internal/edge/mesh/forward.go
+++ b/internal/edge/mesh/forward.go
@@ -51,7 +51,7 @@
 func (mesh *Mesh) forward(action event.Forward) {
 	request, err := mesh.encodeForward(action.Body())
 	if err != nil {
-		mesh.spec.Inbox.Post(event.NewForwardFailed(action.ID(), true, err.Error()))
+		mesh.spec.Inbox.Post(event.NewForwardFailed(action.ID(), true, err.Error()).WithRejected())
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), action.Timeout())
@@ -63,7 +63,11 @@
 		if !notRun && (ctx.Err() == nil || action.Timeout() >= minSilence) {
 			mesh.dropClient(action.Address(), forwarder.http)
 		}
-		mesh.spec.Inbox.Post(event.NewForwardFailed(action.ID(), notRun, err.Error()))
+		failed := event.NewForwardFailed(action.ID(), notRun, err.Error())
+		if notRun && connect.CodeOf(err) == connect.CodeInvalidArgument {
+			failed = failed.WithRejected()
+		}
+		mesh.spec.Inbox.Post(failed)
 		return
 	}
 	reply, err := mesh.decodeForwardReply(response.Msg)
--- a/internal/plug/holder/holder.go
+++ b/internal/plug/holder/holder.go
@@ -93,7 +93,9 @@
 		}
 	case event.ForwardFailed:
 		if call := holder.finishCall(received.ID()); call != nil {
-			holder.avoid(call.peer, received.Reason(), avoidTime)
+			if !received.Rejected() {
+				holder.avoid(call.peer, received.Reason(), avoidTime)
+			}
 			call.lease.handleFailure(call.number, received.NotRun(), received.Reason())
 		}
 	}
--- a/internal/plug/holder/holder_test.go
+++ b/internal/plug/holder/holder_test.go
@@ -21,6 +21,8 @@
 	}{
 		{"unknown key", func(_ *process, spec *model.ForwardSpec) { spec.Key = model.DigestKey("other") }, codes.UnknownKey},
 		{"old configuration", func(process *process, _ *model.ForwardSpec) { process.now += maxAge + time.Second }, codes.RevisionUnconfirmed},
+		{"key of another team", func(_ *process, spec *model.ForwardSpec) { spec.Team = "b" }, codes.UnknownKey},
+		{"no teams known", func(process *process, _ *model.ForwardSpec) { process.kernel.State().SetTeams(nil) }, codes.UnknownKey},
 		{"unknown deployment", func(_ *process, spec *model.ForwardSpec) { spec.Deployment = "other" }, codes.UnknownDeployment},
 		{"unknown kind", func(_ *process, spec *model.ForwardSpec) { spec.Kind = "other" }, codes.UnknownKind},
 		{"unknown instance", func(_ *process, spec *model.ForwardSpec) { spec.Instance = "other" }, codes.UnknownGroup},
--- a/internal/plug/holder/lease.go
+++ b/internal/plug/holder/lease.go
@@ -107,6 +107,7 @@
 		Op:         job.Request().Op(),
 		RequestID:  requestID(job),
 		Key:        job.Key(),
+		Team:       job.Team().Name(),
 		Statement:  lease.work.Statement(),
 		Step:       lease.work.Step(),
 		Confirm:    lease.work.Confirm(),
@@ -172,7 +173,11 @@
 		return
 	}
 	switch reply.Code() {
-	case codes.UnknownKey, codes.RevisionUnconfirmed, codes.UnknownDeployment, codes.UnknownKind, codes.UnknownGroup, codes.Draining, codes.Unsupported:
+	case codes.RevisionUnconfirmed, codes.Draining, codes.Unsupported:
+		lease.holder.avoid(lease.holder.peer(lease.target.ID()), reply.Reason(), avoidTime)
+		lease.sendNext(reply.Reason())
+		return
+	case codes.UnknownKey, codes.UnknownDeployment, codes.UnknownKind, codes.UnknownGroup:
 		lease.sendNext(reply.Reason())
 		return
 	case codes.Overloaded:
@@ -205,7 +210,7 @@
 		lease.fail(model.FailureForwardNotRun, false, model.Mark{}, nil)
 	case notRun:
 		lease.sendNext(reason)
-	case safe && !lease.resent && inTime:
+	case safe && !lease.resent && inTime && lease.holder.admission.TakeRetry(lease.request.Job.Group()):
 		lease.resent = true
 		lease.emitEnd(number, model.ForwardTx{})
 		lease.log("forward_resent", reason)
@@ -225,6 +230,7 @@
 
 func (lease *lease) deny(denial route.Denial) {
 	delete(lease.holder.leases, lease.id)
+	denial.MayHaveRun = lease.resent
 	lease.user.ConnDenied(denial)
 }
 
--- a/internal/plug/holder/lease_test.go
+++ b/internal/plug/holder/lease_test.go
@@ -300,3 +300,53 @@
 	is.Equal(sender.user.denied, []route.Denial{{Code: codes.Overloaded, RetryAfter: 70 * time.Millisecond}})
 	is.Equal(len(sender.holder.leases), 0)
 }
+
+// Guards against a refusal that states that nothing ran after the statement was sent to a holder
+// whose answer was lost, and against repetitions beyond the retry budget.
+func TestLostThenDenied(t *testing.T) {
+	is := is.New(t)
+	sender := newSender(t)
+	sender.execute(model.StepSingle, false)
+	sender.fail(false)
+	sender.answer(model.ForwardReplySpec{Outcome: model.ForwardDenied, Code: codes.TeamLimit})
+	is.Equal(len(sender.user.denied), 1)
+	is.True(sender.user.denied[0].MayHaveRun)
+
+	sender = newSender(t)
+	sender.admission.exhausted = true
+	sender.execute(model.StepSingle, false)
+	sender.fail(false)
+	is.Equal(len(sender.sent()), 1)
+	is.Equal(sender.user.failed[0].Class(), model.FailureForwardLost)
+}
+
+// Guards against a statement that no proxy accepts and that takes all holders away from the others of
+// its proxy, and against a draining holder that is asked first again and again.
+func TestWhoIsLeftOut(t *testing.T) {
+	tests := []struct {
+		name  string
+		reply func(sender *sender)
+		want  bool
+	}{
+		{"the statement is refused", func(sender *sender) {
+			sender.handle(event.NewForwardFailed(sender.last().ID(), true, "malformed").WithRejected())
+		}, false},
+		{"the call fails", func(sender *sender) { sender.fail(true) }, true},
+		{"unknown key", func(sender *sender) {
+			sender.answer(model.ForwardReplySpec{Outcome: model.ForwardDenied, Code: codes.UnknownKey})
+		}, false},
+		{"draining", func(sender *sender) {
+			sender.answer(model.ForwardReplySpec{Outcome: model.ForwardDenied, Code: codes.Draining})
+		}, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			sender := newSender(t)
+			sender.execute(model.StepSingle, true)
+			first := sender.last().Body().To()
+			test.reply(sender)
+			is.Equal(sender.holder.peer(first).avoidedUntil > sender.now, test.want)
+		})
+	}
+}
--- a/internal/plug/holder/process_test.go
+++ b/internal/plug/holder/process_test.go
@@ -72,9 +72,13 @@
 
 type fakeAdmission struct {
 	route.Admission
-	running int
+	running   int
+	exhausted bool // the retry budget
 }
 
+// TakeRetry implements route.Admission.
+func (admission *fakeAdmission) TakeRetry(model.GroupID) bool { return !admission.exhausted }
+
 // ForceAcquire implements route.Admission.
 func (admission *fakeAdmission) ForceAcquire(route.SlotRequest) { admission.running++ }
 
--- a/internal/plug/holder/served.go
+++ b/internal/plug/holder/served.go
@@ -103,6 +103,9 @@
 	if code != codes.OK {
 		return route.Denial{Code: code, RetryAfter: unconfirmedRetryAfter, Reason: "the holder does not know the key, or its configuration is too old"}
 	}
+	if team == nil || body.Team() != "" && team.Name() != body.Team() {
+		return route.Denial{Code: codes.UnknownKey, Reason: "the key belongs to another team in the holder's configuration, or to none"}
+	}
 	spec := route.JobSpec{
 		Request: model.NewRequest(model.RequestSpec{
 			Seq: model.RequestSeq(context.NextID()), Op: body.Op(), Kind: body.Kind(), RequestID: body.RequestID(),
--- a/internal/plug/holder/statement.go
+++ b/internal/plug/holder/statement.go
@@ -174,6 +174,9 @@
 		statement.tx.remove()
 	}
 	statement.direct.release(inTx)
+	if failed.Class() != model.FailureStatement {
+		held = 0 // a refused or lost statement says nothing of how long the others hold a slot
+	}
 	statement.answer(model.ForwardReplySpec{Outcome: model.ForwardFailed, Class: failed.Class(), Mark: failed.Mark(), Answer: failed.Answer(), Held: held})
 }
 
--- a/internal/plug/limit/instancelimit.go
+++ b/internal/plug/limit/instancelimit.go
@@ -47,6 +47,7 @@
 type instanceLimit struct {
 	limit       int
 	running     int
+	forwarded   int // statements that another proxy runs there for callers of this one
 	queue       *lanes
 	meanHeld    time.Duration // moving average of how long a slot is held
 	baseHeld    time.Duration // the same under low load
@@ -203,7 +204,7 @@
 func (limits *Limits) ExpectedDelay(instance model.InstanceID) time.Duration {
 	instanceLimit := limits.instanceLimit(instance)
 	now := limits.context.Now()
-	return instanceLimit.held(now) + instanceLimit.turnover(now)*time.Duration(instanceLimit.running+instanceLimit.queue.size)/time.Duration(instanceLimit.limit)
+	return instanceLimit.held(now) + instanceLimit.turnover(now)*time.Duration(instanceLimit.running+instanceLimit.forwarded+instanceLimit.queue.size)/time.Duration(instanceLimit.limit)
 }
 
 // Stalled implements route.Admission. No statement is stalled on an instance that is slow to all:
--- a/internal/plug/limit/limit.go
+++ b/internal/plug/limit/limit.go
@@ -138,11 +138,16 @@
 func (limits *Limits) ForceAcquire(request route.SlotRequest) {
 	limits.classLimit(request).acquire()
 	instanceLimit := limits.instanceLimit(request.Instance)
+	if request.Forwarded {
+		instanceLimit.forwarded++
+		limits.deposit(request)
+		return
+	}
 	if instanceLimit.running < instanceLimit.limit {
 		instanceLimit.progressAt = limits.context.Now() // the slots are all held from now on only
 	}
 	instanceLimit.running++
-	if key := laneOf(request); key.inTx && !request.Forwarded {
+	if key := laneOf(request); key.inTx {
 		limits.workEstimate(key).resumed++
 	}
 }
@@ -157,6 +162,11 @@
 		instanceLimit.limit = min(max(instanceLimit.limit, limits.lowerBound(request.Instance)), limits.upperBound(request.Instance))
 		limits.recordHeld(request, held)
 	}
+	if request.Forwarded {
+		instanceLimit.forwarded--
+		limits.releaseClass(limits.classLimit(request))
+		return
+	}
 	if end != route.SlotUnused {
 		limits.recordDuty(request, instanceLimit, held, end == route.SlotAnswered)
 	}
@@ -171,7 +181,7 @@
 // Load implements route.Admission.
 func (limits *Limits) Load(instance model.InstanceID) int {
 	instanceLimit := limits.instanceLimit(instance)
-	return instanceLimit.running + instanceLimit.queue.size
+	return instanceLimit.running + instanceLimit.forwarded + instanceLimit.queue.size
 }
 
 // grantWaiting grants the free slots of an instance to waiters in queue order. Waiters
--- a/internal/plug/limit/recover_test.go
+++ b/internal/plug/limit/recover_test.go
@@ -124,3 +124,25 @@
 	is.True(!limits.Stalled(long.request, 400*time.Millisecond))
 	is.True(limits.Stalled(long.request, 2*time.Second))
 }
+
+// Guards against statements that another proxy runs and that count against the slots of this one, or
+// leave the retry budget of their group empty.
+func TestForwardedStatements(t *testing.T) {
+	is := is.New(t)
+	limits := newManyProxies(36)
+	request := flowSpec{target: 200 * time.Millisecond, deadline: time.Hour}.newWaiter().request
+	request.Forwarded = true
+	for range 5 * requestsPerRetry {
+		limits.ForceAcquire(request)
+	}
+	is.Equal(limits.Load(instance), 5*requestsPerRetry)
+	added := flowSpec{deadline: limits.context.Now() + 400*time.Millisecond}.newWaiter()
+	limits.Acquire(added)
+	is.True(added.granted)
+	for range 5 * requestsPerRetry {
+		limits.Release(request, 150*time.Millisecond, route.SlotAnswered)
+	}
+	is.Equal(limits.Load(instance), 1)
+	is.Equal(limits.instanceLimit(instance).dutyCycle.share, 1.0)
+	is.True(limits.TakeRetry(request.Job.Group()))
+}
--- a/internal/plug/relay/task.go
+++ b/internal/plug/relay/task.go
@@ -236,9 +236,11 @@
 }
 
 // ConnDenied implements route.ConnUser. A statement that was forwarded is denied after it was
-// executed; nothing of it ran.
+// executed; nothing of it ran, unless it was sent to another proxy before.
 func (task *task) ConnDenied(denial route.Denial) {
 	task.waitID = 0
+	task.mayHaveRun = task.mayHaveRun || denial.MayHaveRun
+	task.recordEnded(false)
 	if tx := task.job.Tx(); tx != nil && task.state == taskExecuting {
 		tx.Restart()
 	}
