--- a/internal/proof/city/uneven.go
+++ b/internal/proof/city/uneven.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"almondway.dev/almondway/internal/plug/limit"
 	"almondway.dev/almondway/internal/plug/spread"
 )
 
@@ -11,41 +10,14 @@
 // It has 1.5 times the operations of an ordinary day, as in a burst. Half of the instances are
 // slower than the others.
 func unevenDemand(seed uint64) Load {
-	return Load{
-		Seed: seed,
-		Span: 20 * time.Second,
-		Kinds: []LoadKind{
-			{
-				Name: "intake", Share: 0.15, Writes: 0.2, Transactions: 0.25, Work: 9300 * time.Microsecond, Priority: 1,
-				Target: 200 * time.Millisecond, Deadline: 2 * time.Second, Timeout: time.Second, Retries: 2,
-			},
-			{
-				Name: "preview", Share: 0.15, Transactions: 0.1, Work: 47 * time.Millisecond, Priority: 2,
-				Target: 800 * time.Millisecond, Deadline: 8 * time.Second, Timeout: 3 * time.Second, Retries: 2,
-				Staleness: 1500 * time.Millisecond,
-			},
-			{
-				Name: "queue", Share: 0.7, Writes: 0.12, Transactions: 0.12, Work: 28 * time.Millisecond, Priority: 2,
-				Target: 400 * time.Millisecond, Deadline: 2 * time.Second, Timeout: time.Second, Retries: 2,
-				Staleness: 2500 * time.Millisecond, SeesOwnWrites: true,
-			},
-		},
-		ProxiesByZone: []int{12, 12, 12},
-		Slots:         6,
-		QueueLimit:    48,
-		MaxConns:      58,
-		Handshake:     12 * time.Millisecond,
-		ApplyDelay:    50 * time.Millisecond,
-		LagUntil:      20 * time.Second,
-		Policy:        limit.DefaultPolicy(),
-		Groups:        8,
-		ZoneRates:     []float64{1.5 * 628, 1.5 * 476, 1.5 * 614},
-		WaveShare:     0.55,
-		WavePeriod:    15 * time.Second,
-		InnerLatency:  200 * time.Microsecond,
-		OuterLatency:  500 * time.Microsecond,
-		Slowdowns:     []float64{1, 1.15, 1, 1.6},
-	}
+	load := unevenLoad(seed)
+	load.Rate = 0 // ZoneRates replaces it
+	load.Groups = 8
+	load.ZoneRates = []float64{1.5 * 628, 1.5 * 476, 1.5 * 614}
+	load.WaveShare, load.WavePeriod = 0.55, 15*time.Second
+	load.InnerLatency, load.OuterLatency = 200*time.Microsecond, 500*time.Microsecond
+	load.Slowdowns = []float64{1, 1.15, 1, 1.6}
+	return load
 }
 
 // unevenDemandOf69 is unevenDemand with 69 proxies.
