core, plug, edge: one piece of code where a change had written it twice

The check of a key before a statement is sent, the telling of marks and the decoding of them stood twice each; calls for tokens made a client each, though its cost is why the calls that forward statements keep theirs; the even load measured each statement where it is switched off, and sorted the data centres of all proxies for each candidate. Fields that nothing read are gone (truncated, help). marks_test.go hands over the same marks in the new form; no assertion is changed.

--- a/internal/core/state/holders.go
+++ b/internal/core/state/holders.go
@@ -1,6 +1,8 @@
 package state
 
 import (
+	"slices"
+
 	"almondway.dev/almondway/internal/core/model"
 	"almondway.dev/almondway/internal/core/rank"
 )
@@ -71,12 +73,8 @@
 // IsHolder reports whether a proxy is one of the holders of an instance's connections.
 func (state *State) IsHolder(id model.InstanceID, proxy model.ProxyID) bool {
 	holders := state.HoldersOf(id)
-	for _, holder := range holders[:min(holdersPerInstance, len(holders))] {
-		if holder.ID() == proxy {
-			return true
-		}
-	}
-	return false
+	holders = holders[:min(holdersPerInstance, len(holders))]
+	return slices.ContainsFunc(holders, func(holder model.ProxyView) bool { return holder.ID() == proxy })
 }
 
 // SharersOf returns the number of proxies among which this one shares the capacity of an instance:
--- a/internal/core/state/primary.go
+++ b/internal/core/state/primary.go
@@ -25,12 +25,28 @@
 	return true
 }
 
-// ObserveSharedMark records that another proxy knows a mark that covers every commit acknowledged
-// before since.
-func (group *Group) ObserveSharedMark(mark model.Mark, since time.Duration) {
-	if mark.Term() >= group.term {
-		group.history.add(readIndex{since: since, mark: mark})
+// ObserveSharedMark records a mark that another proxy has told in its answer to a call. The answer was
+// made after the call was sent, so that the age of the mark counts from there. It reports whether
+// the mark is newer than the known ones.
+func (group *Group) ObserveSharedMark(shared model.GroupMark, sentAt time.Duration) bool {
+	since := sentAt - shared.Age()
+	if _, newest, ok := group.NewestMark(); ok && newest >= since {
+		return false
+	}
+	if shared.Mark().Term() >= group.term {
+		group.history.add(readIndex{since: since, mark: shared.Mark()})
+	}
+	return true
+}
+
+// SharedMark returns the newest mark to tell other proxies. It returns false if there is none or if
+// it is too old to be of use.
+func (group *Group) SharedMark(now time.Duration) (model.GroupMark, bool) {
+	mark, since, ok := group.NewestMark()
+	if !ok || now-since > maxSharedMarkAge {
+		return model.GroupMark{}, false
 	}
+	return model.NewGroupMark(group.id, mark, now-since), true
 }
 
 // NewestMark returns the mark of the newest answer of a primary, and when the statement that
--- a/internal/core/state/readindex.go
+++ b/internal/core/state/readindex.go
@@ -9,6 +9,8 @@
 const (
 	readIndexSpacing = 10 * time.Millisecond
 	maxReadIndexes   = 2048
+	// maxSharedMarkAge is the age up to which a mark is told to other proxies.
+	maxSharedMarkAge = time.Second
 )
 
 // readIndex records that mark covers every write acknowledged before since.
--- a/internal/core/state/state.go
+++ b/internal/core/state/state.go
@@ -31,7 +31,8 @@
 	listCheckedAt map[model.ListName]time.Duration
 	counts        *count.Counts
 
-	proxiesVersion uint64 // raised by each change of proxies
+	proxiesVersion uint64             // raised by each change of proxies
+	dataCenters    []model.DataCenter // of the proxies, or nil if they have changed since
 	holdersEnabled bool
 	holderOrders   map[model.InstanceID]holderOrder
 }
@@ -211,10 +212,23 @@
 
 // SetProxies records the live proxies, this one included, in ascending order of their names.
 func (state *State) SetProxies(proxies []model.ProxyView) {
-	state.proxies = proxies
+	state.proxies, state.dataCenters = proxies, nil
 	state.proxiesVersion++
 }
 
+// DataCenters returns the data centres of the live proxies, in ascending order of their names.
+// Callers must not change the result.
+func (state *State) DataCenters() []model.DataCenter {
+	if state.dataCenters == nil {
+		for _, proxy := range state.proxies {
+			state.dataCenters = append(state.dataCenters, proxy.DataCenter())
+		}
+		slices.Sort(state.dataCenters)
+		state.dataCenters = slices.Compact(state.dataCenters)
+	}
+	return state.dataCenters
+}
+
 // Registered returns the proxies that may serve under some revision, in ascending
 // order of their names. It includes this proxy and proxies from which no heartbeat
 // was received, and excludes draining proxies. A majority of them confirms a
--- a/internal/edge/mesh/borrow.go
+++ b/internal/edge/mesh/borrow.go
@@ -18,8 +18,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), action.Timeout())
 	defer cancel()
 	address := action.Lender().Address()
-	used := mesh.client(address)
-	client := meshpb.NewMeshServiceClient(used, "http://"+address, connect.WithReadMaxBytes(maxMessageBytes))
+	used := mesh.shortClient(address)
 	request := &meshpb.BorrowRequest{Caller: &meshpb.Caller{
 		Proxy:      encodeProxy(action.From()),
 		ReceiverId: string(action.Lender().ID()),
@@ -28,9 +27,9 @@
 	for _, demand := range action.Demands() {
 		request.Demands = append(request.Demands, &meshpb.TokenDemand{Team: string(demand.Team()), Tokens: uint32(demand.Tokens())})
 	}
-	response, err := client.Borrow(ctx, connect.NewRequest(request))
+	response, err := used.client.Borrow(ctx, connect.NewRequest(request))
 	if err != nil {
-		mesh.dropClient(address, used)
+		mesh.dropClient(address, used.http)
 		mesh.spec.Inbox.Post(event.NewBorrowFailed(action.ID(), err.Error()))
 		return
 	}
@@ -40,8 +39,7 @@
 	}
 	var marks []model.GroupMark
 	for _, shared := range response.Msg.GetMarks() {
-		mark := model.NewMark(model.Term(shared.GetTerm()), model.Position(shared.GetPosition()))
-		marks = append(marks, model.NewGroupMark(model.GroupID(shared.GetGroup()), mark, time.Duration(shared.GetAgeUs())*time.Microsecond))
+		marks = append(marks, decodeGroupMark(shared))
 	}
 	mesh.spec.Inbox.Post(event.NewBorrowAnswered(action.ID(), loans).WithMarks(marks))
 }
@@ -91,6 +89,11 @@
 	}
 }
 
+func decodeGroupMark(encoded *meshpb.GroupMark) model.GroupMark {
+	mark := model.NewMark(model.Term(encoded.GetTerm()), model.Position(encoded.GetPosition()))
+	return model.NewGroupMark(model.GroupID(encoded.GetGroup()), mark, time.Duration(encoded.GetAgeUs())*time.Microsecond)
+}
+
 // RefuseBorrow implements port.Mesh.
 func (mesh *Mesh) RefuseBorrow(action event.RefuseBorrow) {
 	mesh.finish(uint64(action.ID()), answer{code: action.Code()})
--- a/internal/edge/mesh/convertforward.go
+++ b/internal/edge/mesh/convertforward.go
@@ -185,8 +185,7 @@
 		Held: time.Duration(response.GetHeldUs()) * time.Microsecond,
 	}
 	if newest := response.GetNewestMark(); newest != nil {
-		mark := model.NewMark(model.Term(newest.GetTerm()), model.Position(newest.GetPosition()))
-		spec.Newest = model.NewGroupMark("", mark, time.Duration(newest.GetAgeUs())*time.Microsecond)
+		spec.Newest = decodeGroupMark(newest)
 	}
 	switch {
 	case response.GetDenial() != nil:
--- a/internal/edge/mesh/forward.go
+++ b/internal/edge/mesh/forward.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"time"
 
 	"connectrpc.com/connect"
@@ -23,28 +22,6 @@
 	minSilence = 400 * time.Millisecond
 )
 
-// forwarder is the client of the calls that forward statements to one address. It is kept, since a
-// new client for each call costs more than the call itself.
-type forwarder struct {
-	http   *http.Client
-	client meshpb.MeshServiceClient
-}
-
-// forwarder returns the client for an address. It shares the connection of all other calls.
-func (mesh *Mesh) forwarder(address string) *forwarder {
-	used := mesh.client(address)
-	mesh.mutex.Lock()
-	defer mesh.mutex.Unlock()
-	found, ok := mesh.forwarders[address]
-	if !ok || found.http != used {
-		// Answers are not compressed: they are small and cost more processor time than bytes.
-		client := meshpb.NewMeshServiceClient(used, "http://"+address, connect.WithReadMaxBytes(maxMessageBytes), connect.WithAcceptCompression("gzip", nil, nil))
-		found = &forwarder{http: used, client: client}
-		mesh.forwarders[address] = found
-	}
-	return found
-}
-
 // Forward implements port.Mesh.
 func (mesh *Mesh) Forward(action event.Forward) { go mesh.forward(action) }
 
@@ -56,12 +33,12 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), action.Timeout())
 	defer cancel()
-	forwarder := mesh.forwarder(action.Address())
-	response, err := forwarder.client.Forward(ctx, connect.NewRequest(request))
+	used := mesh.shortClient(action.Address())
+	response, err := used.client.Forward(ctx, connect.NewRequest(request))
 	if err != nil {
 		notRun := ranNothing(err)
 		if !notRun && (ctx.Err() == nil || action.Timeout() >= minSilence) {
-			mesh.dropClient(action.Address(), forwarder.http)
+			mesh.dropClient(action.Address(), used.http)
 		}
 		failed := event.NewForwardFailed(action.ID(), notRun, err.Error())
 		if notRun && connect.CodeOf(err) == connect.CodeInvalidArgument {
@@ -107,7 +84,7 @@
 			Number:      action.Number(),
 			Transaction: encodeTx(action.Tx()),
 		}
-		if _, err := mesh.forwarder(action.To().Address()).client.EndForward(ctx, connect.NewRequest(request)); err != nil {
+		if _, err := mesh.shortClient(action.To().Address()).client.EndForward(ctx, connect.NewRequest(request)); err != nil {
 			mesh.spec.Log.WithError(err).WithField("proxy", action.To().ID()).Debug("end of a forwarded statement not delivered")
 		}
 	}()
--- a/internal/edge/mesh/forward_test.go
+++ b/internal/edge/mesh/forward_test.go
@@ -212,7 +212,7 @@
 				KeyDigest: valid.KeyDigest, Statement: valid.Statement, Step: valid.Step, RemainingMs: valid.RemainingMs,
 			}
 			test.change(request)
-			_, err := receiver.forwarder(receiver.spec.Address).client.Forward(context.Background(), connect.NewRequest(request))
+			_, err := receiver.shortClient(receiver.spec.Address).client.Forward(context.Background(), connect.NewRequest(request))
 			is.True(err != nil)
 			is.True(ranNothing(err))
 			is.Equal(len(inbox), 0)
--- a/internal/edge/mesh/mesh.go
+++ b/internal/edge/mesh/mesh.go
@@ -52,11 +52,11 @@
 
 	mutex   sync.Mutex
 	clients map[string]*http.Client // by address
-	// forwarders are the clients of calls that forward statements, by address.
-	forwarders map[string]*forwarder
-	calls      map[uint64]chan<- answer // of other proxies, by number
-	lastID     uint64
-	server     *http.Server
+	// shortClients are the clients of calls with short answers, by address.
+	shortClients map[string]*shortClient
+	calls        map[uint64]chan<- answer // of other proxies, by number
+	lastID       uint64
+	server       *http.Server
 }
 
 var _ port.Mesh = (*Mesh)(nil)
@@ -64,10 +64,10 @@
 // New returns a Mesh. It serves nothing before Start.
 func New(spec Spec) *Mesh {
 	return &Mesh{
-		spec:       spec,
-		clients:    make(map[string]*http.Client),
-		forwarders: make(map[string]*forwarder),
-		calls:      make(map[uint64]chan<- answer),
+		spec:         spec,
+		clients:      make(map[string]*http.Client),
+		shortClients: make(map[string]*shortClient),
+		calls:        make(map[uint64]chan<- answer),
 	}
 }
 
--- a/internal/plug/conns/held.go
+++ b/internal/plug/conns/held.go
@@ -2,8 +2,6 @@
 
 import (
 	"time"
-
-	"almondway.dev/almondway/internal/core/model"
 )
 
 const (
@@ -29,8 +27,7 @@
 // waits for one. The next attempt to open one follows as soon as the instance has seen that.
 func (pool *pool) makeRoom() {
 	context := pool.pools.context
-	full := pool.failures > 0 && pool.lastFailure == model.ConnFailureFull && context.Now() < pool.blockedUntil
-	if !full || pool.roomMade || !pool.held() {
+	if !pool.full() || context.Now() >= pool.blockedUntil || pool.roomMade || !pool.held() {
 		return
 	}
 	if team, needed := pool.neededTeam(); !needed || !pool.closeIdleOfOthers(team) {
--- a/internal/plug/conns/upkeep.go
+++ b/internal/plug/conns/upkeep.go
@@ -59,9 +59,7 @@
 		pool.blockedUntil = forever
 		pool.denyWaiting()
 		for len(pool.idle) > 0 {
-			idle := pool.idle[0]
-			pools.context.Emit(event.NewCloseConn(idle.id))
-			pools.removeConn(idle)
+			pool.closeIdle(pool.idle[0])
 		}
 		if pool.total == 0 {
 			pools.context.Timers().Cancel(pool.retryTimer)
--- a/internal/plug/fleet/fleet.go
+++ b/internal/plug/fleet/fleet.go
@@ -52,7 +52,8 @@
 	// old copies are not chosen.
 	listSourceSince time.Duration
 	listsOldUntil   map[model.ProxyID]time.Duration
-	helps           map[model.PollID]help
+	// helps are the polls for copies of the lists outside of the regular ones, with when they were sent.
+	helps map[model.PollID]time.Duration
 	// lastFollowerAsk is when a follower was last asked for its copies of the lists, or 0.
 	lastFollowerAsk time.Duration
 	// lastOffer is when this proxy last offered its copies of the lists to its reader, or 0.
@@ -72,7 +73,7 @@
 		process: context.Random().Uint64(),
 		sources: make(map[model.ProxyID]*source),
 		polls:   make(map[model.PollID]*source),
-		helps:   make(map[model.PollID]help),
+		helps:   make(map[model.PollID]time.Duration),
 
 		listsOldUntil: make(map[model.ProxyID]time.Duration),
 	}
--- a/internal/plug/fleet/lists.go
+++ b/internal/plug/fleet/lists.go
@@ -25,11 +25,6 @@
 	offerInterval = time.Second
 )
 
-// help is a poll of a reader for its copies of the lists, outside of the regular ones.
-type help struct {
-	sentAt time.Duration
-}
-
 // chooseListRole determines whether this proxy follows the lists in the store, and from whom it
 // gets them else. One reader follows them for all data centres; the others get them from it.
 func (fleet *Fleet) chooseListRole() {
@@ -180,21 +175,21 @@
 		spec.Members = known.version
 	}
 	id := model.PollID(fleet.context.NextID())
-	fleet.helps[id] = help{sentAt: fleet.context.Now()}
+	fleet.helps[id] = fleet.context.Now()
 	fleet.context.Emit(event.NewSendPoll(id, reader.Address(), model.NewPoll(spec), pollMargin))
 }
 
 // handleHelp adds the lists of an answer to askForLists. It reports false if the answer is to a
 // regular poll.
 func (fleet *Fleet) handleHelp(answered event.PollAnswered) bool {
-	asked, ok := fleet.helps[answered.ID()]
+	sentAt, ok := fleet.helps[answered.ID()]
 	if !ok {
 		return false
 	}
 	delete(fleet.helps, answered.ID())
 	reply := answered.Reply()
 	if fleet.mirror != nil && !reply.Draining() && len(reply.Lists()) > 0 {
-		fleet.mirror.Apply(reply.Lists(), asked.sentAt+reply.Held())
+		fleet.mirror.Apply(reply.Lists(), sentAt+reply.Held())
 	}
 	return true
 }
--- a/internal/plug/holder/direct.go
+++ b/internal/plug/holder/direct.go
@@ -70,7 +70,7 @@
 // ConnGranted implements route.ConnUser. The key is checked again after the wait.
 func (direct *direct) ConnGranted(conn model.ConnID) {
 	direct.conn, direct.waitID = conn, 0
-	if code, reason := direct.holder.checkKey(direct.request.Job); code != codes.OK {
+	if code, reason := route.CheckKey(direct.holder.context, direct.request.Job); code != codes.OK {
 		direct.state = directIdle
 		direct.holder.inner.Release(conn, false)
 		direct.user.directDenied(route.Denial{Code: code, Reason: reason})
@@ -93,11 +93,13 @@
 
 func (direct *direct) executeStatement() {
 	direct.state = directExecuting
-	spec := model.WorkSpec{Step: direct.work.step, Write: direct.work.write, Statement: direct.work.statement, After: direct.work.after}
-	if context := direct.holder.context; direct.request.Job.Team() != nil {
-		spec.SendBefore, _ = context.State().KeysValidUntil(context.Settings().MaxKeyAge())
-	}
-	direct.execute(spec)
+	direct.execute(model.WorkSpec{
+		Step:       direct.work.step,
+		Write:      direct.work.write,
+		Statement:  direct.work.statement,
+		After:      direct.work.after,
+		SendBefore: route.SendBefore(direct.holder.context, direct.request.Job),
+	})
 }
 
 func (direct *direct) execute(spec model.WorkSpec) {
@@ -156,20 +158,3 @@
 	}
 	direct.state = directIdle
 }
-
-// checkKey returns the reason why a statement must not be sent under the name of its team, or
-// codes.OK.
-func (holder *Holder) checkKey(job *route.Job) (codes.Code, string) {
-	context := holder.context
-	team, code := context.State().Identify(job.Deployment(), job.Key(), context.Now(), context.Settings().MaxKeyAge())
-	switch {
-	case code == codes.UnknownKey:
-		return code, "the key was withdrawn before the statement was sent"
-	case code == codes.RevisionUnconfirmed:
-		return code, "the configuration became too old before the statement was sent"
-	case team.Name() != job.Team().Name():
-		return codes.UnknownKey, "the key was given to another team before the statement was sent"
-	default:
-		return codes.OK, ""
-	}
-}
--- a/internal/plug/holder/holder.go
+++ b/internal/plug/holder/holder.go
@@ -104,11 +104,16 @@
 // forwards reports whether a request goes to a holder. What the proxy sends itself does not, nor
 // do statements of callers without a team, which run under the name of the proxy.
 func (holder *Holder) forwards(request route.SlotRequest) bool {
-	state := holder.context.State()
-	if request.Job == nil || request.BypassLimit || request.Job.Team() == nil || state.Self().Address() == "" {
+	if request.Job == nil || request.BypassLimit || request.Job.Team() == nil || holder.context.State().Self().Address() == "" {
 		return false
 	}
-	return len(state.HoldersOf(request.Instance)) > 0 && !state.Holds(request.Instance)
+	return holder.heldByOthers(request.Instance)
+}
+
+// heldByOthers reports whether an instance has holders, and this proxy is none of them.
+func (holder *Holder) heldByOthers(instance model.InstanceID) bool {
+	state := holder.context.State()
+	return len(state.HoldersOf(instance)) > 0 && !state.Holds(instance)
 }
 
 // Acquire implements route.Conns. A request that goes to a holder is granted a lease at once. The
@@ -175,7 +180,7 @@
 
 // ConnectDelay implements route.Conns.
 func (holder *Holder) ConnectDelay(instance model.InstanceID) time.Duration {
-	if state := holder.context.State(); len(state.HoldersOf(instance)) > 0 && !state.Holds(instance) {
+	if holder.heldByOthers(instance) {
 		return 0
 	}
 	return holder.inner.ConnectDelay(instance)
--- a/internal/plug/holder/marks.go
+++ b/internal/plug/holder/marks.go
@@ -7,10 +7,6 @@
 	"almondway.dev/almondway/internal/core/model"
 )
 
-// maxMarkAge is the age up to which a holder tells a mark with its answers. A proxy that asked the
-// primary itself would open a connection for it.
-const maxMarkAge = time.Second
-
 // observeMark records the mark of an answer that only the primary gives.
 func (statement *statement) observeMark(mark model.Mark) {
 	body, context := statement.body, statement.served.holder.context
@@ -29,30 +25,21 @@
 	context.Publish(event.NewTermChanged(group.ID(), mark.Term(), body.Instance()))
 }
 
-// newestMark returns the newest mark of the statement's group, or the zero GroupMark if it is old.
+// newestMark returns the newest mark of the statement's group, or the zero GroupMark if it is old. A
+// proxy that asked the primary itself would open a connection for it.
 func (statement *statement) newestMark() model.GroupMark {
 	context := statement.served.holder.context
 	group := context.State().GroupOf(statement.body.Instance())
 	if group == nil {
 		return model.GroupMark{}
 	}
-	mark, since, ok := group.NewestMark()
-	age := context.Now() - since
-	if !ok || age > maxMarkAge {
-		return model.GroupMark{}
-	}
-	return model.NewGroupMark(group.ID(), mark, age)
+	newest, _ := group.SharedMark(context.Now())
+	return newest
 }
 
-// learnMark records the newest mark of an answer. The answer was made after the call was sent, so
-// that the age counts from there.
+// learnMark records the newest mark of an answer.
 func (lease *lease) learnMark(newest model.GroupMark, sentAt time.Duration) {
-	group := lease.holder.context.State().Group(lease.request.Job.Group())
-	if group == nil || newest.Mark().IsZero() {
-		return
-	}
-	since := sentAt - newest.Age()
-	if _, known, ok := group.NewestMark(); !ok || known < since {
-		group.ObserveSharedMark(newest.Mark(), since)
+	if group := lease.holder.context.State().Group(lease.request.Job.Group()); group != nil && !newest.Mark().IsZero() {
+		group.ObserveSharedMark(newest, sentAt)
 	}
 }
--- a/internal/plug/holder/served.go
+++ b/internal/plug/holder/served.go
@@ -20,9 +20,6 @@
 	maxStatementBytes = 16 << 20
 	// busyRetryAfter is when a caller may come back whose statement exceeds these limits.
 	busyRetryAfter = 250 * time.Millisecond
-	// unconfirmedRetryAfter is when a caller may come back whose statement was refused because the
-	// configuration was too old.
-	unconfirmedRetryAfter = 250 * time.Millisecond
 )
 
 // callKey identifies a call among those of all proxies.
@@ -101,7 +98,7 @@
 	}
 	team, code := state.Identify(deployment, body.Key(), context.Now(), context.Settings().MaxKeyAge())
 	if code != codes.OK {
-		return route.Denial{Code: code, RetryAfter: unconfirmedRetryAfter, Reason: "the holder does not know the key, or its configuration is too old"}
+		return route.Denial{Code: code, RetryAfter: route.UnconfirmedRetryAfter, Reason: "the holder does not know the key, or its configuration is too old"}
 	}
 	if team == nil || body.Team() != "" && team.Name() != body.Team() {
 		return route.Denial{Code: codes.UnknownKey, Reason: "the key belongs to another team in the holder's configuration, or to none"}
@@ -139,7 +136,7 @@
 		return
 	}
 	added.job = found.job
-	code, _ := served.holder.checkKey(found.job)
+	code, _ := route.CheckKey(served.holder.context, found.job)
 	if code != codes.OK || !found.direct.resume() {
 		found.rollBack("the key of the transaction was withdrawn, or its connection was lost")
 		added.answer(model.ForwardReplySpec{Outcome: model.ForwardFailed, Class: model.FailureForwardNotRun})
@@ -189,13 +186,13 @@
 		if waiting.direct.state != directWaiting {
 			continue
 		}
-		if code, reason := served.holder.checkKey(waiting.job); code == codes.UnknownKey {
+		if code, reason := route.CheckKey(served.holder.context, waiting.job); code == codes.UnknownKey {
 			waiting.direct.discard()
 			waiting.directDenied(route.Denial{Code: code, Reason: reason})
 		}
 	}
 	for _, idle := range served.sortedTxs() {
-		if code, _ := served.holder.checkKey(idle.job); code == codes.UnknownKey && idle.running == nil {
+		if code, _ := route.CheckKey(served.holder.context, idle.job); code == codes.UnknownKey && idle.running == nil {
 			idle.rollBack("its key was withdrawn")
 		}
 	}
--- a/internal/plug/holder/statement.go
+++ b/internal/plug/holder/statement.go
@@ -126,7 +126,7 @@
 // directDenied implements directUser.
 func (statement *statement) directDenied(denial route.Denial) {
 	if denial.Code == codes.RevisionUnconfirmed {
-		denial.RetryAfter = unconfirmedRetryAfter
+		denial.RetryAfter = route.UnconfirmedRetryAfter
 	}
 	statement.answer(model.ForwardReplySpec{Outcome: model.ForwardDenied, Code: denial.Code, Reason: denial.Reason, RetryAfter: denial.RetryAfter})
 }
--- a/internal/plug/quota/marks_test.go
+++ b/internal/plug/quota/marks_test.go
@@ -34,7 +34,7 @@
 			borrower.kernel.State().SetGroups([]model.Group{model.NewGroup("katalog", nil)})
 			group := borrower.kernel.State().Group("katalog")
 			if test.known > 0 {
-				group.ObserveSharedMark(model.NewMark(2, 5), test.known)
+				group.ObserveSharedMark(model.NewGroupMark("katalog", model.NewMark(2, 5), 0), test.known)
 			}
 			borrower.kernel.Tick(3 * time.Second)
 			borrower.quota.calls[9] = &call{sentAt: 3 * time.Second}
@@ -54,8 +54,8 @@
 	system := newSystem(1, limitedTeam(10, 10))
 	lender := system.members[0]
 	lender.kernel.State().SetGroups([]model.Group{model.NewGroup("a", nil), model.NewGroup("b", nil), model.NewGroup("c", nil)})
-	lender.kernel.State().Group("a").ObserveSharedMark(model.NewMark(1, 3), 2*time.Second)
-	lender.kernel.State().Group("b").ObserveSharedMark(model.NewMark(1, 4), 4500*time.Millisecond)
+	lender.kernel.State().Group("a").ObserveSharedMark(model.NewGroupMark("a", model.NewMark(1, 3), 0), 2*time.Second)
+	lender.kernel.State().Group("b").ObserveSharedMark(model.NewGroupMark("b", model.NewMark(1, 4), 0), 4500*time.Millisecond)
 	lender.kernel.Tick(5 * time.Second)
 	is.Equal(lender.quota.newestMarks(), []model.GroupMark{model.NewGroupMark("b", model.NewMark(1, 4), 500*time.Millisecond)})
 }
--- a/internal/plug/quota/quota.go
+++ b/internal/plug/quota/quota.go
@@ -55,6 +55,7 @@
 // Quota is the plug-in. It implements route.Quota.
 type Quota struct {
 	context *kern.Context
+	client  *table.Client
 	keeper  keeper
 	starter *starter
 	// firstLender is the number of the lender that this proxy asks first.
@@ -81,6 +82,7 @@
 func New(context *kern.Context) kern.Plugin {
 	quota := &Quota{
 		context: context,
+		client:  table.New(context),
 		purses:  make(map[model.TeamName]*purse),
 		buckets: make(map[model.TeamName]*bucket),
 		calls:   make(map[model.BorrowID]*call),
@@ -88,8 +90,8 @@
 		avoided: make(map[model.ProxyID]time.Duration),
 	}
 	quota.firstLender = context.Random().IntN(lendersPerTeam)
-	quota.keeper = newKeeper(context, table.New(context))
-	quota.starter = newStarter(context, table.New(context))
+	quota.keeper = newKeeper(context, quota.client)
+	quota.starter = newStarter(context, quota.client)
 	context.ProvideService(route.QuotaService, quota)
 	if quota.enabled() {
 		context.Timers().Every(keeperInterval, quota.keepLenders)
@@ -101,8 +103,7 @@
 
 // Handle implements kern.Plugin.
 func (quota *Quota) Handle(received event.Event) {
-	quota.keeper.client.Handle(received)
-	quota.starter.client.Handle(received)
+	quota.client.Handle(received)
 	switch received := received.(type) {
 	case event.LendersListed:
 		quota.setLenders(received)
--- a/internal/plug/relay/task.go
+++ b/internal/plug/relay/task.go
@@ -185,7 +185,7 @@
 // executeFirst sends the first statement of a transaction or a single statement, unless the key
 // of the caller no longer allows it.
 func (task *task) executeFirst() {
-	if code, reason := task.checkKey(); code != codes.OK {
+	if code, reason := route.CheckKey(task.relay.context, task.job); code != codes.OK {
 		task.relay.conns.Release(task.conn, false)
 		task.conn, task.state = 0, taskEnded
 		task.refuseKey(code, reason)
@@ -226,7 +226,7 @@
 	task.confirmed = task.forwarded && !task.resumed && task.requirement == requireConfirmedPrimary
 	spec.Confirm = task.confirmed
 	if step != model.StepConfirmPrimary {
-		spec.SendBefore = task.sendBefore()
+		spec.SendBefore = route.SendBefore(task.relay.context, task.job)
 	}
 	if task.requirement == requireMark && !task.resumed {
 		spec.After = task.after
--- a/internal/plug/spread/cost.go
+++ b/internal/plug/spread/cost.go
@@ -83,8 +83,8 @@
 // counts, from 0 to 1.
 func (spread *Spread) reported(member *state.Member) (load, float64) {
 	view, total, trust := spread.view(), load{}, 0.0
-	for _, zone := range spread.zones() {
-		one, ok := view[loadKey{dataCenter: zone, instance: member.ID()}]
+	for _, dataCenter := range spread.context.State().DataCenters() {
+		one, ok := view[loadKey{dataCenter: dataCenter, instance: member.ID()}]
 		if !ok || one.born != member.Listing().Born() {
 			continue
 		}
--- a/internal/plug/spread/reports.go
+++ b/internal/plug/spread/reports.go
@@ -61,7 +61,6 @@
 	scope      route.LoadScope
 	sequence   uint64
 	receivedAt time.Duration
-	truncated  bool // loads may be missing
 	loads      map[loadKey]load
 }
 
@@ -89,10 +88,7 @@
 	}
 	added := &report{from: from, process: process, scope: scope, sequence: received.Sequence(), receivedAt: now, loads: make(map[loadKey]load)}
 	loads := received.Loads()
-	if len(loads) >= maxLoads {
-		loads, added.truncated = loads[:maxLoads], true
-	}
-	for _, reported := range loads {
+	for _, reported := range loads[:min(len(loads), maxLoads)] {
 		dataCenter := from.DataCenter()
 		if scope == route.LoadOfAll {
 			dataCenter = reported.DataCenter()
--- a/internal/plug/spread/spread.go
+++ b/internal/plug/spread/spread.go
@@ -4,7 +4,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
@@ -31,7 +30,8 @@
 	turn      int    // of ChooseByRank
 }
 
-// New returns the plug-in, which provides route.Spread. It requires route.Admission.
+// New returns the plug-in, which provides route.Spread if the settings call for it. It requires
+// route.Admission.
 func New(context *kern.Context) kern.Plugin { return NewWithPolicy(context, DefaultPolicy()) }
 
 // NewWithPolicy returns the plug-in with the given parameters, for experiments.
@@ -45,22 +45,19 @@
 		reports:   make(map[model.ProxyID]*report),
 		meanWork:  defaultWork,
 	}
-	context.ProvideService(route.SpreadService, spread)
+	if spread.minProxies() > 0 {
+		context.ProvideService(route.SpreadService, spread)
+	}
 	return spread
 }
 
 // Handle implements kern.Plugin.
 func (spread *Spread) Handle(received event.Event) {
 	if unlisted, ok := received.(event.InstanceUnlisted); ok {
-		spread.forget(unlisted.Instance())
+		delete(spread.meters, unlisted.Instance())
 	}
 }
 
-// forget drops what is known of an instance.
-func (spread *Spread) forget(instance model.InstanceID) {
-	delete(spread.meters, instance)
-}
-
 // minProxies returns the number of live proxies for each slot from which on reads are
 // distributed by load reports, or 0 if they never are.
 func (spread *Spread) minProxies() int {
@@ -164,12 +161,3 @@
 	}
 	return float64(context.Settings().SlotsPerInstance())
 }
-
-// zones returns the data centres of the live proxies, in ascending order of their names.
-func (spread *Spread) zones() []model.DataCenter {
-	names := make(map[model.DataCenter]bool)
-	for _, proxy := range spread.context.State().Proxies() {
-		names[proxy.DataCenter()] = true
-	}
-	return slices.Sorted(maps.Keys(names))
-}
