--- a/review/standin/instance.go
+++ b/review/standin/instance.go
@@ -54,7 +54,7 @@
 	beats   int
 }
 
-func newService(record *record, store *store, name string) *service {
+func startService(record *record, store *store, name string) *service {
 	service := &service{record: record, store: store, name: name}
 	service.changed = sync.NewCond(&service.mutex)
 	return service
@@ -66,7 +66,7 @@
 	check(err)
 	service.mutex.Lock()
 	service.nextID++
-	started := &instance{service: service, id: "i-" + strconv.Itoa(service.nextID), role: role, zone: zone, address: listener.Addr().String(), term: 1, log: log}
+	started := &instance{service: service, id: "i-" + service.name + "-" + strconv.Itoa(service.nextID), role: role, zone: zone, address: listener.Addr().String(), term: 1, log: log}
 	service.instances = append(service.instances, started)
 	service.record.add("instance %s starts as %s", started.id, role)
 	service.replicate()
@@ -443,7 +443,7 @@
 			return nil, noAnswer
 		}
 	case "READ":
-		return []string{"value-" + instance.value(rest)}, ""
+		return []string{service.name + "-" + instance.value(rest)}, ""
 	case "WRITE":
 		item, value, _ := strings.Cut(rest, " ")
 		switch {
--- a/review/standin/lost.go
+++ b/review/standin/lost.go
@@ -68,7 +68,7 @@
 	store.serve(listener)
 	cloud, err := net.Listen("tcp", "127.0.0.1:0")
 	check(err)
-	service := newService(record, store, "katalog")
+	service := startService(record, store, "katalog")
 	service.serveCloud(cloud)
 	service.startGroup()
 	configure(record, store, 3, map[string]any{
