--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -14,6 +14,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -155,6 +156,42 @@
 	panic(cannotRun{"no free ports"})
 }
 
+// maxRun is the longest that a case may run.
+const maxRun = 115 * time.Second
+
+// processes are the started ones, which end with a case that is stopped or takes too long.
+type processes struct {
+	mutex sync.Mutex
+	list  []*os.Process
+}
+
+var running processes
+
+func (processes *processes) add(started *os.Process) {
+	processes.mutex.Lock()
+	defer processes.mutex.Unlock()
+	processes.list = append(processes.list, started)
+}
+
+// endWhenStopped ends all processes and the case with status 2 at a signal or after maxRun.
+func (processes *processes) endWhenStopped(record *record, folder string) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	go func() {
+		select {
+		case <-signals:
+		case <-time.After(maxRun):
+		}
+		processes.mutex.Lock() // not unlocked: nothing starts any more
+		for _, started := range processes.list {
+			_ = started.Kill()
+		}
+		record.add("the case was stopped")
+		_ = os.RemoveAll(folder)
+		os.Exit(2)
+	}()
+}
+
 // proxy is a process of the system.
 type proxy struct {
 	name, frontend, ready string
@@ -240,6 +277,7 @@
 	started.command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + folder, "ALMONDWAY_BOOT=" + path}
 	started.command.Stdout, started.command.Stderr = output, output
 	check(started.command.Start())
+	running.add(started.command.Process)
 	return started
 }
 
@@ -349,6 +387,7 @@
 		return 2
 	}
 	defer os.RemoveAll(folder)
+	running.endWhenStopped(record, folder)
 	defer func() {
 		if failed := recover(); failed != nil {
 			record.add("the case could not run: %v", failed)
