elect: commits stay stopped until a promotion was carried out

Callers lost acknowledged writes: while a promotion order was on its way, a replica started and the former primary came back, and what the two acknowledged was rolled back when the chosen instance took the lead.

Cause: elect stopped commits in the first phase of an attempt only, and relied on the instances of that time afterwards. On related paths it did not pause a replica that had restarted, took a primary that had restarted for stepped down, and forgot an accepted order when the lease changed hands.

Change: until the chosen instance leads, a primary that is back steps down and a replica that starts is paused, in the term of the promotion. The choice is checked right before the order, with a confirmed list of instances. Accepted orders stay in the lease row; the next promoter completes them, and the first standby proxies pause what starts. TestPromotions lets instances start, restart and lead again at any step.

--- a/internal/core/route/fleet.go
+++ b/internal/core/route/fleet.go
@@ -85,6 +85,9 @@
 	// Updates returns the changes that a proxy with copies at these positions lacks. An update
 	// without rows says how fresh the copy is.
 	Updates(positions []model.ListPosition) []model.ListUpdate
+	// Refresh asks the store now for the changes of a list. state.State.ListCheckedAt returns a later
+	// time once they are in force. It reports false if this proxy has no copy of the list.
+	Refresh(name model.ListName) bool
 	// Apply adds changes that a reader has sent. The reader's answer was made at asOf or later.
 	Apply(updates []model.ListUpdate, asOf time.Duration)
 }
--- a/internal/plug/elect/attempt.go
+++ b/internal/plug/elect/attempt.go
@@ -7,6 +7,7 @@
 	"almondway.dev/almondway/internal/core/event"
 	"almondway.dev/almondway/internal/core/heir"
 	"almondway.dev/almondway/internal/core/model"
+	"almondway.dev/almondway/internal/core/state"
 )
 
 type phase int
@@ -57,9 +58,11 @@
 	phaseStartedAt   time.Duration // when the current phase began
 	startedAt        time.Duration
 	chosen           model.InstanceID
+	promotionTerm    model.Term                         // the term that the chosen instance is to lead
 	unansweredOrders map[model.InstanceID]time.Duration // when each unanswered order was sent
 	paused           map[model.InstanceID]bool
 	steppedDownAt    time.Duration // when the step-down of the former primary was confirmed, or 0
+	listRefreshed    bool          // the store was asked for changes of the list of instances
 	waitReason       string        // the last logged reason why no instance is safe to promote
 	// inDoubtInstance is the instance of an earlier promotion order that may still be
 	// carried out. Statuses reported since then may predate that promotion.
@@ -93,6 +96,10 @@
 // tick repeats unanswered orders and handles the timeouts of the current phase.
 func (attempt *attempt) tick() {
 	waited := attempt.monitor.now() - attempt.phaseStartedAt
+	attempt.verifyStepDown()
+	if attempt.chosen != "" {
+		attempt.keepCommitsStopped()
+	}
 	switch attempt.phase {
 	case phaseStopping:
 		if attempt.inDoubtInstance != "" && attempt.monitor.elect.lease.outstandingOrder(attempt.monitor.groupID) == "" {
@@ -147,6 +154,21 @@
 	return highest
 }
 
+// verifyStepDown forgets the step-down of the former primary unless it has answered since without
+// interruption. A process that restarts may lead again.
+func (attempt *attempt) verifyStepDown() {
+	if attempt.steppedDownAt == 0 {
+		return
+	}
+	observation := attempt.monitor.observation(attempt.formerPrimary)
+	answeredAt := max(observation.answeredAt, attempt.steppedDownAt)
+	if observation.failedAt < attempt.steppedDownAt && attempt.monitor.now()-answeredAt <= maxCandidateStatusAge {
+		return
+	}
+	attempt.monitor.log("step_down_uncertain", attempt.formerPrimary, "it did not answer after it had stepped down")
+	attempt.steppedDownAt = 0
+}
+
 // stopCommits sends the orders that prevent further acknowledged commits: the primary
 // steps down, or every replica is paused if the primary does not answer.
 func (attempt *attempt) stopCommits() {
@@ -176,6 +198,30 @@
 	}
 }
 
+// keepCommitsStopped stops what has started since the promotion was ordered: a primary that is back
+// steps down, and replicas that have started or restarted are paused. The promoted instance would
+// lack the commits that they acknowledge. The orders name the term of the promotion, so that they
+// have no effect after it.
+func (attempt *attempt) keepCommitsStopped() {
+	if attempt.newestTerm() >= attempt.promotionTerm {
+		return // the promotion was carried out
+	}
+	for _, id := range attempt.monitor.countedIDs() {
+		observation := attempt.monitor.observation(id)
+		leads := observation.status.Role() == model.RolePrimary
+		if !observation.reported {
+			leads = attempt.monitor.counted[id].Role() == model.RolePrimary
+		}
+		switch {
+		case id == attempt.chosen:
+		case leads:
+			attempt.sendOrder(id, event.NewStepDown(attempt.promotionTerm))
+		case attempt.steppedDownAt == 0 && observation.status.PausedTerm() == 0:
+			attempt.sendOrder(id, event.NewPause(attempt.promotionTerm))
+		}
+	}
+}
+
 // sendOrder sends an order to an instance unless an earlier one is still unanswered.
 func (attempt *attempt) sendOrder(instance model.InstanceID, body event.Order) {
 	listing := attempt.monitor.counted[instance]
@@ -193,7 +239,14 @@
 func (attempt *attempt) orderAnswered(answer event.OrderAnswered) {
 	sentAt := attempt.unansweredOrders[answer.Instance()]
 	delete(attempt.unansweredOrders, answer.Instance())
-	if attempt.monitor.attempt != attempt || attempt.phase != phaseStopping {
+	if attempt.monitor.attempt != attempt {
+		return
+	}
+	if attempt.chosen != "" {
+		if answer.Accepted() {
+			attempt.monitor.recordStatus(answer.Instance(), answer.Status(), sentAt)
+			attempt.statusReported(answer.Instance())
+		}
 		return
 	}
 	if !answer.Accepted() {
@@ -227,28 +280,30 @@
 
 // statusReported handles a status that was reported in answer to a probe.
 func (attempt *attempt) statusReported(instance model.InstanceID) {
-	isPrimary := attempt.monitor.observation(instance).status.Role() == model.RolePrimary
+	observation := attempt.monitor.observation(instance)
+	isPrimary := observation.status.Role() == model.RolePrimary
 	if instance == attempt.chosen && isPrimary {
 		attempt.confirm()
 		return
 	}
-	if attempt.phase == phaseStopping {
-		if isPrimary {
-			attempt.observePrimary(instance)
-		}
-		if instance != attempt.formerPrimary {
-			attempt.paused[instance] = attempt.monitor.observation(instance).status.PausedTerm() > 0
-		}
-		attempt.choose()
+	if isPrimary {
+		attempt.observePrimary(instance)
+	}
+	if instance != attempt.formerPrimary {
+		attempt.paused[instance] = observation.status.PausedTerm() > 0
 	}
+	attempt.choose()
 }
 
 // observePrimary records a primary that answers again or was unknown when the attempt
-// began. It is then the one that must step down.
+// began. It is then the one that must step down. A primary that restarts after it has stepped
+// down may lead again.
 func (attempt *attempt) observePrimary(instance model.InstanceID) {
-	if attempt.steppedDownAt == 0 {
-		attempt.formerPrimary = instance
+	if attempt.steppedDownAt > 0 && attempt.monitor.observation(instance).statusAt <= attempt.steppedDownAt {
+		return
 	}
+	attempt.steppedDownAt = 0
+	attempt.formerPrimary = instance
 }
 
 // choose orders a promotion once an instance can be promoted without losing an
@@ -262,21 +317,35 @@
 		attempt.abandon("the group is no longer listed")
 		return
 	}
-	replication, _ := group.Replication().(model.PrimaryAcknowledged)
-	settled := attempt.steppedDownAt > 0 && attempt.monitor.now()-attempt.steppedDownAt >= logTransitTime
-	chosen, reason := heir.Choose(attempt.candidates(), replication.Replicas(), settled)
+	chosen, reason := attempt.safeCandidate(group)
 	if chosen == "" {
-		if reason != attempt.waitReason {
-			attempt.waitReason = reason
-			attempt.monitor.log("promotion_waits", "", reason)
-		}
+		attempt.logWait(reason)
 		return
 	}
+	if attempt.chosen == "" {
+		attempt.promotionTerm = attempt.newestTerm() + 1
+	}
 	attempt.monitor.log("promotion_chosen", chosen, reason+", at "+attempt.monitor.observation(chosen).status.Tail().String())
 	attempt.chosen = chosen
 	attempt.orderPromotion()
 }
 
+// safeCandidate returns the instance that can be promoted now without losing an acknowledged
+// commit, or the empty ID and the reason why there is none.
+func (attempt *attempt) safeCandidate(group *state.Group) (model.InstanceID, string) {
+	attempt.verifyStepDown()
+	replication, _ := group.Replication().(model.PrimaryAcknowledged)
+	settled := attempt.steppedDownAt > 0 && attempt.monitor.now()-attempt.steppedDownAt >= logTransitTime
+	return heir.Choose(attempt.candidates(), replication.Replicas(), settled)
+}
+
+func (attempt *attempt) logWait(reason string) {
+	if reason != attempt.waitReason {
+		attempt.waitReason = reason
+		attempt.monitor.log("promotion_waits", "", reason)
+	}
+}
+
 func (attempt *attempt) candidates() []heir.Candidate {
 	former := attempt.monitor.primaryOr(attempt.formerPrimary)
 	candidates := make([]heir.Candidate, 0, len(attempt.monitor.counted))
@@ -307,19 +376,47 @@
 func (attempt *attempt) orderPromotion() {
 	attempt.enterPhase(phaseOrdering)
 	elect := attempt.monitor.elect
+	attempt.listRefreshed = elect.mirror != nil && elect.mirror.Refresh(model.ListInstances)
 	elect.lease.issueToken(attempt.monitor.groupID, attempt.chosen, func(token uint64, ok bool) {
 		switch {
 		case attempt.monitor.attempt != attempt || attempt.phase != phaseOrdering:
 		case !ok:
 			attempt.abandon("no fencing token is left or the lease has ended")
 		default:
-			attempt.sendPromotion(token)
+			attempt.awaitList(token)
 		}
 	})
 }
 
+// awaitList orders the promotion once the list of instances is known to be no older than the choice.
+// It waits no longer than for the record of the order, since the store may be unavailable.
+func (attempt *attempt) awaitList(token uint64) {
+	elect := attempt.monitor.elect
+	if attempt.monitor.attempt != attempt || attempt.phase != phaseOrdering {
+		return
+	}
+	checkedAt, _ := elect.context.State().ListCheckedAt(model.ListInstances)
+	if attempt.listRefreshed && checkedAt < attempt.phaseStartedAt && attempt.monitor.now() < attempt.phaseStartedAt+recordTimeout {
+		elect.context.Timers().After(busyRetryDelay, func() { attempt.awaitList(token) })
+		return
+	}
+	attempt.sendPromotion(token)
+}
+
+// sendPromotion orders the promotion if the chosen instance is still safe: others may have started
+// while the order was recorded.
 func (attempt *attempt) sendPromotion(token uint64) {
 	elect := attempt.monitor.elect
+	group := elect.context.State().Group(attempt.monitor.groupID)
+	if group == nil {
+		attempt.abandon("the group is no longer listed")
+		return
+	}
+	if safe, reason := attempt.safeCandidate(group); safe != attempt.chosen {
+		attempt.logWait(reason)
+		attempt.withdraw()
+		return
+	}
 	attempt.phaseStartedAt = attempt.monitor.now()
 	call := model.PlatformCallID(elect.context.NextID())
 	elect.platformCalls[call] = attempt
@@ -327,6 +424,15 @@
 	elect.context.Emit(event.NewPromoteInstance(call, attempt.monitor.groupID, attempt.chosen, token, promoteTimeout))
 }
 
+// withdraw returns to phaseStopping before a promotion order was sent.
+func (attempt *attempt) withdraw() {
+	if attempt.inDoubtInstance == "" {
+		attempt.monitor.elect.lease.promotionEnded(attempt.monitor.groupID)
+		attempt.chosen = ""
+	}
+	attempt.enterPhase(phaseStopping)
+}
+
 // promotionAnswered handles the platform's answer to the promotion order.
 func (attempt *attempt) promotionAnswered(outcome model.PromotionOutcome) {
 	if attempt.monitor.attempt != attempt || attempt.phase != phaseOrdering {
@@ -334,10 +440,10 @@
 	}
 	switch outcome {
 	case model.PromotionAccepted:
-		attempt.monitor.elect.lease.promotionAnswered(attempt.monitor.groupID)
+		attempt.monitor.elect.lease.promotionAccepted(attempt.monitor.groupID)
 		attempt.enterPhase(phaseConfirming)
 	case model.PromotionRefused:
-		attempt.monitor.elect.lease.promotionAnswered(attempt.monitor.groupID)
+		attempt.monitor.elect.lease.promotionEnded(attempt.monitor.groupID)
 		attempt.promotionRefused()
 	default:
 		attempt.chooseAgain()
@@ -360,12 +466,17 @@
 		elect.context.Publish(event.NewGroupObserved(attempt.monitor.groupID))
 	}
 	elect.fleet.SetComplaint(attempt.formerPrimary, false)
+	elect.lease.promotionEnded(attempt.monitor.groupID)
 	attempt.monitor.endAttempt(retryDelay)
 }
 
-// abandon ends the attempt without a promotion. Another one starts after retryDelay if
-// the group still needs a primary.
+// abandon ends the attempt without a promotion. Another one starts after retryDelay if the group
+// still needs a primary, and at once if a promotion order may still be carried out.
 func (attempt *attempt) abandon(reason string) {
 	attempt.monitor.log("promotion_abandoned", attempt.chosen, reason)
-	attempt.monitor.endAttempt(retryDelay)
+	delay := retryDelay
+	if attempt.monitor.elect.lease.outstandingOrder(attempt.monitor.groupID) != "" {
+		delay = 0
+	}
+	attempt.monitor.endAttempt(delay)
 }
--- a/internal/plug/elect/count.go
+++ b/internal/plug/elect/count.go
@@ -22,9 +22,7 @@
 // adopts the list in the lease row once, when this proxy holds the lease.
 func (monitor *monitor) updateCounted(group *state.Group) {
 	for _, member := range group.Members() {
-		if _, ok := monitor.counted[member.ID()]; !ok {
-			monitor.observation(member.ID()).countedSince = monitor.now()
-		}
+		monitor.recordStart(member.Listing())
 		monitor.counted[member.ID()] = member.Listing()
 		monitor.observation(member.ID()).listedAgain()
 	}
@@ -78,8 +76,11 @@
 // awaitLog reports whether a counted replica is neither listed nor answers. Its log may be the
 // only one beside that of the primary that has the last acknowledged commits, so that no replica
 // can be promoted before it answers or is dropped. An attempt would only replace the primary by
-// itself.
+// itself, so none starts unless a promotion order may still be carried out.
 func (monitor *monitor) awaitLog(group *state.Group) bool {
+	if monitor.elect.lease.outstandingOrder(monitor.groupID) != "" {
+		return false
+	}
 	awaited := monitor.awaitedReplica(group)
 	if awaited != "" && !monitor.waitsForLog {
 		monitor.log("promotion_waits", awaited, "it does not answer, and no other replica is known to have all of its log")
--- a/internal/plug/elect/elect.go
+++ b/internal/plug/elect/elect.go
@@ -35,6 +35,7 @@
 type Elect struct {
 	context       *kern.Context
 	fleet         route.Fleet
+	mirror        route.Mirror // nil without lists in the store
 	client        *table.Client
 	lease         *lease
 	monitors      map[model.GroupID]*monitor
@@ -56,6 +57,7 @@
 		orders:        make(map[model.OrderID]*attempt),
 		platformCalls: make(map[model.PlatformCallID]*attempt),
 	}
+	elect.mirror, _ = context.Service(route.MirrorService).(route.Mirror)
 	elect.lease = newLease(context, client, elect)
 	context.ProvideService(ServiceName, elect)
 	elect.pace = context.Timers().Pace(tickInterval, elect.tick)
@@ -113,9 +115,14 @@
 func (elect *Elect) wake(received event.Event) {
 	switch received.(type) {
 	case event.GroupObserved, event.TermChanged, event.LeavingChanged, event.CatalogChanged,
-		event.InstancesListed, event.InstanceListed, event.InstanceUnlisted,
+		event.InstanceUnlisted,
 		event.StoreRead, event.StoreEraSeen, event.StoreRestored, event.PromotionAnswered:
 		elect.pace.Wake()
+	case event.InstanceListed, event.InstancesListed:
+		if elect.PromotionInProgress() || len(elect.lease.row.Ordered) > 0 {
+			elect.tick() // an instance that has started must be paused before it acknowledges a commit
+		}
+		elect.pace.Wake()
 	case event.ComplaintChanged:
 		elect.tick() // the lease may be free by now
 		elect.pace.Wake()
--- a/internal/plug/elect/lease.go
+++ b/internal/plug/elect/lease.go
@@ -96,7 +96,7 @@
 	// nextToken and lastToken bound the range of reserved tokens that are not used yet.
 	// The range is empty if nextToken is higher.
 	nextToken, lastToken uint64
-	// promotionOrders holds the last unanswered promotion order of each group.
+	// promotionOrders holds the last promotion order of each group that may still be carried out.
 	promotionOrders map[model.GroupID]promotionOrder
 	// needsPromoter reports whether a group needs a promoter.
 	needsPromoter func() bool
@@ -105,10 +105,10 @@
 	reportedPrimaries func() map[model.GroupID]primaryRecord
 }
 
-// promotionOrder is an unanswered promotion order and the time at which it was sent.
+// promotionOrder is a promotion order and the time until which it may still be carried out.
 type promotionOrder struct {
 	instance model.InstanceID
-	sentAt   time.Duration
+	until    time.Duration
 }
 
 func newLease(context *kern.Context, client *table.Client, elect *Elect) *lease {
@@ -293,7 +293,7 @@
 // the row for the next holder of the lease. It stops waiting for the store after
 // recordTimeout, since the token is already reserved.
 func (lease *lease) issueToken(group model.GroupID, instance model.InstanceID, done func(token uint64, ok bool)) {
-	lease.promotionOrders[group] = promotionOrder{instance: instance, sentAt: lease.context.Now()}
+	lease.promotionOrders[group] = promotionOrder{instance: instance, until: lease.context.Now() + promotionOrderLifetime}
 	finished := false
 	finish := func() {
 		if finished {
@@ -329,17 +329,27 @@
 // still be carried out, or the empty ID.
 func (lease *lease) outstandingOrder(group model.GroupID) model.InstanceID {
 	last, ok := lease.promotionOrders[group]
-	if !ok || lease.context.Now()-last.sentAt > promotionOrderLifetime {
+	if !ok || lease.context.Now() > last.until {
 		return ""
 	}
 	return last.instance
 }
 
-// promotionAnswered removes the promotion order of a group after its answer. The row is
+// promotionAccepted limits the time for which the promotion order of a group may still be carried
+// out, after the platform has accepted it.
+func (lease *lease) promotionAccepted(group model.GroupID) {
+	accepted := lease.promotionOrders[group]
+	accepted.until = lease.context.Now() + confirmTimeout
+	lease.promotionOrders[group] = accepted
+}
+
+// promotionEnded removes the promotion order of a group that was carried out or refused. The row is
 // rewritten at the next tick.
-func (lease *lease) promotionAnswered(group model.GroupID) {
-	delete(lease.promotionOrders, group)
-	lease.nextPollAt = 0
+func (lease *lease) promotionEnded(group model.GroupID) {
+	if _, ok := lease.promotionOrders[group]; ok {
+		delete(lease.promotionOrders, group)
+		lease.nextPollAt = 0
+	}
 }
 
 // outstandingOrders returns the instance of the outstanding order of each group, as it is
@@ -362,7 +372,7 @@
 		return
 	}
 	for group, instance := range lease.predecessor().Ordered {
-		lease.promotionOrders[group] = promotionOrder{instance: instance, sentAt: now}
+		lease.promotionOrders[group] = promotionOrder{instance: instance, until: now + promotionOrderLifetime}
 	}
 	switch {
 	case lease.version == 0:
--- a/internal/plug/elect/monitor.go
+++ b/internal/plug/elect/monitor.go
@@ -65,6 +65,7 @@
 	failures       int
 	refusals       int
 	firstFailureAt time.Duration
+	failedAt       time.Duration // when a probe last failed
 	probePending   bool
 	// lastTail is the log position that the instance reported last. A lower one after a
 	// restart shows that the instance lost its log.
@@ -75,8 +76,10 @@
 	// logLost is set from the loss of the instance's log until it has caught up.
 	logLost   bool
 	logLostAt time.Duration
-	// countedSince is the time at which this proxy first had the instance in the list.
+	// countedSince is the time at which this proxy first had the instance in the list, or had it there
+	// with a later start of its process.
 	countedSince time.Duration
+	guardedAt    time.Duration // when guard last paused the instance
 	// unlistedSince is the time at which the instance was first missing from the list, or 0.
 	unlistedSince time.Duration
 	// refusedAt is the time of the first of refusals since the instance was unlisted.
@@ -148,6 +151,7 @@
 		if monitor.attempt != nil {
 			monitor.attempt.abandon("the lease was lost")
 		}
+		monitor.guard(group)
 		return
 	}
 	if monitor.leaseHeldSince == 0 {
@@ -312,6 +316,7 @@
 		observation.firstFailureAt = observation.probedAt
 	}
 	observation.failures++
+	observation.failedAt = monitor.now()
 	if reason == model.ConnFailureRefused {
 		if observation.refusals == 0 || observation.refusedAt < observation.unlistedSince {
 			observation.refusedAt = monitor.now()
@@ -328,6 +333,9 @@
 	if len(group.Members()) == 0 {
 		return ""
 	}
+	if monitor.orderPending(group) {
+		return "an earlier promotion order may still be carried out"
+	}
 	primary := group.Primary()
 	if primary == nil {
 		if monitor.now()-monitor.noPrimarySince >= maxTimeWithoutPrimary && monitor.now()-monitor.leaseHeldSince >= firstProbeTime {
@@ -363,6 +371,22 @@
 	return ""
 }
 
+// orderPending reports whether an order to promote another instance than the primary may still be
+// carried out, which an earlier attempt or holder of the lease has sent. Commits have to be stopped
+// until then.
+func (monitor *monitor) orderPending(group *state.Group) bool {
+	lease := monitor.elect.lease
+	ordered := lease.outstandingOrder(monitor.groupID)
+	if ordered == "" || monitor.now()-monitor.leaseHeldSince < firstProbeTime {
+		return false
+	}
+	if ordered == monitor.primary(group) {
+		lease.promotionEnded(monitor.groupID)
+		return false
+	}
+	return true
+}
+
 // hasReplacement reports whether an instance other than the primary answers and is not
 // leaving. Without one, the primary would step down only to be promoted again.
 func (monitor *monitor) hasReplacement(group *state.Group) bool {
--- a/internal/plug/mirror/demand.go
+++ b/internal/plug/mirror/demand.go
@@ -163,6 +163,23 @@
 	return times
 }
 
+// Refresh implements route.Mirror. A pending wait for changes is given up, since the store answers it
+// only when there are some.
+func (mirror *Mirror) Refresh(name model.ListName) bool {
+	list := mirror.list(name)
+	if list == nil || !list.known {
+		return false
+	}
+	if list.stale && list.call != 0 {
+		return true // the whole list is being read
+	}
+	if list.call != 0 {
+		mirror.finishCall(list.call)
+	}
+	list.refresh()
+	return true
+}
+
 // StoreLost implements route.Mirror.
 func (mirror *Mirror) StoreLost() bool {
 	return slices.ContainsFunc(mirror.lists, func(list *list) bool { return list.storeLost })
--- a/internal/plug/mirror/list.go
+++ b/internal/plug/mirror/list.go
@@ -66,20 +66,32 @@
 	if list.call != 0 {
 		return
 	}
-	context := list.context()
 	if delay := list.postponement(); delay > 0 {
 		list.callStoreAfter(delay)
 		return
 	}
 	list.postponedSince = 0
+	list.send(list.nextWait())
+}
+
+// refresh asks the store for the changes until now.
+func (list *list) refresh() {
+	list.context().Timers().Cancel(list.next)
+	list.send(0)
+}
+
+// send reads the whole list unless changes can be applied to the copy. Otherwise it asks for the
+// changes, and the store holds the call open for wait until there are some.
+func (list *list) send(wait time.Duration) {
+	context := list.context()
 	list.callBegan = context.Now()
 	if list.stale {
 		context.Emit(event.NewReadList(list.mirror.beginCall(list, readTimeout), list.name))
 		return
 	}
-	list.wait = list.nextWait()
-	call := list.mirror.beginCall(list, list.wait+answerMargin)
-	context.Emit(event.NewAwaitChanges(call, list.name, list.version, list.wait))
+	list.wait = wait
+	call := list.mirror.beginCall(list, wait+answerMargin)
+	context.Emit(event.NewAwaitChanges(call, list.name, list.version, wait))
 }
 
 // nextWait returns how long the store is to hold the next wait for changes open. A follower asks
--- a/internal/proof/check/leave_test.go
+++ b/internal/proof/check/leave_test.go
@@ -25,12 +25,13 @@
 		}
 		leaving := current.members[index]
 		switch {
-		case leaving.uncounted:
+		case leaving.uncounted || leaving.absent:
 		case !leaving.ended:
 			if current.endCount < maxEnds {
 				next := current
 				next.endCount++
 				next.members[index] = member{ended: true, down: true, logLost: leaving.logLost}
+				next.forgetStepDown(index, promoter)
 				all = append(all, next)
 			}
 		case leaving.neededTerm == 0 && current.leads(current.primary):
@@ -49,7 +50,7 @@
 
 // leads reports whether an instance answers as the primary.
 func (current promotionState) leads(index int8) bool {
-	return index != noInstance && !current.members[index].down
+	return index != noInstance && index == current.primary && !current.members[index].down
 }
 
 // primaryTail returns the end of the primary's log. A log without commits ends in the term of the
--- a/internal/proof/check/promote_test.go
+++ b/internal/proof/check/promote_test.go
@@ -37,6 +37,8 @@
 	// logLost is set from the loss of the log until the instance has caught up. Its listing
 	// shows it.
 	logLost bool
+	// absent is set until the instance starts for the first time.
+	absent bool
 	// ended is set once the instance has left for good. Its log is gone with it.
 	ended bool
 	// uncounted is set once the promoter has dropped the instance from those that may hold
@@ -78,6 +80,7 @@
 type promotionState struct {
 	members      [instanceCount]member
 	primary      int8
+	lastPrimary  int8 // the instance that was promoted last
 	term         uint8
 	commitCount  uint8
 	replicated   uint8 // bit set of the commits of the current primary that a replica has
@@ -129,6 +132,14 @@
 	instancesEnd bool
 	// canDrop is the rule by which an instance that has ended is dropped, heir.CanDrop or a variant.
 	canDrop func(needed model.Mark, others []heir.Candidate) bool
+	// instancesStart lets an instance start for the first time, paused replicas restart, and a
+	// primary that has stepped down restart as the primary, at any step.
+	instancesStart bool
+	// verifiesStepDown forgets a step-down if the instance stops answering.
+	verifiesStepDown bool
+	// stopsUntilPromotion stops commits until an order was executed: a primary that is back steps
+	// down, and a replica that starts is paused. It is assumed to do so before the first commit.
+	stopsUntilPromotion bool
 	// countsReporter lets the instance that reported the end of the primary's log count as the one
 	// that has the log up to there.
 	countsReporter bool
@@ -182,6 +193,11 @@
 		{name: "product, instances that leave or lose their logs", pausesReplicas: true, choose: chooseByProduct, instancesEnd: true, canDrop: heir.CanDrop, losesLogs: true, attempts: 2},
 		{name: "drops an instance as soon as it has left", pausesReplicas: true, choose: chooseByProduct, instancesEnd: true, canDrop: dropAtOnce, losesCommits: true},
 		{name: "drops an instance for the log of the primary alone", pausesReplicas: true, choose: chooseByProduct, instancesEnd: true, canDrop: heir.CanDrop, countsReporter: true, losesCommits: true},
+		{name: "product, instances that start", pausesReplicas: true, choose: chooseByProduct, instancesStart: true, verifiesStepDown: true, stopsUntilPromotion: true},
+		{name: "product, instances that start or lose their logs", pausesReplicas: true, choose: chooseByProduct, instancesStart: true, verifiesStepDown: true, stopsUntilPromotion: true, losesLogs: true, attempts: 2},
+		{name: "product, instances that start and leave", pausesReplicas: true, choose: chooseByProduct, instancesStart: true, verifiesStepDown: true, stopsUntilPromotion: true, instancesEnd: true, canDrop: heir.CanDrop, attempts: 2},
+		{name: "stops commits until a promotion is ordered", pausesReplicas: true, choose: chooseByProduct, instancesStart: true, losesCommits: true},
+		{name: "trusts a step-down after a restart", pausesReplicas: true, choose: chooseByProduct, instancesStart: true, stopsUntilPromotion: true, instancesEnd: true, canDrop: heir.CanDrop, losesCommits: true},
 		{name: "takes tokens from a restored store alone", pausesReplicas: true, choose: chooseByProduct, storeRestored: true, tokensWithoutEra: true, reusesTokens: true},
 	}
 	for _, promoter := range promoters {
@@ -201,6 +217,9 @@
 // number of visited states.
 func searchPromotions(promoter promoter) (promotionState, int) {
 	start := promotionState{term: 1, lastOrdered: noInstance}
+	if promoter.instancesStart {
+		start.members[instanceCount-1] = member{absent: true, down: true, uncounted: true}
+	}
 	seen := map[promotionState]bool{start: true}
 	queue := []promotionState{start}
 	for len(queue) > 0 && len(seen) < maxPromotionStates {
@@ -224,6 +243,7 @@
 	all = append(all, current.writeSteps()...)
 	all = append(all, current.faultSteps(promoter)...)
 	all = append(all, current.leaveSteps(promoter)...)
+	all = append(all, current.startSteps(promoter)...)
 	all = append(all, current.attemptSteps(promoter)...)
 	all = append(all, current.restoreSteps(promoter)...)
 	return append(all, current.deliverySteps()...)
@@ -284,30 +304,32 @@
 	return all
 }
 
-// faultSteps returns the states after a crash or a restart. It omits two faults that no
-// sequence of calls can protect against, as docs/PROMISES.md states. Both occur while an order
-// is in transit to the platform: a paused replica restarts, which resumes its replication, or
-// the candidate loses its log.
+// faultSteps returns the states after a crash or a restart. It omits a fault that no sequence of
+// calls can protect against, as docs/PROMISES.md states: the candidate loses its log while an order
+// is in transit to the platform.
 func (current promotionState) faultSteps(promoter promoter) []promotionState {
 	var all []promotionState
 	for index := range current.members {
-		if current.members[index].ended {
+		faulty := current.members[index]
+		if faulty.ended || faulty.absent {
 			continue
 		}
-		if current.members[index].down {
+		if faulty.down {
 			next := current
-			next.members[index].down = false
+			next.restart(index, promoter)
 			all = append(all, next)
 			if promoter.losesLogs && int8(index) != current.primary && !current.hasOrderFor(int8(index)) {
-				next.members[index] = member{logLost: true}
+				next.members[index] = member{logLost: true, paused: next.members[index].paused}
+				next.primary = current.primary // without its log, an instance does not lead again
 				all = append(all, next)
 			}
 			continue
 		}
-		if current.crashCount < maxCrashes && !current.members[index].paused {
+		if current.crashCount < maxCrashes && (!faulty.paused || promoter.instancesStart) {
 			next := current
 			next.crashCount++
 			next.members[index].down = true
+			next.forgetStepDown(index, promoter)
 			all = append(all, next)
 		}
 	}
@@ -464,6 +486,7 @@
 	}
 	current.term++
 	current.primary = candidate
+	current.lastPrimary = candidate
 	current.replicated = 0
 	for index := range current.members {
 		current.members[index].paused = false
--- a/internal/proof/city/city_test.go
+++ b/internal/proof/city/city_test.go
@@ -125,13 +125,16 @@
 		}
 	}
 	simulation.publishListings()
-	simulation.runAfter(span, func() {
-		instance.up = true
-		if simulation.primary != nil && simulation.primary != instance {
-			instance.truncate(simulation.primary)
-		}
-		simulation.publishListings()
-	})
+	simulation.runAfter(span, instance.restart)
+}
+
+// restart starts the instance again after a crash.
+func (instance *instance) restart() {
+	if primary := instance.simulation.primary; primary != nil && primary != instance {
+		instance.truncate(primary)
+	}
+	instance.up = true
+	instance.simulation.publishListings()
 }
 
 // newBusySimulation returns a simulation with traffic for the given time. If the test
--- /dev/null
+++ b/internal/proof/city/join_test.go
@@ -0,0 +1,125 @@
+package city
+
+import (
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"almondway.dev/almondway/internal/core/model"
+)
+
+// join adds a replica that has just started, with the log of the primary.
+func (simulation *simulation) join(id model.InstanceID) {
+	joined := &instance{simulation: simulation, id: id, group: groupID, dataCenter: "trnje-hall", up: true, unreachableFrom: make(map[*proxy]bool)}
+	if primary := simulation.primary; primary != nil && primary.up {
+		joined.log = append(joined.log, primary.log...)
+		joined.receivedAt = append(joined.receivedAt, primary.receivedAt...)
+	}
+	simulation.instances = append(simulation.instances, joined)
+	simulation.publishListings()
+}
+
+// runUntilLogged runs until a proxy has logged a decision, for 10 s at most.
+func (simulation *simulation) runUntilLogged(name string) {
+	for until := simulation.now + 10*time.Second; simulation.now < until; {
+		simulation.run(5 * time.Millisecond)
+		if slices.ContainsFunc(simulation.logLines, func(line string) bool { return strings.Contains(line, " "+name+" ") }) {
+			return
+		}
+	}
+	panic("no proxy has logged " + name)
+}
+
+// Guards against the loss of commits that are acknowledged while a promotion order is on its way:
+// a replica starts then, or a paused one restarts, and the primary is back.
+func TestPrimaryReturnsDuringPromotion(t *testing.T) {
+	replicaStarts := func(simulation *simulation) { simulation.join("i-d") }
+	replicaRestarts := func(simulation *simulation) { simulation.instances[2].crash(20 * time.Millisecond) }
+	tests := []struct {
+		name           string
+		promotionDelay time.Duration
+		lostAnswers    bool // the platform carries the orders out seconds later
+		// joinAfter and returnAfter are the times from the order to that of a replica and of the primary.
+		joinAfter, returnAfter time.Duration
+		join                   func(simulation *simulation)
+	}{
+		{"a replica starts before the primary is back", time.Second, false, 100 * time.Millisecond, 400 * time.Millisecond, replicaStarts},
+		{"a replica starts after the primary is back", time.Second, false, 500 * time.Millisecond, 300 * time.Millisecond, replicaStarts},
+		{"a paused replica restarts before the primary is back", time.Second, false, 100 * time.Millisecond, 400 * time.Millisecond, replicaRestarts},
+		{"a paused replica restarts after the primary is back", time.Second, false, 500 * time.Millisecond, 300 * time.Millisecond, replicaRestarts},
+		{"the order is carried out late", 3 * time.Second, false, 700 * time.Millisecond, time.Second, replicaStarts},
+		{"the answer to the order is lost", time.Second, true, 1200 * time.Millisecond, 1500 * time.Millisecond, replicaStarts},
+		{"the answer to the order is lost, later", time.Second, true, 2200 * time.Millisecond, 2500 * time.Millisecond, replicaStarts},
+	}
+	for _, test := range tests {
+		for index := range 4 {
+			t.Run(test.name+"/"+strconv.Itoa(index), func(t *testing.T) {
+				is := is.New(t)
+				simulation := newBusySimulation(t, uint64(45+index), 16*time.Second)
+				simulation.promotionDelay = test.promotionDelay
+				if test.lostAnswers {
+					simulation.latePromotionShare = 1
+					simulation.runAfter(6*time.Second, func() { simulation.latePromotionShare = 0 })
+				}
+				simulation.run(time.Second + time.Duration(index)*130*time.Millisecond)
+				former := simulation.primary
+				former.crash(time.Minute)
+				simulation.runUntilLogged("promotion_ordered")
+				simulation.runAfter(test.joinAfter, func() { test.join(simulation) })
+				simulation.runAfter(test.returnAfter, former.restart)
+				simulation.run(14 * time.Second)
+				checkRecovery(is, simulation)
+			})
+		}
+	}
+}
+
+// The promoter is lost while its order is on its way, and the order is carried out before the lease
+// of the promoter has ended. A replica that starts meanwhile acknowledges nothing with the primary
+// that is back, since another proxy has paused it.
+func TestPrimaryReturnsWithoutPromoter(t *testing.T) {
+	for index := range 8 {
+		t.Run(strconv.Itoa(index), func(t *testing.T) {
+			is := is.New(t)
+			simulation := newBusySimulation(t, uint64(45+index), 20*time.Second)
+			simulation.promotionDelay = 2500 * time.Millisecond
+			simulation.run(time.Second + time.Duration(index)*130*time.Millisecond)
+			former := simulation.primary
+			former.crash(time.Minute)
+			simulation.runUntilLogged("promotion_ordered")
+			simulation.run(10 * time.Millisecond)
+			simulation.losePromoter()
+			simulation.runAfter(1200*time.Millisecond, func() { simulation.join("i-d") })
+			simulation.runAfter(1500*time.Millisecond, former.restart)
+			simulation.run(16 * time.Second)
+			checkRecovery(is, simulation)
+		})
+	}
+}
+
+// The promoter is lost while its order is on its way, and the platform carries the order out after
+// another proxy has taken the lease, when the primary is back and serves. The next promoter completes
+// the promotion before.
+func TestLateOrderOfLostPromoter(t *testing.T) {
+	for index := range 8 {
+		t.Run(strconv.Itoa(index), func(t *testing.T) {
+			is := is.New(t)
+			simulation := newBusySimulation(t, uint64(45+index), 20*time.Second)
+			simulation.promotionDelay = 6 * time.Second
+			simulation.run(time.Second + time.Duration(index)*130*time.Millisecond)
+			former := simulation.primary
+			former.crash(time.Minute)
+			simulation.runUntilLogged("promotion_ordered")
+			simulation.run(10 * time.Millisecond)
+			simulation.losePromoter()
+			simulation.runAfter(1200*time.Millisecond, former.restart)
+			simulation.runAfter(4500*time.Millisecond, func() { simulation.join("i-d") })
+			simulation.run(18 * time.Second)
+			checkRecovery(is, simulation)
+		})
+	}
+}
--- a/internal/proof/city/simulation.go
+++ b/internal/proof/city/simulation.go
@@ -17,12 +17,12 @@
 const (
 	groupID      = model.GroupID("katalog")
 	networkDelay = time.Millisecond // one way
-	// promotionDelay is the time from an accepted promotion order to the new primary.
-	promotionDelay = 300 * time.Millisecond
-	maxStaleness   = 500 * time.Millisecond
-	requestTimeout = time.Second
-	proxyCount     = 3
-	instanceCount  = 3
+	// defaultPromotionDelay is the time from an accepted promotion order to the new primary.
+	defaultPromotionDelay = 300 * time.Millisecond
+	maxStaleness          = 500 * time.Millisecond
+	requestTimeout        = time.Second
+	proxyCount            = 3
+	instanceCount         = 3
 )
 
 // scheduledCall is a function that runs at a point of the simulated time.
@@ -72,6 +72,8 @@
 	// latePromotionShare is the share of promotion calls that time out and are executed seconds later.
 	latePromotionShare float64
 	highestToken       uint64 // of the promotion orders that were accepted
+	// promotionDelay is the time from an accepted promotion order to the new primary.
+	promotionDelay time.Duration
 	// staleOrdersAnswered selects how instances answer an order with a term that is too low.
 	staleOrdersAnswered bool
 	// catalog is the operator's configuration.
@@ -108,6 +110,8 @@
 
 		complaints: make(map[model.InstanceID]map[model.ProxyID]bool),
 
+		promotionDelay: defaultPromotionDelay,
+
 		term:      1,
 		catalog:   catalog,
 		factories: factories,
@@ -179,7 +183,7 @@
 	if simulation.primary == candidate {
 		return model.PromotionAccepted
 	}
-	simulation.runAfter(promotionDelay, func() { simulation.promote(candidate) })
+	simulation.runAfter(simulation.promotionDelay, func() { simulation.promote(candidate) })
 	return model.PromotionAccepted
 }
 
