elect, mirror: tests of the list that a promotion relies on

Cause: nothing tested that a promotion waits for a confirmed list of instances, and that the list is asked for at once.

The lease fixture lets instances answer.

--- a/internal/plug/elect/lease_test.go
+++ b/internal/plug/elect/lease_test.go
@@ -38,7 +38,8 @@
 	Term     uint64 `json:"term"`
 }
 
-// fixture is a kernel whose calls to the store are answered at once. No instance answers.
+// fixture is a kernel whose calls to the store are answered at once. An instance answers if statuses
+// has its status.
 type fixture struct {
 	kernel  *kern.Kernel
 	now     time.Duration
@@ -48,28 +49,40 @@
 	reads   int      // of the lease row
 	others  int      // live proxies besides this one
 	tokens  []uint64 // of the promotion orders
+
+	statuses map[model.InstanceID]model.Status
+	promoted model.InstanceID // the instance of the last promotion order
 }
 
-func newFixture(firstStart bool) *fixture {
-	fixture := &fixture{rows: make(map[string]model.Row)}
+func newFixture(firstStart bool) *fixture { return newFixtureWith(firstStart) }
+
+// newFixtureWith returns a fixture with further plug-ins.
+func newFixtureWith(firstStart bool, added ...kern.Factory) *fixture {
+	fixture := &fixture{rows: make(map[string]model.Row), statuses: make(map[model.InstanceID]model.Status)}
 	self := model.NewProxyView("self", "", "trnje-hall", 0, false, 0)
 	settings := tune.Default()
 	settings.FirstStart = firstStart
-	fixture.kernel = kern.NewWithFactories(self, tune.New(settings), time.Unix(0, 0), 1, eras.New, fleet.New, catlog.New, elect.New)
+	factories := append([]kern.Factory{eras.New, fleet.New, catlog.New}, added...)
+	fixture.kernel = kern.NewWithFactories(self, tune.New(settings), time.Unix(0, 0), 1, append(factories, elect.New)...)
 	listed := model.NewGroup(group, nil).WithReplication(model.NewPrimaryAcknowledged(1))
 	fixture.kernel.Handle(0, event.NewCatalogListed(1, nil, []model.Group{listed}))
 	var listings []model.Listing
 	for _, id := range []model.InstanceID{"i-1", "i-2", "i-3"} {
-		spec := model.ListingSpec{Group: group, Instance: model.NewInstance(id, "10.0.0.1:1", "trnje-hall")}
-		if id == "i-1" {
-			spec.Role = model.RolePrimary
-		}
-		listings = append(listings, model.NewListing(spec))
+		listings = append(listings, listingOf(id))
 	}
 	fixture.kernel.Handle(0, event.NewInstancesListed(listings))
 	return fixture
 }
 
+// listingOf returns the entry of an instance. i-1 is the primary.
+func listingOf(id model.InstanceID) model.Listing {
+	spec := model.ListingSpec{Group: group, Instance: model.NewInstance(id, "10.0.0.1:1", "trnje-hall")}
+	if id == "i-1" {
+		spec.Role = model.RolePrimary
+	}
+	return model.NewListing(spec)
+}
+
 // startEra lets the store come back in another era.
 func (fixture *fixture) startEra(era model.StoreEra) {
 	fixture.era = era
@@ -119,10 +132,30 @@
 			fixture.answer(fixture.kernel.Handle(fixture.now, fixture.write(action)))
 		case event.PromoteInstance:
 			fixture.tokens = append(fixture.tokens, action.Token())
+			fixture.promoted = action.Instance()
+		case event.Probe:
+			if status, ok := fixture.statuses[action.Instance()]; ok {
+				fixture.answer(fixture.kernel.Handle(fixture.now, event.NewStatusReported(action.Probe(), action.Instance(), status)))
+			}
+		case event.SendOrder:
+			fixture.answerOrder(action)
 		}
 	}
 }
 
+// answerOrder lets an instance carry out an order, if it answers.
+func (fixture *fixture) answerOrder(order event.SendOrder) {
+	status, ok := fixture.statuses[order.Instance()]
+	if !ok {
+		return
+	}
+	if pause, ok := order.Body().(event.Pause); ok {
+		status = status.WithPausedTerm(pause.Term())
+		fixture.statuses[order.Instance()] = status
+	}
+	fixture.answer(fixture.kernel.Handle(fixture.now, event.NewOrderAnswered(order.Order(), order.Instance(), true, status)))
+}
+
 // otherProxies returns the rows of the other proxies, each with a new sign of life.
 func (fixture *fixture) otherProxies() []model.Row {
 	var rows []model.Row
--- a/internal/plug/mirror/demand_test.go
+++ b/internal/plug/mirror/demand_test.go
@@ -77,3 +77,33 @@
 	is.True(calls >= 2*int(span/time.Second))
 	is.True(first <= time.Second)
 }
+
+// Guards against a promotion that relies on an old list of instances, or that waits for the end of
+// a call that the store holds open.
+func TestRefresh(t *testing.T) {
+	is := is.New(t)
+	fixture := newFixture()
+	refreshed := true
+	refresh := func() { refreshed = fixture.mirror.Refresh(model.ListInstances) }
+	fixture.do(refresh)
+	is.True(!refreshed) // there is no copy yet
+
+	fixture.handle(event.NewListRead(fixture.lastRead(), 0, 7, []model.ListRow{row("i-1", 7)}))
+	pending := fixture.lastWait()
+	fixture.run(time.Second)
+	askedAt := fixture.now
+	fixture.do(refresh)
+	is.True(refreshed)
+	is.Equal(fixture.lastWait().After(), uint64(7))
+	is.Equal(fixture.lastWait().Wait(), time.Duration(0))
+
+	fixture.handle(event.NewListChanged(pending.CallID(), 0, 8, []model.ListRow{row("i-2", 8)}))
+	is.Equal(len(fixture.applied), 1) // the call was given up
+
+	fixture.handle(event.NewListChanged(fixture.lastWait().CallID(), 0, 8, []model.ListRow{row("i-2", 8)}))
+	is.Equal(fixture.lastApplied().Rows(), []model.ListRow{row("i-2", 8)})
+	checkedAt, _ := fixture.kernel.State().ListCheckedAt(model.ListInstances)
+	is.True(checkedAt >= askedAt)
+	fixture.run(time.Second)
+	is.Equal(fixture.lastWait().Wait(), listWait)
+}
