elect, check: stopping, observations and variants in files of their own

Change: the functions are moved without a change, but for primaryTail, which no longer creates an observation of an empty ID.

--- a/internal/plug/elect/count.go
+++ b/internal/plug/elect/count.go
@@ -46,6 +46,14 @@
 	monitor.dropEnded(group)
 }
 
+// recordStart records when an instance was first listed, or listed with a later start of its process.
+func (monitor *monitor) recordStart(listing model.Listing) {
+	before, known := monitor.counted[listing.ID()]
+	if !known || before.Born() != listing.Born() {
+		monitor.observation(listing.ID()).countedSince = monitor.now()
+	}
+}
+
 // followHolder drops the instances that the holder of the lease has dropped: they are no longer
 // listed, and its row, which was written when it had known them for long, lacks them.
 func (monitor *monitor) followHolder(group *state.Group) {
@@ -127,23 +135,6 @@
 	}
 }
 
-// endedAt returns a time from which on an unlisted instance takes part in no commit, or false if it
-// may still run. A leaving instance does not come back, so it has ended once no process listens at
-// its address.
-func (observation *observation) endedAt(leaving bool, now time.Duration) (time.Duration, bool) {
-	if leaving && observation.refusals > 0 && observation.refusedAt >= observation.unlistedSince {
-		return observation.refusedAt, true
-	}
-	silentSince := max(observation.unlistedSince, observation.answeredAt)
-	return silentSince + minUnlistedSilence, now-silentSince >= minUnlistedSilence
-}
-
-// listedAgain records that the instance is listed.
-func (observation *observation) listedAgain() {
-	observation.unlistedSince = 0
-	observation.needed = model.Mark{}
-}
-
 // drop removes an instance from the counted ones.
 func (monitor *monitor) drop(instance model.InstanceID) {
 	delete(monitor.counted, instance)
@@ -159,8 +150,8 @@
 // returns the zero Mark if there is no such report.
 func (monitor *monitor) primaryTail(group *state.Group, since time.Duration) (model.Mark, model.InstanceID) {
 	primary := monitor.primary(group)
-	observation := monitor.observation(primary)
-	if !observation.reported || observation.statusAt < since || observation.status.Role() != model.RolePrimary {
+	observation, ok := monitor.observations[primary]
+	if !ok || !observation.reported || observation.statusAt < since || observation.status.Role() != model.RolePrimary {
 		return model.Mark{}, ""
 	}
 	return observation.status.Tail(), primary
--- a/internal/plug/elect/guard.go
+++ b/internal/plug/elect/guard.go
@@ -30,11 +30,3 @@
 		monitor.elect.context.Emit(event.NewSendOrder(order, member.ID(), address, event.NewPause(led.Term+1), orderTimeout))
 	}
 }
-
-// recordStart records when an instance was first listed, or listed with a later start of its process.
-func (monitor *monitor) recordStart(listing model.Listing) {
-	before, known := monitor.counted[listing.ID()]
-	if !known || before.Born() != listing.Born() {
-		monitor.observation(listing.ID()).countedSince = monitor.now()
-	}
-}
--- a/internal/plug/elect/monitor.go
+++ b/internal/plug/elect/monitor.go
@@ -55,41 +55,6 @@
 	retryDelay = 500 * time.Millisecond
 )
 
-// observation is the last known status of an instance and the results of its probes.
-type observation struct {
-	status         model.Status
-	reported       bool
-	probedAt       time.Duration
-	statusAt       time.Duration // when the probe behind the status was sent
-	answeredAt     time.Duration
-	failures       int
-	refusals       int
-	firstFailureAt time.Duration
-	failedAt       time.Duration // when a probe last failed
-	probePending   bool
-	// lastTail is the log position that the instance reported last. A lower one after a
-	// restart shows that the instance lost its log.
-	lastTail model.Mark
-	// born is the start time of the instance's process according to its listing, as Unix
-	// time in milliseconds.
-	born int64
-	// logLost is set from the loss of the instance's log until it has caught up.
-	logLost   bool
-	logLostAt time.Duration
-	// countedSince is the time at which this proxy first had the instance in the list, or had it there
-	// with a later start of its process.
-	countedSince time.Duration
-	guardedAt    time.Duration // when guard last paused the instance
-	// unlistedSince is the time at which the instance was first missing from the list, or 0.
-	unlistedSince time.Duration
-	// refusedAt is the time of the first of refusals since the instance was unlisted.
-	refusedAt time.Duration
-	// needed is an end of the primary's log that neededFrom, the primary, reported after the unlisted
-	// instance had ended. Another instance must have the log up to there before this one is dropped.
-	needed     model.Mark
-	neededFrom model.InstanceID
-}
-
 // monitor probes the instances of one group and starts promotion attempts.
 type monitor struct {
 	elect           *Elect
