city: a primary that still serves some proxies during a promotion

A replica that starts while a promotion is on its way takes part in commits until it is paused, if most proxies, but not all, have lost the primary.

--- a/internal/proof/city/join_test.go
+++ b/internal/proof/city/join_test.go
@@ -109,3 +109,20 @@
 		}
 	}
 }
+
+// Most proxies cannot reach the primary, and one still can. A replica starts while the promotion is
+// on its way: what it acknowledges before it is paused is lost.
+func TestPrimaryServesDuringPromotion(t *testing.T) {
+	is := is.New(t)
+	simulation := newBusySimulation(t, 45, 16*time.Second)
+	simulation.promotionDelay = time.Second
+	simulation.run(time.Second)
+	for _, proxy := range simulation.proxies[:2] {
+		simulation.primary.unreachableFrom[proxy] = true
+	}
+	simulation.runUntilLogged("promotion_ordered")
+	simulation.run(300 * time.Millisecond)
+	simulation.join("i-d")
+	simulation.run(14 * time.Second)
+	checkRecovery(is, simulation)
+}
