elect: a silent primary steps down only after it has reported that it leads

Callers got BUSY from a group for good: a replica was lost for good, the primary crashed within a second of that, came back, and stepped down.

Cause: an attempt sent the order to step down to a primary that did not answer, again and again. When the primary was back, the order reached it before a probe. Its log then did not count as complete, since nobody had seen it lead, and the attempt waited for the log of the lost replica.

Change: while the primary does not answer, it is probed only. It steps down after a report as primary, or if it has no free slot for one.

TestPrimaryReturnsBesideLostReplica failed in 3 of 8 cases on and on, and passes now.

--- a/internal/plug/elect/stop.go
+++ b/internal/plug/elect/stop.go
@@ -58,10 +58,16 @@
 	if _, ok := attempt.monitor.counted[attempt.formerPrimary]; ok {
 		observation := attempt.monitor.observation(attempt.formerPrimary)
 		awaitStepDown := observation.failures == 0 && observation.reported && attempt.monitor.now()-attempt.phaseStartedAt < stepDownTimeout
-		if awaitStepDown && attempt.monitor.now()-observation.statusAt > maxPrimaryStatusAge {
+		knownPrimary := observation.reported && attempt.monitor.now()-observation.statusAt <= maxPrimaryStatusAge
+		if awaitStepDown && !knownPrimary {
 			return // a step-down counts only after a recent report as primary
 		}
-		attempt.sendOrder(attempt.formerPrimary, event.NewStepDown(attempt.term))
+		// Without such a report its log would count for nothing. A primary that has no free slot for
+		// a status cannot send one.
+		hasNoSlot := observation.answeredAt > observation.statusAt && attempt.monitor.now()-observation.answeredAt <= maxPrimaryStatusAge
+		if knownPrimary || hasNoSlot {
+			attempt.sendOrder(attempt.formerPrimary, event.NewStepDown(attempt.term))
+		}
 		if awaitStepDown {
 			return
 		}
--- a/internal/proof/city/leave_test.go
+++ b/internal/proof/city/leave_test.go
@@ -120,3 +120,24 @@
 		})
 	}
 }
+
+// A replica is lost for good, and the primary is silent for a while soon after that. It is back when
+// an attempt already tries to make it step down. Its log is then known to be complete, so that the
+// group does not wait for the lost one.
+func TestPrimaryReturnsBesideLostReplica(t *testing.T) {
+	for index := range 8 {
+		t.Run(strconv.Itoa(index), func(t *testing.T) {
+			is := is.New(t)
+			simulation := newBusySimulation(t, uint64(45+index), 16*time.Second)
+			simulation.run(time.Second)
+			simulation.instances[2].end()
+			simulation.run(time.Second)
+			silent := simulation.primary
+			silent.goSilent()
+			simulation.run(2*time.Second + time.Duration(index)*70*time.Millisecond)
+			clear(silent.unreachableFrom)
+			simulation.run(12 * time.Second)
+			checkRecovery(is, simulation)
+		})
+	}
+}
