elect: standby proxies find out whether an instance that has left is needed

Callers got BUSY from a group for good: a leaving replica ended while no proxy held the lease, and the primary was lost for good 2.8 s later, before the next holder had asked anyone.

Cause: since an instance that has left counts until another one is known to have its log. Only the holder of the lease probed for that.

Change: the first standby proxies probe a group that an instance has left, too.

TestReplicaLeavesWithoutPromoter failed in 4 of 4 cases before and passes.

--- a/internal/plug/elect/count.go
+++ b/internal/plug/elect/count.go
@@ -81,6 +81,14 @@
 	return unlisted
 }
 
+// watchesEnded reports whether this proxy probes the group, also without the lease, to find out
+// whether an instance that has left can be dropped. The first standby proxies do so, since the holder
+// may be lost at that time, and the primary before there is a next one.
+func (monitor *monitor) watchesEnded(group *state.Group) bool {
+	hasLeft := slices.ContainsFunc(monitor.unlistedCounted(group), func(id model.InstanceID) bool { return monitor.counted[id].Leaving() })
+	return hasLeft && monitor.elect.lease.rank() <= maxFrequentStandbys
+}
+
 // awaitLog reports whether the log of a replica that has ended may be the only one beside that of
 // the primary that has the last acknowledged commits. No replica can be promoted then: an attempt
 // would only replace the primary by itself, so none starts unless a promotion order may still be
--- a/internal/plug/elect/elect.go
+++ b/internal/plug/elect/elect.go
@@ -135,12 +135,14 @@
 		return idleTickInterval
 	}
 	elect.lease.tick()
+	watches := false
 	for _, group := range elect.context.State().Groups() {
 		if _, ok := group.Replication().(model.PrimaryAcknowledged); ok {
 			elect.monitor(group).tick(group)
+			watches = watches || elect.monitor(group).watchesEnded(group)
 		}
 	}
-	if elect.lease.held() || elect.PromotionInProgress() || elect.needsPromoter() {
+	if elect.lease.held() || elect.PromotionInProgress() || elect.needsPromoter() || watches {
 		return tickInterval
 	}
 	untilPoll := elect.lease.nextPollAt - elect.context.Now() + tickInterval - 1
--- a/internal/plug/elect/monitor.go
+++ b/internal/plug/elect/monitor.go
@@ -117,6 +117,9 @@
 			monitor.attempt.abandon("the lease was lost")
 		}
 		monitor.guard(group)
+		if monitor.watchesEnded(group) {
+			monitor.probe(group)
+		}
 		return
 	}
 	if monitor.leaseHeldSince == 0 {
--- a/internal/proof/city/leave_test.go
+++ b/internal/proof/city/leave_test.go
@@ -141,3 +141,28 @@
 		})
 	}
 }
+
+// A leaving replica ends when no proxy holds the lease, and the primary is lost for good before the
+// next one does. A standby proxy has found out that the other replica has the log, so that the group
+// does not wait for the one that is gone.
+func TestReplicaLeavesWithoutPromoter(t *testing.T) {
+	for index := range 4 {
+		t.Run(strconv.Itoa(index), func(t *testing.T) {
+			is := is.New(t)
+			simulation := newBusySimulation(t, uint64(45+index), 16*time.Second)
+			simulation.run(time.Second)
+			simulation.instances[2].leaving = true
+			simulation.publishListings()
+			simulation.run(2*time.Second + time.Duration(index)*130*time.Millisecond)
+			simulation.losePromoter()
+			simulation.run(300 * time.Millisecond)
+			simulation.instances[2].end()
+			simulation.run(700 * time.Millisecond)
+			former := simulation.primary
+			former.up = false
+			simulation.publishListings()
+			is.True(simulation.runUntilReplaced(former) <= 6*time.Second)
+			is.Equal(simulation.oracle.violations, nil)
+		})
+	}
+}
