platform: the log of a shutdown names the callers that are still connected

Which request was cut off, and in which state the sessions were, could not be seen: the log had the time at which a shutdown was asked for and the time at which it ended.

--- a/internal/app/hosted/hosted.go
+++ b/internal/app/hosted/hosted.go
@@ -81,6 +81,8 @@
 	Stop()
 	// Count returns the number of connected callers.
 	Count() int
+	// CountByState returns the number of connected callers by the state of their sessions.
+	CountByState() map[string]int
 	// Shutdown closes all connections.
 	Shutdown()
 }
@@ -187,6 +189,7 @@
 	}()
 	proxy.logEvent("started")
 	proxy.awaitShutdown(signals)
+	proxy.logShutdown("shutdown complete")
 	adapters.Callers.Shutdown()
 	cancel()
 	<-loopDone
@@ -200,17 +203,27 @@
 	}).Info(name)
 }
 
+// logShutdown logs a step of the shutdown with the callers that are still connected.
+func (proxy *Proxy) logShutdown(step string) {
+	fields := map[string]any{"proxy": proxy.spec.Name, "shutdown_grace": proxy.spec.ShutdownGrace.String()}
+	for state, count := range proxy.adapters.Callers.CountByState() {
+		fields["callers_"+state] = count
+	}
+	proxy.spec.Log.Logger().WithFields(fields).Info(step)
+}
+
 // awaitShutdown returns when the process may exit. After a shutdown request the proxy
 // keeps serving until the load balancer sends no more callers. It then stops accepting
 // callers and waits for the work in flight.
 func (proxy *Proxy) awaitShutdown(signals <-chan os.Signal) {
 	proxy.reloadUntilSignal(signals)
-	proxy.logEvent("shutdown asked")
+	proxy.logShutdown("shutdown asked")
 	proxy.shuttingDown.Store(true)
 	proxy.adapters.Callers.CloseWhenIdle()
 	ctx, cancel := context.WithTimeout(context.Background(), proxy.spec.ShutdownGrace-killMargin)
 	defer cancel()
 	proxy.wait(ctx, balancerNoticeTime)
+	proxy.logShutdown("callers stopped")
 	proxy.adapters.Callers.Stop()
 	proxy.loop.Post(event.NewShutdownRequested())
 	select {
--- a/internal/app/hosted/hosted_test.go
+++ b/internal/app/hosted/hosted_test.go
@@ -20,7 +20,10 @@
 func (loyalCallers) CloseWhenIdle() {}
 func (loyalCallers) Stop()          {}
 func (loyalCallers) Count() int     { return 1 }
-func (loyalCallers) Shutdown()      {}
+func (loyalCallers) CountByState() map[string]int {
+	return map[string]int{"in_transaction": 1}
+}
+func (loyalCallers) Shutdown() {}
 
 // TestShutdownEndsWithinGrace checks that a proxy with a caller that does not disconnect
 // stops before the platform kills it, whichever step of the shutdown uses up the time.
