drain, sessn, hosted: the end of a shutdown answers what still runs

Callers saw: around SIGTERM a connection was closed without an answer although an instance ran the request.

Cause: the end of a shutdown was the closing of connections. A transaction that was open when the drain began went on without a limit, each statement with its usual deadline; 0.5 s before the end of the grace period Frontend.Shutdown closed every connection, with whatever ran on it. The kernel never ended these requests, so no log line named them. The drain limit was computed at the start of the process, too, and did not follow a reload of the grace period.

Change: the kernel ends requests before connections are closed. At the drain limit, one second before the end of the grace period, sessn answers each unfinished request with its true outcome, aborts the open transactions and refuses later requests (EndRequests); no deadline lies beyond that moment. The limit comes with the request to shut down and is computed from the grace period in force. The order is the same in "almondway proxy".

Tests that started a drain now pass the limit that the settings have.

--- a/internal/app/hosted/hosted.go
+++ b/internal/app/hosted/hosted.go
@@ -37,6 +37,9 @@
 	// killMargin is the part of the shutdown grace period that is kept in reserve, so
 	// that the process exits before the platform kills it.
 	killMargin = 500 * time.Millisecond
+	// lastAnswerTime is kept for sending the answers to the requests that are still running
+	// at the end of the drain.
+	lastAnswerTime = 500 * time.Millisecond
 	// inspectTimeout bounds the wait for the kernel's loop in readiness checks and
 	// metrics requests.
 	inspectTimeout = 500 * time.Millisecond
@@ -79,6 +82,8 @@
 	CloseWhenIdle()
 	// Stop stops accepting callers.
 	Stop()
+	// CloseAll closes each caller's connection as soon as no request runs on it.
+	CloseAll()
 	// Count returns the number of connected callers.
 	Count() int
 	// CountByState returns the number of connected callers by the state of their sessions.
@@ -117,7 +122,6 @@
 
 // New returns a Proxy. Nothing listens before Run.
 func New(spec Spec) *Proxy {
-	spec.Kernel.DrainLimit = max(time.Millisecond, spec.ShutdownGrace-balancerNoticeTime-killMargin)
 	self := model.NewProxyView(model.ProxyID(spec.Name), spec.MeshAddress, model.DataCenter(spec.DataCenter), 0, false, 0).WithCores(spec.Cores)
 	started := time.Now()
 	hostClock := clock.New()
@@ -214,23 +218,39 @@
 
 // awaitShutdown returns when the process may exit. After a shutdown request the proxy
 // keeps serving until the load balancer sends no more callers. It then stops accepting
-// callers and waits for the work in flight.
+// callers and waits for the work in flight. The kernel answers what still runs at the end of
+// the drain, and each connection is closed after its last answer.
 func (proxy *Proxy) awaitShutdown(signals <-chan os.Signal) {
 	proxy.reloadUntilSignal(signals)
+	asked, phases := time.Now(), newPhases(proxy.spec.ShutdownGrace)
 	proxy.logShutdown("shutdown asked")
 	proxy.shuttingDown.Store(true)
 	proxy.adapters.Callers.CloseWhenIdle()
-	ctx, cancel := context.WithTimeout(context.Background(), proxy.spec.ShutdownGrace-killMargin)
-	defer cancel()
-	proxy.wait(ctx, balancerNoticeTime)
+	time.Sleep(time.Until(asked.Add(phases.notice)))
 	proxy.logShutdown("callers stopped")
 	proxy.adapters.Callers.Stop()
-	proxy.loop.Post(event.NewShutdownRequested())
+	// The shutdown goes on if the loop does not take the event.
+	go proxy.loop.Post(event.NewShutdownRequested(time.Until(asked.Add(phases.drain))))
 	select {
 	case <-proxy.stopped:
-	case <-ctx.Done():
+	case <-time.After(time.Until(asked.Add((phases.drain + phases.answers) / 2))):
 	}
-	proxy.awaitCallersGone(ctx)
+	proxy.adapters.Callers.CloseAll()
+	proxy.awaitCallersGone(asked.Add(phases.answers))
+}
+
+// phases are the ends of the phases of a shutdown, counted from its beginning.
+type phases struct {
+	notice  time.Duration // callers are accepted
+	drain   time.Duration // requests in flight are finished
+	answers time.Duration // the last answers are sent
+}
+
+// newPhases divides a grace period. Transactions have at least half of it.
+func newPhases(grace time.Duration) phases {
+	answers := grace - min(killMargin, grace/4)
+	drain := answers - min(lastAnswerTime, answers/4)
+	return phases{notice: min(balancerNoticeTime, drain/2), drain: drain, answers: answers}
 }
 
 // reloadUntilSignal reloads the settings on SIGHUP and every reloadInterval, since they
@@ -252,25 +272,11 @@
 	}
 }
 
-// wait returns after the duration, or earlier when ctx is done.
-func (proxy *Proxy) wait(ctx context.Context, duration time.Duration) {
-	select {
-	case <-time.After(duration):
-	case <-ctx.Done():
-	}
-}
-
 // awaitCallersGone waits until all callers have received their last answers and
-// disconnected, or until ctx is done.
-func (proxy *Proxy) awaitCallersGone(ctx context.Context) {
-	tick := time.NewTicker(callerPollInterval)
-	defer tick.Stop()
-	for proxy.adapters.Callers.Count() > 0 {
-		select {
-		case <-tick.C:
-		case <-ctx.Done():
-			return
-		}
+// disconnected, but not beyond end.
+func (proxy *Proxy) awaitCallersGone(end time.Time) {
+	for proxy.adapters.Callers.Count() > 0 && time.Now().Before(end) {
+		time.Sleep(callerPollInterval)
 	}
 }
 
--- a/internal/app/hosted/hosted_test.go
+++ b/internal/app/hosted/hosted_test.go
@@ -19,6 +19,7 @@
 func (loyalCallers) Start() error   { return nil }
 func (loyalCallers) CloseWhenIdle() {}
 func (loyalCallers) Stop()          {}
+func (loyalCallers) CloseAll()      {}
 func (loyalCallers) Count() int     { return 1 }
 func (loyalCallers) CountByState() map[string]int {
 	return map[string]int{"in_transaction": 1}
@@ -29,11 +30,13 @@
 // stops before the platform kills it, whichever step of the shutdown uses up the time.
 func TestShutdownEndsWithinGrace(t *testing.T) {
 	tests := []struct {
-		name  string
-		grace time.Duration
+		name     string
+		grace    time.Duration
+		reloaded time.Duration // the grace period after a reload before the shutdown, or 0
 	}{
-		{"shorter than the time of the load balancer", killMargin + 100*time.Millisecond},
-		{"ends while requests are in flight", balancerNoticeTime + killMargin + 100*time.Millisecond},
+		{name: "shorter than the time of the load balancer", grace: killMargin + 100*time.Millisecond},
+		{name: "ends while requests are in flight", grace: balancerNoticeTime + killMargin + 100*time.Millisecond},
+		{name: "shortened by a reload", grace: time.Minute, reloaded: time.Second},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -41,9 +44,15 @@
 			is := is.New(t)
 			log, err := logs.New(io.Discard, "info", 1)
 			is.NoErr(err)
-			proxy := New(Spec{Name: "proxy", ShutdownGrace: test.grace, Log: log})
+			spec := Spec{Name: "proxy", ShutdownGrace: test.grace, Log: log}
+			signals := make(chan os.Signal, 2)
+			if test.reloaded > 0 {
+				test.grace = test.reloaded
+				spec.Reload = func() time.Duration { return test.reloaded }
+				signals <- syscall.SIGHUP
+			}
+			proxy := New(spec)
 			proxy.adapters.Callers = loyalCallers{}
-			signals := make(chan os.Signal, 1)
 			signals <- syscall.SIGTERM
 			ended := make(chan struct{})
 			go func() {
@@ -58,3 +67,16 @@
 		})
 	}
 }
+
+func TestPhases(t *testing.T) {
+	for _, grace := range []time.Duration{100 * time.Millisecond, time.Second, 2 * time.Second, 6 * time.Second, time.Minute} {
+		t.Run(grace.String(), func(t *testing.T) {
+			is := is.New(t)
+			phases := newPhases(grace)
+			is.True(phases.notice > 0 && phases.notice < phases.drain)
+			is.True(phases.drain >= grace/2) // what an open transaction has at least
+			is.True(phases.drain < phases.answers)
+			is.True(phases.answers < grace)
+		})
+	}
+}
--- a/internal/app/serve/serve.go
+++ b/internal/app/serve/serve.go
@@ -86,7 +86,7 @@
 func (proxy *Proxy) Drain() {
 	proxy.drainOnce.Do(func() {
 		close(proxy.draining)
-		proxy.loop.Post(event.NewShutdownRequested())
+		proxy.loop.Post(event.NewShutdownRequested(proxy.config.Kernel().DrainLimit()))
 	})
 }
 
--- a/internal/core/event/internal.go
+++ b/internal/core/event/internal.go
@@ -1,6 +1,8 @@
 package event
 
 import (
+	"time"
+
 	"almondway.dev/almondway/internal/core/model"
 )
 
@@ -117,10 +119,15 @@
 func (ComplaintChanged) isEvent() {}
 
 // DrainStarted is published when the proxy starts draining and accepts no new work.
-type DrainStarted struct{}
+type DrainStarted struct {
+	end time.Duration
+}
+
+// NewDrainStarted returns a DrainStarted. What is in flight is ended at end.
+func NewDrainStarted(end time.Duration) DrainStarted { return DrainStarted{end: end} }
 
-// NewDrainStarted returns a DrainStarted.
-func NewDrainStarted() DrainStarted { return DrainStarted{} }
+// End returns the time at which what is in flight is ended.
+func (drainStarted DrainStarted) End() time.Duration { return drainStarted.end }
 
 func (DrainStarted) isEvent() {}
 
--- a/internal/core/event/platform.go
+++ b/internal/core/event/platform.go
@@ -192,9 +192,16 @@
 func (CommandReceived) isEvent() {}
 
 // ShutdownRequested asks the proxy to drain and then to stop.
-type ShutdownRequested struct{}
+type ShutdownRequested struct {
+	limit time.Duration
+}
+
+// NewShutdownRequested returns a ShutdownRequested. What is in flight is ended after limit.
+func NewShutdownRequested(limit time.Duration) ShutdownRequested {
+	return ShutdownRequested{limit: limit}
+}
 
-// NewShutdownRequested returns a ShutdownRequested.
-func NewShutdownRequested() ShutdownRequested { return ShutdownRequested{} }
+// Limit returns the time after which what is in flight is ended.
+func (shutdownRequested ShutdownRequested) Limit() time.Duration { return shutdownRequested.limit }
 
 func (ShutdownRequested) isEvent() {}
--- a/internal/edge/admin/admin_test.go
+++ b/internal/edge/admin/admin_test.go
@@ -16,6 +16,7 @@
 	"almondway.dev/almondway/internal/core/event"
 	"almondway.dev/almondway/internal/core/model"
 	"almondway.dev/almondway/internal/core/state"
+	"almondway.dev/almondway/internal/core/tune"
 	"almondway.dev/almondway/internal/edge/admin"
 	"almondway.dev/almondway/internal/edge/schema"
 	"almondway.dev/almondway/internal/proto/admpb"
@@ -93,7 +94,7 @@
 		Tokens:    tokens,
 		Inspector: fakeInspector{shared: shared},
 		Logging:   &fakeLogging{level: "info"},
-		Drain:     func() { inbox.Post(event.NewShutdownRequested()) },
+		Drain:     func() { inbox.Post(event.NewShutdownRequested(tune.Default().DrainLimit)) },
 	}, inbox)
 	inbox.answer = api.Answer
 	mux := http.NewServeMux()
@@ -222,7 +223,7 @@
 	is.Equal(len(fixture.inbox.posted), 0)
 	_, err = client.DrainProxy(t.Context(), connect.NewRequest(&admpb.DrainProxyRequest{Proxy: "proxy-1"}))
 	is.NoErr(err)
-	is.Equal(fixture.inbox.posted, []event.Event{event.NewShutdownRequested()})
+	is.Equal(fixture.inbox.posted, []event.Event{event.NewShutdownRequested(tune.Default().DrainLimit)})
 }
 
 func TestWatchDeployments(t *testing.T) {
--- a/internal/plug/drain/drain.go
+++ b/internal/plug/drain/drain.go
@@ -1,6 +1,7 @@
 // Package drain shuts the proxy down gracefully. The proxy accepts no new work, waits
-// until the requests in flight and its promotions in progress are finished, and stops. Other
-// plug-ins hand over their tasks to other proxies on event.DrainStarted.
+// until the requests in flight and its promotions in progress are finished, and stops. Requests
+// that are not finished by the drain limit are ended with an answer before. Other plug-ins hand
+// over their tasks to other proxies on event.DrainStarted.
 package drain
 
 import (
@@ -36,6 +37,12 @@
 	InFlight() int
 }
 
+// requestEnder is the service of the plug-in that answers the requests of callers.
+type requestEnder interface {
+	// EndRequests answers all unfinished requests and aborts the open transactions.
+	EndRequests()
+}
+
 // failover is the service of the plug-in that orders promotions.
 type failover interface {
 	// PromotionInProgress reports whether this proxy runs a promotion or a switchover that
@@ -53,7 +60,7 @@
 type Drain struct {
 	context    *kern.Context
 	started    bool
-	startedAt  time.Duration
+	endAt      time.Duration // of the drain limit
 	checkedAt  time.Duration // time of the last check
 	idleChecks int           // consecutive checks without work in flight
 }
@@ -63,20 +70,20 @@
 
 // Handle implements kern.Plugin.
 func (drain *Drain) Handle(received event.Event) {
-	if _, ok := received.(event.ShutdownRequested); ok {
-		drain.start()
+	if requested, ok := received.(event.ShutdownRequested); ok {
+		drain.start(requested.Limit())
 	}
 }
 
-func (drain *Drain) start() {
+func (drain *Drain) start(limit time.Duration) {
 	if drain.started {
 		return
 	}
 	drain.started = true
-	drain.startedAt = drain.context.Now()
-	drain.checkedAt = drain.startedAt
+	drain.checkedAt = drain.context.Now()
+	drain.endAt = drain.checkedAt + limit
 	drain.context.State().SetDraining()
-	drain.context.Publish(event.NewDrainStarted())
+	drain.context.Publish(event.NewDrainStarted(drain.endAt))
 	drain.log("drain_started", "shutdown was requested")
 	drain.context.Timers().After(checkInterval, drain.check)
 }
@@ -92,14 +99,16 @@
 		drain.idleChecks++
 	}
 	drain.checkedAt = now
-	waited := now - drain.startedAt
 	switch {
 	case drain.idleChecks >= minIdleChecks:
 		drain.stop("nothing is in flight")
-	case waited >= drain.context.Settings().DrainLimit():
+	case now >= drain.endAt:
+		if ender, ok := drain.context.Service(route.SessionsService).(requestEnder); ok {
+			ender.EndRequests()
+		}
 		drain.stop("the drain limit has passed")
 	default:
-		drain.context.Timers().After(checkInterval, drain.check)
+		drain.context.Timers().After(min(checkInterval, drain.endAt-now), drain.check)
 	}
 }
 
--- a/internal/plug/drain/drain_test.go
+++ b/internal/plug/drain/drain_test.go
@@ -20,10 +20,13 @@
 	requests  int
 	promoting bool
 	drained   bool
+	ended     bool
 }
 
 func (fakeLoad *fakeLoad) InFlight() int { return fakeLoad.requests }
 
+func (fakeLoad *fakeLoad) EndRequests() { fakeLoad.ended = true }
+
 func (fakeLoad *fakeLoad) PromotionInProgress() bool { return fakeLoad.promoting }
 
 func (fakeLoad *fakeLoad) Handle(received event.Event) {
@@ -60,6 +63,7 @@
 		work     func(fakeLoad *fakeLoad, now time.Duration)
 		earliest time.Duration
 		latest   time.Duration
+		ended    bool // the requests are ended before the proxy stops
 	}{
 		{
 			name:   "idle",
@@ -91,6 +95,7 @@
 			work:     func(fakeLoad *fakeLoad, _ time.Duration) { fakeLoad.requests = 1 },
 			earliest: 30 * time.Second,
 			latest:   30*time.Second + 100*time.Millisecond,
+			ended:    true,
 		},
 	}
 	for _, test := range tests {
@@ -99,7 +104,7 @@
 			kernel := kern.New(model.NewProxyView("proxy-1", "", "", 0, false, 0), tune.New(tune.Default()), time.Time{}, 1)
 			fakeLoad := <-fakeLoads
 			test.work(fakeLoad, 0)
-			kernel.Handle(0, event.NewShutdownRequested())
+			kernel.Handle(0, event.NewShutdownRequested(tune.Default().DrainLimit))
 			is.True(kernel.State().Draining())
 			is.True(fakeLoad.drained)
 			stopped := time.Duration(0)
@@ -111,6 +116,7 @@
 			}
 			is.True(stopped >= test.earliest)
 			is.True(stopped > 0 && stopped <= test.latest)
+			is.Equal(fakeLoad.ended, test.ended)
 		})
 	}
 }
@@ -122,7 +128,7 @@
 	is := is.New(t)
 	kernel := kern.New(model.NewProxyView("proxy-1", "", "", 0, false, 0), tune.New(tune.Default()), time.Time{}, 1)
 	fakeLoad := <-fakeLoads
-	kernel.Handle(0, event.NewShutdownRequested())
+	kernel.Handle(0, event.NewShutdownRequested(tune.Default().DrainLimit))
 	is.True(!stopsProxy(kernel.Tick(20 * time.Second)))
 	fakeLoad.requests = 1
 	for now := 20*time.Second + step; now < 22*time.Second; now += step {
@@ -136,7 +142,7 @@
 	is := is.New(t)
 	kernel := kern.New(model.NewProxyView("proxy-1", "", "", 0, false, 0), tune.New(tune.Default()), time.Time{}, 1)
 	fakeLoad := <-fakeLoads
-	kernel.Handle(0, event.NewShutdownRequested())
+	kernel.Handle(0, event.NewShutdownRequested(tune.Default().DrainLimit))
 	for now := step; now < 200*time.Millisecond; now += step {
 		is.True(!stopsProxy(kernel.Tick(now)))
 	}
--- a/internal/plug/member/member_test.go
+++ b/internal/plug/member/member_test.go
@@ -10,6 +10,7 @@
 
 	"almondway.dev/almondway/internal/core/event"
 	"almondway.dev/almondway/internal/core/model"
+	"almondway.dev/almondway/internal/core/tune"
 )
 
 // register writes a row for another proxy to the table.
@@ -135,7 +136,7 @@
 	fixture.shelf.Write(event.NewWriteStore(0, []model.RowWrite{deletion}))
 	fixture.run(15 * time.Second)
 	is.True(fixture.shelf.Row("proxies", "proxy-1").Version() > 0) // written again
-	fixture.handle(event.NewDrainStarted())
+	fixture.handle(event.NewDrainStarted(tune.Default().DrainLimit))
 	fixture.run(time.Second)
 	is.Equal(fixture.shelf.Row("proxies", "proxy-1").Version(), uint64(0)) // deregistered
 	fixture.run(30 * time.Second)
@@ -230,7 +231,7 @@
 	is.True(!last.Draining())
 	fixture.kernel.State().SetDraining()
 	fixture.sent = nil
-	fixture.handle(event.NewDrainStarted())
+	fixture.handle(event.NewDrainStarted(tune.Default().DrainLimit))
 	is.True(slices.ContainsFunc(fixture.sent, func(sent event.SendPeerMessage) bool {
 		heartbeat, ok := sent.Message().(event.Heartbeat)
 		return ok && heartbeat.Draining()
--- a/internal/plug/sessn/finish.go
+++ b/internal/plug/sessn/finish.go
@@ -21,6 +21,7 @@
 	if result.Code == codes.OK {
 		caller.token = caller.token.With(job.Group(), result.Mark)
 	}
+	result = sessions.withEndReason(result)
 	sessions.updateTx(caller, job, result)
 	sessions.log(caller, job, result)
 	sessions.answer(caller, job.Request(), result)
--- a/internal/plug/sessn/sessn.go
+++ b/internal/plug/sessn/sessn.go
@@ -3,6 +3,8 @@
 package sessn
 
 import (
+	"time"
+
 	"almondway.dev/almondway/internal/core/codes"
 	"almondway.dev/almondway/internal/core/event"
 	"almondway.dev/almondway/internal/core/kern"
@@ -20,6 +22,9 @@
 	callers map[model.CallerID]*caller
 	runners map[model.Access]route.Runner
 	quota   route.Quota // or nil
+	// drainEnd is the time at which a shutdown ends what is in flight, or 0.
+	drainEnd time.Duration
+	ended    bool // by the shutdown
 }
 
 // New returns the plug-in. It provides the service route.Sessions.
@@ -47,6 +52,8 @@
 		sessions.callerClosed(received.Caller())
 	case event.CatalogChanged:
 		sessions.closeWithdrawn()
+	case event.DrainStarted:
+		sessions.drainEnd = received.End()
 	}
 }
 
--- a/internal/plug/sessn/start.go
+++ b/internal/plug/sessn/start.go
@@ -153,7 +153,6 @@
 
 // commitJob returns the Job that commits the caller's transaction.
 func (sessions *Sessions) commitJob(caller *caller, team *model.Team, request *model.Request) *route.Job {
-	now := sessions.context.Now()
 	kind := model.Kind{}
 	if caller.tx.Access() == model.AccessEither {
 		kind = caller.lastKind
@@ -170,11 +169,20 @@
 		Tx:          caller.tx,
 		Team:        team,
 		Key:         caller.key,
-		Arrived:     now,
-		Deadline:    now + sessions.timeout(request, kind),
+		Arrived:     sessions.context.Now(),
+		Deadline:    sessions.deadline(request, kind),
 	})
 }
 
+// deadline returns the deadline of a request that arrives now. A shutdown ends it by then.
+func (sessions *Sessions) deadline(request *model.Request, kind model.Kind) time.Duration {
+	deadline := sessions.context.Now() + sessions.timeout(request, kind)
+	if sessions.drainEnd > 0 {
+		deadline = min(deadline, sessions.drainEnd)
+	}
+	return deadline
+}
+
 func (sessions *Sessions) timeout(request *model.Request, kind model.Kind) time.Duration {
 	switch {
 	case request.Timeout() > 0:
--- a/internal/plug/sessn/validate.go
+++ b/internal/plug/sessn/validate.go
@@ -24,6 +24,9 @@
 	if state.Draining() && !caller.inTx {
 		return nil, refusal{code: codes.Draining}
 	}
+	if sessions.ended {
+		return nil, refusal{codes.TransactionLost, endReason}
+	}
 	if !state.Confirmed() {
 		return nil, refusal{code: codes.RevisionUnconfirmed}
 	}
@@ -67,7 +70,7 @@
 		Key:        caller.key,
 		Arrived:    sessions.context.Now(),
 	}
-	spec.Deadline = spec.Arrived + sessions.timeout(request, kind)
+	spec.Deadline = sessions.deadline(request, kind)
 	caller.token = caller.token.Merge(request.Token())
 	spec.Seen = caller.token.Mark(group)
 	if refused := sessions.setTxAndRequestID(caller, &spec); refused.code != codes.OK {
--- a/internal/proof/city/city_test.go
+++ b/internal/proof/city/city_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"almondway.dev/almondway/internal/core/event"
+	"almondway.dev/almondway/internal/core/tune"
 )
 
 // startTraffic opens a session of each kind on every proxy and sends requests through them
@@ -188,7 +189,7 @@
 	simulation.run(3 * time.Second)
 	draining := simulation.proxies[0]
 	is.Equal(len(draining.kernel.State().Proxies()), proxyCount)
-	draining.post(networkDelay, event.NewShutdownRequested())
+	draining.post(networkDelay, event.NewShutdownRequested(tune.Default().DrainLimit))
 	simulation.run(100 * time.Millisecond)
 	is.Equal(len(draining.kernel.State().Proxies()), proxyCount)
 	_, exists := simulation.store.rows["almondway/proxy/"+draining.name]
--- a/internal/proof/city/holder_test.go
+++ b/internal/proof/city/holder_test.go
@@ -11,6 +11,7 @@
 	"almondway.dev/almondway/internal/core/event"
 	"almondway.dev/almondway/internal/core/kern"
 	"almondway.dev/almondway/internal/core/model"
+	"almondway.dev/almondway/internal/core/tune"
 )
 
 const (
@@ -187,7 +188,9 @@
 			first.losesAnswers, second.losesAnswers = true, true
 			holders.runAfter(2*time.Second, func() { first.losesAnswers, second.losesAnswers = false, false })
 		}, 75},
-		{"a holder drains", func(_ *holderSimulation, first, _ *proxy) { first.post(0, event.NewShutdownRequested()) }, 97},
+		{"a holder drains", func(_ *holderSimulation, first, _ *proxy) {
+			first.post(0, event.NewShutdownRequested(tune.Default().DrainLimit))
+		}, 97},
 		{"a holder is of an old build", func(_ *holderSimulation, first, _ *proxy) { first.oldBuild = true }, 97},
 		{"all other proxies are of an old build", func(holders *holderSimulation, first, second *proxy) {
 			for _, proxy := range holders.proxies {
--- a/internal/proof/city/mesh_test.go
+++ b/internal/proof/city/mesh_test.go
@@ -12,6 +12,7 @@
 	"almondway.dev/almondway/internal/core/kern"
 	"almondway.dev/almondway/internal/core/model"
 	"almondway.dev/almondway/internal/core/route"
+	"almondway.dev/almondway/internal/core/tune"
 )
 
 const (
@@ -248,7 +249,7 @@
 		}},
 		{"a reader drains", func(mesh *meshSimulation, readers []*proxy) {
 			mesh.disturb(readers[0], time.Hour)
-			readers[0].post(networkDelay, event.NewShutdownRequested())
+			readers[0].post(networkDelay, event.NewShutdownRequested(tune.Default().DrainLimit))
 		}},
 		{"a rolling restart", func(mesh *meshSimulation, _ []*proxy) {
 			for index, proxy := range mesh.proxies {
--- a/internal/proof/city/reader_test.go
+++ b/internal/proof/city/reader_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 
 	"almondway.dev/almondway/internal/core/event"
+	"almondway.dev/almondway/internal/core/tune"
 )
 
 // cutStore cuts some proxies from the store for a time.
@@ -68,7 +69,7 @@
 		}, 80},
 		{"drains", func(mesh *meshSimulation, reader *proxy) {
 			mesh.disturb(reader, time.Hour)
-			reader.post(networkDelay, event.NewShutdownRequested())
+			reader.post(networkDelay, event.NewShutdownRequested(tune.Default().DrainLimit))
 		}, 65},
 		{"a third of the proxies cut from the store", func(mesh *meshSimulation, reader *proxy) {
 			cut := []*proxy{reader}
--- a/internal/proof/fuzz/deployment_test.go
+++ b/internal/proof/fuzz/deployment_test.go
@@ -5,6 +5,7 @@
 
 	"almondway.dev/almondway/internal/core/event"
 	"almondway.dev/almondway/internal/core/model"
+	"almondway.dev/almondway/internal/core/tune"
 )
 
 const browseStaleness = 2 * time.Second
@@ -72,4 +73,4 @@
 	proxy.post(event.NewCommandReceived(commandID, event.NewApplyDeployment(simulation.newDeployment(name, weight), expectedRevision, changeID, "operator")))
 }
 
-func shutdownRequested() event.Event { return event.NewShutdownRequested() }
+func shutdownRequested() event.Event { return event.NewShutdownRequested(tune.Default().DrainLimit) }
