platform: a shutdown closes idle sessions once no new callers come

Callers saw: about one request per planned stop whose connection was closed without an answer. It was on its way when the proxy, at SIGTERM, closed all sessions that were between two operations; a write is in doubt then, though no proxy read it.

Cause: the protocol has no announcement of a close, so the close of an idle session races with its caller's next request for as long as that travels. An answer cannot race: its caller has nothing outstanding.

Change: from SIGTERM on a session is closed right after the answer that ends its next operation.

--- a/internal/app/hosted/hosted.go
+++ b/internal/app/hosted/hosted.go
@@ -78,9 +78,9 @@
 	port.Callers
 	// Start starts to listen.
 	Start() error
-	// CloseWhenIdle closes each caller's connection as soon as it is idle.
+	// CloseWhenIdle closes each caller's connection after its next operation.
 	CloseWhenIdle()
-	// Stop stops accepting callers.
+	// Stop stops accepting callers and closes each connection that is idle, now or later.
 	Stop()
 	// CloseAll closes each caller's connection as soon as no request runs on it.
 	CloseAll()
