conns, logs: conn_spoiled names the cause and the request

On call, "the answer was lost" stood for every connection that was closed after a failed execution, also where nothing had been sent, where the instance had refused the statement, and where it was shutting down. The line named no request, so that a request that was cut off could not be found by its id.

The reason now follows the class of the failure, and the line has the id of the request whose statement ran on the connection, where there is one.

--- a/internal/app/logs/decision.go
+++ b/internal/app/logs/decision.go
@@ -14,30 +14,31 @@
 // the sampling, since each of them needs attention.
 const minAlwaysLoggedCode = codes.OutcomeUnknown
 
-// maxFailureLinesPerSecond limits the lines of failed requests outside the sample.
-const maxFailureLinesPerSecond = 50
+// maxLinesPerSecond limits the lines of failed requests outside the sample, and the placement
+// lines that name a request.
+const maxLinesPerSecond = 50
 
-// failureLimiter limits the lines of failed requests in each second of the wall clock.
-type failureLimiter struct {
+// lineLimiter limits the lines in each second of the wall clock.
+type lineLimiter struct {
 	second  int64
 	written int
 	leftOut int
 }
 
 // allow reports whether a line may be written. With the first line of a new second it
-// also returns how many lines were left out in the last second with failures; otherwise
+// also returns how many lines were left out in the last second with such lines; otherwise
 // that number is 0.
-func (failureLimiter *failureLimiter) allow(now time.Time) (bool, int) {
+func (lineLimiter *lineLimiter) allow(now time.Time) (bool, int) {
 	leftOut := 0
-	if second := now.Unix(); second != failureLimiter.second {
-		leftOut = failureLimiter.leftOut
-		failureLimiter.second, failureLimiter.written, failureLimiter.leftOut = second, 0, 0
+	if second := now.Unix(); second != lineLimiter.second {
+		leftOut = lineLimiter.leftOut
+		lineLimiter.second, lineLimiter.written, lineLimiter.leftOut = second, 0, 0
 	}
-	if failureLimiter.written >= maxFailureLinesPerSecond {
-		failureLimiter.leftOut++
+	if lineLimiter.written >= maxLinesPerSecond {
+		lineLimiter.leftOut++
 		return false, leftOut
 	}
-	failureLimiter.written++
+	lineLimiter.written++
 	return true, leftOut
 }
 
@@ -49,7 +50,8 @@
 }
 
 // Record implements port.DecisionLog. Lines below the minimum level are not written. Other
-// placement lines are always written. A routing line is written if its request is in the
+// placement lines are always written, unless they name a request: these are limited to a number of
+// lines per second. A routing line is written if its request is in the
 // sample, if its outcome needs attention, or if its request failed; failures outside the
 // sample are limited to a number of lines per second and are not written while sampling is
 // off. Another goroutine writes the lines.
@@ -107,22 +109,25 @@
 // shouldWrite reports whether the decision is written. The sample holds either all lines
 // of a request or none.
 func (log *Log) shouldWrite(decision model.Decision) bool {
-	if !decision.IsRouting() || decision.Code >= minAlwaysLoggedCode {
+	switch {
+	case decision.Code >= minAlwaysLoggedCode:
 		return true
+	case !decision.IsRouting():
+		return decision.RequestID == "" || log.allowLine(&log.placements, "lines that name a request")
 	}
 	sample := log.sample.Load()
 	if sample > 0 && uint64(decision.Seq)%uint64(sample) == 0 {
 		return true
 	}
-	return decision.Code != codes.OK && sample > 0 && log.allowFailureLine()
+	return decision.Code != codes.OK && sample > 0 && log.allowLine(&log.failures, "failed requests")
 }
 
-// allowFailureLine reports whether the line of a failed request may be written. It also
-// queues a line with the number of lines left out before, if there are any.
-func (log *Log) allowFailureLine() bool {
-	allowed, leftOut := log.failures.allow(time.Now())
+// allowLine reports whether the limiter allows a line. It also queues a line with the number of
+// lines left out before, if there are any.
+func (log *Log) allowLine(limiter *lineLimiter, lines string) bool {
+	allowed, leftOut := limiter.allow(time.Now())
 	if leftOut > 0 {
-		summary := model.Decision{Name: "lines_left_out", Reason: strconv.Itoa(leftOut) + " failed requests in one second"}
+		summary := model.Decision{Name: "lines_left_out", Reason: strconv.Itoa(leftOut) + " " + lines + " in one second"}
 		select {
 		case log.placementQueue <- queuedDecision{decision: summary, level: logrus.WarnLevel, at: time.Now()}:
 		default:
--- a/internal/app/logs/decision_test.go
+++ b/internal/app/logs/decision_test.go
@@ -78,21 +78,33 @@
 	}
 }
 
-// Lines of failures beyond the limit of a second are counted, and the count is written
-// with the next failure.
-func TestFailureLinesAreBounded(t *testing.T) {
-	is := is.New(t)
-	var output bytes.Buffer
-	log, err := logs.New(&output, "info", 1_000_000)
-	is.NoErr(err)
-	for seq := range model.RequestSeq(1000) {
-		log.Record(model.Decision{Name: "route", Seq: seq + 1, Code: codes.Overloaded})
+// Lines of single requests beyond the limit of a second are counted, and the count is written
+// with the next such line.
+func TestLinesOfRequestsAreBounded(t *testing.T) {
+	tests := []struct {
+		name     string
+		decision model.Decision
+	}{
+		{"failures", model.Decision{Name: "route", Seq: 1, Code: codes.Overloaded}},
+		{"placement lines that name a request", model.Decision{Name: "conn_spoiled", RequestID: "r-1"}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			var output bytes.Buffer
+			log, err := logs.New(&output, "info", 1_000_000)
+			is.NoErr(err)
+			for range 1000 {
+				log.Record(test.decision)
+			}
+			time.Sleep(1100 * time.Millisecond) // the limit applies to a second of the wall clock
+			log.Record(test.decision)
+			log.Close()
+			is.True(strings.Count(output.String(), "\n") < 200)
+			is.True(strings.Contains(output.String(), "lines_left_out"))
+		})
 	}
-	time.Sleep(1100 * time.Millisecond) // the limit applies to a second of the wall clock
-	log.Record(model.Decision{Name: "route", Seq: 2000, Code: codes.Overloaded})
-	log.Close()
-	is.True(strings.Count(output.String(), "\n") < 200)
-	is.True(strings.Contains(output.String(), "lines_left_out"))
 }
 
 func TestLevelAndSampleChangeAtRunTime(t *testing.T) {
--- a/internal/app/logs/logs.go
+++ b/internal/app/logs/logs.go
@@ -18,9 +18,10 @@
 type Log struct {
 	logger *logrus.Logger
 	sample atomic.Int64
-	// failures is used only by Record, which the kernel's loop calls.
-	failures failureLimiter
-	dropped  atomic.Int64
+	// failures and placements are used only by Record, which the kernel's loop calls.
+	failures   lineLimiter
+	placements lineLimiter // that name a request
+	dropped    atomic.Int64
 
 	placementQueue chan queuedDecision
 	routingQueue   chan queuedDecision
--- a/internal/core/route/job.go
+++ b/internal/core/route/job.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"cmp"
 	"time"
 
 	"almondway.dev/almondway/internal/core/model"
@@ -52,6 +53,12 @@
 // RequestID returns the key of the request's ledger row.
 func (job *Job) RequestID() string { return job.spec.RequestID }
 
+// LoggedID returns the request id for the decision log: the key of the ledger row, or else the id
+// that the caller sent.
+func (job *Job) LoggedID() string {
+	return cmp.Or(job.spec.RequestID, job.spec.Request.RequestID())
+}
+
 // HasGeneratedID reports whether the proxy generated the request id. The caller doesn't
 // know such an id and can't retry under it.
 func (job *Job) HasGeneratedID() bool { return job.spec.GeneratedID }
--- a/internal/core/route/route.go
+++ b/internal/core/route/route.go
@@ -127,6 +127,12 @@
 	ExecuteOverdue()
 }
 
+// IdentifiedUser is a ConnUser that runs the statements of a caller's request.
+type IdentifiedUser interface {
+	// RequestID returns the request id for the decision log.
+	RequestID() string
+}
+
 // WaitID identifies a wait for a connection. The zero WaitID identifies none.
 type WaitID uint64
 
--- a/internal/plug/conns/answer.go
+++ b/internal/plug/conns/answer.go
@@ -99,7 +99,23 @@
 		pools.context.Publish(event.NewLeavingChanged(conn.pool.instance.ID(), true))
 	}
 	if !failed.Usable() {
-		pools.spoil(conn, "the answer was lost")
+		pools.spoil(conn, spoilReason(failed.Class()))
 	}
 	user.ExecuteFailed(failed)
 }
+
+// spoilReason returns why a connection cannot be used again after a failed execution.
+func spoilReason(class model.FailureClass) string {
+	switch class {
+	case model.FailureNotSent:
+		return "nothing was sent"
+	case model.FailureLost:
+		return "the answer was lost"
+	case model.FailureLeaving:
+		return "the instance is shutting down"
+	case model.FailureStatement:
+		return "the statement failed"
+	default:
+		return "the instance refused the statement"
+	}
+}
--- a/internal/plug/conns/conns.go
+++ b/internal/plug/conns/conns.go
@@ -207,13 +207,14 @@
 	pools.spoil(conn, "the answer was abandoned")
 }
 
-// spoil closes a connection that must not be reused, and logs the reason.
+// spoil closes a connection that must not be reused, and logs the reason and the request whose
+// statement ran on it.
 func (pools *Pools) spoil(conn *conn, reason string) {
-	pools.context.Emit(event.NewLogDecision(model.Decision{
-		Name:     "conn_spoiled",
-		Instance: conn.pool.instance.ID(),
-		Reason:   reason,
-	}))
+	decision := model.Decision{Name: "conn_spoiled", Instance: conn.pool.instance.ID(), Reason: reason}
+	if user, ok := conn.user.(route.IdentifiedUser); ok {
+		decision.RequestID = user.RequestID()
+	}
+	pools.context.Emit(event.NewLogDecision(decision))
 	pools.context.Emit(event.NewCloseConn(conn.id))
 	pools.removeConn(conn)
 }
--- a/internal/plug/holder/direct.go
+++ b/internal/plug/holder/direct.go
@@ -136,6 +136,14 @@
 // ConnLost implements route.ConnUser.
 func (direct *direct) ConnLost(model.ConnID) { direct.user.directLost() }
 
+// RequestID implements route.IdentifiedUser.
+func (direct *direct) RequestID() string {
+	if user, ok := direct.user.(route.IdentifiedUser); ok {
+		return user.RequestID()
+	}
+	return ""
+}
+
 func (direct *direct) held() time.Duration { return direct.holder.context.Now() - direct.sentAt }
 
 func (direct *direct) park() { direct.holder.inner.Park(direct.conn) }
--- a/internal/plug/holder/lease.go
+++ b/internal/plug/holder/lease.go
@@ -105,7 +105,7 @@
 		Deployment: job.Deployment().Name(),
 		Kind:       job.Kind().Name(),
 		Op:         job.Request().Op(),
-		RequestID:  requestID(job),
+		RequestID:  job.LoggedID(),
 		Key:        job.Key(),
 		Team:       job.Team().Name(),
 		Statement:  lease.work.Statement(),
@@ -279,12 +279,12 @@
 	lease.emitEnd(given.number, lease.tx)
 }
 
-// requestID returns the id under which the request of a job is logged.
-func requestID(job *route.Job) string {
-	if job.RequestID() != "" {
-		return job.RequestID()
+// RequestID implements route.IdentifiedUser.
+func (lease *lease) RequestID() string {
+	if user, ok := lease.user.(route.IdentifiedUser); ok {
+		return user.RequestID()
 	}
-	return job.Request().RequestID()
+	return ""
 }
 
 // log logs a decision about the statement.
@@ -294,7 +294,7 @@
 		Name:       name,
 		Caller:     job.Request().Caller(),
 		Seq:        job.Seq(),
-		RequestID:  requestID(job),
+		RequestID:  job.LoggedID(),
 		Deployment: job.Deployment().Name(),
 		Kind:       job.Kind().Name(),
 		Group:      job.Group(),
--- a/internal/plug/holder/statement.go
+++ b/internal/plug/holder/statement.go
@@ -38,6 +38,9 @@
 	}
 }
 
+// RequestID implements route.IdentifiedUser.
+func (statement *statement) RequestID() string { return statement.body.RequestID() }
+
 // answer ends the statement and sends its answer to the proxy that forwarded it.
 func (statement *statement) answer(spec model.ForwardReplySpec) {
 	statement.served.remove(statement)
--- a/internal/plug/reads/read.go
+++ b/internal/plug/reads/read.go
@@ -64,6 +64,9 @@
 // ListIndex implements route.RunningRequest.
 func (read *read) ListIndex() int { return read.listIndex }
 
+// RequestID implements route.IdentifiedUser.
+func (read *read) RequestID() string { return read.job.LoggedID() }
+
 // SetListIndex implements route.RunningRequest.
 func (read *read) SetListIndex(index int) { read.listIndex = index }
 
--- a/internal/plug/relay/task.go
+++ b/internal/plug/relay/task.go
@@ -71,6 +71,9 @@
 // ListIndex implements route.RunningRequest.
 func (task *task) ListIndex() int { return task.listIndex }
 
+// RequestID implements route.IdentifiedUser.
+func (task *task) RequestID() string { return task.job.LoggedID() }
+
 // SetListIndex implements route.RunningRequest.
 func (task *task) SetListIndex(index int) { task.listIndex = index }
 
--- a/internal/plug/writes/write.go
+++ b/internal/plug/writes/write.go
@@ -63,6 +63,9 @@
 	result    route.ResultSpec
 }
 
+// RequestID implements route.IdentifiedUser.
+func (write *write) RequestID() string { return write.requestID }
+
 // Group implements route.RunningRequest.
 func (write *write) Group() model.GroupID { return write.job.Group() }
 
