hosted: a termination is neither dropped nor held up by a reload

A proxy whose settings file was slow to read, or hung, did not begin its shutdown: the goroutine that handled signals was the one that read the file, and SIGTERM shared a queue of four with SIGHUP. Callers saw their connections cut when the platform killed the process at the end of its grace period.

Terminations and hangups have a channel each, so that any number of hangups leaves room for a termination. The settings are reloaded by a goroutine of their own; the grace periods go to the one that awaits the termination, which takes the last one that is complete.

A second SIGTERM and hangups after the first one were harmless before.

--- a/internal/app/hosted/hosted.go
+++ b/internal/app/hosted/hosted.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"os"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -67,7 +66,11 @@
 	Seed             uint64
 	// Reload reloads the settings and returns the shutdown grace period in force. It
 	// logs the changes and the settings that cannot change at run time. It may be nil.
+	// One goroutine at a time calls it, also while the proxy shuts down.
 	Reload func() time.Duration
+	// Hangups receives the signals to reload the settings. They have a channel of their own,
+	// so that they cannot fill that of the signals to shut down. It may be nil.
+	Hangups <-chan os.Signal
 }
 
 // Callers is the adapter that accepts connections of callers.
@@ -155,8 +158,8 @@
 // Answer implements port.Operators.
 func (noOperators) Answer(event.AnswerOperator) {}
 
-// Run serves until a shutdown is complete. It returns an error if an address cannot be
-// listened on.
+// Run serves until a shutdown is complete, which the first of the signals starts. It
+// returns an error if an address cannot be listened on.
 func (proxy *Proxy) Run(adapters Adapters, signals <-chan os.Signal) error {
 	proxy.adapters = adapters
 	proxy.mesh = mesh.New(mesh.Spec{Address: proxy.spec.MeshAddress, System: proxy.spec.System, Inbox: proxy.loop, Log: proxy.spec.Log.Logger(), Payloads: adapters.Payloads})
@@ -220,21 +223,45 @@
 	proxy.awaitCallersGone(ctx)
 }
 
-// reloadUntilSignal reloads the settings on SIGHUP and every reloadInterval, since they
-// may change without a signal. It returns at the first other signal.
+// reloadUntilSignal keeps the settings up to date until the first signal. It does not wait for a
+// reload that is in progress.
 func (proxy *Proxy) reloadUntilSignal(signals <-chan os.Signal) {
+	stop := make(chan struct{})
+	defer close(stop)
+	graces := make(chan time.Duration)
+	if proxy.spec.Reload != nil {
+		go proxy.reload(graces, stop)
+	}
+	for {
+		select {
+		case proxy.spec.ShutdownGrace = <-graces:
+			continue
+		case <-signals:
+		}
+		select {
+		case proxy.spec.ShutdownGrace = <-graces:
+		default:
+		}
+		return
+	}
+}
+
+// reload reloads the settings on SIGHUP and every reloadInterval, since they may change without a
+// signal, until stop is closed. It sends the shutdown grace periods in force to graces.
+func (proxy *Proxy) reload(graces chan<- time.Duration, stop <-chan struct{}) {
 	tick := time.NewTicker(reloadInterval)
 	defer tick.Stop()
 	for {
 		select {
-		case received := <-signals:
-			if received != syscall.SIGHUP {
-				return
-			}
+		case <-proxy.spec.Hangups:
 		case <-tick.C:
+		case <-stop:
+			return
 		}
-		if proxy.spec.Reload != nil {
-			proxy.spec.ShutdownGrace = proxy.spec.Reload()
+		select {
+		case graces <- proxy.spec.Reload():
+		case <-stop:
+			return
 		}
 	}
 }
