logs: nothing waits for the output

Decisions were written by a goroutine of their own, but all other lines (started, shutdown asked, a failed call of the store, an entry that cannot be decoded) were written by whoever logged them, to the standard output. While its reader was stopped and the pipe was full, SIGTERM was not handled and the platform killed the process with requests in flight; a goroutine that logged with the mutex of the lists held kept the configuration from being applied. The end of the process waited for all queued lines. If the reader had gone, the first line killed the process by SIGPIPE.

All lines are queued now, events of the process in a queue of 1,024 lines; what does not fit, or what the output refuses, is counted as dropped. The end of the process waits 0.2 s for the output, and a late line does no harm, since no queue is closed. The line of a process that fails is still the last one. Proxies ignore SIGPIPE.

--- a/internal/app/cmds/proxy.go
+++ b/internal/app/cmds/proxy.go
@@ -48,6 +48,7 @@
 	signals := make(chan os.Signal, signalBuffer)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	defer signal.Stop(signals)
+	signal.Ignore(syscall.SIGPIPE) // the reader of the log may go away
 	proxy, err := serve.New(settings, log, Version())
 	if err != nil {
 		return failedError(err)
--- a/internal/app/logs/decision.go
+++ b/internal/app/logs/decision.go
@@ -50,11 +50,11 @@
 }
 
 // Record implements port.DecisionLog. Lines below the minimum level are not written. Other
-// placement lines are always written, unless they name a request: these are limited to a number of
-// lines per second. A routing line is written if its request is in the
-// sample, if its outcome needs attention, or if its request failed; failures outside the
-// sample are limited to a number of lines per second and are not written while sampling is
-// off. Another goroutine writes the lines.
+// placement lines are always written, but those that name a request are limited to a number
+// per second. A routing line is written if its request is in the sample, if its outcome needs
+// attention, or if its request failed; failures outside the sample are limited to a number of
+// lines per second and are not written while sampling is off.
+//
 // Placement lines and routing lines have separate queues, so that routing lines cannot
 // displace placement lines. While a queue is full because the output is slower than the
 // decisions, its lines are dropped and counted.
@@ -74,38 +74,9 @@
 	}
 }
 
-// Dropped returns the number of lines dropped because a queue was full.
+// Dropped returns the number of lines dropped because a queue was full or the output failed.
 func (log *Log) Dropped() int64 { return log.dropped.Load() }
 
-// writeQueued writes the queued lines until both queues are closed and empty.
-func (log *Log) writeQueued() {
-	defer close(log.writerDone)
-	placements, routings := log.placementQueue, log.routingQueue
-	for placements != nil || routings != nil {
-		select {
-		case queued, ok := <-placements:
-			if !ok {
-				placements = nil
-				continue
-			}
-			log.emit(&queued)
-		case queued, ok := <-routings:
-			if !ok {
-				routings = nil
-				continue
-			}
-			log.emit(&queued)
-		}
-	}
-}
-
-func (log *Log) emit(queued *queuedDecision) {
-	entry := logrus.NewEntry(log.logger)
-	entry.Data[decisionField] = &queued.decision
-	entry.Time = queued.at
-	entry.Log(queued.level, queued.decision.Name)
-}
-
 // shouldWrite reports whether the decision is written. The sample holds either all lines
 // of a request or none.
 func (log *Log) shouldWrite(decision model.Decision) bool {
--- a/internal/app/logs/guard.go
+++ b/internal/app/logs/guard.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"runtime/debug"
+	"time"
 
 	"github.com/sirupsen/logrus"
 )
@@ -19,10 +20,21 @@
 		if reason == nil {
 			return
 		}
-		log.logger.WithFields(logrus.Fields{
-			"part": part, "reason": fmt.Sprint(reason), "stack": string(debug.Stack()),
-		}).Error("process failed")
+		log.writeLast(logrus.Fields{"part": part, "reason": fmt.Sprint(reason), "stack": string(debug.Stack())})
 		exit(panicExitCode)
 	}()
 	run()
 }
+
+// writeLast writes the queued lines and then the line of a process that fails. Both together wait
+// no longer for the output than twice closeTimeout.
+func (log *Log) writeLast(fields logrus.Fields) {
+	log.Close()
+	written := make(chan struct{})
+	go func() {
+		defer close(written)
+		<-log.writerDone
+		log.writeEntry(&logrus.Entry{Logger: log.logger, Data: fields, Time: time.Now(), Level: logrus.ErrorLevel, Message: "process failed"})
+	}()
+	log.awaitOutput(written)
+}
--- a/internal/app/logs/logs.go
+++ b/internal/app/logs/logs.go
@@ -6,41 +6,54 @@
 	"io"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 )
 
-const queueSize = 8192 // lines
+const (
+	queueSize      = 8192 // lines
+	eventQueueSize = 1024 // lines
+	// closeTimeout is how long the end of the process may wait for the output.
+	closeTimeout = 200 * time.Millisecond
+)
 
 // Log is the log of one process. Its level and its sampling may be changed at any time
-// by any goroutine.
+// by any goroutine. A goroutine of its own writes the lines, so that nothing waits for an
+// output that is slow or not read.
 type Log struct {
 	logger *logrus.Logger
+	output io.Writer
 	sample atomic.Int64
 	// failures and placements are used only by Record, which the kernel's loop calls.
 	failures   lineLimiter
 	placements lineLimiter // that name a request
 	dropped    atomic.Int64
 
+	eventQueue     chan []byte // formatted lines of events of the process
 	placementQueue chan queuedDecision
 	routingQueue   chan queuedDecision
-	writerDone     chan struct{}
+	closing        chan struct{}
 	closeOnce      sync.Once
+	writerDone     chan struct{}
 }
 
 // New returns a Log that writes to output. level is the minimum level written. With
 // sample n the routing lines of one in n requests are written; 0 turns sampling off.
 func New(output io.Writer, level string, sample int) (*Log, error) {
 	logger := logrus.New()
-	logger.SetOutput(output)
 	logger.SetFormatter(newFormatter())
 	log := &Log{
 		logger:         logger,
+		output:         output,
+		eventQueue:     make(chan []byte, eventQueueSize),
 		placementQueue: make(chan queuedDecision, queueSize),
 		routingQueue:   make(chan queuedDecision, queueSize),
+		closing:        make(chan struct{}),
 		writerDone:     make(chan struct{}),
 	}
+	logger.SetOutput(eventWriter{log})
 	if err := log.SetLevel(level); err != nil {
 		return nil, err
 	}
@@ -51,13 +64,19 @@
 	return log, nil
 }
 
-// Close waits until all queued lines are written. Record must not be called after Close.
+// Close writes the queued lines and returns when all are written, or after closeTimeout.
+// Later lines are not written.
 func (log *Log) Close() {
-	log.closeOnce.Do(func() {
-		close(log.placementQueue)
-		close(log.routingQueue)
-	})
-	<-log.writerDone
+	log.closeOnce.Do(func() { close(log.closing) })
+	log.awaitOutput(log.writerDone)
+}
+
+// awaitOutput waits until done is closed, but not longer than closeTimeout.
+func (log *Log) awaitOutput(done <-chan struct{}) {
+	select {
+	case <-done:
+	case <-time.After(closeTimeout):
+	}
 }
 
 // Logger returns the logger for lines other than decisions.
--- a/internal/app/serve/serve_test.go
+++ b/internal/app/serve/serve_test.go
@@ -10,6 +10,7 @@
 	"sync"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"github.com/spf13/pflag"
@@ -46,6 +47,15 @@
 
 // startProxy starts a proxy whose platform is unreachable.
 func startProxy(t *testing.T, args ...string) *runningProxy {
+	t.Helper()
+	output := &syncBuffer{}
+	started := startProxyWith(t, output, args...)
+	started.output = output
+	return started
+}
+
+// startProxyWith starts a proxy that writes its log to output.
+func startProxyWith(t *testing.T, output io.Writer, args ...string) *runningProxy {
 	t.Helper()
 	is := is.New(t)
 	flags := pflag.NewFlagSet("proxy", pflag.ContinueOnError)
@@ -56,8 +66,8 @@
 	}, args...)))
 	settings, err := loader.Load(func(string) (string, bool) { return "", false })
 	is.NoErr(err)
-	started := &runningProxy{output: &syncBuffer{}, signals: make(chan os.Signal, 2), done: make(chan struct{})}
-	started.log, err = logs.New(started.output, "info", 1)
+	started := &runningProxy{signals: make(chan os.Signal, 2), done: make(chan struct{})}
+	started.log, err = logs.New(output, "info", 1)
 	is.NoErr(err)
 	started.proxy, err = New(settings, started.log, "test")
 	is.NoErr(err)
@@ -116,6 +126,27 @@
 	is.True(strings.Contains(running.output.text(), `"reason":"second signal"`))
 }
 
+// TestOutputIsNotRead guards against a proxy that serves on after SIGTERM because its log is not read.
+func TestOutputIsNotRead(t *testing.T) {
+	is := is.New(t)
+	_, blocked := io.Pipe()
+	running := startProxyWith(t, blocked)
+	status, _ := running.get(t, "/healthz")
+	is.Equal(status, http.StatusOK)
+	running.signals <- syscall.SIGTERM
+	ended := make(chan struct{})
+	go func() {
+		<-running.done
+		running.log.Close()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the proxy waits for the output")
+	}
+}
+
 func TestNewRejectsInvalidSettings(t *testing.T) {
 	is := is.New(t)
 	log, err := logs.New(io.Discard, "info", 1)
