serve: the failure of the kernel is the last line of the log

A panic of the kernel's loop in "almondway proxy" ended the process with a stack on the standard error output, and without the lines that were still queued. It is guarded as in "almondway frontend" now. No such panic is known; that the guard writes the line and ends the process is shown by TestGuard only, not by a run of this command.

--- a/internal/app/serve/serve.go
+++ b/internal/app/serve/serve.go
@@ -109,7 +109,7 @@
 	loopDone := make(chan struct{})
 	go func() {
 		defer close(loopDone)
-		proxy.loop.Run(ctx)
+		proxy.log.Guard("kernel", os.Exit, func() { proxy.loop.Run(ctx) })
 	}()
 	logger := proxy.log.Logger().WithField("proxy", proxy.id)
 	logger.WithField("version", proxy.version).WithField("data_center", proxy.config.DataCenter()).Info("started")
