--- a/internal/app/hosted/hosted_test.go
+++ b/internal/app/hosted/hosted_test.go
@@ -45,20 +45,24 @@
 			log, err := logs.New(io.Discard, "info", 1)
 			is.NoErr(err)
 			spec := Spec{Name: "proxy", ShutdownGrace: test.grace, Log: log}
-			signals := make(chan os.Signal, 2)
+			signals, hangups := make(chan os.Signal, 1), make(chan os.Signal)
 			if test.reloaded > 0 {
 				test.grace = test.reloaded
+				spec.Hangups = hangups
 				spec.Reload = func() time.Duration { return test.reloaded }
-				signals <- syscall.SIGHUP
 			}
 			proxy := New(spec)
 			proxy.adapters.Callers = loyalCallers{}
-			signals <- syscall.SIGTERM
 			ended := make(chan struct{})
 			go func() {
 				proxy.awaitShutdown(signals)
 				close(ended)
 			}()
+			if test.reloaded > 0 {
+				hangups <- syscall.SIGHUP
+				hangups <- syscall.SIGHUP // is received when the first reload is in force
+			}
+			signals <- syscall.SIGTERM
 			select {
 			case <-ended:
 			case <-time.After(test.grace):
