hosted: a shutdown reads the settings before it plans its phases

Callers saw: connections cut by the kill of a process that still drained.

Cause: the settings may change without a signal, and a proxy read them every 2 s only. Where the grace period was made shorter less than that before SIGTERM, the phases of the shutdown were planned for the longer one, and the process was killed in the middle of them.

Shutdown and reload have files of their own.

TestGraceChangedWithoutSignal failed before (6s != 4s) and passes.

--- a/internal/app/hosted/hosted.go
+++ b/internal/app/hosted/hosted.go
@@ -29,23 +29,10 @@
 )
 
 const (
-	// balancerNoticeTime is how long new callers may still connect after a shutdown
-	// request: the load balancer checks readiness every second and stops sending callers
-	// after the second failed check.
-	balancerNoticeTime = 2300 * time.Millisecond
-	// killMargin is the part of the shutdown grace period that is kept in reserve, so
-	// that the process exits before the platform kills it.
-	killMargin = 500 * time.Millisecond
-	// lastAnswerTime is kept for sending the answers to the requests that are still running
-	// at the end of the drain.
-	lastAnswerTime = 500 * time.Millisecond
 	// inspectTimeout bounds the wait for the kernel's loop in readiness checks and
 	// metrics requests.
 	inspectTimeout = 500 * time.Millisecond
 	headerTimeout  = 5 * time.Second
-	// reloadInterval is the time between two reloads of the settings.
-	reloadInterval     = 2 * time.Second
-	callerPollInterval = 20 * time.Millisecond
 )
 
 // Spec holds the parameters of a Proxy.
@@ -210,103 +197,6 @@
 	}).Info(name)
 }
 
-// logShutdown logs a step of the shutdown with the callers that are still connected.
-func (proxy *Proxy) logShutdown(step string) {
-	fields := map[string]any{"proxy": proxy.spec.Name, "shutdown_grace": proxy.spec.ShutdownGrace.String()}
-	for state, count := range proxy.adapters.Callers.CountByState() {
-		fields["callers_"+state] = count
-	}
-	proxy.spec.Log.Logger().WithFields(fields).Info(step)
-}
-
-// awaitShutdown returns when the process may exit. After a shutdown request the proxy
-// keeps serving until the load balancer sends no more callers. It then stops accepting
-// callers and waits for the work in flight. The kernel answers what still runs at the end of
-// the drain, and each connection is closed after its last answer.
-func (proxy *Proxy) awaitShutdown(signals <-chan os.Signal) {
-	proxy.reloadUntilSignal(signals)
-	asked, phases := time.Now(), newPhases(proxy.spec.ShutdownGrace)
-	proxy.logShutdown("shutdown asked")
-	proxy.shuttingDown.Store(true)
-	proxy.adapters.Callers.CloseWhenIdle()
-	time.Sleep(time.Until(asked.Add(phases.notice)))
-	proxy.logShutdown("callers stopped")
-	proxy.adapters.Callers.Stop()
-	// The shutdown goes on if the loop does not take the event.
-	go proxy.loop.Post(event.NewShutdownRequested(time.Until(asked.Add(phases.drain))))
-	select {
-	case <-proxy.stopped:
-	case <-time.After(time.Until(asked.Add((phases.drain + phases.answers) / 2))):
-	}
-	proxy.adapters.Callers.CloseAll()
-	proxy.awaitCallersGone(asked.Add(phases.answers))
-}
-
-// phases are the ends of the phases of a shutdown, counted from its beginning.
-type phases struct {
-	notice  time.Duration // callers are accepted
-	drain   time.Duration // requests in flight are finished
-	answers time.Duration // the last answers are sent
-}
-
-// newPhases divides a grace period. Transactions have at least half of it.
-func newPhases(grace time.Duration) phases {
-	answers := grace - min(killMargin, grace/4)
-	drain := answers - min(lastAnswerTime, answers/4)
-	return phases{notice: min(balancerNoticeTime, drain/2), drain: drain, answers: answers}
-}
-
-// reloadUntilSignal keeps the settings up to date until the first signal. It does not wait for a
-// reload that is in progress.
-func (proxy *Proxy) reloadUntilSignal(signals <-chan os.Signal) {
-	stop := make(chan struct{})
-	defer close(stop)
-	graces := make(chan time.Duration)
-	if proxy.spec.Reload != nil {
-		go proxy.reload(graces, stop)
-	}
-	for {
-		select {
-		case proxy.spec.ShutdownGrace = <-graces:
-			continue
-		case <-signals:
-		}
-		select {
-		case proxy.spec.ShutdownGrace = <-graces:
-		default:
-		}
-		return
-	}
-}
-
-// reload reloads the settings on SIGHUP and every reloadInterval, since they may change without a
-// signal, until stop is closed. It sends the shutdown grace periods in force to graces.
-func (proxy *Proxy) reload(graces chan<- time.Duration, stop <-chan struct{}) {
-	tick := time.NewTicker(reloadInterval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-proxy.spec.Hangups:
-		case <-tick.C:
-		case <-stop:
-			return
-		}
-		select {
-		case graces <- proxy.spec.Reload():
-		case <-stop:
-			return
-		}
-	}
-}
-
-// awaitCallersGone waits until all callers have received their last answers and
-// disconnected, but not beyond end.
-func (proxy *Proxy) awaitCallersGone(end time.Time) {
-	for proxy.adapters.Callers.Count() > 0 && time.Now().Before(end) {
-		time.Sleep(callerPollInterval)
-	}
-}
-
 // ready reports whether the load balancer should send callers to this proxy.
 func (proxy *Proxy) ready(ctx context.Context) bool {
 	if proxy.shuttingDown.Load() {
--- a/internal/app/hosted/reload_test.go
+++ b/internal/app/hosted/reload_test.go
@@ -51,3 +51,13 @@
 		})
 	}
 }
+
+func TestGraceChangedWithoutSignal(t *testing.T) {
+	is := is.New(t)
+	const changed = 4 * time.Second
+	proxy := New(Spec{Name: "proxy", ShutdownGrace: 6 * time.Second, Reload: func() time.Duration { return changed }})
+	signals := make(chan os.Signal, 1)
+	signals <- syscall.SIGTERM
+	proxy.reloadUntilSignal(signals)
+	is.Equal(proxy.spec.ShutdownGrace, changed)
+}
