logs: bound the lines that name a caller

Callers of a database that was just removed, or that never existed, come as often as they like, and each refusal (refuse_caller) wrote a line that is never sampled: the volume grew with the load, and beside a slow output these lines displaced those of the instances and of the process's beliefs in their queue. The sessions that are closed when a key is withdrawn were the same.

They are limited to 50 a second and counted (lines_left_out), as are failed requests; decisions_total still counts all of them.

The new case of TestLinesOfRequestsAreBounded wrote 1,001 lines before.

--- a/internal/app/logs/decision.go
+++ b/internal/app/logs/decision.go
@@ -14,8 +14,8 @@
 // the sampling, since each of them needs attention.
 const minAlwaysLoggedCode = codes.OutcomeUnknown
 
-// maxLinesPerSecond limits the lines of failed requests outside the sample, and the placement
-// lines that name a request.
+// maxLinesPerSecond limits the lines of failed requests outside the sample, the placement lines
+// that name a request, and those that name a caller.
 const maxLinesPerSecond = 50
 
 // lineLimiter limits the lines in each second of the wall clock.
@@ -50,8 +50,8 @@
 }
 
 // Record implements port.DecisionLog. Lines below the minimum level are not written. Other
-// placement lines are always written, but those that name a request are limited to a number
-// per second. A routing line is written if its request is in the sample, if its outcome needs
+// placement lines are always written, but those that name a request or a caller are limited to a
+// number per second. A routing line is written if its request is in the sample, if its outcome needs
 // attention, or if its request failed; failures outside the sample are limited to a number of
 // lines per second and are not written while sampling is off.
 //
@@ -83,8 +83,12 @@
 	switch {
 	case decision.Code >= minAlwaysLoggedCode:
 		return true
+	case !decision.IsRouting() && decision.RequestID != "":
+		return log.allowLine(&log.requests, "lines that name a request")
+	case !decision.IsRouting() && decision.Caller != 0:
+		return log.allowLine(&log.callers, "lines that name a caller")
 	case !decision.IsRouting():
-		return decision.RequestID == "" || log.allowLine(&log.placements, "lines that name a request")
+		return true
 	}
 	sample := log.sample.Load()
 	if sample > 0 && uint64(decision.Seq)%uint64(sample) == 0 {
--- a/internal/app/logs/decision_test.go
+++ b/internal/app/logs/decision_test.go
@@ -87,6 +87,7 @@
 	}{
 		{"failures", model.Decision{Name: "route", Seq: 1, Code: codes.Overloaded}},
 		{"placement lines that name a request", model.Decision{Name: "conn_spoiled", RequestID: "r-1"}},
+		{"placement lines that name a caller", model.Decision{Name: "refuse_caller", Caller: 1, Code: codes.UnknownDeployment}},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/internal/app/logs/logs.go
+++ b/internal/app/logs/logs.go
@@ -26,10 +26,11 @@
 	logger *logrus.Logger
 	output io.Writer
 	sample atomic.Int64
-	// failures and placements are used only by Record, which the kernel's loop calls.
-	failures   lineLimiter
-	placements lineLimiter // that name a request
-	dropped    atomic.Int64
+	// failures, requests and callers are used only by Record, which the kernel's loop calls.
+	failures lineLimiter
+	requests lineLimiter // placement lines that name a request
+	callers  lineLimiter // placement lines that name a caller
+	dropped  atomic.Int64
 
 	eventQueue     chan []byte // formatted lines of events of the process
 	placementQueue chan queuedDecision
