relay: a shutdown counts no stall of a primary whose answer is cut off

Callers saw nothing directly: two stalls make a proxy complain about a primary to the other proxies, which can have it replaced.

Cause: the limit of a drain caps the deadlines of statements, and the adapter ends its wait for the instance's answer at the same moment as the kernel. Only the other order was covered.

Change: a draining proxy counts no stalls, whichever event comes first.

TestShutdownCountsNoStallOfPrimary failed before in the case "answer lost at the deadline in a shutdown" and passes; its cases without a shutdown still count.

--- a/internal/plug/relay/expire.go
+++ b/internal/plug/relay/expire.go
@@ -12,8 +12,7 @@
 	task.stop()
 	switch {
 	case lastState == taskExecuting && task.inDoubt():
-		// The holder of the connection may be the one that is silent, and a shutdown ends statements early.
-		if !task.forwarded && !task.relay.context.State().Draining() {
+		if !task.forwarded { // else the holder of the connection may be the one that is silent
 			task.relay.monitor(task.job.Group()).recordStall(task.instance)
 		}
 		task.finish(route.ResultSpec{Outcome: model.OutcomeUnknown, Code: codes.OutcomeUnknown, Reason: "deadline while the statement ran"})
--- a/internal/plug/relay/ping.go
+++ b/internal/plug/relay/ping.go
@@ -183,8 +183,12 @@
 	}
 }
 
-// recordStall counts a write that the primary did not answer in time.
+// recordStall counts a write that the primary did not answer in time. A shutdown ends statements
+// before their time, so that it counts none.
 func (monitor *monitor) recordStall(instance model.InstanceID) {
+	if monitor.relay.context.State().Draining() {
+		return
+	}
 	group := monitor.relay.context.State().Group(monitor.groupID)
 	if group == nil || group.Primary() == nil || group.Primary().ID() != instance {
 		return
