front: a caller is disconnected between two requests only

A driver takes it for the result of the statement, and its code says that the request was not run, though the write was committed.

Cause: the session looked whether it has to end before each message, and the interruption of a read ended it wherever it was in a sequence of the extended protocol.

Change: within a sequence an interruption is lifted and the session goes on to ReadyForQuery; it is disconnected then. An oversize message is skipped as a whole even if the interruption comes within it. CloseAll does this for all callers.

TestCloseWaitsForEndOfSequence failed before in 2 of 2 cases, and TestInterruptedOversizeMessageIsSkipped without the count of skipped bytes; both pass, twice with the race detector as well.

--- a/internal/edge/front/caller.go
+++ b/internal/edge/front/caller.go
@@ -4,6 +4,7 @@
 	"crypto/rand"
 	"io"
 	"net"
+	"os"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -44,6 +45,9 @@
 	disconnected bool
 	// skippingToSync is set from an error in the extended protocol to the next Sync.
 	skippingToSync bool
+	// inSequence is set from a message of the extended protocol to the next ReadyForQuery. A fatal
+	// error within would be taken for the result of a statement that was executed.
+	inSequence bool
 }
 
 func newCaller(server *Server, conn net.Conn) *caller {
@@ -103,12 +107,18 @@
 	return caller.flush() == nil
 }
 
+// close disconnects the caller with an error once it is between two requests.
+func (caller *caller) close(reason *callerError) {
+	caller.mailbox.close(reason)
+	_ = caller.conn.SetReadDeadline(time.Unix(1, 0))
+}
+
 // serve handles messages until the caller disconnects or the connection has to
 // be closed.
 func (caller *caller) serve() {
 	caller.framer.startupDone = true
 	for {
-		if reason := caller.mailbox.closeReason(); reason != nil {
+		if reason := caller.mailbox.closeReason(); reason != nil && !caller.inSequence {
 			caller.sendFatal(reason)
 			return
 		}
@@ -127,7 +137,10 @@
 // handleReceiveError answers a message that could not be received or decoded.
 // It returns an error if the connection has to be closed.
 func (caller *caller) handleReceiveError(err error) error {
-	if reason := caller.mailbox.closeReason(); reason != nil {
+	if reason := caller.mailbox.closeReason(); reason != nil && errors.Is(err, os.ErrDeadlineExceeded) {
+		if caller.inSequence {
+			return errors.Wrap(caller.conn.SetReadDeadline(time.Time{}), "clear deadline")
+		}
 		caller.sendFatal(reason)
 		return err
 	}
@@ -174,6 +187,10 @@
 var errTerminated = errors.New("caller terminated the connection")
 
 func (caller *caller) handleMessage(message pgproto3.FrontendMessage) error {
+	switch message.(type) {
+	case *pgproto3.Parse, *pgproto3.Bind, *pgproto3.Describe, *pgproto3.Execute, *pgproto3.Close, *pgproto3.Flush:
+		caller.inSequence = true
+	}
 	if caller.skippingToSync {
 		return caller.handleSkipping(message)
 	}
--- a/internal/edge/front/framer.go
+++ b/internal/edge/front/framer.go
@@ -45,6 +45,9 @@
 	maxMessageBytes int
 	startupDone     bool
 	remainingBytes  int
+	// oversize is a message of which skippedBytes are still to be discarded, or nil.
+	oversize     *oversizeError
+	skippedBytes int
 	// messageType is the type of the message that was read last.
 	messageType byte
 }
@@ -93,6 +96,9 @@
 }
 
 func (framer *framer) nextMessage() error {
+	if framer.oversize != nil {
+		return framer.skipOversize()
+	}
 	header, err := framer.buffer.Peek(headerBytes)
 	if err != nil {
 		return err
@@ -106,11 +112,23 @@
 		return &framingError{detail: fmt.Sprintf("message length %d is below %d", length, lengthBytes)}
 	}
 	if length-lengthBytes > framer.maxMessageBytes {
-		if _, err := framer.buffer.Discard(length + 1); err != nil {
-			return err
-		}
-		return &oversizeError{messageType: messageType, size: length - lengthBytes, limit: framer.maxMessageBytes}
+		framer.oversize = &oversizeError{messageType: messageType, size: length - lengthBytes, limit: framer.maxMessageBytes}
+		framer.skippedBytes = length + 1
+		return framer.skipOversize()
 	}
 	framer.remainingBytes, framer.messageType = length+1, messageType
 	return nil
 }
+
+// skipOversize discards the rest of an oversize message, also after an interrupted read, and
+// returns the error about the message.
+func (framer *framer) skipOversize() error {
+	count, err := framer.buffer.Discard(framer.skippedBytes)
+	framer.skippedBytes -= count
+	if err != nil {
+		return err
+	}
+	skipped := framer.oversize
+	framer.oversize = nil
+	return skipped
+}
--- a/internal/edge/front/framer_test.go
+++ b/internal/edge/front/framer_test.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/matryer/is"
@@ -23,6 +24,24 @@
 	is.Equal(rawCaller.readUntilReady(t), "UPDATE 1 I")
 }
 
+func TestInterruptedOversizeMessageIsSkipped(t *testing.T) {
+	is := is.New(t)
+	fakeKernel := newFakeKernel(t, Spec{MaxMessageBytes: 100}, echo)
+	rawCaller := openRaw(t, fakeKernel)
+	oversize, err := (&pgproto3.Query{String: strings.Repeat("x", 20000)}).Encode(nil)
+	is.NoErr(err)
+	rawCaller.send(&pgproto3.Parse{Query: "UPDATE x"}, &pgproto3.Bind{}, &pgproto3.Execute{})
+	_, err = rawCaller.conn.Write(oversize[:12000])
+	is.NoErr(err)
+	time.Sleep(20 * time.Millisecond) // the part is read
+	fakeKernel.server.CloseAll()
+	time.Sleep(20 * time.Millisecond) // the read is interrupted
+	_, err = rawCaller.conn.Write(oversize[12000:])
+	is.NoErr(err)
+	is.Equal(rawCaller.readUntilReady(t), "UPDATE 1 ERROR:54000:AW105 I")
+	is.Equal(rawCaller.readUntilReady(t), "FATAL:57P01:AW205")
+}
+
 func TestMalformedMessage(t *testing.T) {
 	tests := []struct {
 		name  string
--- a/internal/edge/front/protocol_test.go
+++ b/internal/edge/front/protocol_test.go
@@ -213,6 +213,36 @@
 	is.Equal(<-fakeKernel.closed, model.CallerID(rawCaller.pid))
 }
 
+// A FATAL error between an Execute and its Sync would be taken for the answer of the Execute.
+func TestCloseWaitsForEndOfSequence(t *testing.T) {
+	tests := []struct {
+		name   string
+		closed func(fakeKernel *fakeKernel, id model.CallerID)
+	}{
+		{"one caller", func(fakeKernel *fakeKernel, id model.CallerID) {
+			fakeKernel.server.Close(event.NewCloseCaller(id, codes.Draining))
+		}},
+		{"all callers", func(fakeKernel *fakeKernel, _ model.CallerID) { fakeKernel.server.CloseAll() }},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			fakeKernel := newFakeKernel(t, Spec{}, echo)
+			rawCaller := openRaw(t, fakeKernel)
+			rawCaller.send(&pgproto3.Parse{Query: "UPDATE x"}, &pgproto3.Bind{}, &pgproto3.Execute{}, &pgproto3.Flush{})
+			for range 3 { // the answers to Parse, Bind and Execute
+				_, err := rawCaller.frontend.Receive()
+				is.NoErr(err)
+			}
+			test.closed(fakeKernel, model.CallerID(rawCaller.pid))
+			time.Sleep(20 * time.Millisecond) // the read is interrupted
+			rawCaller.send(&pgproto3.Bind{}, &pgproto3.Execute{}, &pgproto3.Sync{})
+			is.Equal(rawCaller.readUntilReady(t), "UPDATE 1 I")
+			is.Equal(rawCaller.readUntilReady(t), "FATAL:57P01:AW205")
+		})
+	}
+}
+
 func TestProxyReplies(t *testing.T) {
 	token, err := model.ParseToken("v1,katalog-1=16777216/9")
 	tests := []struct {
--- a/internal/edge/front/send.go
+++ b/internal/edge/front/send.go
@@ -57,6 +57,7 @@
 }
 
 func (caller *caller) sendReady() {
+	caller.inSequence = false
 	status := byte(statusIdle)
 	switch caller.txState {
 	case model.TxOpen:
--- a/internal/edge/front/server.go
+++ b/internal/edge/front/server.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
+	"almondway.dev/almondway/internal/core/codes"
 	"almondway.dev/almondway/internal/core/event"
 	"almondway.dev/almondway/internal/core/model"
 	"almondway.dev/almondway/internal/core/port"
@@ -97,6 +98,13 @@
 	}
 }
 
+// CloseAll disconnects each caller with an error as soon as no request of it runs.
+func (server *Server) CloseAll() {
+	for _, caller := range server.listCallers() {
+		caller.close(newCallerError(codes.Draining, ""))
+	}
+}
+
 // Shutdown closes the listener and the connections of all callers immediately. It
 // must be called only once.
 func (server *Server) Shutdown() {
@@ -135,8 +143,7 @@
 // Close implements port.Callers.
 func (server *Server) Close(action event.CloseCaller) {
 	if caller := server.findCaller(action.Caller()); caller != nil {
-		caller.mailbox.close(newCallerError(action.Code(), ""))
-		_ = caller.conn.SetReadDeadline(time.Unix(1, 0))
+		caller.close(newCallerError(action.Code(), ""))
 	}
 }
 
