serve: the end of a shutdown tells callers why it disconnects them

Callers saw: "almondway proxy" closed their connections without a word at the end of a shutdown, those in an open transaction, too. A request that was on its way at that moment got EOF, which leaves a write in doubt, though no proxy read it.

Change: once the drain is over each caller gets a FATAL error 57P01 (AW205) after its last answer. A request that crosses it is answered by it, and the answer is true: it was not run. The proxy no longer waits 2 s for callers that are idle.

--- a/internal/app/serve/adapters.go
+++ b/internal/app/serve/adapters.go
@@ -124,10 +124,11 @@
 	return adapters.callers.Start()
 }
 
-// stopCallers stops accepting callers and waits until every caller has received its last
-// answer and disconnected, but not longer than the limit.
+// stopCallers stops accepting callers, disconnects each caller after its last answer and waits
+// until all are gone, but not longer than the limit.
 func (adapters *adapters) stopCallers(limit time.Duration) {
 	adapters.callers.Stop()
+	adapters.callers.CloseAll()
 	for end := time.Now().Add(limit); adapters.callers.Count() > 0 && time.Now().Before(end); {
 		time.Sleep(callerPollInterval)
 	}
--- a/internal/proof/whole/system_test.go
+++ b/internal/proof/whole/system_test.go
@@ -45,10 +45,19 @@
 	callerAddress string
 	adminAddress  string
 	topology      topol.Spec
+	instances     []*insta.Instance
+	signals       chan os.Signal
+	stopped       chan struct{} // closed once the proxy has ended
 }
 
 // newSystem starts one group of three instances and a proxy, and applies a deployment.
 func newSystem(t testing.TB) *system {
+	t.Helper()
+	return newSystemWith(t, func(*config.Spec) {})
+}
+
+// newSystemWith starts a system whose proxy has changed settings.
+func newSystemWith(t testing.TB, change func(spec *config.Spec)) *system {
 	t.Helper()
 	is := is.New(t)
 	ports := procs.NewPortAllocator()
@@ -64,13 +73,19 @@
 		})
 	}
 	spec.Groups = []topol.GroupSpec{group}
+	system := &system{
+		callerAddress: address(),
+		adminAddress:  address(),
+		topology:      spec,
+		signals:       make(chan os.Signal, 1),
+		stopped:       make(chan struct{}),
+	}
 	for _, self := range group.Instances {
-		startInstance(t, spec, self)
+		system.instances = append(system.instances, startInstance(t, spec, self))
 	}
 	platform := httptest.NewServer(plat.New(spec).Handler())
 	t.Cleanup(platform.Close)
-	system := &system{callerAddress: address(), adminAddress: address(), topology: spec}
-	system.startProxy(t, platform.URL, address())
+	system.startProxy(t, platform.URL, address(), change)
 	is.NoErr(procs.Poll(system.context(t), func() error {
 		return procs.CheckHealthy(context.Background(), "http://"+system.adminAddress+"/healthz")
 	}))
@@ -78,7 +93,7 @@
 	return system
 }
 
-func startInstance(t testing.TB, spec topol.Spec, self topol.InstanceSpec) {
+func startInstance(t testing.TB, spec topol.Spec, self topol.InstanceSpec) *insta.Instance {
 	t.Helper()
 	is := is.New(t)
 	instance, err := insta.New(spec, self.ID, insta.Options{})
@@ -89,9 +104,10 @@
 	t.Cleanup(cancel)
 	instance.Start()
 	go func() { _ = instance.Serve(ctx, listener) }()
+	return instance
 }
 
-func (system *system) startProxy(t testing.TB, platformURL string, peerAddress string) {
+func (system *system) startProxy(t testing.TB, platformURL, peerAddress string, change func(spec *config.Spec)) {
 	t.Helper()
 	is := is.New(t)
 	spec := config.Default()
@@ -99,17 +115,22 @@
 	spec.Listen, spec.AdminListen, spec.PeerListen, spec.PeerAddress = system.callerAddress, system.adminAddress, peerAddress, peerAddress
 	spec.Platform = platformURL
 	spec.Kernel.ConnsPerInstance, spec.Kernel.SlotsPerInstance = 40, 8
+	change(&spec)
 	settings, err := config.New(spec)
 	is.NoErr(err)
 	log, err := logs.New(io.Discard, "error", 0)
 	is.NoErr(err)
 	proxy, err := serve.New(settings, log, "test")
 	is.NoErr(err)
-	stopped := make(chan error, 1)
-	go func() { stopped <- proxy.Run(make(chan os.Signal)) }()
+	go func() {
+		defer close(system.stopped)
+		if err := proxy.Run(system.signals); err != nil {
+			t.Error(err)
+		}
+	}()
 	t.Cleanup(func() {
 		proxy.Stop()
-		is.NoErr(<-stopped)
+		<-system.stopped
 		log.Close()
 	})
 }
