serve, drain: a second signal answers what still runs

Callers saw: a second SIGTERM or SIGINT to "almondway proxy" closed their connections without an answer after 2 s, though instances ran their requests.

Cause: only the limit of the drain ended requests with an answer. A second signal left the drain in the kernel as it was and went on to close the connections.

Change: a second signal asks the kernel for a shutdown with the limit 0.

TestSecondSignalAnswersCallers ("conn closed" before) and the case "shorter" of TestFurtherRequestOnlyShortensDrain failed before and pass, also with the race detector.

--- a/internal/app/serve/serve.go
+++ b/internal/app/serve/serve.go
@@ -91,7 +91,8 @@
 }
 
 // Run serves until a shutdown is complete. The first signal starts to drain the proxy,
-// which lets work in flight finish; a second signal or the drain limit aborts that work.
+// which lets work in flight finish; a second signal or the drain limit ends that work, whose
+// callers are told the outcome.
 // Run returns an error if an address cannot be listened on.
 func (proxy *Proxy) Run(signals <-chan os.Signal) error {
 	if err := proxy.adapters.start(); err != nil {
@@ -137,6 +138,7 @@
 			proxy.log.Logger().WithField("proxy", proxy.id).Info("shutdown asked")
 		case <-signals:
 			if draining == nil {
+				proxy.loop.Post(event.NewShutdownRequested(0))
 				return "second signal"
 			}
 			proxy.Drain()
--- a/internal/plug/drain/drain.go
+++ b/internal/plug/drain/drain.go
@@ -75,13 +75,16 @@
 	}
 }
 
+// start starts to drain. While the proxy drains, a further request can only move the end forward.
 func (drain *Drain) start(limit time.Duration) {
+	now := drain.context.Now()
 	if drain.started {
+		drain.endAt = min(drain.endAt, now+limit)
 		return
 	}
 	drain.started = true
-	drain.checkedAt = drain.context.Now()
-	drain.endAt = drain.checkedAt + limit
+	drain.checkedAt = now
+	drain.endAt = now + limit
 	drain.context.State().SetDraining()
 	drain.context.Publish(event.NewDrainStarted(drain.endAt))
 	drain.log("drain_started", "shutdown was requested")
--- a/internal/plug/drain/drain_test.go
+++ b/internal/plug/drain/drain_test.go
@@ -121,6 +121,38 @@
 	}
 }
 
+func TestFurtherRequestOnlyShortensDrain(t *testing.T) {
+	const limit = 10 * time.Second
+	tests := []struct {
+		name    string
+		further time.Duration // after 1 s
+		end     time.Duration
+	}{
+		{"shorter", 0, time.Second},
+		{"longer", time.Minute, limit},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			kernel := kern.New(model.NewProxyView("proxy-1", "", "", 0, false, 0), tune.New(tune.Default()), time.Time{}, 1)
+			fakeLoad := <-fakeLoads
+			fakeLoad.requests = 1
+			kernel.Handle(0, event.NewShutdownRequested(limit))
+			stopped := time.Duration(0)
+			for now := step; stopped == 0 && now < time.Minute; now += step {
+				if now == time.Second {
+					kernel.Handle(now, event.NewShutdownRequested(test.further))
+				}
+				if stopsProxy(kernel.Tick(now)) {
+					stopped = now
+				}
+			}
+			is.True(fakeLoad.ended)
+			is.True(stopped >= test.end && stopped <= test.end+100*time.Millisecond)
+		})
+	}
+}
+
 // After a pause of the process, the first tick is already past the time of the last idle
 // check. The proxy must still run further checks, which find the requests that arrived
 // during the pause.
--- a/internal/proof/whole/shutdown_test.go
+++ b/internal/proof/whole/shutdown_test.go
@@ -86,3 +86,28 @@
 		})
 	}
 }
+
+// A second signal ends a drain at once, and with answers as well.
+func TestSecondSignalAnswersCallers(t *testing.T) {
+	is := is.New(t)
+	system := newSystem(t)
+	ctx := system.context(t)
+	conn, err := pgconn.Connect(ctx, system.url("student"))
+	is.NoErr(err)
+	defer func() { _ = conn.Close(ctx) }()
+	result := make(chan error, 1)
+	go func() {
+		_, err := conn.Exec(ctx, "SELECT pg_sleep(60) /*timeout='60s'*/").ReadAll()
+		result <- err
+	}()
+	time.Sleep(100 * time.Millisecond) // the statement arrives at the instance
+	system.signals <- syscall.SIGTERM
+	time.Sleep(100 * time.Millisecond) // the drain begins
+	system.signals <- syscall.SIGTERM
+	<-system.stopped
+	var reason *pgconn.PgError
+	if err := <-result; !errors.As(err, &reason) {
+		t.Fatalf("disconnected without an answer: %v", err)
+	}
+	is.Equal(reason.Code, "57014")
+}
