event, platform: actions name the group of the instance

Callers saw nothing of it yet. The adapter kept a directory of the groups of all instances that were ever listed, as the last entry said it, and named that group at the start of a connection. An entry of another writer that named another group under the id of a live instance would have sent all new connections to it with the wrong group, which it refuses, whatever the kernel made of the entry.

The actions that connect to an instance now name the group that the kernel knows.

--- a/internal/core/event/backendaction.go
+++ b/internal/core/event/backendaction.go
@@ -11,6 +11,7 @@
 	conn     model.ConnID
 	instance model.InstanceID
 	address  string
+	group    model.GroupID
 	team     model.TeamName
 }
 
@@ -19,6 +20,15 @@
 	return OpenConn{conn: conn, instance: instance, address: address}
 }
 
+// WithGroup returns a copy for an instance of a group.
+func (openConn OpenConn) WithGroup(group model.GroupID) OpenConn {
+	openConn.group = group
+	return openConn
+}
+
+// Group returns the group of the instance, or the empty ID if the protocol does not need it.
+func (openConn OpenConn) Group() model.GroupID { return openConn.group }
+
 // WithTeam returns a copy for a connection that runs the statements of a team.
 func (openConn OpenConn) WithTeam(team model.TeamName) OpenConn {
 	openConn.team = team
@@ -121,6 +131,7 @@
 	probe    model.ProbeID
 	instance model.InstanceID
 	address  string
+	group    model.GroupID
 	timeout  time.Duration
 }
 
@@ -138,6 +149,15 @@
 // Address returns the "ip:port" of the instance.
 func (probe Probe) Address() string { return probe.address }
 
+// WithGroup returns a copy for an instance of a group.
+func (probe Probe) WithGroup(group model.GroupID) Probe {
+	probe.group = group
+	return probe
+}
+
+// Group returns the group of the instance, or the empty ID if the protocol does not need it.
+func (probe Probe) Group() model.GroupID { return probe.group }
+
 // Timeout returns the time after which the probe counts as failed.
 func (probe Probe) Timeout() time.Duration { return probe.timeout }
 
@@ -148,6 +168,7 @@
 	order    model.OrderID
 	instance model.InstanceID
 	address  string
+	group    model.GroupID
 	body     Order
 	timeout  time.Duration
 }
@@ -172,6 +193,15 @@
 // Address returns the "ip:port" of the instance.
 func (sendOrder SendOrder) Address() string { return sendOrder.address }
 
+// WithGroup returns a copy for an instance of a group.
+func (sendOrder SendOrder) WithGroup(group model.GroupID) SendOrder {
+	sendOrder.group = group
+	return sendOrder
+}
+
+// Group returns the group of the instance, or the empty ID if the protocol does not need it.
+func (sendOrder SendOrder) Group() model.GroupID { return sendOrder.group }
+
 // Body returns the content of the order.
 func (sendOrder SendOrder) Body() Order { return sendOrder.body }
 
--- a/internal/plug/conns/opening.go
+++ b/internal/plug/conns/opening.go
@@ -72,7 +72,11 @@
 	pool.total++
 	pool.opening++
 	pool.openingByTeam[team]++
-	context.Emit(event.NewOpenConn(added.id, pool.instance.ID(), pool.instance.Address()).WithTeam(team))
+	opened := event.NewOpenConn(added.id, pool.instance.ID(), pool.instance.Address()).WithTeam(team)
+	if group := context.State().GroupOf(pool.instance.ID()); group != nil {
+		opened = opened.WithGroup(group.ID())
+	}
+	context.Emit(opened)
 }
 
 // endOpening records that a connection is open, or could not be opened.
--- a/internal/plug/elect/guard.go
+++ b/internal/plug/elect/guard.go
@@ -27,6 +27,6 @@
 		monitor.log("replica_guarded", member.ID(), "an order to promote instance "+string(ordered)+" may still be carried out")
 		order := model.OrderID(monitor.elect.context.NextID())
 		address := member.Listing().Instance().Address()
-		monitor.elect.context.Emit(event.NewSendOrder(order, member.ID(), address, event.NewPause(led.Term+1), orderTimeout))
+		monitor.elect.context.Emit(event.NewSendOrder(order, member.ID(), address, event.NewPause(led.Term+1), orderTimeout).WithGroup(monitor.groupID))
 	}
 }
--- a/internal/plug/elect/monitor.go
+++ b/internal/plug/elect/monitor.go
@@ -190,7 +190,7 @@
 		observation.probedAt = monitor.now()
 		probe := model.ProbeID(monitor.elect.context.NextID())
 		monitor.elect.probes[probe] = monitor
-		monitor.elect.context.Emit(event.NewProbe(probe, id, listing.Instance().Address(), probeTimeout))
+		monitor.elect.context.Emit(event.NewProbe(probe, id, listing.Instance().Address(), probeTimeout).WithGroup(monitor.groupID))
 	}
 }
 
--- a/internal/plug/elect/stop.go
+++ b/internal/plug/elect/stop.go
@@ -113,7 +113,7 @@
 	order := model.OrderID(elect.context.NextID())
 	elect.orders[order] = attempt
 	attempt.unansweredOrders[instance] = attempt.monitor.now()
-	elect.context.Emit(event.NewSendOrder(order, instance, listing.Instance().Address(), body, orderTimeout))
+	elect.context.Emit(event.NewSendOrder(order, instance, listing.Instance().Address(), body, orderTimeout).WithGroup(attempt.monitor.groupID))
 }
 
 // orderAnswered handles an instance's answer to a step-down or pause order.
