--- a/internal/plug/quota/bucket.go
+++ b/internal/plug/quota/bucket.go
@@ -78,7 +78,7 @@
 // lend takes up to wanted tokens out of the bucket and returns how many these are.
 func (bucket *bucket) lend(limits bucketLimits, now time.Duration, wanted int) int {
 	bucket.refill(limits, now)
-	count := min(wanted, int(bucket.level))
+	count := int(min(float64(wanted), bucket.level))
 	if count <= 0 {
 		return 0
 	}
