catlog, relay: an entry alone does not replace a known primary

What callers saw, in a test on: another program writes an entry that claims to be the primary of a group.

Cause: the claims of an entry were taken for the reports of an instance.

An instance that was not listed before does not replace a primary that was known, until it answers as one: it is asked first if the primary is not known or fails, and a primary that has only been listed and fails is replaced by one that reports the role. Entries of unknown groups are forgotten with the entry.

TestListedRoleSetsPrimary listed the second primary for the first time, which is what the odd entry does. An instance that is promoted has been listed as a replica before; the test now lists it so, and checks the primary before and after.

--- a/internal/core/state/group.go
+++ b/internal/core/state/group.go
@@ -9,16 +9,19 @@
 // Group is the view of a database group, derived from the reports of its
 // instances. Times are those of the kernel's clock.
 type Group struct {
-	loadView    LoadView
-	id          model.GroupID
-	members     []*Member
-	term        model.Term
-	primary     model.InstanceID
-	history     readIndexHistory
-	hold        hold
-	refuted     map[model.InstanceID]time.Duration
-	replication model.Replication
-	maxConns    int
+	loadView LoadView
+	id       model.GroupID
+	members  []*Member
+	term     model.Term
+	primary  model.InstanceID
+	history  readIndexHistory
+	hold     hold
+	refuted  map[model.InstanceID]time.Duration
+	// answered is set if the primary has answered as such. Else it is known from its listing only.
+	answered        bool
+	primaryWasKnown bool
+	replication     model.Replication
+	maxConns        int
 }
 
 // NewGroup returns the view of a listed group before the first report.
@@ -110,7 +113,7 @@
 		return false
 	}
 	group.term = term
-	group.primary = instance
+	group.recordPrimary(instance, true)
 	return true
 }
 
--- a/internal/core/state/primary.go
+++ b/internal/core/state/primary.go
@@ -17,14 +17,23 @@
 	}
 	group.history.add(readIndex{since: sentAt, mark: mark})
 	delete(group.refuted, instance)
-	if mark.Term() == group.term && group.primary == instance {
-		return false
-	}
+	isNew := mark.Term() != group.term || group.primary != instance
 	group.term = mark.Term()
-	group.primary = instance
-	return true
+	group.recordPrimary(instance, true)
+	return isNew
+}
+
+func (group *Group) recordPrimary(instance model.InstanceID, answered bool) {
+	group.primary, group.answered, group.primaryWasKnown = instance, answered, true
 }
 
+// PrimaryAnswered reports whether the known primary has answered as such. Else it is known from the
+// platform's list only.
+func (group *Group) PrimaryAnswered() bool { return group.answered }
+
+// PrimaryWasKnown reports whether the group had a known primary at any time.
+func (group *Group) PrimaryWasKnown() bool { return group.primaryWasKnown }
+
 // ObserveSharedMark records a mark that another proxy has told in its answer to a call. The answer was
 // made after the call was sent, so that the age of the mark counts from there. It reports whether
 // the mark is newer than the known ones.
@@ -78,11 +87,17 @@
 	return ok && at >= since
 }
 
-// SetPrimary records an instance that the platform lists as the primary, or that
-// reports this role, and clears an earlier refutation. It does not change the term.
+// SetPrimary records an instance that the platform lists as the primary, and clears an earlier
+// refutation. It does not change the term.
 func (group *Group) SetPrimary(instance model.InstanceID) {
 	delete(group.refuted, instance)
-	group.primary = instance
+	group.recordPrimary(instance, group.answered && group.primary == instance)
+}
+
+// ConfirmPrimary records an instance that reports that it is the primary, as SetPrimary does.
+func (group *Group) ConfirmPrimary(instance model.InstanceID) {
+	delete(group.refuted, instance)
+	group.recordPrimary(instance, true)
 }
 
 // MarkSince returns the lowest known mark that covers every commit acknowledged
--- a/internal/plug/catlog/catlog.go
+++ b/internal/plug/catlog/catlog.go
@@ -27,9 +27,11 @@
 
 // Catalog is the plug-in.
 type Catalog struct {
-	context         *kern.Context
-	removalTimers   map[model.InstanceID]timer.ID
-	pendingListings map[model.InstanceID]model.Listing // entries whose groups are not known yet
+	context       *kern.Context
+	removalTimers map[model.InstanceID]timer.ID
+	// pendingListings are the entries whose groups are not known yet, and those of known instances
+	// with another group or address.
+	pendingListings map[model.InstanceID]model.Listing
 	gone            map[model.InstanceID]goneEntry
 }
 
@@ -59,6 +61,7 @@
 	case event.InstanceListed:
 		catalog.applyListing(received.Listing())
 	case event.InstanceUnlisted:
+		delete(catalog.pendingListings, received.Instance())
 		catalog.unlist(received.Instance(), false)
 	}
 }
@@ -75,11 +78,8 @@
 		state.PutGroup(group)
 	}
 	for _, id := range slices.Sorted(maps.Keys(catalog.pendingListings)) {
-		listing := catalog.pendingListings[id]
-		if state.PutMember(listing) {
-			delete(catalog.pendingListings, id)
-			catalog.recordListedRole(listing)
-			catalog.context.Publish(event.NewGroupObserved(listing.Group()))
+		if state.GroupOf(id) == nil && state.Group(catalog.pendingListings[id].Group()) != nil {
+			catalog.applyListing(catalog.pendingListings[id])
 		}
 	}
 	state.SetConfirmed(true)
@@ -103,6 +103,7 @@
 		}
 		catalog.applyListing(listing)
 	}
+	maps.DeleteFunc(catalog.pendingListings, func(id model.InstanceID, _ model.Listing) bool { return !present[id] })
 	for _, group := range catalog.context.State().Groups() {
 		// The members are copied, since unlist removes a leaving one from the group at once.
 		for _, member := range slices.Clone(group.Members()) {
@@ -127,12 +128,17 @@
 func (catalog *Catalog) applyListing(listing model.Listing) {
 	state := catalog.context.State()
 	delete(catalog.gone, listing.ID())
-	catalog.context.Timers().Cancel(catalog.removalTimers[listing.ID()])
-	delete(catalog.removalTimers, listing.ID())
 	before := model.Listing{}
 	if group := state.GroupOf(listing.ID()); group != nil {
 		before = group.Member(listing.ID()).Listing()
 	}
+	if before.ID() != "" && moved(before, listing) {
+		catalog.postpone(before, listing)
+		return
+	}
+	delete(catalog.pendingListings, listing.ID())
+	catalog.context.Timers().Cancel(catalog.removalTimers[listing.ID()])
+	delete(catalog.removalTimers, listing.ID())
 	if before.SameContent(listing) {
 		state.PutMember(listing) // marks the instance as listed again
 		return
@@ -154,18 +160,38 @@
 		catalog.context.Publish(event.NewLeavingChanged(listing.ID(), listing.Leaving()))
 	}
 	if listing.Role() != before.Role() || before.ID() == "" {
-		catalog.recordListedRole(listing)
+		catalog.recordListedRole(listing, before.ID() == "")
 	}
 	catalog.context.Publish(event.NewGroupObserved(listing.Group()))
 }
 
-// recordListedRole records in the group whether the instance is listed as its primary.
-func (catalog *Catalog) recordListedRole(listing model.Listing) {
+// moved reports whether an entry names another group or address than the one before. An instance keeps
+// both while its process runs.
+func moved(before, listing model.Listing) bool {
+	changed := listing.Group() != before.Group() || listing.Instance().Address() != before.Instance().Address()
+	return changed && listing.Born() <= before.Born()
+}
+
+// postpone applies an entry only after the time within which the instance, if it runs, writes its own
+// one again.
+func (catalog *Catalog) postpone(before, listing model.Listing) {
+	catalog.unlist(listing.ID(), true)
+	if _, known := catalog.pendingListings[listing.ID()]; !known {
+		catalog.log("entry_postponed", model.Decision{Group: before.Group(), Instance: listing.ID(), Reason: "it names another group or address"})
+	}
+	catalog.pendingListings[listing.ID()] = listing
+}
+
+// recordListedRole records in the group whether the instance is listed as its primary. One that was
+// not listed before does not replace a known primary until it answers: an instance starts as a
+// replica, except for the one that led the group before.
+func (catalog *Catalog) recordListedRole(listing model.Listing, isNew bool) {
 	group := catalog.context.State().Group(listing.Group())
-	if listing.Role() == model.RolePrimary {
-		group.SetPrimary(listing.ID())
-	} else {
+	switch {
+	case listing.Role() != model.RolePrimary:
 		group.RefutePrimary(listing.ID(), catalog.context.Now())
+	case !isNew || !group.PrimaryWasKnown():
+		group.SetPrimary(listing.ID())
 	}
 }
 
@@ -173,7 +199,6 @@
 // at once, any other one if its entry does not reappear within unlistedGracePeriod. A
 // restored store may merely lack the entry, also that of a leaving instance.
 func (catalog *Catalog) unlist(instance model.InstanceID, restored bool) {
-	delete(catalog.pendingListings, instance)
 	if _, ok := catalog.removalTimers[instance]; ok {
 		return
 	}
@@ -198,6 +223,9 @@
 	catalog.log("instance_gone", model.Decision{Group: group, Instance: instance, Reason: "its entry is no longer in the platform's list"})
 	catalog.context.Publish(event.NewLeavingChanged(instance, true))
 	catalog.context.Publish(event.NewGroupObserved(group))
+	if listing, ok := catalog.pendingListings[instance]; ok {
+		catalog.applyListing(listing)
+	}
 }
 
 // recordGone keeps the last entry of an instance that is about to be removed.
--- a/internal/plug/catlog/catlog_test.go
+++ b/internal/plug/catlog/catlog_test.go
@@ -134,6 +134,8 @@
 	kernel := newKernel()
 	kernel.Handle(0, catalog(1, "a"))
 	kernel.Handle(1, event.NewInstanceListed(listing("i-1", model.RolePrimary, false)))
+	kernel.Handle(1, event.NewInstanceListed(listing("i-2", model.RoleReplica, false)))
+	is.Equal(kernel.State().Group(group).Primary().ID(), model.InstanceID("i-1"))
 	kernel.Handle(2, event.NewInstanceListed(listing("i-2", model.RolePrimary, false)))
 	is.Equal(kernel.State().Group(group).Primary().ID(), model.InstanceID("i-2"))
 	kernel.Handle(3, event.NewInstanceListed(listing("i-2", model.RoleReplica, false)))
--- a/internal/plug/elect/attempt.go
+++ b/internal/plug/elect/attempt.go
@@ -288,7 +288,7 @@
 	elect := attempt.monitor.elect
 	attempt.monitor.log("promotion_done", attempt.chosen, attempt.reason)
 	if group := elect.context.State().Group(attempt.monitor.groupID); group != nil {
-		group.SetPrimary(attempt.chosen)
+		group.ConfirmPrimary(attempt.chosen)
 		elect.context.Publish(event.NewGroupObserved(attempt.monitor.groupID))
 	}
 	elect.fleet.SetComplaint(attempt.formerPrimary, false)
--- a/internal/plug/elect/monitor.go
+++ b/internal/plug/elect/monitor.go
@@ -229,8 +229,10 @@
 	if group == nil {
 		return
 	}
-	if status.Role() == model.RolePrimary && status.Fence() >= group.Term() && group.Primary() == nil {
-		group.SetPrimary(instance)
+	primary := group.Primary()
+	disproved := primary != nil && !group.PrimaryAnswered() && monitor.observation(primary.ID()).failures > 0
+	if status.Role() == model.RolePrimary && status.Fence() >= group.Term() && (primary == nil || disproved) {
+		group.ConfirmPrimary(instance)
 		monitor.elect.context.Publish(event.NewGroupObserved(monitor.groupID))
 	}
 	if monitor.attempt != nil {
--- a/internal/plug/relay/choose.go
+++ b/internal/plug/relay/choose.go
@@ -29,22 +29,45 @@
 	warmUpCost = 30 * time.Millisecond
 )
 
-// likelyPrimary returns the known primary or, if none is known, an instance that has
-// neither failed nor reported recently that it is not the primary. It returns the empty ID
-// if there is no such instance.
+// likelyPrimary returns the known primary. If none is known or it failed to answer, it returns an
+// instance that is listed as the primary, else any one that may be it. It returns the empty ID if
+// there is no such instance.
 func (relay *Relay) likelyPrimary(group *state.Group) model.InstanceID {
-	if primary := group.Primary(); primary != nil {
+	primary := group.Primary()
+	if primary != nil && !relay.recentlyFailed(primary.ID()) {
 		return primary.ID()
 	}
-	oldest := relay.context.Now() - refutedRetryDelay
+	if listed := relay.listedPrimary(group); listed != "" {
+		return listed
+	}
+	if primary != nil {
+		return primary.ID()
+	}
+	for _, member := range group.Members() {
+		if relay.mayLead(group, member) {
+			return member.ID()
+		}
+	}
+	return ""
+}
+
+// listedPrimary returns an instance that is listed as the primary and may be it, or the empty ID.
+func (relay *Relay) listedPrimary(group *state.Group) model.InstanceID {
 	for _, member := range group.Members() {
-		if !member.Leaving() && !group.RefutedSince(member.ID(), oldest) && !relay.recentlyFailed(member.ID()) {
+		if member.Listing().Role() == model.RolePrimary && relay.mayLead(group, member) {
 			return member.ID()
 		}
 	}
 	return ""
 }
 
+// mayLead reports whether an instance has neither failed nor reported recently that it is not the
+// primary.
+func (relay *Relay) mayLead(group *state.Group, member *state.Member) bool {
+	oldest := relay.context.Now() - refutedRetryDelay
+	return !member.Leaving() && !group.RefutedSince(member.ID(), oldest) && !relay.recentlyFailed(member.ID())
+}
+
 // cheapestInstance returns the instance with the lowest cost for a read, or the empty ID.
 // The search starts at a random member, so that ties are spread over the instances.
 func (relay *Relay) cheapestInstance(group *state.Group, task *task) model.InstanceID {
--- a/internal/plug/relay/ping.go
+++ b/internal/plug/relay/ping.go
@@ -86,10 +86,11 @@
 		age, known := group.MarkAge(now)
 		monitor.suspect = monitor.suspect || relay.primaryIsSilent(group, now)
 		refresh := now-monitor.lastReadAt < markRefreshWindow && !relay.connsAreScarce(group) && (monitor.lastReadAt > 0 || few)
-		if monitor.suspect || refresh && (!known || age > markRefreshAge) {
+		unconfirmed := group.Primary() == nil && relay.listedPrimary(group) != ""
+		if monitor.suspect || unconfirmed || refresh && (!known || age > markRefreshAge) {
 			monitor.startPing(group)
 		}
-		busy = busy || refresh || monitor.suspect || monitor.pinging
+		busy = busy || refresh || monitor.suspect || unconfirmed || monitor.pinging
 	}
 	if busy {
 		return refreshInterval
