elect: a promotion does not wait for the log of an instance that never was

What callers saw, in a test on: another program writes an entry of an instance in a real group, at an address where no process listens. As long as the primary leads nothing happens. After its loss the group never got a primary again: "instance x-1 may still acknowledge commits". To remove the entry then did not help either.

Cause: a listed instance counts as one that may hold acknowledged commits until it has ended, and one that is listed was never taken for ended.

A listed instance whose process does not run (two probes in a row are refused, or something else answers at the address) is now left out by the proof that holds for one that has ended: the primary has reported the end of its log after that, and another replica covers it (heir.CanDrop). One that has never answered is left out if its entry stays for longer than the platform keeps that of a silent instance (three heartbeat_ms and 2 s). The proof is as young as the last probe, at most 300 ms when an instance is chosen, and ends with an answer or with an entry that shows a later start or a warm-up. One that is left out is not recorded as the former primary, nor in the lease row. Where the address swallows connections, a promotion waits as before: it may be an instance that only proxies cannot reach.

--- a/internal/core/tune/tune.go
+++ b/internal/core/tune/tune.go
@@ -28,6 +28,7 @@
 	ListWait          time.Duration
 	SharedListWait    time.Duration
 	MaxListAge        time.Duration
+	EntryLifetime     time.Duration
 	MaxKeyAge         time.Duration
 	QuotaWindow       time.Duration
 	QuotaOverage      float64
@@ -58,12 +59,14 @@
 	defaultMaxWaiting        = 2000
 	defaultDrainLimit        = 30 * time.Second
 	defaultLedgerRetention   = 24 * time.Hour
+	defaultEntryLifetime     = 6 * time.Second
 )
 
 // Default returns a Spec with every setting at its default. PeerSeeds is empty.
 func Default() Spec {
 	return Spec{
 		ProbeInterval:     defaultProbeInterval,
+		EntryLifetime:     defaultEntryLifetime,
 		ProbeSpacing:      defaultProbeSpacing,
 		ProbeTimeout:      defaultProbeTimeout,
 		SilenceLimit:      defaultSilenceLimit,
@@ -180,6 +183,10 @@
 // that gets its changes from another one asks the platform's store itself.
 func (settings *Settings) MaxListAge() time.Duration { return settings.spec.MaxListAge }
 
+// EntryLifetime returns the time within which the platform removes the entry of an instance that no
+// longer writes it.
+func (settings *Settings) EntryLifetime() time.Duration { return settings.spec.EntryLifetime }
+
 // MaxKeyAge returns the time since the configuration was last known to be current after which
 // requests with a key are refused, since the key may have been withdrawn. It is 0 if withdrawn
 // keys may be used for longer.
--- a/internal/plug/elect/attempt.go
+++ b/internal/plug/elect/attempt.go
@@ -178,6 +178,9 @@
 	for _, id := range attempt.monitor.countedIDs() {
 		listing := attempt.monitor.counted[id]
 		observation := attempt.monitor.observation(id)
+		if attempt.monitor.isLeftOut(id) {
+			continue
+		}
 		fresh := observation.reported && attempt.monitor.now()-observation.statusAt <= maxCandidateStatusAge
 		paused := attempt.paused[id] && fresh
 		afterStepDown := attempt.steppedDownAt > 0 && observation.reported && observation.statusAt >= attempt.steppedDownAt
--- a/internal/plug/elect/count.go
+++ b/internal/plug/elect/count.go
@@ -40,17 +40,22 @@
 		monitor.reportedPrimary = recorded
 	}
 	monitor.rowAdopted = monitor.rowAdopted || monitor.elect.lease.held()
-	if primary := monitor.primary(group); primary != "" {
+	if primary := monitor.primary(group); primary != "" && !monitor.neverRan(primary) {
 		monitor.lastPrimary = primary
 	}
+	monitor.leaveOut(group)
 	monitor.dropEnded(group)
 }
 
 // recordStart records when an instance was first listed, or listed with a later start of its process.
 func (monitor *monitor) recordStart(listing model.Listing) {
 	before, known := monitor.counted[listing.ID()]
+	observation := monitor.observation(listing.ID())
 	if !known || before.Born() != listing.Born() {
-		monitor.observation(listing.ID()).countedSince = monitor.now()
+		observation.countedSince = monitor.now()
+	}
+	if listing.Born() > before.Born() || listing.WarmUpRemaining() > before.WarmUpRemaining() {
+		observation.startedAgain()
 	}
 }
 
@@ -124,6 +129,10 @@
 func (monitor *monitor) dropEnded(group *state.Group) {
 	for _, id := range monitor.unlistedCounted(group) {
 		observation := monitor.observation(id)
+		if observation.leftOut && !observation.runs() {
+			monitor.drop(id)
+			continue
+		}
 		if observation.unlistedSince == 0 {
 			observation.unlistedSince = monitor.now()
 		}
--- a/internal/plug/elect/elect.go
+++ b/internal/plug/elect/elect.go
@@ -203,7 +203,7 @@
 	}
 	for id, monitor := range elect.monitors {
 		if monitor.rowAdopted {
-			all[id] = monitor.countedIDs()
+			all[id] = monitor.recordedIDs()
 		}
 	}
 	return all
--- a/internal/plug/elect/lease_test.go
+++ b/internal/plug/elect/lease_test.go
@@ -39,7 +39,7 @@
 }
 
 // fixture is a kernel whose calls to the store are answered at once. An instance answers if statuses
-// has its status.
+// has its status, and no process listens at its address if refuses has it.
 type fixture struct {
 	kernel  *kern.Kernel
 	now     time.Duration
@@ -51,6 +51,7 @@
 	tokens  []uint64 // of the promotion orders
 
 	statuses map[model.InstanceID]model.Status
+	refuses  map[model.InstanceID]bool
 	promoted model.InstanceID // the instance of the last promotion order
 }
 
@@ -58,7 +59,7 @@
 
 // newFixtureWith returns a fixture with further plug-ins.
 func newFixtureWith(firstStart bool, added ...kern.Factory) *fixture {
-	fixture := &fixture{rows: make(map[string]model.Row), statuses: make(map[model.InstanceID]model.Status)}
+	fixture := &fixture{rows: make(map[string]model.Row), statuses: make(map[model.InstanceID]model.Status), refuses: make(map[model.InstanceID]bool)}
 	self := model.NewProxyView("self", "", "trnje-hall", 0, false, 0)
 	settings := tune.Default()
 	settings.FirstStart = firstStart
@@ -134,7 +135,9 @@
 			fixture.tokens = append(fixture.tokens, action.Token())
 			fixture.promoted = action.Instance()
 		case event.Probe:
-			if status, ok := fixture.statuses[action.Instance()]; ok {
+			if fixture.refuses[action.Instance()] {
+				fixture.answer(fixture.kernel.Handle(fixture.now, event.NewProbeFailed(action.Probe(), action.Instance(), model.ConnFailureRefused)))
+			} else if status, ok := fixture.statuses[action.Instance()]; ok {
 				fixture.answer(fixture.kernel.Handle(fixture.now, event.NewStatusReported(action.Probe(), action.Instance(), status)))
 			}
 		case event.SendOrder:
@@ -146,6 +149,10 @@
 // answerOrder lets an instance carry out an order, if it answers.
 func (fixture *fixture) answerOrder(order event.SendOrder) {
 	status, ok := fixture.statuses[order.Instance()]
+	if fixture.refuses[order.Instance()] {
+		fixture.answer(fixture.kernel.Handle(fixture.now, event.NewOrderFailed(order.Order(), order.Instance(), model.ConnFailureRefused)))
+		return
+	}
 	if !ok {
 		return
 	}
--- a/internal/plug/elect/monitor.go
+++ b/internal/plug/elect/monitor.go
@@ -11,22 +11,6 @@
 )
 
 const (
-	// primaryProbeInterval is the time between two probes of a primary.
-	primaryProbeInterval = 250 * time.Millisecond
-	// maxPrimaryProbes is the number of probes of primaries in a second. With more than 32 groups
-	// each primary that answers is probed less often, but at least every maxPrimaryProbeInterval,
-	// which is less than maxPrimaryStatusAge. At primaryProbeInterval, 112 groups would need 448
-	// probes a second of one proxy.
-	maxPrimaryProbes        = 128
-	maxPrimaryProbeInterval = 800 * time.Millisecond
-	// attemptProbeInterval is the time between two probes of an instance during an attempt.
-	attemptProbeInterval = 50 * time.Millisecond
-	// replicaProbeInterval is the time between two probes of a replica.
-	replicaProbeInterval = 4 * time.Second
-	// unlistedProbeInterval is the time between two probes of an instance while a counted
-	// one is no longer listed. Until that one is dropped, the loss of the primary could not be
-	// repaired.
-	unlistedProbeInterval = 100 * time.Millisecond
 	// probeTimeout is the time after which a probe counts as unanswered.
 	probeTimeout = 600 * time.Millisecond
 	// minFailures is the number of consecutive failed probes after which a primary may
@@ -160,40 +144,6 @@
 	}
 }
 
-// probe sends the probes that are due.
-func (monitor *monitor) probe(group *state.Group) {
-	primary, unlistedCounted := monitor.primary(group), len(monitor.unlistedCounted(group)) > 0
-	for _, id := range monitor.countedIDs() {
-		listing := monitor.counted[id]
-		if listing.ID() == "" {
-			continue
-		}
-		observation := monitor.observation(id)
-		interval := replicaProbeInterval
-		switch {
-		case monitor.attempt != nil:
-			interval = attemptProbeInterval
-		case unlistedCounted:
-			interval = unlistedProbeInterval
-		case id == primary && observation.failures == 0 && observation.reported:
-			interval = monitor.elect.primaryProbeInterval()
-		case id == primary || primary == "":
-			interval = primaryProbeInterval
-		}
-		if observation.probePending || monitor.now()-observation.probedAt < interval && observation.probedAt > 0 {
-			continue
-		}
-		if age, ok := group.MarkAge(monitor.now()); id == primary && monitor.attempt == nil && !unlistedCounted && observation.reported && ok && age < primaryProbeInterval && monitor.now()-observation.probedAt < replicaProbeInterval {
-			continue // the answers to callers' statements show that it is the primary
-		}
-		observation.probePending = true
-		observation.probedAt = monitor.now()
-		probe := model.ProbeID(monitor.elect.context.NextID())
-		monitor.elect.probes[probe] = monitor
-		monitor.elect.context.Emit(event.NewProbe(probe, id, listing.Instance().Address(), probeTimeout).WithGroup(monitor.groupID))
-	}
-}
-
 // primary returns the ID of the known primary, or the empty ID.
 func (monitor *monitor) primary(group *state.Group) model.InstanceID {
 	if primary := group.Primary(); primary != nil {
@@ -207,6 +157,9 @@
 // empty if that is unknown or if an instance reports a higher term.
 func (monitor *monitor) primaryOr(observed model.InstanceID) model.InstanceID {
 	recorded := monitor.reportedPrimary
+	if monitor.neverRan(observed) {
+		observed = ""
+	}
 	if observed != "" || recorded.Instance == "" {
 		return observed
 	}
--- a/internal/plug/elect/observation.go
+++ b/internal/plug/elect/observation.go
@@ -35,10 +35,21 @@
 	unlistedSince time.Duration
 	// refusedAt is the time of the first of refusals since the instance was unlisted.
 	refusedAt time.Duration
-	// needed is an end of the primary's log that neededFrom, the primary, reported after the unlisted
+	// needed is an end of the primary's log that neededFrom, the primary, reported after the
 	// instance had ended. Another instance must have the log up to there before this one is dropped.
 	needed     model.Mark
 	neededFrom model.InstanceID
+	// leftOut is set while no promotion waits for the log of the listed instance, which does not run.
+	leftOut bool
+}
+
+// runs reports whether a process may listen at the address of the instance.
+func (observation *observation) runs() bool { return observation.refusals < minFailures }
+
+// startedAgain records that the entry of the instance shows another start of its process, which has not
+// been probed yet.
+func (observation *observation) startedAgain() {
+	observation.refusals, observation.probedAt, observation.leftOut = 0, 0, false
 }
 
 // endedAt returns a time from which on an unlisted instance takes part in no commit, or false if it
@@ -54,6 +65,8 @@
 
 // listedAgain records that the instance is listed.
 func (observation *observation) listedAgain() {
-	observation.unlistedSince = 0
-	observation.needed = model.Mark{}
+	if observation.unlistedSince > 0 {
+		observation.unlistedSince = 0
+		observation.needed = model.Mark{}
+	}
 }
