relay, conns: reads avoid an instance that cannot be connected to

An instance that had failed to answer got no reads for one second, and then the next ones again: beside busy instances it looks idle. Each waited for the back-off and the timeout of a connection. Where another program has written an entry of an instance that does not exist, that never ends.

Reads now avoid an instance as long as no connection to it could be opened, if others can serve them. So that it is not avoided for good, one connection is tried at each end of the back-off also without reads. An instance that refuses since it is full is not meant.

--- a/internal/plug/conns/conns.go
+++ b/internal/plug/conns/conns.go
@@ -155,7 +155,7 @@
 // Unreachable implements route.Conns.
 func (pools *Pools) Unreachable(instance model.InstanceID) bool {
 	pool := pools.pool(instance)
-	return pool != nil && !pool.connected() && pool.failures > 0 && pool.lastFailure != model.ConnFailureFull
+	return pool != nil && pool.unreachable()
 }
 
 // ConnectDelay implements route.Conns.
--- a/internal/plug/conns/opening.go
+++ b/internal/plug/conns/opening.go
@@ -30,8 +30,8 @@
 }
 
 // neededTeam returns the team for which the next connection is opened: that of the first waiter
-// for which none is being opened, or no team if the minimum is not reached. It returns false if
-// no connection is needed.
+// for which none is being opened, or no team if the minimum is not reached or the instance could not be
+// reached: it gets no reads until one is open. It returns false if no connection is needed.
 func (pool *pool) neededTeam() (model.TeamName, bool) {
 	if pool.opening < len(pool.waiting) {
 		opening := maps.Clone(pool.openingByTeam)
@@ -42,7 +42,7 @@
 			opening[waiter.team()]--
 		}
 	}
-	return "", pool.total < pool.minOpen()
+	return "", pool.total < pool.minOpen() || pool.unreachable() && pool.total == 0
 }
 
 // closeIdleOfOthers closes the connection of another team that has been idle for longest, to
--- a/internal/plug/conns/pool.go
+++ b/internal/plug/conns/pool.go
@@ -159,6 +159,11 @@
 	conn.inTx = inTx
 }
 
+// unreachable reports whether no connection is open and the last one could not be opened.
+func (pool *pool) unreachable() bool {
+	return !pool.connected() && pool.failures > 0 && pool.lastFailure != model.ConnFailureFull
+}
+
 // connected reports whether any connection to the instance is open.
 func (pool *pool) connected() bool { return pool.total > pool.opening }
 
--- a/internal/plug/relay/acquire_test.go
+++ b/internal/plug/relay/acquire_test.go
@@ -43,6 +43,9 @@
 // ConnectDelay implements route.Conns.
 func (conns *fakeConns) ConnectDelay(model.InstanceID) time.Duration { return 0 }
 
+// Unreachable implements route.Conns.
+func (*fakeConns) Unreachable(model.InstanceID) bool { return false }
+
 type fakeAdmission struct{ route.Admission }
 
 // ExpectedDelay implements route.Admission.
--- a/internal/plug/relay/choose.go
+++ b/internal/plug/relay/choose.go
@@ -108,12 +108,18 @@
 	if member.Listing().WarmUpRemaining() > 0 {
 		cost += warmUpCost
 	}
-	if relay.recentlyFailed(member.ID()) {
+	if relay.isAvoidable(member.ID()) {
 		cost += failureWindow
 	}
 	return cost
 }
 
+// isAvoidable reports whether an instance gets no reads while others can serve them: it has just failed
+// to answer, or no connection to it could be opened. Connections are tried again without reads.
+func (relay *Relay) isAvoidable(instance model.InstanceID) bool {
+	return relay.recentlyFailed(instance) || relay.conns.Unreachable(instance)
+}
+
 // recentlyFailed reports whether an instance failed to answer within failureWindow and has
 // not answered since.
 func (relay *Relay) recentlyFailed(instance model.InstanceID) bool {
--- a/internal/plug/relay/load.go
+++ b/internal/plug/relay/load.go
@@ -26,7 +26,7 @@
 	for _, member := range group.Members() {
 		switch {
 		case member.Leaving() || task.isAvoided(member.ID()) || relay.knownToLack(member.ID(), task.after):
-		case relay.recentlyFailed(member.ID()):
+		case relay.isAvoidable(member.ID()):
 			failed = append(failed, member)
 		default:
 			usable = append(usable, member)
--- a/internal/plug/relay/overdue_test.go
+++ b/internal/plug/relay/overdue_test.go
@@ -20,6 +20,9 @@
 	discarded []model.ConnID
 }
 
+// Unreachable implements route.Conns.
+func (*grantingConns) Unreachable(model.InstanceID) bool { return false }
+
 // Acquire implements route.Conns.
 func (conns *grantingConns) Acquire(request route.SlotRequest, user route.ConnUser) route.WaitID {
 	conns.asked = append(conns.asked, request.Instance)
