state: an instance has no more slots than connections

An entry with 65,536 slots lets each proxy send thousands of statements to one instance, where they wait in the order of their arrival instead of that of their priorities. A statement needs a connection, so the number of connections bounds the slots.

TestSlotsAreBoundedByConnections failed before.

--- a/internal/core/state/member.go
+++ b/internal/core/state/member.go
@@ -61,12 +61,23 @@
 // maxConns is the maximum number of connections that the instance accepts.
 func (member *Member) SetListing(listing model.Listing, maxConns int) {
 	member.listing = listing
-	member.instance = listing.Instance().WithCapacity(listing.Instance().Slots(), maxConns)
+	member.instance = listing.Instance()
+	member.setMaxConns(maxConns)
 	member.listedLeaving = listing.Leaving()
 	member.unlisted = false
 	member.reported = true
 }
 
+// setMaxConns records the maximum number of connections that the instance accepts. It runs no more
+// statements at once, however many slots it lists.
+func (member *Member) setMaxConns(maxConns int) {
+	slots := max(member.instance.Slots(), member.listing.Instance().Slots())
+	if maxConns > 0 {
+		slots = min(slots, maxConns)
+	}
+	member.instance = member.instance.WithCapacity(slots, maxConns)
+}
+
 // Unlisted reports whether the instance's entry is no longer in the platform's list.
 func (member *Member) Unlisted() bool { return member.unlisted }
 
--- a/internal/core/state/state.go
+++ b/internal/core/state/state.go
@@ -106,7 +106,7 @@
 	group.replication = listed.Replication()
 	group.maxConns = listed.MaxConns()
 	for _, member := range group.members {
-		member.instance = member.instance.WithCapacity(member.instance.Slots(), group.maxConns)
+		member.setMaxConns(group.maxConns)
 	}
 	return group
 }
