fleet: odd rows of proxies do not count, and the own one is replaced

A row that another writer had put under the key of a proxy and that could not be decoded was skipped, with its version, so that each write of the proxy's own row expected no row and failed: it could not publish complaints of primaries. A row with 10^300 or negative cores or with a key that is no name counted as a proxy, the former as the first reader of the lists for all others.

The own row is replaced whatever it says, and a row that cannot be that of a proxy does not count. An address that nobody answers is that of a proxy that does not run, as before.

--- a/internal/plug/fleet/fleet_test.go
+++ b/internal/plug/fleet/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -28,6 +29,7 @@
 	storeAway bool
 	// reads and writes count the calls, and conflicts the writes that fail from now on.
 	reads, writes, conflicts int
+	expected                 uint64 // the version that the last write expects of its row
 }
 
 func newFixture() *fixture { return newFixtureAt("") }
@@ -64,6 +66,7 @@
 			fixture.answer(fixture.kernel.Handle(fixture.now, event.NewStoreRead(action.CallID(), fixture.rows).WithEra(fixture.era)))
 		case event.WriteStore:
 			fixture.writes++
+			fixture.expected = action.Writes()[0].ExpectedVersion()
 			if fixture.conflicts > 0 {
 				fixture.conflicts--
 				fixture.answer(fixture.kernel.Handle(fixture.now, event.NewStoreConflict(action.CallID())))
@@ -169,3 +172,41 @@
 	fixture.context.Timers().After(0, func() { fixture.fleet.SetComplaint(instance, unusable) })
 	fixture.answer(fixture.kernel.Tick(fixture.now))
 }
+
+// Guards against an odd row of another writer that counts as a proxy, or that a proxy never replaces.
+func TestOddRows(t *testing.T) {
+	const plain = `{"process":7,"beat":3,"data_center":"trnje-hall","address":"10.0.0.1:1","cores":1}`
+	tests := []struct {
+		name  string
+		key   string
+		value string
+		live  int
+	}{
+		{"plain", "proxy/other", plain, 2},
+		{"nested 20,000 deep", "proxy/other", strings.Repeat("[", 20000) + strings.Repeat("]", 20000), 1},
+		{"beat of 400 digits", "proxy/other", strings.Replace(plain, `"beat":3`, `"beat":`+strings.Repeat("9", 400), 1), 1},
+		{"largest beat", "proxy/other", strings.Replace(plain, `"beat":3`, `"beat":18446744073709551615`, 1), 2},
+		{"cores of 1e300", "proxy/other", strings.Replace(plain, `"cores":1`, `"cores":1e300`, 1), 1},
+		{"negative cores", "proxy/other", strings.Replace(plain, `"cores":1`, `"cores":-1`, 1), 1},
+		{"port 65536", "proxy/other", strings.Replace(plain, `10.0.0.1:1`, `10.0.0.1:65536`, 1), 2},
+		{"address with a line end", "proxy/other", strings.Replace(plain, `10.0.0.1:1`, `10.0.0.1:1\r\n`, 1), 1},
+		{"empty name", "proxy/", plain, 1},
+		{"name of two words", "proxy/no name", plain, 1},
+		{"own row", "proxy/self", "\xff{", 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			fixture := newFixtureAt("10.0.0.9:9")
+			fixture.rows = []model.Row{model.NewRow(test.key, 41, []byte(test.value))}
+			fixture.run(time.Second)
+			is.Equal(len(fixture.kernel.State().Proxies()), test.live)
+			expected := uint64(0)
+			if test.key == "proxy/self" {
+				expected = 41
+			}
+			is.True(fixture.writes > 0)
+			is.Equal(fixture.expected, expected) // a write that expects another version never succeeds
+		})
+	}
+}
--- a/internal/plug/fleet/registry.go
+++ b/internal/plug/fleet/registry.go
@@ -6,6 +6,8 @@
 	"strings"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"almondway.dev/almondway/internal/core/event"
 	"almondway.dev/almondway/internal/core/model"
 	"almondway.dev/almondway/internal/core/route"
@@ -280,15 +282,18 @@
 	present := make(map[model.ProxyID]bool, len(rows))
 	for _, tableRow := range rows {
 		id := model.ProxyID(strings.TrimPrefix(tableRow.Key(), rowPrefix))
-		var decoded row
-		if err := json.Unmarshal(tableRow.Value(), &decoded); err != nil {
+		decoded, err := decodeRow(id, tableRow.Value())
+		if err != nil {
 			fleet.context.Emit(event.NewLogDecision(model.Decision{Name: "row_unreadable", Proxy: id, Reason: err.Error()}))
-			continue
 		}
 		if tableRow.Key() == fleet.ownKey() {
+			// An own row that cannot be read is replaced.
 			fleet.version, fleet.written = tableRow.Version(), decoded
 			continue
 		}
+		if err != nil {
+			continue
+		}
 		present[id] = true
 		fleet.recordRow(id, tableRow, decoded, now)
 	}
@@ -303,6 +308,22 @@
 	fleet.updateMembers()
 }
 
+// decodeRow decodes the row of a proxy. One that cannot be that of a proxy is an error.
+func decodeRow(id model.ProxyID, value []byte) (row, error) {
+	var decoded row
+	if err := json.Unmarshal(value, &decoded); err != nil {
+		return row{}, errors.Wrap(err, "decode row")
+	}
+	if err := decoded.view(id).Validate(); err != nil {
+		return row{}, err
+	}
+	return decoded, nil
+}
+
+func (row row) view(id model.ProxyID) model.ProxyView {
+	return model.NewProxyView(id, row.Address, row.DataCenter, 0, false, 0).WithCores(row.Cores)
+}
+
 func (fleet *Fleet) recordRow(id model.ProxyID, tableRow model.Row, decoded row, now time.Duration) {
 	known, ok := fleet.rows[id]
 	if ok && known.version == tableRow.Version() {
@@ -320,7 +341,7 @@
 		process: decoded.Process,
 		beat:    decoded.Beat,
 		seenAt:  now,
-		view:    model.NewProxyView(id, decoded.Address, decoded.DataCenter, 0, false, 0).WithCores(decoded.Cores),
+		view:    decoded.view(id),
 	}
 	if decoded.Era == fleet.context.State().StoreEra() {
 		read.unusablePrimaries = decoded.UnusablePrimaries
