elect: a lease row that cannot be read is replaced

While the row of the lease could not be decoded, no proxy took or renewed the lease ("lease_unreadable" at each read): no group got a new primary until somebody deleted the row.

The holder replaces such a row with what it knows, since no proxy can have taken the lease with it. Any other proxy goes on from the row before: it waits until the lease has ended, leaves out the 65,536 tokens after those that it knows, and starts no attempt until an order that it does not know can no longer be carried out. A proxy that has never read the row leaves it, since it knows neither tokens nor instances that count; it has to be deleted then (OPERATIONS).

--- a/internal/plug/elect/lease.go
+++ b/internal/plug/elect/lease.go
@@ -30,6 +30,8 @@
 	// reservedTokens is the number of fencing tokens that a holder reserves at once, so
 	// that it can order promotions while the store is unavailable.
 	reservedTokens = 32
+	// lostTokens is the number of tokens that are left out after a row that could not be read.
+	lostTokens = 1 << 16
 	// recordTimeout limits the time for which a promotion waits until its order is
 	// recorded in the store.
 	recordTimeout = 300 * time.Millisecond
@@ -80,6 +82,9 @@
 	heldUntil time.Duration
 	row       leaseRow
 	version   uint64
+	// unreadable is set while another program has replaced the row. row is the one before, which may
+	// lack the last tokens and promotion orders of its holder.
+	unreadable bool
 	// changedAt is the time at which the row was first read with this version.
 	changedAt time.Duration
 	rowKnown  bool
@@ -180,12 +185,17 @@
 		lease.failedReads = 0
 		var current leaseRow
 		var version uint64
+		lease.unreadable = false
 		lease.past.outdated = lease.past.outdated[:0]
 		for _, found := range rows {
 			var decoded leaseRow
 			if err := json.Unmarshal(found.Value(), &decoded); err != nil {
 				lease.log("lease_unreadable", found.Key()+": "+err.Error())
-				return
+				if found.Key() != lease.key() || lease.version == 0 {
+					return // nothing is known of the lease
+				}
+				lease.unreadable = true
+				decoded = lease.row
 			}
 			if found.Key() == lease.key() {
 				current, version = decoded, found.Version()
@@ -240,7 +250,11 @@
 // reservedUpTo returns the highest token that is reserved in this era of the store or that
 // belongs to an earlier era.
 func (lease *lease) reservedUpTo() uint64 {
-	return max(lease.row.Token, uint64(lease.era)*tokensPerEra)
+	reserved := max(lease.row.Token, uint64(lease.era)*tokensPerEra)
+	if lease.unreadable && !lease.held() {
+		reserved += lostTokens
+	}
+	return reserved
 }
 
 // renew extends a lease that this proxy holds, and then calls done even if the write
@@ -280,7 +294,7 @@
 		if row.Token > reservedBefore {
 			lease.nextToken, lease.lastToken = max(lease.nextToken, reservedBefore+1), row.Token
 		}
-		lease.row = row
+		lease.row, lease.unreadable = row, false
 		if row.Holder == lease.self() {
 			lease.heldUntil = sentAt + leaseDuration - leaseSafetyMargin
 		}
@@ -377,7 +391,7 @@
 	switch {
 	case lease.version == 0:
 		lease.ordersLostUntil = lease.past.endedAt + leaseDuration + promotionOrderLifetime
-	case lease.row.OrdersLost:
+	case lease.row.OrdersLost || lease.unreadable:
 		lease.ordersLostUntil = now + promotionOrderLifetime
 	}
 }
