--- a/internal/edge/mesh/mesh_test.go
+++ b/internal/edge/mesh/mesh_test.go
@@ -3,9 +3,12 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -261,3 +264,31 @@
 	is.True(!decodePoll(encodePoll(newPoll(), "")).TakesChanges())
 	is.True(decodePoll(encodePoll(model.NewPoll(model.PollSpec{TakesChanges: true}), "")).TakesChanges())
 }
+
+// Guards against a message that cannot be delivered since a row of another writer is odd.
+func TestOddRowsTravel(t *testing.T) {
+	is := is.New(t)
+	mesh, inbox := startMesh(t, "system")
+	caller, replies := startMesh(t, "system")
+	rows := []model.ListRow{
+		model.NewListRow("", 1, nil),
+		model.NewListRow(strings.Repeat("k", 200), math.MaxUint64, []byte("\xff\x00\xfe")),
+		model.NewListRow("deep", 3, bytes.Repeat([]byte("["), 60_000)),
+		model.NewDeletedListRow("line\r\nend", 4),
+	}
+	for index := range 3000 {
+		rows = append(rows, model.NewListRow(fmt.Sprint("odd-", index), 5, bytes.Repeat([]byte{0xff}, 4096)))
+	}
+	caller.Poll(event.NewSendPoll(1, mesh.spec.Address, newPoll(), 10*time.Second))
+	poll := inbox.next(t).(event.PollReceived)
+	update := model.NewListUpdate(model.NewListPosition(model.ListInstances, 2, math.MaxUint64), true, rows, 0)
+	mesh.AnswerPoll(event.NewAnswerPoll(poll.ID(), model.NewPollReply(model.PollReplySpec{Process: 1, Lists: []model.ListUpdate{update}})))
+	answered, ok := replies.next(t).(event.PollAnswered)
+	is.True(ok)
+	received := answered.Reply().Lists()[0].Rows()
+	is.Equal(len(received), len(rows))
+	for index, row := range rows {
+		got := received[index]
+		is.True(got.Key() == row.Key() && got.Version() == row.Version() && got.Deleted() == row.Deleted() && bytes.Equal(got.Value(), row.Value()))
+	}
+}
