elect: an instance that has run counts as long as it is listed

Callers would have seen acknowledged commits lost, with the first form of: an instance that refuses the proxies, but runs and replicates, was left out of a promotion by the proof for instances that have ended. That proof is as old as the last report of the primary; such an instance acknowledges commits after it. A cut may refuse connections, so this can happen without a foreign entry.

Only an instance that has never answered is left out now, once its entry stays for longer than the platform keeps that of a silent instance. The lease row says which of the counted instances have never answered, so that the next holder does not take one that it cannot reach itself for an odd entry; a row of an earlier version has none of these.

TestInstanceThatStartsAgainCounts expected that one that has run and stays away is left out; it now has to count in all four cases, which is stricter.

--- a/internal/plug/elect/count.go
+++ b/internal/plug/elect/count.go
@@ -29,17 +29,9 @@
 	if !monitor.rowAdopted {
 		monitor.followHolder(group)
 	}
-	for _, id := range monitor.elect.lease.row.Counted[monitor.groupID] {
-		_, known := monitor.counted[id]
-		_, dropped := monitor.dropped[id]
-		if !known && !dropped && monitor.elect.lease.held() && !monitor.rowAdopted {
-			monitor.counted[id] = model.Listing{}
-		}
+	if monitor.elect.lease.held() && !monitor.rowAdopted {
+		monitor.adoptRow()
 	}
-	if recorded := monitor.elect.lease.row.Led[monitor.groupID]; !monitor.rowAdopted && monitor.elect.lease.held() && recorded.Term > monitor.reportedPrimary.Term {
-		monitor.reportedPrimary = recorded
-	}
-	monitor.rowAdopted = monitor.rowAdopted || monitor.elect.lease.held()
 	if primary := monitor.primary(group); primary != "" && !monitor.neverRan(primary) {
 		monitor.lastPrimary = primary
 	}
@@ -47,6 +39,24 @@
 	monitor.dropEnded(group)
 }
 
+// adoptRow adopts what the holder of the lease before knew of the group's instances.
+func (monitor *monitor) adoptRow() {
+	row := &monitor.elect.lease.row
+	for _, id := range row.Counted[monitor.groupID] {
+		_, known := monitor.counted[id]
+		if _, dropped := monitor.dropped[id]; !known && !dropped {
+			monitor.counted[id] = model.Listing{}
+		}
+		if !slices.Contains(row.Unreached[monitor.groupID], id) {
+			monitor.observation(id).ran = true
+		}
+	}
+	if recorded := row.Led[monitor.groupID]; recorded.Term > monitor.reportedPrimary.Term {
+		monitor.reportedPrimary = recorded
+	}
+	monitor.rowAdopted = true
+}
+
 // recordStart records when an instance was first listed, or listed with a later start of its process.
 func (monitor *monitor) recordStart(listing model.Listing) {
 	before, known := monitor.counted[listing.ID()]
--- a/internal/plug/elect/elect.go
+++ b/internal/plug/elect/elect.go
@@ -197,13 +197,23 @@
 // counted returns the instances of each group that may hold acknowledged commits. The
 // list of an earlier holder is kept until this proxy has adopted it.
 func (elect *Elect) counted() map[model.GroupID][]model.InstanceID {
-	all := maps.Clone(elect.lease.row.Counted)
+	return elect.instances(elect.lease.row.Counted, (*monitor).recordedIDs)
+}
+
+// unreached returns those of the counted instances that have never answered.
+func (elect *Elect) unreached() map[model.GroupID][]model.InstanceID {
+	return elect.instances(elect.lease.row.Unreached, (*monitor).unreachedIDs)
+}
+
+// instances returns the list of an earlier holder with that of each group that was adopted.
+func (elect *Elect) instances(before map[model.GroupID][]model.InstanceID, list func(monitor *monitor) []model.InstanceID) map[model.GroupID][]model.InstanceID {
+	all := maps.Clone(before)
 	if all == nil {
 		all = make(map[model.GroupID][]model.InstanceID, len(elect.monitors))
 	}
 	for id, monitor := range elect.monitors {
 		if monitor.rowAdopted {
-			all[id] = monitor.recordedIDs()
+			all[id] = list(monitor)
 		}
 	}
 	return all
--- a/internal/plug/elect/entry_test.go
+++ b/internal/plug/elect/entry_test.go
@@ -107,16 +107,15 @@
 	}
 }
 
-// Guards against the loss of a commit: a replica that did not run has started again and may have
+// Guards against the loss of a commit: a replica that has run may have started again, and may have
 // acknowledged it, before it is lost together with the primary.
 func TestInstanceThatStartsAgainCounts(t *testing.T) {
 	tests := []struct {
 		name    string
 		again   func(spec *model.ListingSpec)
 		answers bool
-		want    model.InstanceID
 	}{
-		{name: "it stays away", again: func(*model.ListingSpec) {}, want: "i-3"},
+		{name: "it stays away", again: func(*model.ListingSpec) {}},
 		{name: "it answers", again: func(*model.ListingSpec) {}, answers: true},
 		{name: "its entry names a later start", again: func(spec *model.ListingSpec) { spec.Born = 9 }},
 		{name: "its entry names a warm-up", again: func(spec *model.ListingSpec) { spec.WarmUpRemaining = time.Second }},
@@ -144,7 +143,48 @@
 			}
 			fixture.refuses["i-1"], fixture.refuses["i-2"] = true, true
 			fixture.run(12 * time.Second)
-			is.Equal(fixture.promoted, test.want)
+			is.Equal(fixture.promoted, model.InstanceID(""))
+		})
+	}
+}
+
+// Guards against lost commits: an instance that runs refuses the proxies, and acknowledges the commits of
+// the primary all the while.
+func TestPromotionWaitsForListedInstanceThatRefusesProxies(t *testing.T) {
+	tests := []struct {
+		name   string
+		former bool // the holder of the lease before knew the instance, this one has never reached it
+	}{{"reached before", false}, {"reached by the former holder", true}}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			fixture := newFixture(true)
+			fixture.statuses["i-1"] = model.NewStatus(1, model.RolePrimary, model.NewMark(1, 9), "", 0, false)
+			fixture.statuses["i-2"], fixture.statuses["i-3"] = replicaAt(9), replicaAt(9)
+			if test.former {
+				fixture.refuses["i-2"] = true
+				fixture.put("promoter", storedLease{
+					Token: 64, Beat: 9,
+					Counted: map[model.GroupID][]string{group: {"i-1", "i-2", "i-3"}},
+					Led:     map[model.GroupID]primaryOf{group: {Instance: "i-1", Term: 1}},
+				})
+			}
+			run := func(duration time.Duration) {
+				for until := fixture.now + duration; fixture.now < until; {
+					fixture.run(50 * time.Millisecond)
+					fixture.kernel.State().SetListCheckedAt(model.ListInstances, fixture.now)
+				}
+			}
+			run(6 * time.Second)
+			fixture.refuses["i-2"] = true
+			run(10 * time.Second)
+			fixture.refuses["i-1"] = true // it had one more commit, which i-2 has
+			run(20 * time.Second)
+			is.Equal(fixture.promoted, model.InstanceID(""))
+			fixture.refuses["i-2"] = false
+			fixture.statuses["i-2"] = replicaAt(10)
+			run(5 * time.Second)
+			is.Equal(fixture.promoted, model.InstanceID("i-2"))
 		})
 	}
 }
--- a/internal/plug/elect/lease.go
+++ b/internal/plug/elect/lease.go
@@ -55,6 +55,8 @@
 	// Counted lists the instances of each group that may hold acknowledged commits. The
 	// next holder needs it, since some of them may not be listed when it starts.
 	Counted map[model.GroupID][]model.InstanceID `json:"counted,omitempty"`
+	// Unreached lists those of Counted that have never answered. They may not be instances.
+	Unreached map[model.GroupID][]model.InstanceID `json:"unreached,omitempty"`
 	// Led is the last reported primary of each group. The next holder needs it, since
 	// the primary may not be listed when it starts.
 	Led map[model.GroupID]primaryRecord `json:"led,omitempty"`
@@ -105,8 +107,9 @@
 	promotionOrders map[model.GroupID]promotionOrder
 	// needsPromoter reports whether a group needs a promoter.
 	needsPromoter func() bool
-	// counted and reportedPrimaries return the next values of Counted and Led.
+	// counted, unreached and reportedPrimaries return the next values of Counted, Unreached and Led.
 	counted           func() map[model.GroupID][]model.InstanceID
+	unreached         func() map[model.GroupID][]model.InstanceID
 	reportedPrimaries func() map[model.GroupID]primaryRecord
 }
 
@@ -122,6 +125,7 @@
 		client:            client,
 		needsPromoter:     elect.needsPromoter,
 		counted:           elect.counted,
+		unreached:         elect.unreached,
 		reportedPrimaries: elect.reportedPrimaries,
 		promotionOrders:   make(map[model.GroupID]promotionOrder),
 		past:              pastEras{knowsAll: true},
@@ -268,10 +272,10 @@
 func (lease *lease) write(row leaseRow, done func(ok bool)) {
 	before, reservedBefore := lease.predecessor(), lease.reservedUpTo()
 	row.Beat = lease.row.Beat + 1
-	row.Counted, row.Led = before.Counted, before.Led
+	row.Counted, row.Unreached, row.Led = before.Counted, before.Unreached, before.Led
 	row.Ordered, row.OrdersLost = lease.outstandingOrders(), lease.ordersLost()
 	if lease.row.Holder == lease.self() || lease.version == 0 && lease.past.knowsAll {
-		row.Counted, row.Led = lease.counted(), lease.reportedPrimaries()
+		row.Counted, row.Unreached, row.Led = lease.counted(), lease.unreached(), lease.reportedPrimaries()
 	}
 	value, err := json.Marshal(row)
 	if err != nil {
--- a/internal/plug/elect/leaveout.go
+++ b/internal/plug/elect/leaveout.go
@@ -1,55 +1,46 @@
 package elect
 
 import (
-	"almondway.dev/almondway/internal/core/heir"
+	"slices"
+
 	"almondway.dev/almondway/internal/core/model"
 	"almondway.dev/almondway/internal/core/state"
 )
 
-// leaveOut determines which listed instances no promotion waits for. No process listens at their
-// addresses: they have just ended, or another program has written the entry.
+// leaveOut determines which listed instances no promotion waits for: another program has written their
+// entries. One that has run counts as long as it is listed, since it may refuse the proxies only.
 func (monitor *monitor) leaveOut(group *state.Group) {
 	for _, member := range group.Members() {
 		observation := monitor.observation(member.ID())
 		switch {
 		case observation.unlistedSince > 0:
-		case observation.runs():
-			observation.leftOut, observation.needed = false, model.Mark{}
-		case !observation.leftOut:
-			observation.leftOut = monitor.isNotNeeded(group, member.ID(), observation)
+		case observation.ran || observation.runs():
+			observation.leftOut = false
+		case !observation.leftOut && monitor.entryStays(observation):
+			monitor.log("instance_left_out", member.ID(), "it has never answered, and its entry stays though no instance writes it")
+			observation.leftOut = true
 		}
 	}
 }
 
-// isNotNeeded reports whether the log of a listed instance that does not run is not needed: another
-// replica has every commit that it may have acknowledged, or it has never been an instance.
-func (monitor *monitor) isNotNeeded(group *state.Group, id model.InstanceID, observation *observation) bool {
-	if observation.needed.IsZero() {
-		observation.needed, observation.neededFrom = monitor.primaryTail(group, observation.refusedAt)
-	}
-	if heir.CanDrop(observation.needed, monitor.listedBeside(group, observation.neededFrom, observation.refusedAt)) {
-		monitor.log("instance_left_out", id, "it does not run, and the log of another replica covers "+observation.needed.String())
-		return true
-	}
+// entryStays reports whether the entry of an instance that does not run is listed for longer than the
+// platform keeps that of an instance.
+func (monitor *monitor) entryStays(observation *observation) bool {
 	checkedAt, _ := monitor.elect.context.State().ListCheckedAt(model.ListInstances)
-	if observation.answeredAt == 0 && checkedAt-observation.refusedAt >= monitor.elect.context.Settings().EntryLifetime() {
-		monitor.log("instance_left_out", id, "it has never answered, and its entry stays though no instance writes it")
-		return true
-	}
-	return false
+	return checkedAt-observation.refusedAt >= monitor.elect.context.Settings().EntryLifetime()
 }
 
-// neverRan reports whether a listed instance is left out and has never answered, so that it can never
-// have been the primary.
+// neverRan reports whether a listed instance is left out, so that it can never have been the primary.
 func (monitor *monitor) neverRan(id model.InstanceID) bool {
 	observation, ok := monitor.observations[id]
-	return ok && observation.leftOut && observation.answeredAt == 0
+	return ok && observation.leftOut
 }
 
-// awaitsProof reports whether a listed instance does not run and it is not known whether its log is needed.
-func (monitor *monitor) awaitsProof(group *state.Group) bool {
+// awaitsDecision reports whether a listed instance does not run and is not left out yet, though it has
+// never run.
+func (monitor *monitor) awaitsDecision(group *state.Group) bool {
 	for _, member := range group.Members() {
-		if observation := monitor.observation(member.ID()); member != group.Primary() && !observation.runs() && !observation.leftOut {
+		if observation := monitor.observation(member.ID()); !observation.ran && !observation.runs() && !observation.leftOut {
 			return true
 		}
 	}
@@ -57,7 +48,7 @@
 }
 
 // isLeftOut reports whether an instance did not run at its last probe and no promotion waits for its log.
-// An instance that has started again since counts as soon as it answers.
+// It counts as soon as it answers.
 func (monitor *monitor) isLeftOut(id model.InstanceID) bool {
 	observation := monitor.observation(id)
 	return observation.leftOut && !observation.runs() && monitor.now()-observation.failedAt <= maxCandidateStatusAge
@@ -73,3 +64,8 @@
 	}
 	return recorded
 }
+
+// unreachedIDs returns the IDs among the recorded ones of the instances that have never answered.
+func (monitor *monitor) unreachedIDs() []model.InstanceID {
+	return slices.DeleteFunc(monitor.recordedIDs(), func(id model.InstanceID) bool { return monitor.observation(id).ran })
+}
--- a/internal/plug/elect/monitor.go
+++ b/internal/plug/elect/monitor.go
@@ -176,7 +176,7 @@
 	observation := monitor.observation(instance)
 	observation.probePending = false
 	observation.failures, observation.refusals = 0, 0
-	observation.answeredAt = monitor.now()
+	observation.answeredAt, observation.ran = monitor.now(), true
 	monitor.recordStatus(instance, status, observation.probedAt)
 	group := monitor.elect.context.State().Group(monitor.groupID)
 	if group == nil {
@@ -232,7 +232,7 @@
 	if reason == model.ConnFailureFull {
 		// The instance is running but has no free slot or connection.
 		observation.failures, observation.refusals = 0, 0
-		observation.answeredAt = monitor.now()
+		observation.answeredAt, observation.ran = monitor.now(), true
 		return
 	}
 	if observation.failures == 0 {
--- a/internal/plug/elect/observation.go
+++ b/internal/plug/elect/observation.go
@@ -39,7 +39,9 @@
 	// instance had ended. Another instance must have the log up to there before this one is dropped.
 	needed     model.Mark
 	neededFrom model.InstanceID
-	// leftOut is set while no promotion waits for the log of the listed instance, which does not run.
+	// ran is set if the instance has answered this proxy or an earlier holder of the lease.
+	ran bool
+	// leftOut is set while no promotion waits for the log of the listed instance, which has never run.
 	leftOut bool
 }
 
--- a/internal/plug/elect/probe.go
+++ b/internal/plug/elect/probe.go
@@ -31,14 +31,14 @@
 func (monitor *monitor) probe(group *state.Group) {
 	now := monitor.now()
 	undecided := len(monitor.unlistedCounted(group)) > 0
-	awaitsProof := monitor.awaitsProof(group)
+	awaitsDecision := monitor.awaitsDecision(group)
 	for _, id := range monitor.countedIDs() {
 		listing, observation := monitor.counted[id], monitor.observation(id)
 		if listing.ID() == "" || observation.probePending {
 			continue
 		}
-		interval := monitor.probeInterval(group, id, undecided, awaitsProof)
-		if id == monitor.primary(group) && monitor.attempt == nil && !undecided && !awaitsProof && observation.reported {
+		interval := monitor.probeInterval(group, id, undecided, awaitsDecision)
+		if id == monitor.primary(group) && monitor.attempt == nil && !undecided && !awaitsDecision && observation.reported {
 			if age, ok := group.MarkAge(now); ok && age < primaryProbeInterval {
 				interval = replicaProbeInterval // the answers to callers' statements show that it is the primary
 			}
@@ -55,8 +55,8 @@
 }
 
 // probeInterval returns the time between two probes of an instance. undecided is set while a counted
-// instance is no longer listed, and awaitsProof while a listed one does not run.
-func (monitor *monitor) probeInterval(group *state.Group, id model.InstanceID, undecided, awaitsProof bool) time.Duration {
+// instance is no longer listed, and awaitsDecision while a listed one has never run.
+func (monitor *monitor) probeInterval(group *state.Group, id model.InstanceID, undecided, awaitsDecision bool) time.Duration {
 	primary, observation := monitor.primary(group), monitor.observation(id)
 	switch {
 	case monitor.attempt != nil:
@@ -65,10 +65,10 @@
 		return unlistedProbeInterval
 	case id == primary && observation.failures == 0 && observation.reported:
 		return monitor.elect.primaryProbeInterval()
-	case id == primary || primary == "" || awaitsProof:
+	case id == primary || primary == "" || awaitsDecision:
 		return primaryProbeInterval
-	case observation.refusals > 0 && (observation.runs() || observation.answeredAt > 0):
-		return primaryProbeInterval // it may have ended, or started again
+	case observation.refusals > 0 && observation.runs():
+		return primaryProbeInterval // it may have ended
 	default:
 		return replicaProbeInterval
 	}
