--- a/internal/plug/elect/attempt.go
+++ b/internal/plug/elect/attempt.go
@@ -178,6 +178,9 @@
 	for _, id := range attempt.monitor.countedIDs() {
 		listing := attempt.monitor.counted[id]
 		observation := attempt.monitor.observation(id)
+		if attempt.monitor.isLeftOut(id) {
+			continue
+		}
 		fresh := observation.reported && attempt.monitor.now()-observation.statusAt <= maxCandidateStatusAge
 		paused := attempt.paused[id] && fresh
 		afterStepDown := attempt.steppedDownAt > 0 && observation.reported && observation.statusAt >= attempt.steppedDownAt
@@ -288,7 +291,7 @@
 	elect := attempt.monitor.elect
 	attempt.monitor.log("promotion_done", attempt.chosen, attempt.reason)
 	if group := elect.context.State().Group(attempt.monitor.groupID); group != nil {
-		group.SetPrimary(attempt.chosen)
+		group.ConfirmPrimary(attempt.chosen)
 		elect.context.Publish(event.NewGroupObserved(attempt.monitor.groupID))
 	}
 	elect.fleet.SetComplaint(attempt.formerPrimary, false)
--- a/internal/plug/elect/count.go
+++ b/internal/plug/elect/count.go
@@ -29,28 +29,43 @@
 	if !monitor.rowAdopted {
 		monitor.followHolder(group)
 	}
-	for _, id := range monitor.elect.lease.row.Counted[monitor.groupID] {
+	if monitor.elect.lease.held() && !monitor.rowAdopted {
+		monitor.adoptRow()
+	}
+	if primary := monitor.primary(group); primary != "" && !monitor.neverRan(primary) {
+		monitor.lastPrimary = primary
+	}
+	monitor.leaveOut(group)
+	monitor.dropEnded(group)
+}
+
+// adoptRow adopts what the holder of the lease before knew of the group's instances.
+func (monitor *monitor) adoptRow() {
+	row := &monitor.elect.lease.row
+	for _, id := range row.Counted[monitor.groupID] {
 		_, known := monitor.counted[id]
-		_, dropped := monitor.dropped[id]
-		if !known && !dropped && monitor.elect.lease.held() && !monitor.rowAdopted {
+		if _, dropped := monitor.dropped[id]; !known && !dropped {
 			monitor.counted[id] = model.Listing{}
 		}
+		if !slices.Contains(row.Unreached[monitor.groupID], id) {
+			monitor.observation(id).ran = true
+		}
 	}
-	if recorded := monitor.elect.lease.row.Led[monitor.groupID]; !monitor.rowAdopted && monitor.elect.lease.held() && recorded.Term > monitor.reportedPrimary.Term {
+	if recorded := row.Led[monitor.groupID]; recorded.Term > monitor.reportedPrimary.Term {
 		monitor.reportedPrimary = recorded
 	}
-	monitor.rowAdopted = monitor.rowAdopted || monitor.elect.lease.held()
-	if primary := monitor.primary(group); primary != "" {
-		monitor.lastPrimary = primary
-	}
-	monitor.dropEnded(group)
+	monitor.rowAdopted = true
 }
 
 // recordStart records when an instance was first listed, or listed with a later start of its process.
 func (monitor *monitor) recordStart(listing model.Listing) {
 	before, known := monitor.counted[listing.ID()]
+	observation := monitor.observation(listing.ID())
 	if !known || before.Born() != listing.Born() {
-		monitor.observation(listing.ID()).countedSince = monitor.now()
+		observation.countedSince = monitor.now()
+	}
+	if listing.Born() > before.Born() || listing.WarmUpRemaining() > before.WarmUpRemaining() {
+		observation.startedAgain()
 	}
 }
 
@@ -124,6 +139,10 @@
 func (monitor *monitor) dropEnded(group *state.Group) {
 	for _, id := range monitor.unlistedCounted(group) {
 		observation := monitor.observation(id)
+		if observation.leftOut && !observation.runs() {
+			monitor.drop(id)
+			continue
+		}
 		if observation.unlistedSince == 0 {
 			observation.unlistedSince = monitor.now()
 		}
--- a/internal/plug/elect/lease.go
+++ b/internal/plug/elect/lease.go
@@ -30,6 +30,8 @@
 	// reservedTokens is the number of fencing tokens that a holder reserves at once, so
 	// that it can order promotions while the store is unavailable.
 	reservedTokens = 32
+	// lostTokens is the number of tokens that are left out after a row that could not be read.
+	lostTokens = 1 << 16
 	// recordTimeout limits the time for which a promotion waits until its order is
 	// recorded in the store.
 	recordTimeout = 300 * time.Millisecond
@@ -53,6 +55,8 @@
 	// Counted lists the instances of each group that may hold acknowledged commits. The
 	// next holder needs it, since some of them may not be listed when it starts.
 	Counted map[model.GroupID][]model.InstanceID `json:"counted,omitempty"`
+	// Unreached lists those of Counted that have never answered. They may not be instances.
+	Unreached map[model.GroupID][]model.InstanceID `json:"unreached,omitempty"`
 	// Led is the last reported primary of each group. The next holder needs it, since
 	// the primary may not be listed when it starts.
 	Led map[model.GroupID]primaryRecord `json:"led,omitempty"`
@@ -80,6 +84,9 @@
 	heldUntil time.Duration
 	row       leaseRow
 	version   uint64
+	// unreadable is set while another program has replaced the row. row is the one before, which may
+	// lack the last tokens and promotion orders of its holder.
+	unreadable bool
 	// changedAt is the time at which the row was first read with this version.
 	changedAt time.Duration
 	rowKnown  bool
@@ -100,8 +107,9 @@
 	promotionOrders map[model.GroupID]promotionOrder
 	// needsPromoter reports whether a group needs a promoter.
 	needsPromoter func() bool
-	// counted and reportedPrimaries return the next values of Counted and Led.
+	// counted, unreached and reportedPrimaries return the next values of Counted, Unreached and Led.
 	counted           func() map[model.GroupID][]model.InstanceID
+	unreached         func() map[model.GroupID][]model.InstanceID
 	reportedPrimaries func() map[model.GroupID]primaryRecord
 }
 
@@ -117,6 +125,7 @@
 		client:            client,
 		needsPromoter:     elect.needsPromoter,
 		counted:           elect.counted,
+		unreached:         elect.unreached,
 		reportedPrimaries: elect.reportedPrimaries,
 		promotionOrders:   make(map[model.GroupID]promotionOrder),
 		past:              pastEras{knowsAll: true},
@@ -180,12 +189,17 @@
 		lease.failedReads = 0
 		var current leaseRow
 		var version uint64
+		lease.unreadable = false
 		lease.past.outdated = lease.past.outdated[:0]
 		for _, found := range rows {
 			var decoded leaseRow
 			if err := json.Unmarshal(found.Value(), &decoded); err != nil {
 				lease.log("lease_unreadable", found.Key()+": "+err.Error())
-				return
+				if found.Key() != lease.key() || lease.version == 0 {
+					return // nothing is known of the lease
+				}
+				lease.unreadable = true
+				decoded = lease.row
 			}
 			if found.Key() == lease.key() {
 				current, version = decoded, found.Version()
@@ -240,7 +254,11 @@
 // reservedUpTo returns the highest token that is reserved in this era of the store or that
 // belongs to an earlier era.
 func (lease *lease) reservedUpTo() uint64 {
-	return max(lease.row.Token, uint64(lease.era)*tokensPerEra)
+	reserved := max(lease.row.Token, uint64(lease.era)*tokensPerEra)
+	if lease.unreadable && !lease.held() {
+		reserved += lostTokens
+	}
+	return reserved
 }
 
 // renew extends a lease that this proxy holds, and then calls done even if the write
@@ -254,10 +272,10 @@
 func (lease *lease) write(row leaseRow, done func(ok bool)) {
 	before, reservedBefore := lease.predecessor(), lease.reservedUpTo()
 	row.Beat = lease.row.Beat + 1
-	row.Counted, row.Led = before.Counted, before.Led
+	row.Counted, row.Unreached, row.Led = before.Counted, before.Unreached, before.Led
 	row.Ordered, row.OrdersLost = lease.outstandingOrders(), lease.ordersLost()
 	if lease.row.Holder == lease.self() || lease.version == 0 && lease.past.knowsAll {
-		row.Counted, row.Led = lease.counted(), lease.reportedPrimaries()
+		row.Counted, row.Unreached, row.Led = lease.counted(), lease.unreached(), lease.reportedPrimaries()
 	}
 	value, err := json.Marshal(row)
 	if err != nil {
@@ -280,7 +298,7 @@
 		if row.Token > reservedBefore {
 			lease.nextToken, lease.lastToken = max(lease.nextToken, reservedBefore+1), row.Token
 		}
-		lease.row = row
+		lease.row, lease.unreadable = row, false
 		if row.Holder == lease.self() {
 			lease.heldUntil = sentAt + leaseDuration - leaseSafetyMargin
 		}
@@ -377,7 +395,7 @@
 	switch {
 	case lease.version == 0:
 		lease.ordersLostUntil = lease.past.endedAt + leaseDuration + promotionOrderLifetime
-	case lease.row.OrdersLost:
+	case lease.row.OrdersLost || lease.unreadable:
 		lease.ordersLostUntil = now + promotionOrderLifetime
 	}
 }
