drain: the end of a drain counts from the request to shut down

Cause: the limit of a drain counted from the moment at which the kernel handled the request.

Change: the request says when it was made. TestLateRequestDoesNotMoveEndOfDrain covers it. A second signal to "almondway proxy" does not wait for the loop, and the metrics of "almondway frontend" have log_lines_dropped, the only sign on call of an output that is not read (TestMetrics).

--- a/internal/app/hosted/hosted.go
+++ b/internal/app/hosted/hosted.go
@@ -248,6 +248,7 @@
 		metric.ObserveLists(proxy.registry, proxy.adapters.ListStatus())
 		metric.ObserveCalls(proxy.registry, proxy.adapters.CallCounts())
 		metric.ObserveRuntime(proxy.registry, time.Since(proxy.started))
+		proxy.registry.Gauge("log_lines_dropped").Update(proxy.spec.Log.Dropped())
 		if err := proxy.registry.WriteText(writer); err != nil {
 			proxy.spec.Log.Logger().WithError(err).Debug("failed to send metrics")
 		}
--- a/internal/app/hosted/shutdown.go
+++ b/internal/app/hosted/shutdown.go
@@ -44,7 +44,7 @@
 	proxy.logShutdown("callers stopped")
 	proxy.adapters.Callers.Stop()
 	// The shutdown goes on if the loop does not take the event.
-	go proxy.loop.Post(event.NewShutdownRequested(time.Until(asked.Add(phases.drain))))
+	go proxy.loop.Post(event.NewShutdownRequested(time.Until(asked.Add(phases.drain))).WithRequestedAt(proxy.Now()))
 	select {
 	case <-proxy.stopped:
 	case <-time.After(time.Until(asked.Add((phases.drain + phases.answers) / 2))):
--- a/internal/app/serve/serve.go
+++ b/internal/app/serve/serve.go
@@ -138,7 +138,7 @@
 			proxy.log.Logger().WithField("proxy", proxy.id).Info("shutdown asked")
 		case <-signals:
 			if draining == nil {
-				proxy.loop.Post(event.NewShutdownRequested(0))
+				go proxy.loop.Post(event.NewShutdownRequested(0)) // the loop may be busy
 				return "second signal"
 			}
 			proxy.Drain()
--- a/internal/core/event/platform.go
+++ b/internal/core/event/platform.go
@@ -193,7 +193,8 @@
 
 // ShutdownRequested asks the proxy to drain and then to stop.
 type ShutdownRequested struct {
-	limit time.Duration
+	limit       time.Duration
+	requestedAt time.Duration
 }
 
 // NewShutdownRequested returns a ShutdownRequested. What is in flight is ended after limit.
@@ -201,6 +202,17 @@
 	return ShutdownRequested{limit: limit}
 }
 
+// WithRequestedAt returns a copy whose limit counts from a time, not from when the event is handled.
+func (shutdownRequested ShutdownRequested) WithRequestedAt(at time.Duration) ShutdownRequested {
+	shutdownRequested.requestedAt = at
+	return shutdownRequested
+}
+
+// RequestedAt returns the time from which the limit counts, or 0 if that is when the event is handled.
+func (shutdownRequested ShutdownRequested) RequestedAt() time.Duration {
+	return shutdownRequested.requestedAt
+}
+
 // Limit returns the time after which what is in flight is ended.
 func (shutdownRequested ShutdownRequested) Limit() time.Duration { return shutdownRequested.limit }
 
--- a/internal/plug/drain/drain.go
+++ b/internal/plug/drain/drain.go
@@ -5,6 +5,7 @@
 package drain
 
 import (
+	"cmp"
 	"time"
 
 	"almondway.dev/almondway/internal/core/event"
@@ -71,20 +72,19 @@
 // Handle implements kern.Plugin.
 func (drain *Drain) Handle(received event.Event) {
 	if requested, ok := received.(event.ShutdownRequested); ok {
-		drain.start(requested.Limit())
+		drain.start(cmp.Or(requested.RequestedAt(), drain.context.Now()) + requested.Limit())
 	}
 }
 
 // start starts to drain. While the proxy drains, a further request can only move the end forward.
-func (drain *Drain) start(limit time.Duration) {
-	now := drain.context.Now()
+func (drain *Drain) start(endAt time.Duration) {
 	if drain.started {
-		drain.endAt = min(drain.endAt, now+limit)
+		drain.endAt = min(drain.endAt, endAt)
 		return
 	}
 	drain.started = true
-	drain.checkedAt = now
-	drain.endAt = now + limit
+	drain.checkedAt = drain.context.Now()
+	drain.endAt = endAt
 	drain.context.State().SetDraining()
 	drain.context.Publish(event.NewDrainStarted(drain.endAt))
 	drain.log("drain_started", "shutdown was requested")
--- a/internal/plug/drain/drain_test.go
+++ b/internal/plug/drain/drain_test.go
@@ -153,6 +153,17 @@
 	}
 }
 
+func TestLateRequestDoesNotMoveEndOfDrain(t *testing.T) {
+	is := is.New(t)
+	kernel := kern.New(model.NewProxyView("proxy-1", "", "", 0, false, 0), tune.New(tune.Default()), time.Time{}, 1)
+	fakeLoad := <-fakeLoads
+	fakeLoad.requests = 1
+	kernel.Handle(3*time.Second, event.NewShutdownRequested(2*time.Second).WithRequestedAt(2*time.Second))
+	is.True(!stopsProxy(kernel.Tick(3990 * time.Millisecond)))
+	is.True(stopsProxy(kernel.Tick(4 * time.Second)))
+	is.True(fakeLoad.ended)
+}
+
 // After a pause of the process, the first tick is already past the time of the last idle
 // check. The proxy must still run further checks, which find the requests that arrived
 // during the pause.
