--- a/internal/plug/elect/observation.go
+++ b/internal/plug/elect/observation.go
@@ -41,6 +41,8 @@
 	neededFrom model.InstanceID
 	// leftOut is set while no promotion waits for the log of the listed instance, which does not run.
 	leftOut bool
+	// unprobed is set from another start of the instance's process until it is probed.
+	unprobed bool
 }
 
 // runs reports whether a process may listen at the address of the instance.
@@ -49,7 +51,7 @@
 // startedAgain records that the entry of the instance shows another start of its process, which has not
 // been probed yet.
 func (observation *observation) startedAgain() {
-	observation.refusals, observation.probedAt, observation.leftOut = 0, 0, false
+	observation.refusals, observation.leftOut, observation.unprobed = 0, false, true
 }
 
 // endedAt returns a time from which on an unlisted instance takes part in no commit, or false if it
--- a/internal/plug/elect/probe.go
+++ b/internal/plug/elect/probe.go
@@ -43,10 +43,10 @@
 				interval = replicaProbeInterval // the answers to callers' statements show that it is the primary
 			}
 		}
-		if observation.probedAt > 0 && now-observation.probedAt < interval {
+		if observation.probedAt > 0 && now-observation.probedAt < interval && !observation.unprobed {
 			continue
 		}
-		observation.probePending = true
+		observation.probePending, observation.unprobed = true, false
 		observation.probedAt = now
 		probe := model.ProbeID(monitor.elect.context.NextID())
 		monitor.elect.probes[probe] = monitor
