hosted: a process that is told to stop while it starts accepts no callers

SIGTERM came 159 ms after the start of the process; it logged "started" and "shutdown asked" 1.1 s later, accepted callers, and counted its grace period from then.

Change: a termination that arrived during the start ends the process before it listens. TestTerminationDuringStartAcceptsNoCallers failed before.

--- a/internal/app/hosted/hosted.go
+++ b/internal/app/hosted/hosted.go
@@ -171,6 +171,10 @@
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	if isAsked(signals) {
+		proxy.logEvent("stopped") // before it accepted callers
+		return nil
+	}
 	for _, listen := range []func() error{proxy.listenReadiness, proxy.listenMetrics, proxy.listenMesh, adapters.Callers.Start} {
 		if err := listen(); err != nil {
 			return err
--- a/internal/app/hosted/hosted_test.go
+++ b/internal/app/hosted/hosted_test.go
@@ -84,3 +84,24 @@
 		})
 	}
 }
+
+// startedCallers reports that callers are accepted.
+type startedCallers struct {
+	loyalCallers
+	t *testing.T
+}
+
+func (callers startedCallers) Start() error {
+	callers.t.Error("callers are accepted")
+	return nil
+}
+
+func TestTerminationDuringStartAcceptsNoCallers(t *testing.T) {
+	is := is.New(t)
+	log, err := logs.New(io.Discard, "info", 1)
+	is.NoErr(err)
+	proxy := New(Spec{Name: "proxy", ShutdownGrace: time.Second, Log: log, ReadinessAddress: "127.0.0.1:0", ReadinessPath: "/ready", MetricsAddress: "127.0.0.1:0"})
+	signals := make(chan os.Signal, 1)
+	signals <- syscall.SIGTERM
+	is.NoErr(proxy.Run(Adapters{Callers: startedCallers{t: t}}, signals))
+}
--- a/internal/app/hosted/shutdown.go
+++ b/internal/app/hosted/shutdown.go
@@ -30,6 +30,16 @@
 	proxy.spec.Log.Logger().WithFields(fields).Info(step)
 }
 
+// isAsked reports whether a shutdown was requested during the start.
+func isAsked(signals <-chan os.Signal) bool {
+	select {
+	case <-signals:
+		return true
+	default:
+		return false
+	}
+}
+
 // awaitShutdown returns when the process may exit. After a shutdown request the proxy
 // keeps serving until the load balancer sends no more callers. It then stops accepting
 // callers and waits for the work in flight. The kernel answers what still runs at the end of
