--- a/internal/app/config/table.go
+++ b/internal/app/config/table.go
@@ -51,7 +51,7 @@
 		intSetting("slots-per-instance", "statements that an instance runs at once", 1, func(spec *Spec) *int { return &spec.Kernel.SlotsPerInstance }),
 		durationSetting("conn-idle", "time after which an unused backend connection is closed", func(spec *Spec) *time.Duration { return &spec.Kernel.ConnIdle }),
 		intSetting("max-waiting", "requests of one deployment that may wait in this proxy", 1, func(spec *Spec) *int { return &spec.Kernel.MaxWaiting }),
-		durationSetting("drain-limit", "time after which a draining proxy stops with requests in flight", func(spec *Spec) *time.Duration { return &spec.Kernel.DrainLimit }),
+		durationSetting("drain-limit", "time after which a draining proxy ends the requests in flight with an answer, and stops", func(spec *Spec) *time.Duration { return &spec.Kernel.DrainLimit }),
 		durationSetting("ledger-retention", "time that the request ledger keeps its rows; the same on all proxies", func(spec *Spec) *time.Duration { return &spec.Kernel.LedgerRetention }),
 	}
 }
--- a/internal/core/tune/tune.go
+++ b/internal/core/tune/tune.go
@@ -156,7 +156,8 @@
 // this proxy, for deployments that set no limit of their own.
 func (settings *Settings) MaxWaiting() int { return settings.spec.MaxWaiting }
 
-// DrainLimit returns the time after which a draining proxy stops even if requests are in flight.
+// DrainLimit returns the time after which a draining proxy ends the requests in flight with an answer,
+// and stops.
 func (settings *Settings) DrainLimit() time.Duration { return settings.spec.DrainLimit }
 
 // LedgerRetention returns how long the request ledger keeps its rows.
