--- a/internal/plug/sessn/finish.go
+++ b/internal/plug/sessn/finish.go
@@ -119,7 +119,7 @@
 		Name:       decisionName(caller, job),
 		Caller:     caller.id,
 		Seq:        job.Seq(),
-		RequestID:  requestID(job),
+		RequestID:  job.LoggedID(),
 		Session:    job.Request().Session(),
 		Deployment: caller.deployment,
 		Team:       job.Team().Name(),
@@ -139,15 +139,6 @@
 	}))
 }
 
-// requestID returns the request id for the decision log: the key of the ledger row, or
-// else the id that the caller sent.
-func requestID(job *route.Job) string {
-	if job.RequestID() != "" {
-		return job.RequestID()
-	}
-	return job.Request().RequestID()
-}
-
 func decisionName(caller *caller, job *route.Job) string {
 	switch {
 	case job.Request().Op() == model.OpDescribe:
