hosted: a proxy is not ready from the signal on, also while the settings are read

The reload at the beginning of a shutdown, 0.2 s at most, came before the proxy said that it was not ready. TestShutdown and the tests of hosted pass, the latter with the race detector.

--- a/internal/app/hosted/reload.go
+++ b/internal/app/hosted/reload.go
@@ -12,12 +12,12 @@
 	lastReloadTime = 200 * time.Millisecond
 )
 
-// reloadUntilSignal keeps the settings up to date until the first signal, and returns when that
-// came. The grace period that is in force then may not have been announced by a signal.
+// reloadUntilSignal keeps the settings up to date until the first signal, which begins the shutdown,
+// and returns when that came. The grace period that is in force then may not have been announced by a signal.
 func (proxy *Proxy) reloadUntilSignal(signals <-chan os.Signal) time.Time {
 	if proxy.spec.Reload == nil {
 		<-signals
-		return time.Now()
+		return proxy.beginShutdown()
 	}
 	stop := make(chan struct{})
 	defer close(stop)
@@ -27,9 +27,9 @@
 		select {
 		case proxy.spec.ShutdownGrace = <-graces:
 		case <-signals:
-			received := time.Now()
+			asked := proxy.beginShutdown()
 			proxy.reloadLast(requests, graces)
-			return received
+			return asked
 		}
 	}
 }
--- a/internal/app/hosted/shutdown.go
+++ b/internal/app/hosted/shutdown.go
@@ -40,6 +40,12 @@
 	}
 }
 
+// beginShutdown makes the proxy not ready and returns the time from which the grace period counts.
+func (proxy *Proxy) beginShutdown() time.Time {
+	proxy.shuttingDown.Store(true)
+	return time.Now()
+}
+
 // awaitShutdown returns when the process may exit. After a shutdown request the proxy
 // keeps serving until the load balancer sends no more callers. It then stops accepting
 // callers and waits for the work in flight. The kernel answers what still runs at the end of
@@ -48,7 +54,6 @@
 	asked := proxy.reloadUntilSignal(signals)
 	phases := newPhases(proxy.spec.ShutdownGrace)
 	proxy.logShutdown("shutdown asked")
-	proxy.shuttingDown.Store(true)
 	proxy.adapters.Callers.CloseWhenIdle()
 	time.Sleep(time.Until(asked.Add(phases.notice)))
 	proxy.logShutdown("callers stopped")
