--- a/internal/app/hosted/reload_test.go
+++ b/internal/app/hosted/reload_test.go
@@ -9,8 +9,7 @@
 	"github.com/matryer/is"
 )
 
-// TestGraceInForceAtTermination guards against a shutdown that ignores a reload before it, or that
-// waits for one that hangs.
+// Guards against a shutdown that ignores a reload before it, or waits for one that hangs.
 func TestGraceInForceAtTermination(t *testing.T) {
 	const before, after = 6 * time.Second, 9 * time.Second
 	tests := []struct {
--- a/internal/app/logs/decision_test.go
+++ b/internal/app/logs/decision_test.go
@@ -78,8 +78,7 @@
 	}
 }
 
-// Lines of single requests beyond the limit of a second are counted, and the count is written
-// with the next such line.
+// Lines beyond the limit of a second are counted, and the count is written with the next such line.
 func TestLinesOfRequestsAreBounded(t *testing.T) {
 	tests := []struct {
 		name     string
--- a/internal/app/logs/writer_test.go
+++ b/internal/app/logs/writer_test.go
@@ -19,8 +19,7 @@
 
 func (failingOutput) Write([]byte) (int, error) { return 0, errors.New("closed") }
 
-// TestOutputHoldsNothingUp guards against a process that waits for an output which is not read: for
-// a line of its own, at its end, or before it exits after a failure.
+// Guards against a process that waits for an output which is not read.
 func TestOutputHoldsNothingUp(t *testing.T) {
 	const lines = 5000
 	tests := []struct {
--- a/internal/core/state/capacity_test.go
+++ b/internal/core/state/capacity_test.go
@@ -8,8 +8,7 @@
 	"almondway.dev/almondway/internal/core/model"
 )
 
-// Guards against a proxy that sends one instance more than its connections can run, since its entry
-// lists too many slots.
+// Guards against an entry with too many slots: a statement needs a connection.
 func TestSlotsAreBoundedByConnections(t *testing.T) {
 	tests := []struct {
 		name     string
--- a/internal/plug/catlog/entry_test.go
+++ b/internal/plug/catlog/entry_test.go
@@ -25,8 +25,7 @@
 	return model.NewListing(spec)
 }
 
-// Guards against an odd entry under the id of a live instance that takes it out of its group: the
-// instance writes its own entry again, however far ahead the sequence of the odd one is.
+// Guards against an odd entry under the id of a live instance that takes it out of its group.
 func TestOddEntryOfLiveInstance(t *testing.T) {
 	const other = model.GroupID("other")
 	own := odd(func(*model.ListingSpec) {})
@@ -87,8 +86,7 @@
 	}
 }
 
-// Guards against writes that go to an instance that does not exist, since another program has written an
-// entry that claims to be the primary.
+// Guards against writes that go to an entry which claims to be the primary.
 func TestNewEntryDoesNotReplacePrimary(t *testing.T) {
 	is := is.New(t)
 	kernel := newKernel()
--- a/internal/plug/elect/entry_test.go
+++ b/internal/plug/elect/entry_test.go
@@ -10,8 +10,7 @@
 	"almondway.dev/almondway/internal/core/model"
 )
 
-// Guards against a group without a primary: an entry of another writer names an instance that does not
-// exist, and a promotion waits for its log. An instance that has run still counts.
+// Guards against a promotion that waits for the log of an instance that does not exist.
 func TestPromotionBesideEntryOfNoInstance(t *testing.T) {
 	tests := []struct {
 		name      string
@@ -76,8 +75,7 @@
 	}
 }
 
-// Guards against a group without a primary after the loss of the primary and of all proxies: the first
-// that the next holder of the lease sees is an entry of another writer that claims to be the primary.
+// Guards against a next holder of the lease that takes an odd entry for the former primary.
 func TestNewHolderBesideEntryOfNoInstance(t *testing.T) {
 	tests := []struct {
 		name    string
@@ -107,8 +105,7 @@
 	}
 }
 
-// Guards against the loss of a commit: a replica that has run may have started again, and may have
-// acknowledged it, before it is lost together with the primary.
+// Guards against the loss of a commit that a replica acknowledged after it had started again.
 func TestInstanceThatStartsAgainCounts(t *testing.T) {
 	tests := []struct {
 		name    string
@@ -148,8 +145,7 @@
 	}
 }
 
-// Guards against lost commits: an instance that runs refuses the proxies, and acknowledges the commits of
-// the primary all the while.
+// Guards against the loss of commits that an instance acknowledges while it refuses the proxies.
 func TestPromotionWaitsForListedInstanceThatRefusesProxies(t *testing.T) {
 	tests := []struct {
 		name   string
