--- a/internal/proof/city/join_test.go
+++ b/internal/proof/city/join_test.go
@@ -14,13 +14,19 @@
 
 // join adds a replica that has just started, with the log of the primary.
 func (simulation *simulation) join(id model.InstanceID) {
+	simulation.addReplica(id)
+	simulation.publishListings()
+}
+
+// addReplica starts a replica with the log of the primary.
+func (simulation *simulation) addReplica(id model.InstanceID) *instance {
 	joined := &instance{simulation: simulation, id: id, group: groupID, dataCenter: "trnje-hall", up: true, unreachableFrom: make(map[*proxy]bool)}
 	if primary := simulation.primary; primary != nil && primary.up {
 		joined.log = append(joined.log, primary.log...)
 		joined.receivedAt = append(joined.receivedAt, primary.receivedAt...)
 	}
 	simulation.instances = append(simulation.instances, joined)
-	simulation.publishListings()
+	return joined
 }
 
 // runUntilLogged runs until a proxy has logged a decision, for 10 s at most.
