mesh: a call that asks which groups are settled

A proxy can ask the one that orders promotions whether a promotion of a group may be under way, and for the newest terms of groups. The answer lists the groups that are not settled. Nothing uses it yet.

--- a/internal/app/daemon/daemon.go
+++ b/internal/app/daemon/daemon.go
@@ -189,6 +189,12 @@
 		mesh.RefuseForward(action)
 	case event.EndForward:
 		mesh.EndForward(action)
+	case event.Settle:
+		mesh.Settle(action)
+	case event.AnswerSettle:
+		mesh.AnswerSettle(action)
+	case event.RefuseSettle:
+		mesh.RefuseSettle(action)
 	default:
 		return false
 	}
--- a/internal/core/port/port.go
+++ b/internal/core/port/port.go
@@ -60,7 +60,8 @@
 	DecodeAnswer(encoded []byte) model.Payload
 }
 
-// Mesh exchanges polls, loans of tokens and statements with the other proxies.
+// Mesh exchanges polls, loans of tokens, statements and the state of promotions with the other
+// proxies.
 type Mesh interface {
 	Poll(action event.SendPoll)
 	AnswerPoll(action event.AnswerPoll)
@@ -72,6 +73,9 @@
 	AnswerForward(action event.AnswerForward)
 	RefuseForward(action event.RefuseForward)
 	EndForward(action event.EndForward)
+	Settle(action event.Settle)
+	AnswerSettle(action event.AnswerSettle)
+	RefuseSettle(action event.RefuseSettle)
 }
 
 // ListStatus counts the calls to the platform's store for one of its lists.
--- a/internal/proto/meshpb/mesh.connect.go
+++ b/internal/proto/meshpb/mesh.connect.go
@@ -42,6 +42,8 @@
 	MeshServiceForwardProcedure = "/almondway.mesh.v1.MeshService/Forward"
 	// MeshServiceEndForwardProcedure is the fully-qualified name of the MeshService's EndForward RPC.
 	MeshServiceEndForwardProcedure = "/almondway.mesh.v1.MeshService/EndForward"
+	// MeshServiceSettleProcedure is the fully-qualified name of the MeshService's Settle RPC.
+	MeshServiceSettleProcedure = "/almondway.mesh.v1.MeshService/Settle"
 )
 
 // MeshServiceClient is a client for the almondway.mesh.v1.MeshService service.
@@ -60,6 +62,9 @@
 	// EndForward rolls back a transaction or gives up a statement that was forwarded. The receiver
 	// answers at once.
 	EndForward(context.Context, *connect.Request[EndForwardRequest]) (*connect.Response[EndForwardResponse], error)
+	// Settle asks the proxy that orders promotions whether a promotion of the groups may be under way.
+	// The receiver answers at once.
+	Settle(context.Context, *connect.Request[SettleRequest]) (*connect.Response[SettleResponse], error)
 }
 
 // NewMeshServiceClient constructs a client for the almondway.mesh.v1.MeshService service. By
@@ -97,6 +102,12 @@
 			connect.WithSchema(meshServiceMethods.ByName("EndForward")),
 			connect.WithClientOptions(opts...),
 		),
+		settle: connect.NewClient[SettleRequest, SettleResponse](
+			httpClient,
+			baseURL+MeshServiceSettleProcedure,
+			connect.WithSchema(meshServiceMethods.ByName("Settle")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -106,6 +117,7 @@
 	borrow     *connect.Client[BorrowRequest, BorrowResponse]
 	forward    *connect.Client[ForwardRequest, ForwardResponse]
 	endForward *connect.Client[EndForwardRequest, EndForwardResponse]
+	settle     *connect.Client[SettleRequest, SettleResponse]
 }
 
 // Poll calls almondway.mesh.v1.MeshService.Poll.
@@ -128,6 +140,11 @@
 	return c.endForward.CallUnary(ctx, req)
 }
 
+// Settle calls almondway.mesh.v1.MeshService.Settle.
+func (c *meshServiceClient) Settle(ctx context.Context, req *connect.Request[SettleRequest]) (*connect.Response[SettleResponse], error) {
+	return c.settle.CallUnary(ctx, req)
+}
+
 // MeshServiceHandler is an implementation of the almondway.mesh.v1.MeshService service.
 type MeshServiceHandler interface {
 	// Poll asks for what the sender lacks of the receiver's members and lists. The receiver holds
@@ -144,6 +161,9 @@
 	// EndForward rolls back a transaction or gives up a statement that was forwarded. The receiver
 	// answers at once.
 	EndForward(context.Context, *connect.Request[EndForwardRequest]) (*connect.Response[EndForwardResponse], error)
+	// Settle asks the proxy that orders promotions whether a promotion of the groups may be under way.
+	// The receiver answers at once.
+	Settle(context.Context, *connect.Request[SettleRequest]) (*connect.Response[SettleResponse], error)
 }
 
 // NewMeshServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -177,6 +197,12 @@
 		connect.WithSchema(meshServiceMethods.ByName("EndForward")),
 		connect.WithHandlerOptions(opts...),
 	)
+	meshServiceSettleHandler := connect.NewUnaryHandler(
+		MeshServiceSettleProcedure,
+		svc.Settle,
+		connect.WithSchema(meshServiceMethods.ByName("Settle")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/almondway.mesh.v1.MeshService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case MeshServicePollProcedure:
@@ -187,6 +213,8 @@
 			meshServiceForwardHandler.ServeHTTP(w, r)
 		case MeshServiceEndForwardProcedure:
 			meshServiceEndForwardHandler.ServeHTTP(w, r)
+		case MeshServiceSettleProcedure:
+			meshServiceSettleHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -211,3 +239,7 @@
 func (UnimplementedMeshServiceHandler) EndForward(context.Context, *connect.Request[EndForwardRequest]) (*connect.Response[EndForwardResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("almondway.mesh.v1.MeshService.EndForward is not implemented"))
 }
+
+func (UnimplementedMeshServiceHandler) Settle(context.Context, *connect.Request[SettleRequest]) (*connect.Response[SettleResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("almondway.mesh.v1.MeshService.Settle is not implemented"))
+}
