affirm: callers are told of a commit once no promotion can undo it

Cause: a promotion stopped commits by orders to the instances in a list. An instance that is not in the list yet, that restarts, or that gets its order late goes on acknowledging commits of a primary which still serves some proxy, and the promoted instance lacks them. What was never asked are the proxies, although no acknowledgement reaches a caller but through one of them.

Change: in groups whose instances acknowledge commits, the proxy holds the answer back until the commit is confirmed. - By the proxy that orders promotions: it says that a group is settled if it holds the lease, no attempt and no order is under way, and no newer term is known. The commit was in a replica before that, and an attempt that begins later uses only reports which were sent after it began (candidates asked for less: a status could be 0.3 s older than the attempt). One call is outstanding, and what waits goes with the next one. A newer term means that the outcome is unknown, at once. - While that proxy can't be asked, by the log of a replica: one that was listed, as was the primary, without a restart since before the last time when the group was settled. Every later promoter waits for its log. A replica that joined or restarted since confirms nothing. - A proxy of a version without the call does not stop commits: they are passed on as before, and counted. What isn't confirmed by the deadline, or by the end of a drain, is reported as of unknown outcome. While a commit has waited for 250 ms, further writes of the group are refused at once.

Log: promoter_lost, promoter_found, commit_withheld and commit_released with the request, writes_refused and writes_allowed, commit_confirmation_unavailable. Counters: commits_confirmed, commits_confirmed_by_replica, commits_unconfirmed, commits_withheld, commits_in_doubt.

--- a/internal/core/count/count.go
+++ b/internal/core/count/count.go
@@ -77,6 +77,17 @@
 	ChoicesUnreported
 	// ChoicesOnly counts reads that a single instance could run.
 	ChoicesOnly
+	// CommitsConfirmed counts commits that the proxy which orders promotions confirmed.
+	CommitsConfirmed
+	// CommitsConfirmedByReplica counts commits that the log of a replica confirmed.
+	CommitsConfirmedByReplica
+	// CommitsUnconfirmed counts commits that were passed on without a confirmation, since the proxy
+	// that orders promotions cannot give one.
+	CommitsUnconfirmed
+	// CommitsWithheld counts commits that waited long for their confirmation.
+	CommitsWithheld
+	// CommitsInDoubt counts commits that were acknowledged by an instance and not confirmed.
+	CommitsInDoubt
 	numNames
 )
 
@@ -113,6 +124,12 @@
 	ChoicesRemotePrimary: "choices_other_primary",
 	ChoicesUnreported:    "choices_without_reports",
 	ChoicesOnly:          "choices_only_instance",
+
+	CommitsConfirmed:          "commits_confirmed",
+	CommitsConfirmedByReplica: "commits_confirmed_by_replica",
+	CommitsUnconfirmed:        "commits_unconfirmed",
+	CommitsWithheld:           "commits_withheld",
+	CommitsInDoubt:            "commits_in_doubt",
 }
 
 // String returns the name in snake case, as it appears in metrics.
--- /dev/null
+++ b/internal/plug/affirm/replica.go
@@ -0,0 +1,149 @@
+package affirm
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"almondway.dev/almondway/internal/core/count"
+	"almondway.dev/almondway/internal/core/event"
+	"almondway.dev/almondway/internal/core/model"
+	"almondway.dev/almondway/internal/core/route"
+	"almondway.dev/almondway/internal/core/state"
+)
+
+const (
+	// probeTimeout is the time after which a probe of a replica counts as unanswered.
+	probeTimeout = 300 * time.Millisecond
+	// minProbeDelay and maxProbeDelay are the first and the longest time between two rounds of probes.
+	minProbeDelay = 10 * time.Millisecond
+	maxProbeDelay = 50 * time.Millisecond
+)
+
+// listed is since when this proxy has had a process of an instance in the list.
+type listed struct {
+	born  int64
+	since time.Duration
+}
+
+// probe is an outstanding probe of a replica.
+type probe struct {
+	group    model.GroupID
+	instance model.InstanceID
+}
+
+func (affirm *Affirm) recordListed(id model.InstanceID) {
+	group := affirm.context.State().GroupOf(id)
+	if group == nil {
+		return
+	}
+	affirm.recordMember(group.Member(id))
+}
+
+func (affirm *Affirm) recordAllListed() {
+	present := make(map[model.InstanceID]bool)
+	for _, group := range affirm.context.State().Groups() {
+		for _, member := range group.Members() {
+			if affirm.recordMember(member); !member.Unlisted() {
+				present[member.ID()] = true
+			}
+		}
+	}
+	maps.DeleteFunc(affirm.listed, func(id model.InstanceID, _ listed) bool { return !present[id] })
+}
+
+func (affirm *Affirm) recordMember(member *state.Member) {
+	if member.Unlisted() {
+		delete(affirm.listed, member.ID())
+		return
+	}
+	known, ok := affirm.listed[member.ID()]
+	if born := member.Listing().Born(); !ok || known.born != born {
+		affirm.listed[member.ID()] = listed{born: born, since: affirm.context.Now()}
+	}
+}
+
+// canConfirm reports whether a promotion that undoes a commit of another instance is impossible once
+// the instance reports that it has the commit. Every later promotion waits for its log: it was listed
+// before a time at which none was under way.
+func (affirm *Affirm) canConfirm(group model.GroupID, id model.InstanceID) bool {
+	settledAt := affirm.holder.lastSettled(group)
+	known, ok := affirm.listed[id]
+	return ok && settledAt > 0 && known.since < settledAt
+}
+
+// startProbes asks the replicas of a group at once, or minProbeDelay after the last time.
+func (affirm *Affirm) startProbes(group *group) {
+	if len(group.commits) > 0 && (group.probeTimer == 0 || group.probeDelay > minProbeDelay) {
+		group.probeDelay = minProbeDelay
+		affirm.scheduleProbes(group)
+	}
+}
+
+func (affirm *Affirm) scheduleProbes(group *group) {
+	timers := affirm.context.Timers()
+	timers.Cancel(group.probeTimer)
+	if wait := group.probedAt + group.probeDelay - timers.Now(); group.probedAt > 0 && wait > 0 {
+		group.probeTimer = timers.After(wait, func() { affirm.sendProbes(group) })
+		return
+	}
+	affirm.sendProbes(group)
+}
+
+// sendProbes asks the replicas that can confirm a commit, and schedules the next round while no holder
+// answers.
+func (affirm *Affirm) sendProbes(group *group) {
+	group.probeTimer = 0
+	members := affirm.context.State().Group(group.id)
+	if !affirm.holder.lost || len(group.commits) == 0 || members == nil {
+		return
+	}
+	for _, member := range members.Members() {
+		if affirm.canConfirm(group.id, member.ID()) && !affirm.isProbed(member.ID()) && affirm.isNeeded(group, member.ID()) {
+			id := model.ProbeID(affirm.context.NextID())
+			affirm.probes[id] = probe{group: group.id, instance: member.ID()}
+			affirm.context.Emit(event.NewProbe(id, member.ID(), member.Instance().Address(), probeTimeout).WithGroup(group.id))
+		}
+	}
+	group.probedAt = affirm.context.Now()
+	group.probeTimer = affirm.context.Timers().After(group.probeDelay, func() { affirm.sendProbes(group) })
+	group.probeDelay = min(2*group.probeDelay, maxProbeDelay)
+}
+
+func (affirm *Affirm) isProbed(id model.InstanceID) bool {
+	return slices.ContainsFunc(slices.Collect(maps.Values(affirm.probes)), func(probe probe) bool { return probe.instance == id })
+}
+
+// isNeeded reports whether a commit waits that the instance can confirm.
+func (affirm *Affirm) isNeeded(group *group, id model.InstanceID) bool {
+	return slices.ContainsFunc(group.commits, func(item *waiting) bool {
+		return item.commit.Instance != id && affirm.canConfirm(group.id, item.commit.Instance)
+	})
+}
+
+// statusReported ends the waits that a report of a replica decides. A log of a newer term may lack the
+// commit although it is longer.
+func (affirm *Affirm) statusReported(received event.StatusReported) {
+	asked, ok := affirm.probes[received.Probe()]
+	if !ok {
+		return
+	}
+	delete(affirm.probes, received.Probe())
+	group, status := affirm.group(asked.group), received.Status()
+	if !affirm.canConfirm(group.id, asked.instance) {
+		return
+	}
+	var done []ended
+	for _, item := range group.commits {
+		mark := item.commit.Mark
+		switch {
+		case status.Fence() > item.term || status.Tail().Term() > item.term:
+			done = append(done, ended{waiting: item, confirmation: route.CommitSuperseded, reason: "replica " + string(asked.instance) + " has a newer term"})
+		case status.Role() != model.RoleReplica || item.commit.Instance == asked.instance || !affirm.canConfirm(group.id, item.commit.Instance):
+		case !mark.IsZero() && status.Tail().Term() == mark.Term() && status.Tail().Covers(mark):
+			affirm.context.State().Counts().Add(count.CommitsConfirmedByReplica)
+			done = append(done, ended{waiting: item, confirmation: route.CommitConfirmed, reason: "confirmed by the log of replica " + string(asked.instance)})
+		}
+	}
+	affirm.end(done)
+}
--- a/internal/plug/bundle/bundle.go
+++ b/internal/plug/bundle/bundle.go
@@ -2,6 +2,7 @@
 package bundle
 
 import (
+	_ "almondway.dev/almondway/internal/plug/affirm" // registers the plug-in
 	_ "almondway.dev/almondway/internal/plug/catlog" // registers the plug-in
 	_ "almondway.dev/almondway/internal/plug/conns"  // registers the plug-in
 	_ "almondway.dev/almondway/internal/plug/deploy" // registers the plug-in
--- a/internal/plug/elect/attempt.go
+++ b/internal/plug/elect/attempt.go
@@ -149,7 +149,7 @@
 		return
 	}
 	if attempt.chosen == "" {
-		attempt.promotionTerm = attempt.newestTerm() + 1
+		attempt.promotionTerm = attempt.monitor.newestTerm() + 1
 	}
 	attempt.monitor.log("promotion_chosen", chosen, reason+", at "+attempt.monitor.observation(chosen).status.Tail().String())
 	attempt.chosen = chosen
@@ -181,7 +181,7 @@
 		if attempt.monitor.isLeftOut(id) {
 			continue
 		}
-		fresh := observation.reported && attempt.monitor.now()-observation.statusAt <= maxCandidateStatusAge
+		fresh := observation.reported && observation.statusAt >= attempt.startedAt && attempt.monitor.now()-observation.statusAt <= maxCandidateStatusAge
 		paused := attempt.paused[id] && fresh
 		afterStepDown := attempt.steppedDownAt > 0 && observation.reported && observation.statusAt >= attempt.steppedDownAt
 		steppedDown := id == attempt.formerPrimary && attempt.steppedDownAt > 0 && fresh
--- a/internal/plug/elect/elect.go
+++ b/internal/plug/elect/elect.go
@@ -60,6 +60,7 @@
 	elect.mirror, _ = context.Service(route.MirrorService).(route.Mirror)
 	elect.lease = newLease(context, client, elect)
 	context.ProvideService(ServiceName, elect)
+	context.ProvideService(route.PromoterService, elect)
 	elect.pace = context.Timers().Pace(tickInterval, elect.tick)
 	return elect
 }
@@ -106,6 +107,8 @@
 			delete(elect.platformCalls, received.CallID())
 			attempt.promotionAnswered(received.Outcome())
 		}
+	case event.SettleReceived:
+		elect.answerSettle(received)
 	case event.DrainStarted:
 		elect.resignAfterAttempts()
 	}
--- a/internal/plug/elect/polling.go
+++ b/internal/plug/elect/polling.go
@@ -36,6 +36,8 @@
 	// the same store.
 	membersWait  = 500 * time.Millisecond
 	membersRetry = 5 * time.Second
+	// seekSpacing is the time between two reads by all proxies that look for the holder.
+	seekSpacing = 5 * time.Millisecond
 	// maxFailedReads limits the exponential back-off of the reads while the store fails.
 	maxFailedReads = 3
 	maxReadDelay   = 2 * time.Second
@@ -74,6 +76,18 @@
 	lease.nextPollAt = now + lease.pollInterval()
 }
 
+// seekHolder makes the next read of the row come soon, since the holder has to be asked and is not
+// known. Many proxies share the reads.
+func (lease *lease) seekHolder() {
+	interval := max(urgentPollInterval, time.Duration(len(lease.context.State().Proxies()))*seekSpacing)
+	if lease.failedReads > 0 {
+		interval = max(interval, lease.pollInterval())
+	}
+	if lease.scheduled {
+		lease.nextPollAt = min(lease.nextPollAt, lease.lastPollAt+interval)
+	}
+}
+
 // observeNeed records since when a group needs a promoter.
 func (lease *lease) observeNeed() {
 	switch {
--- a/internal/plug/elect/stop.go
+++ b/internal/plug/elect/stop.go
@@ -7,22 +7,10 @@
 	"almondway.dev/almondway/internal/core/model"
 )
 
-// newestTerm returns the newest term of the group that is known from any instance.
-func (attempt *attempt) newestTerm() model.Term {
-	newest := model.Term(0)
-	if group := attempt.monitor.elect.context.State().Group(attempt.monitor.groupID); group != nil {
-		newest = group.Term()
-	}
-	for _, observation := range attempt.monitor.observations {
-		newest = max(newest, observation.status.Fence(), observation.status.Tail().Term())
-	}
-	return newest
-}
-
 // highestTerm returns the highest term that any instance has reported, including that of
 // a pause.
 func (attempt *attempt) highestTerm() model.Term {
-	highest := attempt.newestTerm()
+	highest := attempt.monitor.newestTerm()
 	for _, observation := range attempt.monitor.observations {
 		highest = max(highest, observation.status.PausedTerm())
 	}
@@ -47,7 +35,7 @@
 // stopCommits sends the orders that prevent further acknowledged commits: the primary
 // steps down, or every replica is paused if the primary does not answer.
 func (attempt *attempt) stopCommits() {
-	if attempt.term <= attempt.newestTerm() {
+	if attempt.term <= attempt.monitor.newestTerm() {
 		// Orders with such a term have no effect, and an instance need not answer them with an
 		// error.
 		attempt.term = attempt.highestTerm() + 1
@@ -84,7 +72,7 @@
 // lack the commits that they acknowledge. The orders name the term of the promotion, so that they
 // have no effect after it.
 func (attempt *attempt) keepCommitsStopped() {
-	if attempt.newestTerm() >= attempt.promotionTerm {
+	if attempt.monitor.newestTerm() >= attempt.promotionTerm {
 		return // the promotion was carried out
 	}
 	for _, id := range attempt.monitor.countedIDs() {
--- a/internal/plug/relay/answer.go
+++ b/internal/plug/relay/answer.go
@@ -45,6 +45,8 @@
 	if committed {
 		task.relay.monitor(task.job.Group()).recordWrite(task.instance)
 		result.Mark = done.Mark()
+		task.awaitConfirmation(result)
+		return
 	}
 	task.finish(result)
 }
--- a/internal/plug/relay/expire.go
+++ b/internal/plug/relay/expire.go
@@ -11,6 +11,8 @@
 	lastState := task.state
 	task.stop()
 	switch {
+	case lastState == taskWithheld:
+		task.finishUnconfirmed("deadline before the commit was confirmed")
 	case lastState == taskExecuting && task.inDoubt():
 		if !task.forwarded { // else the holder of the connection may be the one that is silent
 			task.relay.monitor(task.job.Group()).recordStall(task.instance)
@@ -62,6 +64,8 @@
 		if tx := task.job.Tx(); tx != nil {
 			tx.Close()
 		}
+	case taskWithheld:
+		task.endConfirmation()
 	case taskAwaitingInstance, taskEnded:
 	}
 	task.conn = 0
--- a/internal/plug/relay/relay.go
+++ b/internal/plug/relay/relay.go
@@ -24,8 +24,9 @@
 	conns          route.Conns
 	admission      route.Admission
 	fleet          route.Fleet
-	forwards       route.Forwards // or nil
-	spread         route.Spread   // or nil
+	forwards       route.Forwards      // or nil
+	spread         route.Spread        // or nil
+	confirmations  route.Confirmations // or nil
 	runningBySeq   map[model.RequestSeq]*task
 	runningByGroup *route.RunningRequests
 	monitors       map[model.GroupID]*monitor
@@ -57,6 +58,7 @@
 		missingMarks:   make(map[model.InstanceID]missingMark),
 	}
 	relay.forwards, _ = context.Service(route.ForwardsService).(route.Forwards)
+	relay.confirmations, _ = context.Service(route.ConfirmationsService).(route.Confirmations)
 	relay.spread, _ = context.Service(route.SpreadService).(route.Spread)
 	relay.sessions.RegisterRunner(model.AccessEither, relay)
 	relay.pace = context.Timers().Pace(refreshInterval, relay.refreshMarks)
@@ -104,7 +106,9 @@
 		started.resume()
 		return
 	}
-	started.acquire()
+	if !started.refuseUnconfirmed() {
+		started.acquire()
+	}
 }
 
 // Expire implements route.Runner.
--- a/internal/plug/relay/task.go
+++ b/internal/plug/relay/task.go
@@ -23,6 +23,8 @@
 	taskConfirmingPrimary
 	// taskExecuting: the instance runs the statement.
 	taskExecuting
+	// taskWithheld: the instance has acknowledged a commit, which is not confirmed yet.
+	taskWithheld
 	taskEnded
 )
 
@@ -41,6 +43,7 @@
 	state          taskState
 	listIndex      int
 	waitID         route.WaitID
+	confirmationID route.ConfirmationID
 	conn           model.ConnID
 	instance       model.InstanceID
 	avoided        []model.InstanceID
--- a/internal/proof/city/proxy.go
+++ b/internal/proof/city/proxy.go
@@ -39,7 +39,10 @@
 	pendingForwards  map[model.ForwardID]bool
 	receivedForwards map[model.ForwardID]receivedForward
 	lastForward      model.ForwardID
-	oldBuild         bool // does not know the calls that forward statements
+	pendingSettles   map[model.SettleID]bool
+	receivedSettles  map[model.SettleID]receivedSettle
+	lastSettle       model.SettleID
+	oldBuild         bool // does not know the calls that forward statements, and those about promotions
 	losesAnswers     bool // its answers to forwarded statements are lost
 }
 
@@ -65,6 +68,8 @@
 	proxy.receivedPolls = make(map[model.PollID]receivedPoll)
 	proxy.pendingForwards = make(map[model.ForwardID]bool)
 	proxy.receivedForwards = make(map[model.ForwardID]receivedForward)
+	proxy.pendingSettles = make(map[model.SettleID]bool)
+	proxy.receivedSettles = make(map[model.SettleID]receivedSettle)
 	proxy.started = proxy.simulation.now
 	proxy.conns = make(map[model.ConnID]*conn)
 	proxy.pendingReplies = make(map[model.RequestSeq]func(reply *model.Reply))
@@ -278,6 +283,14 @@
 		proxy.returnForward(action.ID(), func(id model.ForwardID) event.Event {
 			return event.NewForwardFailed(id, true, action.Code().String())
 		})
+	case event.Settle:
+		proxy.sendSettle(action)
+	case event.AnswerSettle:
+		proxy.returnSettle(action.ID(), func(id model.SettleID) event.Event { return event.NewSettleAnswered(id, action.Settlement()) })
+	case event.RefuseSettle:
+		proxy.returnSettle(action.ID(), func(id model.SettleID) event.Event {
+			return event.NewSettleFailed(id, false, action.Code().String())
+		})
 	case event.RefusePoll:
 		proxy.returnPoll(action.ID(), func(id model.PollID) event.Event { return event.NewPollFailed(id, true, action.Code().String()) })
 	}
