elect: an order is sent only once the next promoter can know it

A promotion order was sent after 300 ms although the row that records it was not written, and although the list of instances could not be read. The next promoter did not know such an order: it would have called the group settled, and so confirmed commits that the order undoes when it takes effect late. And an instance that is missing from an old list may be the only one beside the primary that has a commit which this promoter confirmed.

It waits for the list until that is 0.1 s younger than the last confirmation, and younger than the lease; if no commit was confirmed since the list was read, it goes out after 300 ms without the store as before (TestPromotionAwaitsList, "store unavailable", which stays as it is). An order that was not sent yet is not taken for one without an answer.

--- a/internal/plug/elect/attempt.go
+++ b/internal/plug/elect/attempt.go
@@ -38,6 +38,12 @@
 	maxCandidateStatusAge = 300 * time.Millisecond
 	// orderTimeout is the time after which an order to an instance is repeated.
 	orderTimeout = 500 * time.Millisecond
+	// minListWait is the time for which an order waits for the list of instances in any case, unless it
+	// is confirmed.
+	minListWait = 300 * time.Millisecond
+	// entryDelay is the time that the entry of an instance which has started may take to reach the store
+	// after its first commit.
+	entryDelay = 100 * time.Millisecond
 	// promoteTimeout is the timeout of a promotion call. The call is repeated with a higher
 	// token.
 	promoteTimeout = 800 * time.Millisecond
@@ -56,6 +62,7 @@
 	term             model.Term
 	phase            phase
 	phaseStartedAt   time.Duration // when the current phase began
+	orderSent        bool          // the promotion order of the current phase was sent
 	startedAt        time.Duration
 	chosen           model.InstanceID
 	promotionTerm    model.Term                         // the term that the chosen instance is to lead
@@ -63,6 +70,7 @@
 	paused           map[model.InstanceID]bool
 	steppedDownAt    time.Duration // when the step-down of the former primary was confirmed, or 0
 	listRefreshed    bool          // the store was asked for changes of the list of instances
+	refreshedAt      time.Duration // when it was asked last
 	waitReason       string        // the last logged reason why no instance is safe to promote
 	// inDoubtInstance is the instance of an earlier promotion order that may still be
 	// carried out. Statuses reported since then may predate that promotion.
@@ -82,7 +90,7 @@
 }
 
 func (attempt *attempt) enterPhase(next phase) {
-	attempt.phase = next
+	attempt.phase, attempt.orderSent = next, false
 	attempt.phaseStartedAt = attempt.monitor.now()
 }
 
@@ -114,7 +122,7 @@
 		}
 		attempt.choose()
 	case phaseOrdering:
-		if waited >= promoteTimeout+orderTimeout {
+		if attempt.orderSent && waited >= promoteTimeout+orderTimeout {
 			attempt.chooseAgain()
 		}
 	case phaseConfirming:
@@ -205,6 +213,7 @@
 func (attempt *attempt) orderPromotion() {
 	attempt.enterPhase(phaseOrdering)
 	elect := attempt.monitor.elect
+	attempt.refreshedAt = attempt.monitor.now()
 	attempt.listRefreshed = elect.mirror != nil && elect.mirror.Refresh(model.ListInstances)
 	elect.lease.issueToken(attempt.monitor.groupID, attempt.chosen, func(token uint64, ok bool) {
 		switch {
@@ -218,18 +227,36 @@
 }
 
 // awaitList orders the promotion once the list of instances is known to be no older than the choice.
-// It waits no longer than for the record of the order, since the store may be unavailable.
+// Without the store, the order is sent after minListWait if no commit was confirmed since the list was
+// last up to date: an instance that is not in the list may be the only one that has it.
 func (attempt *attempt) awaitList(token uint64) {
-	elect := attempt.monitor.elect
+	elect, now := attempt.monitor.elect, attempt.monitor.now()
 	if attempt.monitor.attempt != attempt || attempt.phase != phaseOrdering {
 		return
 	}
-	checkedAt, _ := elect.context.State().ListCheckedAt(model.ListInstances)
-	if attempt.listRefreshed && checkedAt < attempt.phaseStartedAt && attempt.monitor.now() < attempt.phaseStartedAt+recordTimeout {
-		elect.context.Timers().After(busyRetryDelay, func() { attempt.awaitList(token) })
+	checkedAt, known := elect.context.State().ListCheckedAt(model.ListInstances)
+	outdated := known && checkedAt < attempt.neededListAt()
+	refreshing := checkedAt < attempt.phaseStartedAt && now < attempt.phaseStartedAt+minListWait
+	if !attempt.listRefreshed || !outdated && !refreshing {
+		attempt.sendPromotion(token)
 		return
 	}
-	attempt.sendPromotion(token)
+	if attempt.refreshedAt < attempt.neededListAt() && now >= attempt.neededListAt() {
+		attempt.refreshedAt = now
+		elect.mirror.Refresh(model.ListInstances)
+	}
+	elect.context.Timers().After(busyRetryDelay, func() { attempt.awaitList(token) })
+}
+
+// neededListAt returns the time at which the list of instances must have been up to date, so that it has
+// every instance that may have acknowledged a commit which was confirmed: by this proxy before the
+// attempt, or on the word of an earlier holder of the lease.
+func (attempt *attempt) neededListAt() time.Duration {
+	confirmedAt := min(attempt.monitor.elect.settledAt, attempt.startedAt)
+	if confirmedAt > 0 {
+		confirmedAt += entryDelay
+	}
+	return max(confirmedAt, attempt.monitor.leaseHeldSince)
 }
 
 // sendPromotion orders the promotion if the chosen instance is still safe: others may have started
@@ -246,7 +273,7 @@
 		attempt.withdraw()
 		return
 	}
-	attempt.phaseStartedAt = attempt.monitor.now()
+	attempt.phaseStartedAt, attempt.orderSent = attempt.monitor.now(), true
 	call := model.PlatformCallID(elect.context.NextID())
 	elect.platformCalls[call] = attempt
 	attempt.monitor.log("promotion_ordered", attempt.chosen, "token "+strconv.FormatUint(token, 10))
--- a/internal/plug/elect/elect.go
+++ b/internal/plug/elect/elect.go
@@ -43,6 +43,8 @@
 	orders        map[model.OrderID]*attempt
 	platformCalls map[model.PlatformCallID]*attempt
 	pace          *timer.Pace // of tick
+	// settledAt is when this proxy last said of groups that they are settled, or 0.
+	settledAt time.Duration
 }
 
 // New returns the plug-in.
--- a/internal/plug/elect/lease.go
+++ b/internal/plug/elect/lease.go
@@ -32,15 +32,6 @@
 	reservedTokens = 32
 	// lostTokens is the number of tokens that are left out after a row that could not be read.
 	lostTokens = 1 << 16
-	// recordTimeout limits the time for which a promotion waits until its order is
-	// recorded in the store.
-	recordTimeout = 300 * time.Millisecond
-	// promotionOrderLifetime is the time for which an order without an answer may still be carried
-	// out. The platform's documentation only says that it takes seconds.
-	promotionOrderLifetime = 15 * time.Second
-	// busyRetryDelay is the time after which a call checks again whether the previous one
-	// has ended.
-	busyRetryDelay = 5 * time.Millisecond
 )
 
 // lease is the exclusive right of one proxy to order promotions. It is stored as a row
@@ -82,12 +73,6 @@
 	reportedPrimaries func() map[model.GroupID]primaryRecord
 }
 
-// promotionOrder is a promotion order and the time until which it may still be carried out.
-type promotionOrder struct {
-	instance model.InstanceID
-	until    time.Duration
-}
-
 func newLease(context *kern.Context, client *table.Client, elect *Elect) *lease {
 	return &lease{
 		context:           context,
@@ -275,104 +260,6 @@
 	})
 }
 
-// issueToken passes the token of a promotion order to done, or false if this proxy does
-// not hold the lease or has no reserved token left. Before that, it records the order in
-// the row for the next holder of the lease. It stops waiting for the store after
-// recordTimeout, since the token is already reserved.
-func (lease *lease) issueToken(group model.GroupID, instance model.InstanceID, done func(token uint64, ok bool)) {
-	lease.promotionOrders[group] = promotionOrder{instance: instance, until: lease.context.Now() + promotionOrderLifetime}
-	finished := false
-	finish := func() {
-		if finished {
-			return
-		}
-		finished = true
-		if !lease.held() || lease.nextToken > lease.lastToken {
-			done(0, false)
-			return
-		}
-		token := lease.nextToken
-		lease.nextToken++
-		done(token, true)
-	}
-	lease.context.Timers().After(recordTimeout, finish)
-	lease.recordOrders(finish)
-}
-
-// recordOrders writes the unanswered orders to the row after the pending call has ended.
-func (lease *lease) recordOrders(done func()) {
-	if lease.callPending {
-		lease.context.Timers().After(busyRetryDelay, func() { lease.recordOrders(done) })
-		return
-	}
-	lease.readRow(func() {
-		if lease.row.Holder == lease.self() {
-			lease.renew(done)
-		}
-	})
-}
-
-// outstandingOrder returns the instance of the group for which a promotion order may
-// still be carried out, or the empty ID.
-func (lease *lease) outstandingOrder(group model.GroupID) model.InstanceID {
-	last, ok := lease.promotionOrders[group]
-	if !ok || lease.context.Now() > last.until {
-		return ""
-	}
-	return last.instance
-}
-
-// promotionAccepted limits the time for which the promotion order of a group may still be carried
-// out, after the platform has accepted it.
-func (lease *lease) promotionAccepted(group model.GroupID) {
-	accepted := lease.promotionOrders[group]
-	accepted.until = lease.context.Now() + confirmTimeout
-	lease.promotionOrders[group] = accepted
-}
-
-// promotionEnded removes the promotion order of a group that was carried out or refused. The row is
-// rewritten at the next tick.
-func (lease *lease) promotionEnded(group model.GroupID) {
-	if _, ok := lease.promotionOrders[group]; ok {
-		delete(lease.promotionOrders, group)
-		lease.nextPollAt = 0
-	}
-}
-
-// outstandingOrders returns the instance of the outstanding order of each group, as it is
-// stored in Ordered.
-func (lease *lease) outstandingOrders() map[model.GroupID]model.InstanceID {
-	outstanding := make(map[model.GroupID]model.InstanceID)
-	for group := range lease.promotionOrders {
-		if instance := lease.outstandingOrder(group); instance != "" {
-			outstanding[group] = instance
-		}
-	}
-	return outstanding
-}
-
-// adoptOrders takes over the outstanding orders of an earlier holder. Their send time is
-// unknown, so they count as just sent.
-func (lease *lease) adoptOrders() {
-	now := lease.context.Now()
-	if lease.version == 0 && lease.past.knowsAll {
-		return
-	}
-	for group, instance := range lease.predecessor().Ordered {
-		lease.promotionOrders[group] = promotionOrder{instance: instance, until: now + promotionOrderLifetime}
-	}
-	switch {
-	case lease.version == 0:
-		lease.ordersLostUntil = lease.past.endedAt + leaseDuration + promotionOrderLifetime
-	case lease.row.OrdersLost || lease.unreadable:
-		lease.ordersLostUntil = now + promotionOrderLifetime
-	}
-}
-
-// ordersLost reports whether a promotion order may still be carried out that is not known,
-// since the store was restored from a copy that lacks it.
-func (lease *lease) ordersLost() bool { return lease.context.Now() < lease.ordersLostUntil }
-
 // tokenLimit returns the highest token for the next row. It reserves further tokens when
 // less than half of reservedTokens are left.
 func (lease *lease) tokenLimit() uint64 {
--- a/internal/plug/elect/lease_test.go
+++ b/internal/plug/elect/lease_test.go
@@ -53,6 +53,8 @@
 	statuses map[model.InstanceID]model.Status
 	refuses  map[model.InstanceID]bool
 	promoted model.InstanceID // the instance of the last promotion order
+
+	writesFail bool // the store refuses writes
 }
 
 func newFixture(firstStart bool) *fixture { return newFixtureWith(firstStart) }
@@ -175,6 +177,9 @@
 }
 
 func (fixture *fixture) write(action event.WriteStore) event.Event {
+	if fixture.writesFail {
+		return event.NewStoreFailed(action.CallID())
+	}
 	for _, write := range action.Writes() {
 		if fixture.rows[write.Key()].Version() != write.ExpectedVersion() {
 			return event.NewStoreConflict(action.CallID())
--- a/internal/plug/elect/settle.go
+++ b/internal/plug/elect/settle.go
@@ -19,6 +19,7 @@
 		}
 		return model.NewReferral(holder)
 	}
+	elect.settledAt = elect.context.Now()
 	var unsettled []model.GroupID
 	for id, monitor := range elect.monitors {
 		if !monitor.settled() {
