city: random histories with replicas that join while the promoter cannot see them

Replicas that are listed late, proxies that reach the primary alone or lose each other or the store, and restarts, in random histories.

go test ./internal/proof/city -count=1 -run 'TestRandomHistoriesWithJoins$'

--- a/internal/proof/city/confirm_test.go
+++ b/internal/proof/city/confirm_test.go
@@ -1,6 +1,7 @@
 package city
 
 import (
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -206,3 +207,57 @@
 	is.Equal(simulation.counted(count.CommitsUnconfirmed), unconfirmed)
 	checkRecovery(is, simulation)
 }
+
+// faultsAroundJoins are faults of the proxies and the primary during which replicas start that are listed
+// late.
+var faultsAroundJoins = []fault{
+	{"a replica joins and is listed late", func(simulation *simulation) {
+		simulation.joinUnlisted(model.InstanceID("i-"+strconv.Itoa(len(simulation.instances))), time.Duration(simulation.random.Int64N(int64(80*time.Millisecond))))
+	}},
+	{"one proxy alone reaches the primary", func(simulation *simulation) {
+		primary, alone := simulation.primary, simulation.proxies[simulation.random.IntN(proxyCount)]
+		for _, proxy := range simulation.proxies {
+			if primary == nil || proxy == alone {
+				continue
+			}
+			primary.unreachableFrom[proxy], alone.cutFrom[proxy] = true, true
+			simulation.runAfter(3*time.Second, func() {
+				delete(primary.unreachableFrom, proxy)
+				delete(alone.cutFrom, proxy)
+			})
+		}
+	}},
+	{"a proxy is away for a second", func(simulation *simulation) {
+		proxy := simulation.proxies[simulation.random.IntN(proxyCount)]
+		proxy.kill()
+		proxy.down = true
+		simulation.runAfter(time.Second, func() {
+			proxy.reset()
+			proxy.down = false
+			proxy.start()
+		})
+	}},
+	{"proxies do not reach each other", func(simulation *simulation) {
+		first, second := simulation.proxies[simulation.random.IntN(proxyCount)], simulation.proxies[simulation.random.IntN(proxyCount)]
+		first.cutFrom[second] = true
+		simulation.runAfter(2*time.Second, func() { delete(first.cutFrom, second) })
+	}},
+	{"the store is away for a proxy", func(simulation *simulation) {
+		proxy := simulation.proxies[simulation.random.IntN(proxyCount)]
+		proxy.storeUnreachable = true
+		simulation.runAfter(3*time.Second, func() { proxy.storeUnreachable = false })
+	}},
+	{"a replica restarts", func(simulation *simulation) {
+		for _, instance := range simulation.instances {
+			if !instance.isPrimary() && instance.up {
+				instance.crash(50 * time.Millisecond)
+				return
+			}
+		}
+	}},
+}
+
+// Random faults with replicas that join at any time. Seeds that have lost a commit stay in the list.
+func TestRandomHistoriesWithJoins(t *testing.T) {
+	runRandomHistories(t, slices.Concat(faults, faultsAroundJoins, faultsAroundJoins))
+}
