--- a/internal/app/hosted/hosted.go
+++ b/internal/app/hosted/hosted.go
@@ -95,6 +95,8 @@
 	ListStatus func() []port.ListStatus
 	// CallCounts returns the numbers of calls to the platform's store.
 	CallCounts func() []port.CallCount
+	// AnswerCounts returns the numbers of answers of instances that were not used.
+	AnswerCounts func() port.AnswerCounts
 }
 
 // Proxy is a proxy process on a hosting platform.
@@ -251,6 +253,7 @@
 		}
 		metric.ObserveLists(proxy.registry, proxy.adapters.ListStatus())
 		metric.ObserveCalls(proxy.registry, proxy.adapters.CallCounts())
+		metric.ObserveAnswers(proxy.registry, proxy.adapters.AnswerCounts())
 		metric.ObserveRuntime(proxy.registry, time.Since(proxy.started))
 		proxy.registry.Gauge("log_lines_dropped").Update(proxy.spec.Log.Dropped())
 		if err := proxy.registry.WriteText(writer); err != nil {
--- a/internal/app/metric/observe.go
+++ b/internal/app/metric/observe.go
@@ -65,6 +65,14 @@
 	}
 }
 
+// ObserveAnswers updates the counters of the answers of instances that were not used.
+func ObserveAnswers(registry *Registry, answers port.AnswerCounts) {
+	for kind, value := range map[string]uint64{"repeated": answers.Repeated, "unmatched": answers.Unmatched} {
+		counter := registry.Counter("instance_answers_unused_total", NewLabel("kind", kind))
+		counter.Inc(int64(value) - counter.Count())
+	}
+}
+
 // observeOutcomes sets the counters of answered and failed calls.
 func observeOutcomes(registry *Registry, name string, label Label, answered, failed uint64) {
 	for outcome, value := range map[string]uint64{"answered": answered, "failed": failed} {
--- a/internal/core/port/port.go
+++ b/internal/core/port/port.go
@@ -90,6 +90,12 @@
 	Failed   uint64
 }
 
+// AnswerCounts counts the answers of instances that were not used.
+type AnswerCounts struct {
+	Repeated  uint64 // second copies of an answer
+	Unmatched uint64 // answers that the statement cannot have; the connection was closed
+}
+
 // Promoter orders promotions from a platform that carries them out itself.
 type Promoter interface {
 	Promote(action event.PromoteInstance)
