--- a/internal/plug/elect/elect.go
+++ b/internal/plug/elect/elect.go
@@ -43,6 +43,8 @@
 	orders        map[model.OrderID]*attempt
 	platformCalls map[model.PlatformCallID]*attempt
 	pace          *timer.Pace // of tick
+	// settledAt is when this proxy last said of groups that they are settled, or 0.
+	settledAt time.Duration
 }
 
 // New returns the plug-in.
@@ -60,6 +62,7 @@
 	elect.mirror, _ = context.Service(route.MirrorService).(route.Mirror)
 	elect.lease = newLease(context, client, elect)
 	context.ProvideService(ServiceName, elect)
+	context.ProvideService(route.PromoterService, elect)
 	elect.pace = context.Timers().Pace(tickInterval, elect.tick)
 	return elect
 }
@@ -106,6 +109,8 @@
 			delete(elect.platformCalls, received.CallID())
 			attempt.promotionAnswered(received.Outcome())
 		}
+	case event.SettleReceived:
+		elect.answerSettle(received)
 	case event.DrainStarted:
 		elect.resignAfterAttempts()
 	}
