--- a/internal/proof/check/promote_test.go
+++ b/internal/proof/check/promote_test.go
@@ -104,6 +104,7 @@
 }
 
 func TestPromotions(t *testing.T) {
+	t.Parallel()
 	promoters := []promoter{
 		{name: "product", pausesReplicas: true, choose: chooseByProduct},
 		{name: "product, instances that lose their logs", pausesReplicas: true, choose: chooseByProduct, losesLogs: true},
@@ -154,8 +155,9 @@
 			if next.ackedLost || next.tokenReused {
 				return next, len(seen)
 			}
-			if !seen[next] {
-				seen[next] = true
+			before := len(seen)
+			seen[next] = true
+			if len(seen) > before {
 				queue = append(queue, next)
 			}
 		}
@@ -164,7 +166,7 @@
 }
 
 func (current promotionState) successors(promoter promoter) []promotionState {
-	var all []promotionState
+	all := make([]promotionState, 0, 24)
 	all = append(all, current.writeSteps()...)
 	all = append(all, current.faultSteps(promoter)...)
 	all = append(all, current.leaveSteps(promoter)...)
@@ -274,7 +276,7 @@
 // attemptSteps returns the states after a step of a promoter. A promoter can fail at any time,
 // which abandons its attempt.
 func (current promotionState) attemptSteps(promoter promoter) []promotionState {
-	var all []promotionState
+	all := make([]promotionState, 0, 8)
 	if !current.attempt.active {
 		if current.attemptCount < promoter.maxAttempts() && (!current.orderForgotten || promoter.stopsBeforeOrdersEnd) {
 			next := current
