elect, affirm: a group is settled only with a report of its primary

Callers could still be told of a commit that a promotion undoes, where several faults met.

Cause: what the promoter said rested on less than what its successors and late orders rest on. Change: a group is settled if its primary has reported since the lease was taken and the last attempt was abandoned, and the lease row has all instances that count, which is written within 0.1 s. Where the promoter cannot say, replicas are asked. The answer names the instances that have reported the term, and only these confirm commits of that term. Reports that are older than the last one are left out.

New cases in TestSettlement, TestUnknownReplicaConfirmsNothing, and TestHolderThatCannotSay.

--- a/internal/core/model/settlement.go
+++ b/internal/core/model/settlement.go
@@ -3,14 +3,18 @@
 // SettleID identifies a call that asks whether groups are settled.
 type SettleID uint64
 
-// GroupTerm is the newest term that a proxy knows of a group.
+// GroupTerm is the newest term that a proxy knows of a group. It is immutable.
 type GroupTerm struct {
-	group GroupID
-	term  Term
+	group     GroupID
+	term      Term
+	followers []InstanceID
 }
 
-// NewGroupTerm returns a GroupTerm.
-func NewGroupTerm(group GroupID, term Term) GroupTerm { return GroupTerm{group: group, term: term} }
+// NewGroupTerm returns a GroupTerm. followers are the instances that have reported the term and that
+// every later promotion waits for.
+func NewGroupTerm(group GroupID, term Term, followers ...InstanceID) GroupTerm {
+	return GroupTerm{group: group, term: term, followers: followers}
+}
 
 // Group returns the group.
 func (groupTerm GroupTerm) Group() GroupID { return groupTerm.group }
@@ -18,6 +22,10 @@
 // Term returns the newest known term.
 func (groupTerm GroupTerm) Term() Term { return groupTerm.term }
 
+// Followers returns the instances that have reported the term, the primary among them, and that every
+// later promotion waits for.
+func (groupTerm GroupTerm) Followers() []InstanceID { return groupTerm.followers }
+
 // Settlement says which groups no promotion is under way in, according to the proxy that orders
 // promotions. It is immutable.
 type Settlement struct {
--- a/internal/edge/mesh/settle.go
+++ b/internal/edge/mesh/settle.go
@@ -49,7 +49,11 @@
 	}
 	var terms []model.GroupTerm
 	for _, known := range response.GetTerms() {
-		terms = append(terms, model.NewGroupTerm(model.GroupID(known.GetGroup()), model.Term(known.GetTerm())))
+		var followers []model.InstanceID
+		for _, id := range known.GetFollowers() {
+			followers = append(followers, model.InstanceID(id))
+		}
+		terms = append(terms, model.NewGroupTerm(model.GroupID(known.GetGroup()), model.Term(known.GetTerm()), followers...))
 	}
 	return model.NewSettlement(holder, unsettled, terms)
 }
@@ -81,7 +85,11 @@
 		response.Unsettled = append(response.Unsettled, string(group))
 	}
 	for _, known := range settlement.Terms() {
-		response.Terms = append(response.Terms, &meshpb.GroupTerm{Group: string(known.Group()), Term: uint64(known.Term())})
+		encoded := &meshpb.GroupTerm{Group: string(known.Group()), Term: uint64(known.Term())}
+		for _, id := range known.Followers() {
+			encoded.Followers = append(encoded.Followers, string(id))
+		}
+		response.Terms = append(response.Terms, encoded)
 	}
 	mesh.finish(uint64(action.ID()), answer{response: response})
 }
--- a/internal/plug/affirm/affirm_test.go
+++ b/internal/plug/affirm/affirm_test.go
@@ -126,10 +126,14 @@
 	return probes
 }
 
-// settle lets the holder answer all calls with term 3.
+// settle lets the holder answer all calls with term 3, which i-1 and i-2 have reported.
 func (fixture *fixture) settle(unsettled ...model.GroupID) {
+	fixture.settleWith(model.NewGroupTerm(group, 3, "i-1", "i-2"), unsettled...)
+}
+
+func (fixture *fixture) settleWith(term model.GroupTerm, unsettled ...model.GroupID) {
 	for _, call := range fixture.calls() {
-		fixture.handle(event.NewSettleAnswered(call.ID(), model.NewSettlement("holder", unsettled, []model.GroupTerm{model.NewGroupTerm(group, 3)})))
+		fixture.handle(event.NewSettleAnswered(call.ID(), model.NewSettlement("holder", unsettled, []model.GroupTerm{term})))
 	}
 }
 
@@ -152,7 +156,7 @@
 		want       []route.Confirmation
 	}{
 		{"settled", model.NewSettlement("holder", nil, []model.GroupTerm{model.NewGroupTerm(group, 3)}), []route.Confirmation{route.CommitConfirmed}},
-		{"an older term is known", model.NewSettlement("holder", nil, []model.GroupTerm{model.NewGroupTerm(group, 2)}), []route.Confirmation{route.CommitConfirmed}},
+		{"an older term is known", model.NewSettlement("holder", nil, []model.GroupTerm{model.NewGroupTerm(group, 2)}), nil},
 		{"a newer term is known", model.NewSettlement("holder", nil, []model.GroupTerm{model.NewGroupTerm(group, 4)}), []route.Confirmation{route.CommitSuperseded}},
 		{"a newer term and a promotion under way", model.NewSettlement("holder", []model.GroupID{group}, []model.GroupTerm{model.NewGroupTerm(group, 4)}), []route.Confirmation{route.CommitSuperseded}},
 		{"a promotion under way", model.NewSettlement("holder", []model.GroupID{group}, []model.GroupTerm{model.NewGroupTerm(group, 3)}), nil},
@@ -276,6 +280,18 @@
 			fixture.settle()
 			fixture.list("i-3", 1)
 		}},
+		{"it did not follow the term", func(fixture *fixture) {
+			fixture.commit(model.NewMark(3, 7))
+			fixture.settleWith(model.NewGroupTerm(group, 3, "i-1"))
+		}},
+		{"another term was settled", func(fixture *fixture) {
+			fixture.commit(model.NewMark(2, 7))
+			fixture.settleWith(model.NewGroupTerm(group, 2, "i-1", "i-2"))
+		}},
+		{"the primary did not count", func(fixture *fixture) {
+			fixture.commit(model.NewMark(3, 7))
+			fixture.settleWith(model.NewGroupTerm(group, 3, "i-2"))
+		}},
 		{"the group was not settled", func(fixture *fixture) {
 			id := fixture.commit(model.NewMark(3, 7))
 			fixture.settle(group)
@@ -312,6 +328,22 @@
 	is.Equal(len(fixture.probes()), 1)
 }
 
+// A holder that cannot say whether the group is settled leaves the commits to the replicas.
+func TestHolderThatCannotSay(t *testing.T) {
+	is := is.New(t)
+	fixture := newFixture(1)
+	fixture.commit(model.NewMark(3, 7))
+	fixture.settle()
+	fixture.commit(model.NewMark(3, 8))
+	for _, call := range fixture.calls() {
+		fixture.handle(event.NewSettleAnswered(call.ID(), model.NewSettlement("holder", []model.GroupID{group}, nil)))
+	}
+	probes := fixture.probes()
+	is.Equal(len(probes), 1)
+	fixture.handle(event.NewStatusReported(probes[0].Probe(), "i-2", model.NewStatus(3, model.RoleReplica, model.NewMark(3, 8), "", 0, false)))
+	is.Equal(len(fixture.ended), 2)
+}
+
 // Writes are refused while a commit has waited for long, and no longer.
 func TestRefusal(t *testing.T) {
 	is := is.New(t)
--- a/internal/plug/affirm/group.go
+++ b/internal/plug/affirm/group.go
@@ -15,6 +15,8 @@
 	affirm  *Affirm
 	id      model.GroupID
 	commits []*waiting
+	// unanswered is set while the holder cannot say whether the group is settled.
+	unanswered bool
 	// refusing is set while further writes are refused.
 	refusing   bool
 	probedAt   time.Duration // when replicas were last asked
--- a/internal/plug/affirm/holder.go
+++ b/internal/plug/affirm/holder.go
@@ -25,6 +25,7 @@
 const (
 	reasonUnasked   = "the proxy that orders promotions was not asked yet"
 	reasonUnsettled = "a promotion may be under way"
+	reasonNotKnown  = "the proxy that orders promotions does not know the group's primary or has not recorded its instances"
 	reasonUnknown   = "the proxy that orders promotions is not known"
 	reasonSilent    = "the proxy that orders promotions does not answer"
 )
@@ -44,16 +45,21 @@
 	referred model.ProxyID
 	// lost is set while no holder answers.
 	lost bool
-	// settledAt is when the last answered question was sent, or 0. The groups in exceptions were not
-	// settled then; their values are when they last were, or 0.
-	settledAt  time.Duration
-	exceptions map[model.GroupID]time.Duration
+	// settled is what is known of each group since the last answer that called it settled.
+	settled map[model.GroupID]settled
 	// unsupported is the holder that does not know the call, or empty.
 	unsupported model.ProxyID
 }
 
+// settled is a state of a group in which no promotion was under way.
+type settled struct {
+	at        time.Duration // when the question was sent
+	term      model.Term
+	followers []model.InstanceID
+}
+
 func newHolder(affirm *Affirm) *holder {
-	return &holder{affirm: affirm, exceptions: make(map[model.GroupID]time.Duration)}
+	return &holder{affirm: affirm, settled: make(map[model.GroupID]settled)}
 }
 
 func (holder *holder) promoter() route.Promoter {
@@ -61,14 +67,6 @@
 	return promoter
 }
 
-// lastSettled returns a time at which no promotion of the group was under way, or 0.
-func (holder *holder) lastSettled(group model.GroupID) time.Duration {
-	if at, ok := holder.exceptions[group]; ok {
-		return at
-	}
-	return holder.settledAt
-}
-
 // ask asks the holder about all commits that wait, unless a call is outstanding or the next one is
 // scheduled for a holder that does not answer.
 func (holder *holder) ask() {
@@ -171,32 +169,36 @@
 // covers the commits up to last.
 func (holder *holder) apply(settlement model.Settlement, sentAt time.Duration, last route.ConfirmationID) {
 	affirm := holder.affirm
-	exceptions := make(map[model.GroupID]time.Duration, len(settlement.Unsettled()))
-	for _, id := range settlement.Unsettled() {
-		exceptions[id] = holder.lastSettled(id)
-	}
-	holder.settledAt, holder.exceptions = sentAt, exceptions
 	holder.setFound(settlement.Holder())
-	newest := make(map[model.GroupID]model.Term, len(settlement.Terms()))
+	newest := make(map[model.GroupID]model.GroupTerm, len(settlement.Terms()))
 	for _, known := range settlement.Terms() {
-		newest[known.Group()] = known.Term()
+		newest[known.Group()] = known
+		if !slices.Contains(settlement.Unsettled(), known.Group()) {
+			holder.settled[known.Group()] = settled{at: sentAt, term: known.Term(), followers: known.Followers()}
+		}
 	}
 	var done []ended
 	for _, group := range affirm.waitingGroups() {
-		term, known := newest[group.id]
-		_, unsettled := exceptions[group.id]
+		latest, known := newest[group.id]
+		unsettled := slices.Contains(settlement.Unsettled(), group.id)
+		group.unanswered = !known
 		for _, item := range group.commits {
 			switch {
 			case item.id > last:
-			case known && term > item.term:
+			case known && latest.Term() > item.term:
 				done = append(done, ended{waiting: item, confirmation: route.CommitSuperseded, reason: "another instance leads a newer term"})
-			case known && !unsettled:
+			case known && !unsettled && latest.Term() == item.term:
 				affirm.context.State().Counts().Add(count.CommitsConfirmed)
 				done = append(done, ended{waiting: item, confirmation: route.CommitConfirmed, reason: "confirmed by the proxy that orders promotions"})
-			default:
+			case known && unsettled:
 				item.reason = reasonUnsettled
+			default:
+				item.reason = reasonNotKnown
 			}
 		}
+		if group.unanswered {
+			affirm.startProbes(group)
+		}
 	}
 	affirm.end(done)
 	holder.askNext(last)
--- a/internal/plug/affirm/replica.go
+++ b/internal/plug/affirm/replica.go
@@ -63,13 +63,19 @@
 	}
 }
 
-// canConfirm reports whether a promotion that undoes a commit of another instance is impossible once
-// the instance reports that it has the commit. Every later promotion waits for its log: it was listed
-// before a time at which none was under way.
-func (affirm *Affirm) canConfirm(group model.GroupID, id model.InstanceID) bool {
-	settledAt := affirm.holder.lastSettled(group)
+// canConfirm reports whether a promotion that undoes a commit of another instance in the term is
+// impossible once the instance reports that it has the commit. Every later promotion waits for its log:
+// it counted, and followed the term, at a time at which none was under way.
+func (affirm *Affirm) canConfirm(group model.GroupID, id model.InstanceID, term model.Term) bool {
+	last, contacted := affirm.holder.settled[group]
 	known, ok := affirm.listed[id]
-	return ok && settledAt > 0 && known.since < settledAt
+	return ok && contacted && known.since < last.at && last.term == term && slices.Contains(last.followers, id)
+}
+
+// confirms reports whether the replica can confirm the commit. The instance that acknowledged it must not
+// have restarted either: it may lead again after it has stepped down.
+func (affirm *Affirm) confirms(group model.GroupID, replica model.InstanceID, item *waiting) bool {
+	return item.commit.Instance != replica && affirm.canConfirm(group, replica, item.term) && affirm.canConfirm(group, item.commit.Instance, item.term)
 }
 
 // startProbes asks the replicas of a group at once, or minProbeDelay after the last time.
@@ -95,11 +101,11 @@
 func (affirm *Affirm) sendProbes(group *group) {
 	group.probeTimer = 0
 	members := affirm.context.State().Group(group.id)
-	if !affirm.holder.lost || len(group.commits) == 0 || members == nil {
+	if !affirm.holder.lost && !group.unanswered || len(group.commits) == 0 || members == nil {
 		return
 	}
 	for _, member := range members.Members() {
-		if affirm.canConfirm(group.id, member.ID()) && !affirm.isProbed(member.ID()) && affirm.isNeeded(group, member.ID()) {
+		if !affirm.isProbed(member.ID()) && affirm.isNeeded(group, member.ID()) {
 			id := model.ProbeID(affirm.context.NextID())
 			affirm.probes[id] = probe{group: group.id, instance: member.ID()}
 			affirm.context.Emit(event.NewProbe(id, member.ID(), member.Instance().Address(), probeTimeout).WithGroup(group.id))
@@ -117,7 +123,7 @@
 // isNeeded reports whether a commit waits that the instance can confirm.
 func (affirm *Affirm) isNeeded(group *group, id model.InstanceID) bool {
 	return slices.ContainsFunc(group.commits, func(item *waiting) bool {
-		return item.commit.Instance != id && affirm.canConfirm(group.id, item.commit.Instance)
+		return affirm.confirms(group.id, id, item)
 	})
 }
 
@@ -130,16 +136,13 @@
 	}
 	delete(affirm.probes, received.Probe())
 	group, status := affirm.group(asked.group), received.Status()
-	if !affirm.canConfirm(group.id, asked.instance) {
-		return
-	}
 	var done []ended
 	for _, item := range group.commits {
 		mark := item.commit.Mark
 		switch {
 		case status.Fence() > item.term || status.Tail().Term() > item.term:
 			done = append(done, ended{waiting: item, confirmation: route.CommitSuperseded, reason: "replica " + string(asked.instance) + " has a newer term"})
-		case status.Role() != model.RoleReplica || item.commit.Instance == asked.instance || !affirm.canConfirm(group.id, item.commit.Instance):
+		case status.Role() != model.RoleReplica || !affirm.confirms(group.id, asked.instance, item):
 		case !mark.IsZero() && status.Tail().Term() == mark.Term() && status.Tail().Covers(mark):
 			affirm.context.State().Counts().Add(count.CommitsConfirmedByReplica)
 			done = append(done, ended{waiting: item, confirmation: route.CommitConfirmed, reason: "confirmed by the log of replica " + string(asked.instance)})
--- a/internal/plug/elect/attempt.go
+++ b/internal/plug/elect/attempt.go
@@ -330,6 +330,7 @@
 // still needs a primary, and at once if a promotion order may still be carried out.
 func (attempt *attempt) abandon(reason string) {
 	attempt.monitor.log("promotion_abandoned", attempt.chosen, reason)
+	attempt.monitor.abandonedAt = attempt.monitor.now()
 	delay := retryDelay
 	if attempt.monitor.elect.lease.outstandingOrder(attempt.monitor.groupID) != "" {
 		delay = 0
--- a/internal/plug/elect/monitor.go
+++ b/internal/plug/elect/monitor.go
@@ -55,6 +55,7 @@
 	attempt         *attempt
 	notBefore       time.Duration // no attempt starts before this time
 	attemptEndedAt  time.Duration // when the last attempt ended
+	abandonedAt     time.Duration // when an attempt was last abandoned
 	// counted holds the listings of the instances that may hold acknowledged commits. An
 	// instance that ended without having left stays until it is dropped by dropUnlisted.
 	// The listing is empty for an instance that is known from the lease row only.
@@ -109,6 +110,9 @@
 	if monitor.leaseHeldSince == 0 {
 		monitor.leaseHeldSince = monitor.now()
 	}
+	if !monitor.isRecorded() {
+		monitor.elect.lease.recordSoon()
+	}
 	monitor.probe(group)
 	if monitor.attempt != nil {
 		monitor.attempt.tick()
@@ -197,6 +201,9 @@
 // detects whether the instance lost its log in a restart.
 func (monitor *monitor) recordStatus(instance model.InstanceID, status model.Status, sentAt time.Duration) {
 	observation := monitor.observation(instance)
+	if sentAt < observation.statusAt {
+		return // a newer report arrived first
+	}
 	born := monitor.counted[instance].Born()
 	restarted := observation.reported && observation.born != born
 	if restarted && !status.Tail().Covers(observation.lastTail) {
--- a/internal/plug/elect/polling.go
+++ b/internal/plug/elect/polling.go
@@ -10,6 +10,8 @@
 	// urgentPollInterval is the time between two reads of the lease row while a group
 	// needs a promoter.
 	urgentPollInterval = 400 * time.Millisecond
+	// recordInterval is the least time between two writes of the lease row.
+	recordInterval = 100 * time.Millisecond
 	// standbyPollInterval is the time between two reads of the lease row by the proxies
 	// with the lowest ranks.
 	standbyPollInterval = 2 * time.Second
@@ -88,6 +90,11 @@
 	}
 }
 
+// recordSoon writes the row at the next check after recordInterval since the last one.
+func (lease *lease) recordSoon() {
+	lease.nextPollAt = min(lease.nextPollAt, lease.lastPollAt+recordInterval)
+}
+
 // observeNeed records since when a group needs a promoter.
 func (lease *lease) observeNeed() {
 	switch {
--- a/internal/plug/elect/probe.go
+++ b/internal/plug/elect/probe.go
@@ -38,7 +38,7 @@
 			continue
 		}
 		interval := monitor.probeInterval(group, id, undecided, awaitsDecision)
-		if id == monitor.primary(group) && monitor.attempt == nil && !undecided && !awaitsDecision && observation.reported {
+		if id == monitor.primary(group) && monitor.attempt == nil && monitor.primaryReported() && !undecided && !awaitsDecision && observation.reported {
 			if age, ok := group.MarkAge(now); ok && age < primaryProbeInterval {
 				interval = replicaProbeInterval // the answers to callers' statements show that it is the primary
 			}
@@ -69,6 +69,8 @@
 		return primaryProbeInterval
 	case observation.refusals > 0 && observation.runs():
 		return primaryProbeInterval // it may have ended
+	case observation.reported && observation.status.Fence() < monitor.reportedPrimary.Term:
+		return monitor.elect.primaryProbeInterval() // it confirms no commits until it follows the primary
 	default:
 		return replicaProbeInterval
 	}
--- a/internal/plug/elect/settle.go
+++ b/internal/plug/elect/settle.go
@@ -22,7 +22,7 @@
 	elect.settledAt = elect.context.Now()
 	var unsettled []model.GroupID
 	for id, monitor := range elect.monitors {
-		if !monitor.settled() {
+		if monitor.mayBeUndone() || !monitor.isCurrent() {
 			unsettled = append(unsettled, id)
 		}
 	}
@@ -34,8 +34,9 @@
 	slices.Sort(unsettled)
 	var terms []model.GroupTerm
 	for _, id := range groups {
-		if monitor, ok := elect.monitors[id]; ok {
-			terms = append(terms, model.NewGroupTerm(id, max(monitor.newestTerm(), monitor.reportedPrimary.Term)))
+		if monitor, ok := elect.monitors[id]; ok && (monitor.mayBeUndone() || monitor.isCurrent()) {
+			term := max(monitor.newestTerm(), monitor.reportedPrimary.Term)
+			terms = append(terms, model.NewGroupTerm(id, term, monitor.followers(term)...))
 		}
 	}
 	return model.NewSettlement(lease.self(), unsettled, terms)
@@ -47,12 +48,44 @@
 	elect.pace.Wake()
 }
 
-// settled reports whether no promotion of the group is under way that could undo a commit which is
+// mayBeUndone reports whether a promotion of the group may be under way that undoes a commit which is
 // acknowledged by now.
-func (monitor *monitor) settled() bool {
+func (monitor *monitor) mayBeUndone() bool {
 	lease := monitor.elect.lease
 	ordered := lease.outstandingOrder(monitor.groupID)
-	return monitor.rowAdopted && monitor.attempt == nil && !lease.ordersLost() && (ordered == "" || ordered == monitor.reportedPrimary.Instance)
+	return monitor.attempt != nil || lease.ordersLost() || ordered != "" && ordered != monitor.reportedPrimary.Instance
+}
+
+// isCurrent reports whether this proxy knows the newest primary of the group, and the next holder of
+// the lease all instances that count now.
+func (monitor *monitor) isCurrent() bool {
+	return monitor.rowAdopted && monitor.primaryReported() && monitor.isRecorded()
+}
+
+// primaryReported reports whether an instance has reported that it leads since this proxy took the
+// lease, and since an attempt was abandoned whose order may have been carried out.
+func (monitor *monitor) primaryReported() bool {
+	observation, ok := monitor.observations[monitor.reportedPrimary.Instance]
+	return ok && observation.reported && observation.status.Role() == model.RolePrimary &&
+		observation.statusAt >= max(monitor.leaseHeldSince, monitor.abandonedAt)
+}
+
+// isRecorded reports whether the lease row has all instances that the next holder has to count.
+func (monitor *monitor) isRecorded() bool {
+	recorded := monitor.elect.lease.row.Counted[monitor.groupID]
+	return !slices.ContainsFunc(monitor.recordedIDs(), func(id model.InstanceID) bool { return !slices.Contains(recorded, id) })
+}
+
+// followers returns the instances in the lease row that have reported the term.
+func (monitor *monitor) followers(term model.Term) []model.InstanceID {
+	var followers []model.InstanceID
+	for _, id := range monitor.elect.lease.row.Counted[monitor.groupID] {
+		observation, ok := monitor.observations[id]
+		if ok && observation.reported && observation.status.Fence() == term {
+			followers = append(followers, id)
+		}
+	}
+	return followers
 }
 
 // newestTerm returns the newest term of the group that is known from any instance.
--- a/internal/plug/elect/settle_test.go
+++ b/internal/plug/elect/settle_test.go
@@ -36,40 +36,67 @@
 // When a group is settled, and what is said of its term.
 func TestSettlement(t *testing.T) {
 	ordered := storedLease{Holder: "other", Token: 32, Ordered: map[model.GroupID]string{group: "i-3"}, Led: map[model.GroupID]primaryOf{group: {Instance: "i-1", Term: 4}}}
+	leader := model.NewStatus(1, model.RolePrimary, model.NewMark(1, 9), "", 0, false)
 	tests := []struct {
 		name     string
 		play     func(fixture *fixture)
 		wantHeld bool
 		want     []model.GroupID
-		wantTerm model.Term
+		wantTerms []model.GroupTerm
 	}{
 		{"no lease", func(fixture *fixture) {
 			fixture.put("promoter", storedLease{Holder: "other", Token: 32})
 			fixture.run(time.Second)
-		}, false, nil, 0},
-		{"lease", func(fixture *fixture) { fixture.run(time.Second) }, true, nil, 0},
+		}, false, nil, nil},
+		{"lease", func(fixture *fixture) {
+			fixture.statuses["i-1"] = leader
+			fixture.run(time.Second)
+		}, true, nil, []model.GroupTerm{model.NewGroupTerm(group, 1, "i-1")}},
+		{"lease, and replicas of this term and of an older one", func(fixture *fixture) {
+			fixture.statuses["i-1"], fixture.statuses["i-2"] = leader, replicaAt(9)
+			fixture.statuses["i-3"] = model.NewStatus(0, model.RoleReplica, model.NewMark(0, 9), "", 0, false)
+			fixture.run(time.Second)
+		}, true, nil, []model.GroupTerm{model.NewGroupTerm(group, 1, "i-1", "i-2")}},
+		{"no report of a primary", func(fixture *fixture) { fixture.run(time.Second) }, true, []model.GroupID{group}, nil},
+		{"no report of a primary since the lease was taken", func(fixture *fixture) {
+			fixture.put("promoter", storedLease{Holder: "other", Token: 32, Led: map[model.GroupID]primaryOf{group: {Instance: "i-1", Term: 4}}})
+			fixture.run(6 * time.Second)
+		}, true, []model.GroupID{group}, nil},
+		{"an instance that the row lacks", func(fixture *fixture) {
+			fixture.statuses["i-1"] = leader
+			fixture.run(time.Second)
+			fixture.writesFail = true
+			fixture.answer(fixture.kernel.Handle(fixture.now, event.NewInstanceListed(listingOf("i-4"))))
+			fixture.run(200 * time.Millisecond)
+		}, true, []model.GroupID{group}, nil},
+		{"an instance that the row has got", func(fixture *fixture) {
+			fixture.statuses["i-1"] = leader
+			fixture.run(time.Second)
+			fixture.answer(fixture.kernel.Handle(fixture.now, event.NewInstanceListed(listingOf("i-4"))))
+			fixture.run(200 * time.Millisecond)
+		}, true, nil, []model.GroupTerm{model.NewGroupTerm(group, 1, "i-1")}},
 		{"the lease has ended", func(fixture *fixture) {
 			fixture.run(time.Second)
 			fixture.now += 2600 * time.Millisecond
-		}, false, nil, 0},
+		}, false, nil, nil},
 		{"an attempt", func(fixture *fixture) {
 			fixture.run(time.Second)
 			fixture.losePrimary()
 			fixture.run(800 * time.Millisecond)
-		}, true, []model.GroupID{group}, 0},
+		}, true, []model.GroupID{group}, []model.GroupTerm{model.NewGroupTerm(group, 0)}},
 		{"an order of an earlier holder", func(fixture *fixture) {
 			fixture.put("promoter", ordered)
 			fixture.run(6 * time.Second)
-		}, true, []model.GroupID{group}, 4},
+		}, true, []model.GroupID{group}, []model.GroupTerm{model.NewGroupTerm(group, 4)}},
 		{"an order of an earlier holder that can no longer be carried out", func(fixture *fixture) {
 			fixture.put("promoter", ordered)
 			fixture.statuses["i-1"] = model.NewStatus(4, model.RolePrimary, model.NewMark(4, 9), "", 0, false)
 			fixture.run(21 * time.Second)
-		}, true, nil, 4},
+		}, true, nil, []model.GroupTerm{model.NewGroupTerm(group, 4, "i-1")}},
 		{"orders lost with a restore", func(fixture *fixture) {
 			fixture.put("promoter", storedLease{Token: 32, OrdersLost: true})
 			fixture.run(time.Second)
-		}, true, []model.GroupID{group}, 0},
+		}, true, []model.GroupID{group}, []model.GroupTerm{model.NewGroupTerm(group, 0)}},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -80,7 +107,7 @@
 			is.Equal(settlement.Held(), test.wantHeld)
 			is.Equal(settlement.Unsettled(), test.want)
 			if test.wantHeld {
-				is.Equal(settlement.Terms(), []model.GroupTerm{model.NewGroupTerm(group, test.wantTerm)})
+				is.Equal(settlement.Terms(), test.wantTerms)
 			}
 		})
 	}
@@ -129,8 +156,10 @@
 				context.ProvideService(route.MirrorService, mirror)
 				return mirror
 			})
+			fixture.statuses["i-1"] = model.NewStatus(1, model.RolePrimary, model.NewMark(1, 9), "", 0, false)
 			fixture.statuses["i-2"], fixture.statuses["i-3"] = replicaAt(7), replicaAt(9)
 			fixture.run(2 * time.Second)
+			delete(fixture.statuses, "i-1")
 			fixture.losePrimary()
 			is.Equal(len(fixture.settlement(is).Unsettled()), 0)
 			fixture.kernel.State().SetListCheckedAt(model.ListInstances, fixture.now+test.listed)
