--- a/internal/proof/check/confirm_test.go
+++ b/internal/proof/check/confirm_test.go
@@ -35,6 +35,7 @@
 	ordered  int8  // the instance that an order which may still be carried out names
 	leader   int8  // the last known primary
 	term     uint8 // of leader
+	alone    bool  // no order since leader has reported as primary named another instance
 	reported bool  // the primary has reported since the lease was taken or an order has ended
 }
 
@@ -85,7 +86,7 @@
 }
 
 func initialConfirmState() confirmState {
-	start := confirmState{term: 1, holder: holder{ordered: noInstance, term: 1, reported: true}}
+	start := confirmState{term: 1, holder: holder{ordered: noInstance, term: 1, alone: true, reported: true}}
 	for index := range start.servers {
 		start.servers[index] = server{term: 1, listed: true}
 		start.holder.counted |= commitBit(uint8(index))
--- a/internal/proof/check/confirmer_test.go
+++ b/internal/proof/check/confirmer_test.go
@@ -12,6 +12,9 @@
 	// byReplica passes on a commit that is in the log of a replica which the proxy has relied on since a
 	// holder called the group settled. It models internal/plug/affirm (canConfirm).
 	byReplica bool
+	// restoresLeader lets an attempt promote the last known primary again, whatever the others have, if it
+	// reports that no other one leads, and each order since it has reported as primary named it.
+	restoresLeader bool
 	// needsCountedCopy lets the holder confirm a commit only if a counted replica has it.
 	needsCountedCopy bool
 
@@ -19,6 +22,8 @@
 
 	// skipsRefresh orders a promotion without asking the store for the list of instances.
 	skipsRefresh bool
+	// restoresAnyLeader does so after orders for other instances, too.
+	restoresAnyLeader bool
 	// skipsRecord orders a promotion that the lease row does not list.
 	skipsRecord bool
 	// usesOldReports uses the end of a log that was reported before the attempt began.
--- a/internal/proof/check/confirmorder_test.go
+++ b/internal/proof/check/confirmorder_test.go
@@ -17,12 +17,13 @@
 	}
 	known := &current.holder
 	leads := current.primary != noInstance && !current.servers[current.primary].down
-	if leads && (!known.reported || known.term != current.term || known.ordered == current.primary) {
+	if leads && (!known.reported || !known.alone || known.term != current.term || known.ordered == current.primary) {
 		next := current
 		next.holder.reported, next.holder.leader, next.holder.term = true, current.primary, current.term
 		if known.ordered == current.primary && (!rule.keepsRepeated || !current.ordered(known.ordered)) {
 			next.holder.ordered = noInstance
 		}
+		next.holder.alone = next.holder.ordered == noInstance || next.holder.ordered == current.primary
 		if next != current {
 			all = append(all, confirmStep{"reports as primary", int(current.primary), next})
 		}
@@ -142,6 +143,9 @@
 			OrderPending:  int8(index) == attempt.pendingCandidate,
 		})
 	}
+	if current.canRestore(rule) {
+		return current.holder.leader, true
+	}
 	chosen := chooseByProduct(candidates)
 	for index, name := range instanceIDs {
 		if name == chosen {
@@ -151,6 +155,16 @@
 	return noInstance, false
 }
 
+// canRestore reports whether the last known primary can be promoted again: it has answered in the
+// attempt, as a replica of the newest known term with its log.
+func (current *confirmState) canRestore(rule confirmer) bool {
+	known := &current.holder
+	leader := &current.servers[known.leader]
+	answered := current.attempt.tailKnown[known.leader] && !leader.down && leader.term == known.term && !leader.logLost
+	allowed := rule.restoresLeader && known.alone || rule.restoresAnyLeader
+	return allowed && answered && (known.ordered == noInstance || known.ordered == known.leader)
+}
+
 // withPromotion returns the state after the order is recorded and sent.
 func (current confirmState) withPromotion(rule confirmer, candidate int8) confirmState {
 	current.orders[current.orderCount] = promotionOrder{candidate: candidate, token: current.attempt.token}
@@ -163,6 +177,7 @@
 		}
 	}
 	current.holder.ordered = candidate
+	current.holder.alone = current.holder.alone && candidate == current.holder.leader
 	if !rule.skipsRecord {
 		current.row = current.holder
 		current.row.reported = false
--- a/internal/proof/check/confirmrules_test.go
+++ b/internal/proof/check/confirmrules_test.go
@@ -34,6 +34,20 @@
 		confirmerWith("both, promoter lost, late orders to stop", func(rule *confirmer) {
 			rule.promoterLost, rule.latePauses, rule.large = true, true, true
 		}),
+		confirmerWith("both, restores the leader", func(rule *confirmer) { rule.restoresLeader = true }),
+		confirmerWith("both, restores the leader, promoter lost", func(rule *confirmer) { rule.restoresLeader, rule.promoterLost = true, true }),
+		confirmerWith("both, restores the leader, promoter lost, late entries, instances that leave", func(rule *confirmer) {
+			rule.restoresLeader, rule.promoterLost, rule.registersLate, rule.instancesEnd, rule.large = true, true, true, true, true
+		}),
+		confirmerWith("both, restores the leader, promoter lost, two attempts without crashes", func(rule *confirmer) {
+			rule.restoresLeader, rule.promoterLost, rule.attempts, rule.crashes, rule.large = true, true, 2, 0, true
+		}),
+		confirmerWith("both, restores the leader, two attempts without crashes", func(rule *confirmer) {
+			rule.restoresLeader, rule.attempts, rule.crashes = true, 2, 0
+		}),
+		confirmerWith("both, restores the leader, two attempts", func(rule *confirmer) {
+			rule.restoresLeader, rule.attempts, rule.large = true, 2, true
+		}),
 		confirmerWith("holder, two attempts", func(rule *confirmer) {
 			rule.byReplica, rule.needsCountedCopy, rule.attempts, rule.large = false, false, 2, true
 		}),
@@ -58,6 +72,9 @@
 		}),
 		confirmerWith("sends an order that is not recorded", func(rule *confirmer) { rule.skipsRecord, rule.promoterLost = true, true }),
 		confirmerWith("uses reports from before the attempt", func(rule *confirmer) { rule.usesOldReports = true }),
+		confirmerWith("restores the leader after an order for another instance", func(rule *confirmer) {
+			rule.restoresAnyLeader, rule.attempts, rule.crashes, rule.promoterLost = true, 2, 0, true
+		}),
 		confirmerWith("settled without a report of the primary", func(rule *confirmer) { rule.settlesUnseen = true }),
 		confirmerWith("settled without a record of the counted instances", func(rule *confirmer) {
 			rule.settlesUnrecorded, rule.promoterLost, rule.registersLate = true, true, true
--- a/internal/proof/check/confirmsteps_test.go
+++ b/internal/proof/check/confirmsteps_test.go
@@ -193,6 +193,7 @@
 		if server.ended && !server.listed && counted && current.canDrop(index) {
 			next = current
 			next.holder.counted &^= bit
+			next.refreshReports()
 			all = append(all, confirmStep{"dropped by the holder", index, next})
 		}
 	}
@@ -205,6 +206,18 @@
 	return all
 }
 
+// refreshReports replaces the reports of the attempt by those for which an instance was dropped: a
+// holder has one report of each instance.
+func (current *confirmState) refreshReports() {
+	attempt := &current.attempt
+	for index := range current.servers {
+		if server := &current.servers[index]; attempt.tailKnown[index] && !server.down {
+			attempt.tailLength[index], attempt.tailTerm[index] = server.tail()
+			attempt.paused[index] = server.paused
+		}
+	}
+}
+
 // canDrop reports whether an instance that has ended can be dropped, after the primary and the
 // others have reported their logs.
 func (current *confirmState) canDrop(dropped int) bool {
