heir: a replica that stays may receive what a leaving one has

The instance that leaves first has the longest log at that moment, is promoted again, and gets work after its drain timeout.

Cause: mostAdvanced compares the logs before it asks who leaves, and the best replica was chosen as soon as its log covered that of the former primary, although the others receive the rest of it up to 0.2 s later.

Now the choice of a leaving replica waits for that time, unless all others are leaving, too, or an order for it may still be carried out. It costs 0.2 s at most, where a release costs more. Where every replica is paused nothing changes: the others receive nothing then.

--- a/internal/core/heir/heir.go
+++ b/internal/core/heir/heir.go
@@ -86,13 +86,17 @@
 
 // chooseAfterStepDown selects an instance after the former primary has stepped down.
 // The log of the former primary contains every acknowledged commit, so any replica
-// whose log covers it is safe. The former primary itself is the last choice.
+// whose log covers it is safe. One that is leaving is not chosen while another replica may
+// still receive that log. The former primary itself is the last choice.
 func chooseAfterStepDown(candidates []Candidate, former Candidate, settled bool) (model.InstanceID, string) {
 	replicas := replicasOf(candidates)
 	best := mostAdvanced(replicas)
 	allKnown := best != ""
 	for _, candidate := range replicas {
 		if candidate.Instance == best && !former.LogLost && candidate.Tail.Covers(former.Tail) {
+			if candidate.Leaving && !candidate.OrderPending && !settled && hasStaying(replicas) {
+				return "", "no replica that is not leaving has the whole log of the former primary yet"
+			}
 			return best, "it has the whole log of the former primary"
 		}
 		allKnown = allKnown && candidate.TailKnown && !candidate.LogLost
@@ -122,6 +126,11 @@
 	})
 }
 
+// hasStaying reports whether any of the replicas is not leaving.
+func hasStaying(replicas []Candidate) bool {
+	return slices.ContainsFunc(replicas, func(replica Candidate) bool { return !replica.Leaving && !replica.LogLost })
+}
+
 func replicasOf(candidates []Candidate) []Candidate {
 	var replicas []Candidate
 	for _, candidate := range candidates {
--- a/internal/core/heir/heir_test.go
+++ b/internal/core/heir/heir_test.go
@@ -46,6 +46,26 @@
 			name: "stepped down, a replica has the whole log", replicas: 1, want: "a",
 			candidates: []heir.Candidate{{Instance: "p", FormerPrimary: true, TailKnown: true, SteppedDown: true, Tail: markAt(1, 9)}, {Instance: "a", Tail: markAt(1, 9), TailKnown: true}, {Instance: "b"}},
 		},
+		{
+			name: "stepped down, a replica that stays may still receive what the leaving one has", replicas: 1, want: "",
+			candidates: []heir.Candidate{{Instance: "p", FormerPrimary: true, TailKnown: true, SteppedDown: true, Tail: markAt(1, 9)}, {Instance: "a", Tail: markAt(1, 9), TailKnown: true, Leaving: true}, {Instance: "b", Tail: markAt(1, 8), TailKnown: true}},
+		},
+		{
+			name: "stepped down, a replica that stays has received what the leaving one has", replicas: 1, want: "b",
+			candidates: []heir.Candidate{{Instance: "p", FormerPrimary: true, TailKnown: true, SteppedDown: true, Tail: markAt(1, 9)}, {Instance: "a", Tail: markAt(1, 9), TailKnown: true, Leaving: true}, {Instance: "b", Tail: markAt(1, 9), TailKnown: true}},
+		},
+		{
+			name: "stepped down, only the leaving replica has received the whole log", replicas: 1, settled: true, want: "a",
+			candidates: []heir.Candidate{{Instance: "p", FormerPrimary: true, TailKnown: true, SteppedDown: true, Tail: markAt(1, 9)}, {Instance: "a", Tail: markAt(1, 9), TailKnown: true, Leaving: true}, {Instance: "b", Tail: markAt(1, 8), TailKnown: true}},
+		},
+		{
+			name: "stepped down, all replicas are leaving", replicas: 1, want: "a",
+			candidates: []heir.Candidate{{Instance: "p", FormerPrimary: true, TailKnown: true, SteppedDown: true, Tail: markAt(1, 9)}, {Instance: "a", Tail: markAt(1, 9), TailKnown: true, Leaving: true}, {Instance: "b", Tail: markAt(1, 8), TailKnown: true, Leaving: true}},
+		},
+		{
+			name: "stepped down, an order for the leaving replica may still be carried out", replicas: 1, want: "a",
+			candidates: []heir.Candidate{{Instance: "p", FormerPrimary: true, TailKnown: true, SteppedDown: true, Tail: markAt(1, 9)}, {Instance: "a", Tail: markAt(1, 9), TailKnown: true, Leaving: true, OrderPending: true}, {Instance: "b", Tail: markAt(1, 8), TailKnown: true}},
+		},
 		{
 			name: "stepped down, part of the log may still be in transit", replicas: 1, want: "",
 			candidates: []heir.Candidate{{Instance: "p", FormerPrimary: true, TailKnown: true, SteppedDown: true, Tail: markAt(1, 9)}, {Instance: "a", Tail: markAt(1, 8), TailKnown: true}, {Instance: "b", Tail: markAt(1, 8), TailKnown: true}},
