elect: the last primary is promoted again where no other one can be

From then on no attempt starts: elect waits for the log of db1-i2 (awaitLog), and drops it only for a report of a primary (heir.CanDrop), which the group no longer has. An attempt that runs waits for db1-i2, too ("may still acknowledge commits").

Now the last primary may be promoted again, whatever the others have, if no other choice is left 0.3 s after an attempt began: it answers as a replica of the newest known term with the log that it had, it is not leaving, and no order for another instance can have been carried out since it reported that it leads. Then its log has every acknowledged commit, and whatever it acknowledges on its way is in it.

Only the holder that saw the last primary lead does this. A holder that takes the lease later still waits, until that is kept in the lease row.

--- a/internal/plug/elect/attempt.go
+++ b/internal/plug/elect/attempt.go
@@ -170,7 +170,11 @@
 	attempt.verifyStepDown()
 	replication, _ := group.Replication().(model.PrimaryAcknowledged)
 	settled := attempt.steppedDownAt > 0 && attempt.monitor.now()-attempt.steppedDownAt >= logTransitTime
-	return heir.Choose(attempt.candidates(), replication.Replicas(), settled)
+	chosen, reason := heir.Choose(attempt.candidates(), replication.Replicas(), settled)
+	if last := attempt.restorable(); chosen == "" && last != "" {
+		return last, "it was the last primary, and no other instance can have led since"
+	}
+	return chosen, reason
 }
 
 func (attempt *attempt) logWait(reason string) {
@@ -214,6 +218,9 @@
 	attempt.enterPhase(phaseOrdering)
 	elect := attempt.monitor.elect
 	attempt.refreshedAt = attempt.monitor.now()
+	if attempt.chosen != attempt.monitor.reportedPrimary.Instance {
+		attempt.monitor.onlyPrimary = false
+	}
 	attempt.listRefreshed = elect.mirror != nil && elect.mirror.Refresh(model.ListInstances)
 	elect.lease.issueToken(attempt.monitor.groupID, attempt.chosen, func(token uint64, ok bool) {
 		switch {
--- a/internal/plug/elect/count.go
+++ b/internal/plug/elect/count.go
@@ -52,7 +52,7 @@
 		}
 	}
 	if recorded := row.Led[monitor.groupID]; recorded.Term > monitor.reportedPrimary.Term {
-		monitor.reportedPrimary = recorded
+		monitor.reportedPrimary, monitor.onlyPrimary = recorded, false
 	}
 	monitor.rowAdopted = true
 }
@@ -109,7 +109,7 @@
 // would only replace the primary by itself, so none starts unless a promotion order may still be
 // carried out.
 func (monitor *monitor) awaitLog(group *state.Group) bool {
-	if monitor.elect.lease.outstandingOrder(monitor.groupID) != "" {
+	if monitor.elect.lease.outstandingOrder(monitor.groupID) != "" || monitor.awaitsRestore(group) {
 		return false
 	}
 	awaited := monitor.awaitedReplica(group)
--- a/internal/plug/elect/monitor.go
+++ b/internal/plug/elect/monitor.go
@@ -49,6 +49,8 @@
 	strayPauseSince time.Duration    // when a replica was first paused without an attempt, or 0
 	lastPrimary     model.InstanceID // the last known primary
 	reportedPrimary primaryRecord    // the primary of the highest reported term
+	reportedTail    model.Mark       // the end of its log in that report, or the zero Mark if it is from the lease row
+	onlyPrimary     bool             // no order for another instance can be carried out since that report
 	rowAdopted      bool             // whether Counted and Led of the lease row were adopted
 	waitsForOrders  bool             // no attempt starts until lost orders can no longer be carried out
 	waitsForLog     bool             // no attempt starts until a log that may be needed is known or not needed
@@ -97,6 +99,7 @@
 	if !monitor.elect.lease.held() {
 		monitor.leaseHeldSince = 0
 		monitor.rowAdopted = false
+		monitor.onlyPrimary = false
 		if monitor.attempt != nil {
 			monitor.attempt.abandon("the lease was lost")
 		}
@@ -209,8 +212,8 @@
 	observation.reported = true
 	observation.born = born
 	observation.lastTail = status.Tail()
-	if status.Role() == model.RolePrimary && status.Fence() >= monitor.reportedPrimary.Term {
-		monitor.reportedPrimary = primaryRecord{Instance: instance, Term: status.Fence()}
+	if status.Role() == model.RolePrimary {
+		monitor.recordPrimary(instance, status, sentAt)
 	}
 	if observation.logLost && monitor.logRegained(observation) {
 		observation.logLost = false
