check: restoring the last primary with what the holder calls settled

The searches of the restored primary now use the holder's rule as it is in elect: an order for the last primary does not unsettle the group, and a commit of a later term than the holder knows is confirmed.

--- a/internal/proof/check/confirmrules_test.go
+++ b/internal/proof/check/confirmrules_test.go
@@ -34,8 +34,10 @@
 		confirmerWith("both, promoter lost, late orders to stop", func(rule *confirmer) {
 			rule.promoterLost, rule.latePauses, rule.large = true, true, true
 		}),
-		confirmerWith("both, restores the leader", func(rule *confirmer) { rule.restoresLeader = true }),
-		confirmerWith("both, restores the leader, promoter lost", func(rule *confirmer) { rule.restoresLeader, rule.promoterLost = true, true }),
+		confirmerWith("both, restores the leader", func(rule *confirmer) { rule.restoresLeader, rule.settlesForLeader = true, true }),
+		confirmerWith("both, restores the leader, promoter lost", func(rule *confirmer) {
+			rule.restoresLeader, rule.settlesForLeader, rule.lags, rule.promoterLost = true, true, true, true
+		}),
 		confirmerWith("both, restores the leader, promoter lost, late entries, instances that leave", func(rule *confirmer) {
 			rule.restoresLeader, rule.promoterLost, rule.registersLate, rule.instancesEnd, rule.large = true, true, true, true, true
 		}),
@@ -43,7 +45,7 @@
 			rule.restoresLeader, rule.promoterLost, rule.attempts, rule.crashes, rule.large = true, true, 2, 0, true
 		}),
 		confirmerWith("both, restores the leader, two attempts without crashes", func(rule *confirmer) {
-			rule.restoresLeader, rule.attempts, rule.crashes = true, 2, 0
+			rule.restoresLeader, rule.settlesForLeader, rule.lags, rule.attempts, rule.crashes = true, true, true, 2, 0
 		}),
 		confirmerWith("both, restores the leader, two attempts", func(rule *confirmer) {
 			rule.restoresLeader, rule.attempts, rule.large = true, 2, true
