check: a group is settled for the recorded primary

Asked of the search: may the holder call a group settled right after it has taken the lease, without a report of the primary?

--- a/internal/proof/check/confirmer_test.go
+++ b/internal/proof/check/confirmer_test.go
@@ -15,6 +15,9 @@
 	// restoresLeader lets an attempt promote the last known primary again, whatever the others have, if it
 	// reports that no other one leads, and each order since it has reported as primary named it.
 	restoresLeader bool
+	// settlesAlone calls the group settled without a report since the lease was taken, if each order since
+	// the last report of a primary, also one in the lease row, named that primary.
+	settlesAlone bool
 	// needsCountedCopy lets the holder confirm a commit only if a counted replica has it.
 	needsCountedCopy bool
 
--- a/internal/proof/check/confirmrules_test.go
+++ b/internal/proof/check/confirmrules_test.go
@@ -34,6 +34,13 @@
 		confirmerWith("both, promoter lost, late orders to stop", func(rule *confirmer) {
 			rule.promoterLost, rule.latePauses, rule.large = true, true, true
 		}),
+		confirmerWith("both, settled for the recorded primary, promoter lost", func(rule *confirmer) {
+			rule.settlesAlone, rule.settlesForLeader, rule.lags, rule.promoterLost = true, true, true, true
+		}),
+		confirmerWith("both, settled for the recorded primary, promoter lost, two attempts without crashes", func(rule *confirmer) {
+			rule.settlesAlone, rule.settlesForLeader, rule.lags, rule.restoresLeader = true, true, true, true
+			rule.promoterLost, rule.attempts, rule.crashes, rule.large = true, 2, 0, true
+		}),
 		confirmerWith("both, restores the leader", func(rule *confirmer) { rule.restoresLeader, rule.settlesForLeader = true, true }),
 		confirmerWith("both, restores the leader, promoter lost", func(rule *confirmer) {
 			rule.restoresLeader, rule.settlesForLeader, rule.lags, rule.promoterLost = true, true, true, true
--- a/internal/proof/check/confirmsteps_test.go
+++ b/internal/proof/check/confirmsteps_test.go
@@ -15,7 +15,7 @@
 		return false
 	case holder.ordered != noInstance && !rule.settlesBeforeOrdersEnd && (!rule.settlesForLeader || holder.ordered != holder.leader):
 		return false
-	case !holder.reported && !rule.settlesUnseen:
+	case !holder.reported && !rule.settlesUnseen && (!rule.settlesAlone || !holder.alone):
 		return false
 	default:
 		return rule.settlesUnrecorded || holder.counted&^current.row.counted == 0
