--- a/internal/plug/elect/settle_test.go
+++ b/internal/plug/elect/settle_test.go
@@ -38,10 +38,10 @@
 	ordered := storedLease{Holder: "other", Token: 32, Ordered: map[model.GroupID]string{group: "i-3"}, Led: map[model.GroupID]primaryOf{group: {Instance: "i-1", Term: 4}}}
 	leader := model.NewStatus(1, model.RolePrimary, model.NewMark(1, 9), "", 0, false)
 	tests := []struct {
-		name     string
-		play     func(fixture *fixture)
-		wantHeld bool
-		want     []model.GroupID
+		name      string
+		play      func(fixture *fixture)
+		wantHeld  bool
+		want      []model.GroupID
 		wantTerms []model.GroupTerm
 	}{
 		{"no lease", func(fixture *fixture) {
