elect: a group is settled only if its last known primary can't have been replaced unseen

Found by the search in internal/proof/check ("settled without a report of the primary", LOST after 44,352 states), not in service. An order is carried out, but the holder of the lease cannot see the new primary. The order lapses, or another proxy takes the lease: the group was called settled at the old term, so a commit of the replaced primary that still waited at a proxy was confirmed, and the new primary lacks it.

Now a group is settled only if no order for another instance can have been carried out since the last known primary reported that it leads. The lease row says so together with the primary, and the record of an order takes it back, so that a change of the lease withholds nothing. Without such a record, one report of the primary is enough; it is asked for at once, since a busy primary is probed every 4 s only.

TestSettlement: "lease" had no instance that answers and expected a settled group, which is the fault; its primary now reports, and that case stays as "no primary has reported", which is not settled. The two cases of an earlier holder are new. TestOrderAwaitsListAfterConfirmation lets the primary report before it is lost; what it expects is unchanged.

--- a/internal/plug/elect/attempt.go
+++ b/internal/plug/elect/attempt.go
@@ -219,7 +219,7 @@
 	elect := attempt.monitor.elect
 	attempt.refreshedAt = attempt.monitor.now()
 	if attempt.chosen != attempt.monitor.reportedPrimary.Instance {
-		attempt.monitor.onlyPrimary = false
+		attempt.monitor.reportedPrimary.Only = false
 	}
 	attempt.listRefreshed = elect.mirror != nil && elect.mirror.Refresh(model.ListInstances)
 	elect.lease.issueToken(attempt.monitor.groupID, attempt.chosen, func(token uint64, ok bool) {
--- a/internal/plug/elect/count.go
+++ b/internal/plug/elect/count.go
@@ -51,9 +51,7 @@
 			monitor.observation(id).ran = true
 		}
 	}
-	if recorded := row.Led[monitor.groupID]; recorded.Term > monitor.reportedPrimary.Term {
-		monitor.reportedPrimary, monitor.onlyPrimary = recorded, false
-	}
+	monitor.adoptPrimary(row.Led[monitor.groupID])
 	monitor.rowAdopted = true
 }
 
--- a/internal/plug/elect/lease_test.go
+++ b/internal/plug/elect/lease_test.go
@@ -36,6 +36,7 @@
 type primaryOf struct {
 	Instance string `json:"instance"`
 	Term     uint64 `json:"term"`
+	Only     bool   `json:"only,omitempty"`
 }
 
 // fixture is a kernel whose calls to the store are answered at once. An instance answers if statuses
--- a/internal/plug/elect/leaserow.go
+++ b/internal/plug/elect/leaserow.go
@@ -31,4 +31,6 @@
 type primaryRecord struct {
 	Instance model.InstanceID `json:"instance"`
 	Term     model.Term       `json:"term"`
+	// Only is set if no order for another instance can have been carried out since.
+	Only bool `json:"only,omitempty"`
 }
--- a/internal/plug/elect/monitor.go
+++ b/internal/plug/elect/monitor.go
@@ -50,7 +50,6 @@
 	lastPrimary     model.InstanceID // the last known primary
 	reportedPrimary primaryRecord    // the primary of the highest reported term
 	reportedTail    model.Mark       // the end of its log in that report, or the zero Mark if it is from the lease row
-	onlyPrimary     bool             // no order for another instance can be carried out since that report
 	rowAdopted      bool             // whether Counted and Led of the lease row were adopted
 	waitsForOrders  bool             // no attempt starts until lost orders can no longer be carried out
 	waitsForLog     bool             // no attempt starts until a log that may be needed is known or not needed
@@ -99,7 +98,7 @@
 	if !monitor.elect.lease.held() {
 		monitor.leaseHeldSince = 0
 		monitor.rowAdopted = false
-		monitor.onlyPrimary = false
+		monitor.reportedPrimary.Only = false
 		if monitor.attempt != nil {
 			monitor.attempt.abandon("the lease was lost")
 		}
--- a/internal/plug/elect/probe.go
+++ b/internal/plug/elect/probe.go
@@ -30,6 +30,7 @@
 // probe sends the probes that are due.
 func (monitor *monitor) probe(group *state.Group) {
 	now := monitor.now()
+	unsettled := !monitor.reportedPrimary.Only && !monitor.elect.lease.ordersLost()
 	undecided := len(monitor.unlistedCounted(group)) > 0
 	awaitsDecision := monitor.awaitsDecision(group)
 	for _, id := range monitor.countedIDs() {
@@ -38,7 +39,9 @@
 			continue
 		}
 		interval := monitor.probeInterval(group, id, undecided, awaitsDecision)
-		if id == monitor.primary(group) && monitor.attempt == nil && !undecided && !awaitsDecision && observation.reported {
+		if id == monitor.primary(group) && unsettled && observation.failures == 0 {
+			interval = min(interval, attemptProbeInterval) // its report settles the group
+		} else if id == monitor.primary(group) && monitor.attempt == nil && !undecided && !awaitsDecision && observation.reported {
 			if age, ok := group.MarkAge(now); ok && age < primaryProbeInterval {
 				interval = replicaProbeInterval // the answers to callers' statements show that it is the primary
 			}
--- a/internal/plug/elect/restore.go
+++ b/internal/plug/elect/restore.go
@@ -13,12 +13,24 @@
 	if status.Fence() < monitor.reportedPrimary.Term {
 		return
 	}
-	monitor.reportedPrimary = primaryRecord{Instance: instance, Term: status.Fence()}
-	monitor.reportedTail = status.Tail()
 	lease := monitor.elect.lease
 	order, ok := lease.promotionOrders[monitor.groupID]
 	otherOrdered := ok && order.instance != instance && sentAt <= order.until
-	monitor.onlyPrimary = lease.held() && monitor.leaseHeldSince > 0 && sentAt >= monitor.leaseHeldSince && !lease.ordersLost() && !otherOrdered
+	only := lease.held() && monitor.leaseHeldSince > 0 && sentAt >= monitor.leaseHeldSince && !lease.ordersLost() && !otherOrdered
+	monitor.reportedPrimary = primaryRecord{Instance: instance, Term: status.Fence(), Only: only}
+	monitor.reportedTail = status.Tail()
+}
+
+// adoptPrimary adopts what the holder of the lease before knew of the primary.
+func (monitor *monitor) adoptPrimary(recorded primaryRecord) {
+	known := &monitor.reportedPrimary
+	recorded.Only = recorded.Only && !monitor.elect.lease.ordersLost()
+	switch {
+	case recorded.Term > known.Term:
+		*known, monitor.reportedTail = recorded, model.Mark{}
+	case recorded.Term == known.Term && recorded.Instance == known.Instance:
+		known.Only = recorded.Only
+	}
 }
 
 // canRestore reports whether the last reported primary can be promoted again, whatever the others have:
@@ -27,7 +39,7 @@
 func (monitor *monitor) canRestore() bool {
 	last := monitor.reportedPrimary
 	listing, counted := monitor.counted[last.Instance]
-	if !monitor.onlyPrimary || !counted || listing.Leaving() || monitor.newestTerm() > last.Term {
+	if !last.Only || monitor.reportedTail.IsZero() || !counted || listing.Leaving() || monitor.newestTerm() > last.Term {
 		return false
 	}
 	observation := monitor.observation(last.Instance)
--- a/internal/plug/elect/settle.go
+++ b/internal/plug/elect/settle.go
@@ -48,11 +48,12 @@
 }
 
 // settled reports whether no promotion of the group is under way that could undo a commit which is
-// acknowledged by now.
+// acknowledged by now, and none can have been carried out since the last known primary reported. Without
+// such a report, the commit may be of a primary that was replaced already.
 func (monitor *monitor) settled() bool {
-	lease := monitor.elect.lease
+	lease, last := monitor.elect.lease, monitor.reportedPrimary
 	ordered := lease.outstandingOrder(monitor.groupID)
-	return monitor.rowAdopted && monitor.attempt == nil && !lease.ordersLost() && (ordered == "" || ordered == monitor.reportedPrimary.Instance)
+	return monitor.rowAdopted && monitor.attempt == nil && !lease.ordersLost() && last.Only && (ordered == "" || ordered == last.Instance)
 }
 
 // newestTerm returns the newest term of the group that is known from any instance.
--- a/internal/plug/elect/settle_test.go
+++ b/internal/plug/elect/settle_test.go
@@ -28,6 +28,10 @@
 	return model.Settlement{}
 }
 
+func primaryAt(position model.Position) model.Status {
+	return model.NewStatus(1, model.RolePrimary, model.NewMark(1, position), "", 0, false)
+}
+
 // losePrimary starts an attempt to promote i-3, if both replicas answer.
 func (fixture *fixture) losePrimary() {
 	fixture.kernel.State().Group(group).RefutePrimary("i-1", fixture.now)
@@ -47,7 +51,19 @@
 			fixture.put("promoter", storedLease{Holder: "other", Token: 32})
 			fixture.run(time.Second)
 		}, false, nil, 0},
-		{"lease", func(fixture *fixture) { fixture.run(time.Second) }, true, nil, 0},
+		{"lease", func(fixture *fixture) {
+			fixture.statuses["i-1"] = primaryAt(9)
+			fixture.run(time.Second)
+		}, true, nil, 1},
+		{"no primary has reported", func(fixture *fixture) { fixture.run(time.Second) }, true, []model.GroupID{group}, 0},
+		{"the primary reported to an earlier holder", func(fixture *fixture) {
+			fixture.put("promoter", storedLease{Holder: "other", Token: 32, Led: map[model.GroupID]primaryOf{group: {Instance: "i-1", Term: 4, Only: true}}})
+			fixture.run(5 * time.Second)
+		}, true, nil, 4},
+		{"an earlier holder ordered another one since the primary reported", func(fixture *fixture) {
+			fixture.put("promoter", storedLease{Holder: "other", Token: 32, Led: map[model.GroupID]primaryOf{group: {Instance: "i-1", Term: 4}}})
+			fixture.run(5 * time.Second)
+		}, true, []model.GroupID{group}, 4},
 		{"the lease has ended", func(fixture *fixture) {
 			fixture.run(time.Second)
 			fixture.now += 2600 * time.Millisecond
@@ -129,8 +145,9 @@
 				context.ProvideService(route.MirrorService, mirror)
 				return mirror
 			})
-			fixture.statuses["i-2"], fixture.statuses["i-3"] = replicaAt(7), replicaAt(9)
+			fixture.statuses["i-1"], fixture.statuses["i-2"], fixture.statuses["i-3"] = primaryAt(9), replicaAt(7), replicaAt(9)
 			fixture.run(2 * time.Second)
+			delete(fixture.statuses, "i-1")
 			fixture.losePrimary()
 			is.Equal(len(fixture.settlement(is).Unsettled()), 0)
 			fixture.kernel.State().SetListCheckedAt(model.ListInstances, fixture.now+test.listed)
