--- a/internal/plug/elect/attempt.go
+++ b/internal/plug/elect/attempt.go
@@ -219,7 +219,7 @@
 	elect := attempt.monitor.elect
 	attempt.refreshedAt = attempt.monitor.now()
 	if attempt.chosen != attempt.monitor.reportedPrimary.Instance {
-		attempt.monitor.onlyPrimary = false
+		attempt.monitor.reportedPrimary.Only = false
 	}
 	attempt.listRefreshed = elect.mirror != nil && elect.mirror.Refresh(model.ListInstances)
 	elect.lease.issueToken(attempt.monitor.groupID, attempt.chosen, func(token uint64, ok bool) {
@@ -337,7 +337,6 @@
 // still needs a primary, and at once if a promotion order may still be carried out.
 func (attempt *attempt) abandon(reason string) {
 	attempt.monitor.log("promotion_abandoned", attempt.chosen, reason)
-	attempt.monitor.abandonedAt = attempt.monitor.now()
 	delay := retryDelay
 	if attempt.monitor.elect.lease.outstandingOrder(attempt.monitor.groupID) != "" {
 		delay = 0
--- a/internal/plug/elect/monitor.go
+++ b/internal/plug/elect/monitor.go
@@ -50,14 +50,12 @@
 	lastPrimary     model.InstanceID // the last known primary
 	reportedPrimary primaryRecord    // the primary of the highest reported term
 	reportedTail    model.Mark       // the end of its log in that report, or the zero Mark if it is from the lease row
-	onlyPrimary     bool             // no order for another instance can be carried out since that report
 	rowAdopted      bool             // whether Counted and Led of the lease row were adopted
 	waitsForOrders  bool             // no attempt starts until lost orders can no longer be carried out
 	waitsForLog     bool             // no attempt starts until a log that may be needed is known or not needed
 	attempt         *attempt
 	notBefore       time.Duration // no attempt starts before this time
 	attemptEndedAt  time.Duration // when the last attempt ended
-	abandonedAt     time.Duration // when an attempt was last abandoned
 	// counted holds the listings of the instances that may hold acknowledged commits. An
 	// instance that ended without having left stays until it is dropped by dropUnlisted.
 	// The listing is empty for an instance that is known from the lease row only.
@@ -100,7 +98,7 @@
 	if !monitor.elect.lease.held() {
 		monitor.leaseHeldSince = 0
 		monitor.rowAdopted = false
-		monitor.onlyPrimary = false
+		monitor.reportedPrimary.Only = false
 		if monitor.attempt != nil {
 			monitor.attempt.abandon("the lease was lost")
 		}
--- a/internal/plug/elect/settle.go
+++ b/internal/plug/elect/settle.go
@@ -56,18 +56,11 @@
 	return monitor.attempt != nil || lease.ordersLost() || ordered != "" && ordered != monitor.reportedPrimary.Instance
 }
 
-// isCurrent reports whether this proxy knows the newest primary of the group, and the next holder of
-// the lease all instances that count now.
+// isCurrent reports whether no promotion can have been carried out since the last known primary
+// reported, and the next holder of the lease knows all instances that count now. Without such a report,
+// a commit may be of a primary that was replaced already.
 func (monitor *monitor) isCurrent() bool {
-	return monitor.rowAdopted && monitor.primaryReported() && monitor.isRecorded()
-}
-
-// primaryReported reports whether an instance has reported that it leads since this proxy took the
-// lease, and since an attempt was abandoned whose order may have been carried out.
-func (monitor *monitor) primaryReported() bool {
-	observation, ok := monitor.observations[monitor.reportedPrimary.Instance]
-	return ok && observation.reported && observation.status.Role() == model.RolePrimary &&
-		observation.statusAt >= max(monitor.leaseHeldSince, monitor.abandonedAt)
+	return monitor.rowAdopted && monitor.reportedPrimary.Only && monitor.isRecorded()
 }
 
 // isRecorded reports whether the lease row has all instances that the next holder has to count.
--- a/internal/plug/elect/settle_test.go
+++ b/internal/plug/elect/settle_test.go
@@ -28,6 +28,10 @@
 	return model.Settlement{}
 }
 
+func primaryAt(position model.Position) model.Status {
+	return model.NewStatus(1, model.RolePrimary, model.NewMark(1, position), "", 0, false)
+}
+
 // losePrimary starts an attempt to promote i-3, if both replicas answer.
 func (fixture *fixture) losePrimary() {
 	fixture.kernel.State().Group(group).RefutePrimary("i-1", fixture.now)
@@ -58,9 +62,13 @@
 			fixture.run(time.Second)
 		}, true, nil, []model.GroupTerm{model.NewGroupTerm(group, 1, "i-1", "i-2")}},
 		{"no report of a primary", func(fixture *fixture) { fixture.run(time.Second) }, true, []model.GroupID{group}, nil},
-		{"no report of a primary since the lease was taken", func(fixture *fixture) {
+		{"the primary reported to an earlier holder", func(fixture *fixture) {
+			fixture.put("promoter", storedLease{Holder: "other", Token: 32, Led: map[model.GroupID]primaryOf{group: {Instance: "i-1", Term: 4, Only: true}}})
+			fixture.run(5 * time.Second)
+		}, true, nil, []model.GroupTerm{model.NewGroupTerm(group, 4)}},
+		{"an earlier holder ordered another one since the primary reported", func(fixture *fixture) {
 			fixture.put("promoter", storedLease{Holder: "other", Token: 32, Led: map[model.GroupID]primaryOf{group: {Instance: "i-1", Term: 4}}})
-			fixture.run(6 * time.Second)
+			fixture.run(5 * time.Second)
 		}, true, []model.GroupID{group}, nil},
 		{"an instance that the row lacks", func(fixture *fixture) {
 			fixture.statuses["i-1"] = leader
@@ -156,8 +164,7 @@
 				context.ProvideService(route.MirrorService, mirror)
 				return mirror
 			})
-			fixture.statuses["i-1"] = model.NewStatus(1, model.RolePrimary, model.NewMark(1, 9), "", 0, false)
-			fixture.statuses["i-2"], fixture.statuses["i-3"] = replicaAt(7), replicaAt(9)
+			fixture.statuses["i-1"], fixture.statuses["i-2"], fixture.statuses["i-3"] = primaryAt(9), replicaAt(7), replicaAt(9)
 			fixture.run(2 * time.Second)
 			delete(fixture.statuses, "i-1")
 			fixture.losePrimary()
