elect: commits go on by the logs of replicas after a restore of the store

Callers: writes were in doubt for up to 18 s after the store was restored, since the promoter called every group unsettled until a forgotten order could no longer be carried out, and replicas were not asked. Cause: an order that may have been forgotten counted as a promotion under way. Change: it counts as something that the promoter cannot say, so that a replica which has followed since before confirms commits.

--- a/internal/plug/elect/settle.go
+++ b/internal/plug/elect/settle.go
@@ -80,14 +80,14 @@
 func (monitor *monitor) mayBeUndone() bool {
 	lease := monitor.elect.lease
 	ordered := lease.outstandingOrder(monitor.groupID)
-	return monitor.attempt != nil || lease.ordersLost() || ordered != "" && ordered != monitor.reportedPrimary.Instance
+	return monitor.attempt != nil || ordered != "" && ordered != monitor.reportedPrimary.Instance
 }
 
 // isCurrent reports whether no promotion can have been carried out since the last known primary
 // reported, and the next holder of the lease knows all instances that count now. Without such a report,
 // a commit may be of a primary that was replaced already.
 func (monitor *monitor) isCurrent() bool {
-	return monitor.rowAdopted && monitor.reportedPrimary.Only && monitor.isRecorded()
+	return monitor.rowAdopted && monitor.reportedPrimary.Only && monitor.isRecorded() && !monitor.elect.lease.ordersLost()
 }
 
 // isRecorded reports whether the lease row has all instances that the next holder has to count.
