--- a/internal/plug/elect/count.go
+++ b/internal/plug/elect/count.go
@@ -51,9 +51,7 @@
 			monitor.observation(id).ran = true
 		}
 	}
-	if recorded := row.Led[monitor.groupID]; recorded.Term > monitor.reportedPrimary.Term {
-		monitor.reportedPrimary = recorded
-	}
+	monitor.adoptPrimary(row.Led[monitor.groupID])
 	monitor.rowAdopted = true
 }
 
@@ -109,7 +107,7 @@
 // would only replace the primary by itself, so none starts unless a promotion order may still be
 // carried out.
 func (monitor *monitor) awaitLog(group *state.Group) bool {
-	if monitor.elect.lease.outstandingOrder(monitor.groupID) != "" {
+	if monitor.elect.lease.outstandingOrder(monitor.groupID) != "" || monitor.awaitsRestore(group) {
 		return false
 	}
 	awaited := monitor.awaitedReplica(group)
@@ -156,6 +154,9 @@
 		}
 		if heir.CanDrop(observation.needed, monitor.listedBeside(group, observation.neededFrom, endedAt)) {
 			monitor.log("instance_left_out", id, "it has ended, and the log of another replica covers "+observation.needed.String())
+			if observation.refusals == 0 {
+				monitor.silentDroppedAt = monitor.now()
+			}
 			monitor.drop(id)
 		}
 	}
--- a/internal/plug/elect/monitor.go
+++ b/internal/plug/elect/monitor.go
@@ -49,6 +49,8 @@
 	strayPauseSince time.Duration    // when a replica was first paused without an attempt, or 0
 	lastPrimary     model.InstanceID // the last known primary
 	reportedPrimary primaryRecord    // the primary of the highest reported term
+	reportedTail    model.Mark       // the end of its log in that report, or the zero Mark if it is from the lease row
+	silentDroppedAt time.Duration    // when an instance was last dropped that only was silent, or 0
 	rowAdopted      bool             // whether Counted and Led of the lease row were adopted
 	waitsForOrders  bool             // no attempt starts until lost orders can no longer be carried out
 	waitsForLog     bool             // no attempt starts until a log that may be needed is known or not needed
@@ -97,6 +99,7 @@
 	if !monitor.elect.lease.held() {
 		monitor.leaseHeldSince = 0
 		monitor.rowAdopted = false
+		monitor.reportedPrimary.Only = false
 		if monitor.attempt != nil {
 			monitor.attempt.abandon("the lease was lost")
 		}
@@ -109,6 +112,9 @@
 	if monitor.leaseHeldSince == 0 {
 		monitor.leaseHeldSince = monitor.now()
 	}
+	if !monitor.isRecorded() {
+		monitor.elect.lease.recordSoon()
+	}
 	monitor.probe(group)
 	if monitor.attempt != nil {
 		monitor.attempt.tick()
@@ -197,6 +203,9 @@
 // detects whether the instance lost its log in a restart.
 func (monitor *monitor) recordStatus(instance model.InstanceID, status model.Status, sentAt time.Duration) {
 	observation := monitor.observation(instance)
+	if sentAt < observation.statusAt {
+		return // a newer report arrived first
+	}
 	born := monitor.counted[instance].Born()
 	restarted := observation.reported && observation.born != born
 	if restarted && !status.Tail().Covers(observation.lastTail) {
@@ -209,8 +218,8 @@
 	observation.reported = true
 	observation.born = born
 	observation.lastTail = status.Tail()
-	if status.Role() == model.RolePrimary && status.Fence() >= monitor.reportedPrimary.Term {
-		monitor.reportedPrimary = primaryRecord{Instance: instance, Term: status.Fence()}
+	if status.Role() == model.RolePrimary {
+		monitor.recordPrimary(instance, status, sentAt)
 	}
 	if observation.logLost && monitor.logRegained(observation) {
 		observation.logLost = false
--- a/internal/plug/elect/polling.go
+++ b/internal/plug/elect/polling.go
@@ -10,6 +10,8 @@
 	// urgentPollInterval is the time between two reads of the lease row while a group
 	// needs a promoter.
 	urgentPollInterval = 400 * time.Millisecond
+	// recordInterval is the least time between two writes of the lease row.
+	recordInterval = 100 * time.Millisecond
 	// standbyPollInterval is the time between two reads of the lease row by the proxies
 	// with the lowest ranks.
 	standbyPollInterval = 2 * time.Second
@@ -36,6 +38,8 @@
 	// the same store.
 	membersWait  = 500 * time.Millisecond
 	membersRetry = 5 * time.Second
+	// seekSpacing is the time between two reads by all proxies that look for the holder.
+	seekSpacing = 5 * time.Millisecond
 	// maxFailedReads limits the exponential back-off of the reads while the store fails.
 	maxFailedReads = 3
 	maxReadDelay   = 2 * time.Second
@@ -74,6 +78,23 @@
 	lease.nextPollAt = now + lease.pollInterval()
 }
 
+// seekHolder makes the next read of the row come soon, since the holder has to be asked and is not
+// known. Many proxies share the reads.
+func (lease *lease) seekHolder() {
+	interval := max(urgentPollInterval, time.Duration(len(lease.context.State().Proxies()))*seekSpacing)
+	if lease.failedReads > 0 {
+		interval = max(interval, lease.pollInterval())
+	}
+	if lease.scheduled {
+		lease.nextPollAt = min(lease.nextPollAt, lease.lastPollAt+interval)
+	}
+}
+
+// recordSoon writes the row at the next check after recordInterval since the last one.
+func (lease *lease) recordSoon() {
+	lease.nextPollAt = min(lease.nextPollAt, lease.lastPollAt+recordInterval)
+}
+
 // observeNeed records since when a group needs a promoter.
 func (lease *lease) observeNeed() {
 	switch {
