affirm: a commit does not wait for a question that nobody answers

Callers: a commit that came while the idle question of every 2 s was on its way to a holder that is silent waited for its end, 0.4 s, before replicas were asked. Change: replicas are asked once the question is 0.1 s old, and it ends after 0.25 s. An idle question counts as no confirmation, so that an order still goes out without the store where nothing was confirmed; what an earlier holder confirmed counts 0.1 s longer.

--- a/internal/plug/affirm/affirm_test.go
+++ b/internal/plug/affirm/affirm_test.go
@@ -344,6 +344,41 @@
 	is.Equal(len(fixture.ended), 2)
 }
 
+// Guards against a commit that waits for a question that was sent before it, to a holder that is silent.
+func TestCommitDuringSilentRefresh(t *testing.T) {
+	is := is.New(t)
+	fixture := newFixture(1)
+	fixture.commit(model.NewMark(3, 7))
+	fixture.settle()
+	for len(fixture.calls()) == 0 {
+		fixture.run(time.Millisecond)
+	}
+	fixture.run(150 * time.Millisecond)
+	is.Equal(len(fixture.probes()), 0)
+	fixture.kernel.State().SetListCheckedAt(model.ListInstances, fixture.now)
+	fixture.commit(model.NewMark(3, 8))
+	is.Equal(len(fixture.probes()), 1)
+}
+
+// Guards against replicas that confirm commits of a proxy which nobody has answered lately.
+func TestIsolatedProxyAsksNoReplica(t *testing.T) {
+	is := is.New(t)
+	fixture := newFixture(1)
+	fixture.commit(model.NewMark(3, 7))
+	fixture.settle()
+	fixture.run(time.Second)
+	fixture.commit(model.NewMark(3, 8))
+	fixture.fail()
+	fixture.run(50 * time.Millisecond)
+	is.Equal(len(fixture.probes()), 0)
+	fixture.run(100 * time.Millisecond)
+	for _, call := range fixture.calls() {
+		fixture.handle(event.NewSettleAnswered(call.ID(), model.NewReferral("")))
+	}
+	fixture.run(20 * time.Millisecond)
+	is.Equal(len(fixture.probes()), 1)
+}
+
 // Writes are refused while a commit has waited for long, and no longer.
 func TestRefusal(t *testing.T) {
 	is := is.New(t)
--- a/internal/plug/affirm/holder.go
+++ b/internal/plug/affirm/holder.go
@@ -13,7 +13,7 @@
 
 const (
 	// settleTimeout is the time after which a call to the holder counts as failed.
-	settleTimeout = 400 * time.Millisecond
+	settleTimeout = 250 * time.Millisecond
 	// slowAfter is the time after which replicas are asked, too.
 	slowAfter = 100 * time.Millisecond
 	// unsettledInterval is the time between two calls about a group that is not settled, and
@@ -98,10 +98,19 @@
 // ask asks the holder about all commits that wait, unless a call is outstanding or the next one is
 // scheduled for a holder that does not answer.
 func (holder *holder) ask() {
-	if len(holder.affirm.waitingGroups()) == 0 || holder.call != 0 || holder.lost && holder.retry != 0 {
+	timers := holder.affirm.context.Timers()
+	switch {
+	case len(holder.affirm.waitingGroups()) == 0:
+		return
+	case holder.call != 0:
+		if !holder.lost && timers.Now()-holder.sentAt >= slowAfter {
+			holder.setLost(reasonSilent)
+		}
+		return
+	case holder.lost && holder.retry != 0:
 		return
 	}
-	holder.affirm.context.Timers().Cancel(holder.retry)
+	timers.Cancel(holder.retry)
 	holder.retry = 0
 	holder.send(holder.affirm.questions(), holder.affirm.lastID)
 }
@@ -134,9 +143,11 @@
 		return
 	}
 	holder.call, holder.asked, holder.sentAt, holder.lastAsked = model.SettleID(affirm.context.NextID()), view.ID(), now, last
-	if last > 0 {
-		holder.slow = affirm.context.Timers().After(slowAfter, func() { holder.setLost(reasonSilent) })
-	}
+	holder.slow = affirm.context.Timers().After(slowAfter, func() {
+		if len(affirm.waitingGroups()) > 0 {
+			holder.setLost(reasonSilent)
+		}
+	})
 	affirm.context.Emit(event.NewSettle(holder.call, affirm.context.State().Self(), view, questions, settleTimeout))
 }
 
--- a/internal/plug/elect/attempt.go
+++ b/internal/plug/elect/attempt.go
@@ -263,7 +263,7 @@
 	if confirmedAt > 0 {
 		confirmedAt += entryDelay
 	}
-	return max(confirmedAt, attempt.monitor.leaseHeldSince)
+	return max(confirmedAt, attempt.monitor.leaseHeldSince+entryDelay)
 }
 
 // sendPromotion orders the promotion if the chosen instance is still safe: others may have started
--- a/internal/plug/elect/settle.go
+++ b/internal/plug/elect/settle.go
@@ -19,8 +19,10 @@
 		}
 		return model.NewReferral(holder)
 	}
-	elect.settledAt = elect.context.Now()
 	for _, asked := range groups {
+		if len(asked.Followers()) > 0 {
+			elect.settledAt = elect.context.Now()
+		}
 		if monitor, ok := elect.monitors[asked.Group()]; ok {
 			monitor.observeAcknowledged(asked)
 		}
--- a/internal/plug/elect/settle_test.go
+++ b/internal/plug/elect/settle_test.go
@@ -17,7 +17,7 @@
 // settlement asks the proxy whether the group is settled.
 func (fixture *fixture) settlement(is *is.I) model.Settlement {
 	is.Helper()
-	actions := slices.Clone(fixture.kernel.Handle(fixture.now, event.NewSettleReceived(1, "self", []model.GroupTerm{model.NewGroupTerm(group, 0)})))
+	actions := slices.Clone(fixture.kernel.Handle(fixture.now, event.NewSettleReceived(1, "self", []model.GroupTerm{model.NewGroupTerm(group, 1, "i-1")})))
 	fixture.answer(actions)
 	for _, action := range actions {
 		if answer, ok := action.(event.AnswerSettle); ok {
