affirm, elect: what the lease row says lets replicas confirm commits

Cause: a proxy that has never asked a holder knew no replica to rely on. A restart that an entry shows by its sequence or its warm-up alone was not seen as one. Change: the lease row names the instances that have reported the term; a group without a recorded order was settled when the row was read. Another start is told as elect does.

--- a/internal/core/route/confirm.go
+++ b/internal/core/route/confirm.go
@@ -18,6 +18,9 @@
 	// this proxy orders promotions. groups may name an instance that has acknowledged commits, and
 	// their term.
 	Settlement(groups []model.GroupTerm) model.Settlement
+	// Recorded returns the groups that were settled when the store was last asked, with their terms and
+	// instances, and when that was.
+	Recorded() ([]model.GroupTerm, time.Duration)
 	// SeekHolder reads soon from the store which proxy orders promotions.
 	SeekHolder()
 }
--- a/internal/plug/affirm/affirm_test.go
+++ b/internal/plug/affirm/affirm_test.go
@@ -21,6 +21,8 @@
 // promoter is the fake of the plug-in that knows who orders promotions. It is a plug-in itself.
 type promoter struct {
 	settlement model.Settlement
+	recorded   []model.GroupTerm
+	recordedAt time.Duration
 	sought     int
 	next       func() // is called with the next event
 }
@@ -28,6 +30,11 @@
 // Settlement implements route.Promoter.
 func (promoter *promoter) Settlement([]model.GroupTerm) model.Settlement { return promoter.settlement }
 
+// Recorded implements route.Promoter.
+func (promoter *promoter) Recorded() ([]model.GroupTerm, time.Duration) {
+	return promoter.recorded, promoter.recordedAt
+}
+
 // SeekHolder implements route.Promoter.
 func (promoter *promoter) SeekHolder() { promoter.sought++ }
 
@@ -360,6 +367,37 @@
 	is.Equal(len(fixture.probes()), 1)
 }
 
+// Guards against commits that wait for the next holder at a proxy that has not asked one before.
+func TestReplicaOfRecordConfirms(t *testing.T) {
+	tests := []struct {
+		name     string
+		recorded model.GroupTerm
+		restarts bool
+		want     int
+	}{
+		{"recorded", model.NewGroupTerm(group, 3, "i-1", "i-2"), false, 1},
+		{"recorded in an older term", model.NewGroupTerm(group, 2, "i-1", "i-2"), false, 0},
+		{"not recorded as following", model.NewGroupTerm(group, 3, "i-1"), false, 0},
+		{"recorded before it restarted", model.NewGroupTerm(group, 3, "i-1", "i-2"), true, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			fixture := newFixture(1)
+			fixture.now += time.Second
+			fixture.promoter.recorded, fixture.promoter.recordedAt = []model.GroupTerm{test.recorded}, fixture.now
+			fixture.now += time.Second
+			if test.restarts {
+				fixture.list("i-2", 2)
+			}
+			fixture.kernel.State().SetListCheckedAt(model.ListInstances, fixture.now)
+			fixture.commit(model.NewMark(3, 8))
+			fixture.fail()
+			is.Equal(len(fixture.probes()), test.want)
+		})
+	}
+}
+
 // Guards against replicas that confirm commits of a proxy which nobody has answered lately.
 func TestIsolatedProxyAsksNoReplica(t *testing.T) {
 	is := is.New(t)
--- a/internal/plug/affirm/holder.go
+++ b/internal/plug/affirm/holder.go
@@ -133,6 +133,7 @@
 		holder.apply(settlement, now, last)
 		return
 	}
+	holder.recordSettled(promoter.Recorded())
 	view, ok := holder.target(settlement.Holder())
 	if !ok {
 		holder.seek(reasonUnknown)
@@ -151,6 +152,15 @@
 	affirm.context.Emit(event.NewSettle(holder.call, affirm.context.State().Self(), view, questions, settleTimeout))
 }
 
+// recordSettled records the groups that were settled at a time.
+func (holder *holder) recordSettled(terms []model.GroupTerm, at time.Duration) {
+	for _, known := range terms {
+		if at > holder.settled[known.Group()].at {
+			holder.settled[known.Group()] = settled{at: at, term: known.Term(), followers: known.Followers()}
+		}
+	}
+}
+
 // target returns the proxy to ask: the known holder or, in turn with it while it does not answer,
 // another one, which may know the next holder.
 func (holder *holder) target(known model.ProxyID) (model.ProxyView, bool) {
@@ -245,7 +255,7 @@
 	for _, known := range settlement.Terms() {
 		newest[known.Group()] = known
 		if !slices.Contains(settlement.Unsettled(), known.Group()) {
-			holder.settled[known.Group()] = settled{at: sentAt, term: known.Term(), followers: known.Followers()}
+			holder.recordSettled([]model.GroupTerm{known}, sentAt)
 		}
 	}
 	var done []ended
--- a/internal/plug/affirm/replica.go
+++ b/internal/plug/affirm/replica.go
@@ -23,8 +23,8 @@
 
 // listed is since when this proxy has had a process of an instance in the list.
 type listed struct {
-	born  int64
-	since time.Duration
+	listing model.Listing
+	since   time.Duration
 }
 
 // probe is an outstanding probe of a replica.
@@ -59,9 +59,16 @@
 		return
 	}
 	known, ok := affirm.listed[member.ID()]
-	if born := member.Listing().Born(); !ok || known.born != born {
-		affirm.listed[member.ID()] = listed{born: born, since: affirm.context.Now()}
+	if !ok || startedAgain(known.listing, member.Listing()) {
+		known.since = affirm.context.Now()
 	}
+	known.listing = member.Listing()
+	affirm.listed[member.ID()] = known
+}
+
+// startedAgain reports whether an entry is of another process of the instance than the one before.
+func startedAgain(before, listing model.Listing) bool {
+	return listing.Born() != before.Born() || listing.Sequence() < before.Sequence() || listing.WarmUpRemaining() > before.WarmUpRemaining()
 }
 
 // canConfirm reports whether a promotion that undoes a commit of another instance in the term is
--- a/internal/plug/elect/elect.go
+++ b/internal/plug/elect/elect.go
@@ -210,6 +210,13 @@
 	return elect.instances(elect.lease.row.Unreached, (*monitor).unreachedIDs)
 }
 
+// following returns those of the counted instances that have reported the term of their primary.
+func (elect *Elect) following() map[model.GroupID][]model.InstanceID {
+	return elect.instances(elect.lease.row.Following, func(monitor *monitor) []model.InstanceID {
+		return monitor.followers(monitor.reportedPrimary.Term)
+	})
+}
+
 // instances returns the list of an earlier holder with that of each group that was adopted.
 func (elect *Elect) instances(before map[model.GroupID][]model.InstanceID, list func(monitor *monitor) []model.InstanceID) map[model.GroupID][]model.InstanceID {
 	all := maps.Clone(before)
--- a/internal/plug/elect/lease.go
+++ b/internal/plug/elect/lease.go
@@ -50,6 +50,7 @@
 	// changedAt is the time at which the row was first read with this version.
 	changedAt time.Duration
 	rowKnown  bool
+	readAt    time.Duration  // when the last answered read of the row was sent, or 0
 	era       model.StoreEra // the era of the store to which row and version belong
 	eraKnown  bool
 	// past is what is known of the lease in earlier eras of the store.
@@ -67,9 +68,11 @@
 	promotionOrders map[model.GroupID]promotionOrder
 	// needsPromoter reports whether a group needs a promoter.
 	needsPromoter func() bool
-	// counted, unreached and reportedPrimaries return the next values of Counted, Unreached and Led.
+	// counted, unreached, following and reportedPrimaries return the next values of Counted, Unreached,
+	// Following and Led.
 	counted           func() map[model.GroupID][]model.InstanceID
 	unreached         func() map[model.GroupID][]model.InstanceID
+	following         func() map[model.GroupID][]model.InstanceID
 	reportedPrimaries func() map[model.GroupID]primaryRecord
 }
 
@@ -80,6 +83,7 @@
 		needsPromoter:     elect.needsPromoter,
 		counted:           elect.counted,
 		unreached:         elect.unreached,
+		following:         elect.following,
 		reportedPrimaries: elect.reportedPrimaries,
 		promotionOrders:   make(map[model.GroupID]promotionOrder),
 		past:              pastEras{knowsAll: true},
@@ -134,6 +138,7 @@
 // readRow reads the row and calls done on success.
 func (lease *lease) readRow(done func()) {
 	lease.callPending = true
+	sentAt := lease.context.Now()
 	lease.client.Read(route.FleetTable, leaseKey, func(rows []model.Row, ok bool) {
 		lease.callPending = false
 		if !ok {
@@ -162,6 +167,7 @@
 			lease.past.addRow(found, decoded)
 		}
 		lease.recordRow(current, version)
+		lease.readAt = sentAt
 		done()
 	})
 }
@@ -226,10 +232,10 @@
 func (lease *lease) write(row leaseRow, done func(ok bool)) {
 	before, reservedBefore := lease.predecessor(), lease.reservedUpTo()
 	row.Beat = lease.row.Beat + 1
-	row.Counted, row.Unreached, row.Led = before.Counted, before.Unreached, before.Led
+	row.Counted, row.Unreached, row.Led, row.Following = before.Counted, before.Unreached, before.Led, before.Following
 	row.Ordered, row.OrdersLost = lease.outstandingOrders(), lease.ordersLost()
 	if lease.row.Holder == lease.self() || lease.version == 0 && lease.past.knowsAll {
-		row.Counted, row.Unreached, row.Led = lease.counted(), lease.unreached(), lease.reportedPrimaries()
+		row.Counted, row.Unreached, row.Led, row.Following = lease.counted(), lease.unreached(), lease.reportedPrimaries(), lease.following()
 	}
 	value, err := json.Marshal(row)
 	if err != nil {
--- a/internal/plug/elect/leaserow.go
+++ b/internal/plug/elect/leaserow.go
@@ -19,6 +19,8 @@
 	// Led is the last reported primary of each group. The next holder needs it, since
 	// the primary may not be listed when it starts.
 	Led map[model.GroupID]primaryRecord `json:"led,omitempty"`
+	// Following lists those of Counted that have reported the term in Led.
+	Following map[model.GroupID][]model.InstanceID `json:"following,omitempty"`
 	// Ordered is the instance of each group for which a promotion order may still be
 	// carried out.
 	Ordered map[model.GroupID]model.InstanceID `json:"ordered,omitempty"`
--- a/internal/plug/elect/polling.go
+++ b/internal/plug/elect/polling.go
@@ -83,7 +83,7 @@
 func (lease *lease) seekHolder() {
 	interval := max(urgentPollInterval, time.Duration(len(lease.context.State().Proxies()))*seekSpacing)
 	if lease.failedReads > 0 {
-		interval = max(interval, lease.pollInterval())
+		interval = max(interval, min(lease.pollInterval(), maxReadDelay))
 	}
 	if lease.scheduled {
 		lease.nextPollAt = min(lease.nextPollAt, lease.lastPollAt+interval)
--- a/internal/plug/elect/settle.go
+++ b/internal/plug/elect/settle.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"almondway.dev/almondway/internal/core/codes"
 	"almondway.dev/almondway/internal/core/event"
@@ -50,6 +51,22 @@
 	return model.NewSettlement(lease.self(), unsettled, terms)
 }
 
+// Recorded implements route.Promoter. An order is recorded before it is sent, so a group without one was
+// settled when the row was read. An attempt may have begun: it has paused the instances that follow.
+func (elect *Elect) Recorded() ([]model.GroupTerm, time.Duration) {
+	lease := elect.lease
+	if lease.version == 0 || lease.unreadable || lease.row.OrdersLost {
+		return nil, 0
+	}
+	var terms []model.GroupTerm
+	for id, led := range lease.row.Led {
+		if _, ordered := lease.row.Ordered[id]; led.Only && !ordered {
+			terms = append(terms, model.NewGroupTerm(id, led.Term, lease.row.Following[id]...))
+		}
+	}
+	return terms, lease.readAt
+}
+
 // SeekHolder implements route.Promoter.
 func (elect *Elect) SeekHolder() {
 	elect.lease.seekHolder()
