--- a/internal/plug/elect/refusedorder_test.go
+++ b/internal/plug/elect/refusedorder_test.go
@@ -17,8 +17,7 @@
 	}
 }
 
-// Guards against a first order without an answer that is forgotten with the refusal of the second one:
-// it may still be carried out.
+// Guards against an order without an answer that is forgotten when the one after it is refused.
 func TestRefusalOfRepeatedOrderLeavesFirstOutstanding(t *testing.T) {
 	is := is.New(t)
 	fixture := newFixture(true)
--- a/internal/plug/elect/settle_test.go
+++ b/internal/plug/elect/settle_test.go
@@ -144,8 +144,7 @@
 	is.Equal(fixture.lease("promoter").Ordered[group], "i-3")
 }
 
-// Guards against the promotion of an instance that lacks a commit which was confirmed after the list of
-// instances was last up to date.
+// Guards against the promotion of an instance that lacks a commit which was confirmed after the list was read.
 func TestOrderAwaitsListAfterConfirmation(t *testing.T) {
 	tests := []struct {
 		name   string
--- a/internal/proof/city/confirm_test.go
+++ b/internal/proof/city/confirm_test.go
@@ -54,8 +54,7 @@
 	}
 }
 
-// Guards against the loss of commits that replicas acknowledge before the promoter knows them, through a
-// proxy that the promoter cannot reach.
+// Guards against commits that a replica acknowledges before the promoter knows it, and that a promotion undoes.
 func TestReplicaJoinsUnknownDuringPromotion(t *testing.T) {
 	for index := range 8 {
 		t.Run(strconv.Itoa(index), func(t *testing.T) {
@@ -76,8 +75,7 @@
 	}
 }
 
-// Guards against the loss of commits that are acknowledged between a promotion order and the time when it
-// takes effect, after its promoter was lost and a paused replica has restarted.
+// Guards against commits that the late order of a lost promoter undoes.
 func TestLateOrderOfLostPromoter(t *testing.T) {
 	for index := range 8 {
 		t.Run(strconv.Itoa(index), func(t *testing.T) {
--- a/internal/proof/city/droppedreplica_test.go
+++ b/internal/proof/city/droppedreplica_test.go
@@ -33,8 +33,7 @@
 	}
 }
 
-// Guards against a commit that is confirmed by the log of a replica which the holder no longer counts: the
-// proxy that relies on it is cut off from the holder and from the store, and has not learned of it.
+// Guards against commits that only a replica has which the promoter no longer counts.
 func TestReplicaThatWasDroppedConfirmsNothing(t *testing.T) {
 	tests := []struct {
 		name string
@@ -71,8 +70,7 @@
 	}
 }
 
-// Guards against a commit that is confirmed by the log of a paused replica which has restarted, without
-// the proxy that relies on it having learned so: it is cut off from the holder and from the store.
+// Guards against confirmation by a paused replica whose restart the proxy cannot see.
 func TestReplicaThatRestartedUnseenConfirmsNothing(t *testing.T) {
 	for index := range 4 {
 		t.Run(strconv.Itoa(index), func(t *testing.T) {
--- a/internal/proof/city/firstcommit_test.go
+++ b/internal/proof/city/firstcommit_test.go
@@ -6,8 +6,7 @@
 	"time"
 )
 
-// Guards against commits that wait for the next holder of the lease, since their proxy has had none in
-// the group before the holder was lost or the store went away.
+// Guards against commits that wait for the next promoter, since their proxy has had none in the group before.
 func TestFirstCommitWithoutPromoter(t *testing.T) {
 	tests := []struct {
 		name string
--- a/internal/proof/city/restore_primary_test.go
+++ b/internal/proof/city/restore_primary_test.go
@@ -8,8 +8,7 @@
 	"github.com/matryer/is"
 )
 
-// Guards against a group without a primary for good after the former one has restarted as a replica,
-// while another replica is lost that cannot be dropped without a primary.
+// Guards against a group without a primary for good: its last one is back, beside a replica that is lost.
 func TestFormerPrimaryRestartsBesideLostReplica(t *testing.T) {
 	tests := []struct {
 		name string
--- a/internal/proof/city/unreachedprimary_test.go
+++ b/internal/proof/city/unreachedprimary_test.go
@@ -6,8 +6,7 @@
 	"time"
 )
 
-// Guards against a group whose writes stop for good because one proxy, the holder of the lease, cannot
-// reach the primary, which serves all others.
+// Guards against writes that stop because the promoter alone cannot reach the primary.
 func TestWritesGoOnWhenHolderCannotReachPrimary(t *testing.T) {
 	tests := []struct {
 		name string
