affirm: a full instance is asked less often

Cause: a probe that an instance refused for want of a connection was sent again at once. Change: it waits 0.1 s, and twice as long each time up to 1 s. TestFullReplicaIsAskedLess is new.

--- a/internal/plug/affirm/affirm.go
+++ b/internal/plug/affirm/affirm.go
@@ -34,8 +34,10 @@
 	listed  map[model.InstanceID]listed
 	groups  map[model.GroupID]*group // with commits that wait or that were not settled
 	probes  map[model.ProbeID]probe
-	lastID  route.ConfirmationID
-	watch   timer.ID // of the commits that wait, or 0
+	// failures holds the instances that were full when they were last asked.
+	failures map[model.InstanceID]failure
+	lastID   route.ConfirmationID
+	watch    timer.ID // of the commits that wait, or 0
 }
 
 // waiting is a commit that waits for its confirmation.
@@ -63,6 +65,8 @@
 		listed:  make(map[model.InstanceID]listed),
 		groups:  make(map[model.GroupID]*group),
 		probes:  make(map[model.ProbeID]probe),
+
+		failures: make(map[model.InstanceID]failure),
 	}
 	affirm.holder = newHolder(affirm)
 	context.ProvideService(route.ConfirmationsService, affirm)
@@ -79,13 +83,14 @@
 	case event.StatusReported:
 		affirm.statusReported(received)
 	case event.ProbeFailed:
-		delete(affirm.probes, received.Probe())
+		affirm.probeFailed(received)
 	case event.InstanceListed:
 		affirm.recordListed(received.Listing().ID())
 	case event.InstancesListed, event.CatalogChanged:
 		affirm.recordAllListed()
 	case event.InstanceUnlisted:
 		delete(affirm.listed, received.Instance())
+		delete(affirm.failures, received.Instance())
 	}
 }
 
--- a/internal/plug/affirm/replica.go
+++ b/internal/plug/affirm/replica.go
@@ -19,6 +19,10 @@
 	// minProbeDelay and maxProbeDelay are the first and the longest time between two rounds of probes.
 	minProbeDelay = 10 * time.Millisecond
 	maxProbeDelay = 50 * time.Millisecond
+	// minFailureDelay and maxFailureDelay are the first and the longest time for which an instance is not
+	// asked again that is full: many proxies may share its few connections.
+	minFailureDelay = 100 * time.Millisecond
+	maxFailureDelay = time.Second
 )
 
 // listed is since when this proxy has had a process of an instance in the list.
@@ -33,6 +37,25 @@
 	instance model.InstanceID
 }
 
+// failure is the delay after the last probes of an instance that was full, and its end.
+type failure struct {
+	delay time.Duration
+	until time.Duration
+}
+
+// probeFailed delays the next probe of an instance that is full, by twice the delay before.
+func (affirm *Affirm) probeFailed(received event.ProbeFailed) {
+	if _, ok := affirm.probes[received.Probe()]; !ok {
+		return
+	}
+	delete(affirm.probes, received.Probe())
+	if received.Reason() != model.ConnFailureFull {
+		return
+	}
+	delay := min(max(2*affirm.failures[received.Instance()].delay, minFailureDelay), maxFailureDelay)
+	affirm.failures[received.Instance()] = failure{delay: delay, until: affirm.context.Now() + delay}
+}
+
 func (affirm *Affirm) recordListed(id model.InstanceID) {
 	group := affirm.context.State().GroupOf(id)
 	if group == nil {
@@ -134,7 +157,7 @@
 		return
 	}
 	for _, member := range members.Members() {
-		if !affirm.isProbed(member.ID()) && affirm.isNeeded(group, member.ID()) {
+		if !affirm.isProbed(member.ID()) && affirm.context.Now() >= affirm.failures[member.ID()].until && affirm.isNeeded(group, member.ID()) {
 			id := model.ProbeID(affirm.context.NextID())
 			affirm.probes[id] = probe{group: group.id, instance: member.ID()}
 			affirm.context.Emit(event.NewProbe(id, member.ID(), member.Instance().Address(), probeTimeout).WithGroup(group.id))
@@ -164,6 +187,7 @@
 		return
 	}
 	delete(affirm.probes, received.Probe())
+	delete(affirm.failures, received.Instance())
 	group, status := affirm.group(asked.group), received.Status()
 	var done []ended
 	for _, item := range group.commits {
--- a/internal/plug/affirm/replica_test.go
+++ b/internal/plug/affirm/replica_test.go
@@ -203,3 +203,22 @@
 	fixture.run(20 * time.Millisecond)
 	is.Equal(len(fixture.probes()), 1)
 }
+
+// Guards against proxies that take the last connections of a full instance with their questions.
+func TestFullReplicaIsAskedLess(t *testing.T) {
+	is := is.New(t)
+	fixture := newFixture(1)
+	fixture.commit(model.NewMark(3, 7))
+	fixture.settle()
+	fixture.commit(model.NewMark(3, 8))
+	asked := 0
+	for until := fixture.now + 2*time.Second; fixture.now < until; fixture.run(5 * time.Millisecond) {
+		fixture.kernel.State().SetListCheckedAt(model.ListInstances, fixture.now)
+		for _, probe := range fixture.probes() {
+			asked++
+			fixture.handle(event.NewProbeFailed(probe.Probe(), "i-2", model.ConnFailureFull))
+		}
+	}
+	is.True(asked >= 3)
+	is.True(asked <= 6)
+}
